--- /dev/null
+++ b/packages/shared/src/error_kind.ts
@@ -0,0 +1,179 @@
+/**
+ * The closed list of error kinds and the table from kind to answer. Everything
+ * a caller, an operator or a log line is told of a failure comes from here.
+ */
+
+/** Whether a request may have reached an endpoint. */
+export type Ran = 'no' | 'maybe' | 'yes';
+
+export type ErrorKind =
+  | 'bad_request'
+  | 'too_large'
+  | 'unauthorized'
+  | 'forbidden'
+  | 'not_found'
+  | 'step_conflict'
+  | 'no_rule'
+  | 'refused_by_rule'
+  | 'no_endpoint'
+  | 'overloaded'
+  | 'deadline_unreachable'
+  | 'draining'
+  | 'not_current'
+  | 'suspect_request'
+  | 'duplicate_request'
+  | 'endpoint_unreachable'
+  | 'endpoint_failed'
+  | 'endpoint_silent'
+  | 'outcome_unknown'
+  | 'not_fresh_in_time'
+  | 'deadline_passed'
+  | 'cancelled'
+  | 'stale_lease'
+  | 'not_owner'
+  | 'config_conflict'
+  | 'config_invalid'
+  | 'log_unavailable'
+  | 'store_unavailable'
+  | 'internal';
+
+/** What a caller is told for one kind. */
+export interface ErrorAnswer {
+  readonly status: number;
+  /** Callers rely on `no` being true: the request was never sent to an endpoint. */
+  readonly ran: Ran;
+  /** Whether sending the same request again later can help. */
+  readonly retryable: boolean;
+  readonly message: string;
+}
+
+function answer(
+  status: number,
+  ran: Ran,
+  retryable: boolean,
+  message: string,
+): ErrorAnswer {
+  return {status, ran, retryable, message};
+}
+
+export const ERROR_ANSWERS: Readonly<Record<ErrorKind, ErrorAnswer>> = {
+  bad_request: answer(400, 'no', false, 'the request is malformed'),
+  too_large: answer(413, 'no', false, 'the request is over a size limit'),
+  unauthorized: answer(401, 'no', false, 'credentials are missing or wrong'),
+  forbidden: answer(403, 'no', false, 'these credentials do not allow this'),
+  not_found: answer(404, 'no', false, 'there is nothing under this name'),
+  step_conflict: answer(
+    409,
+    'no',
+    false,
+    'the step id is taken by a step with another body',
+  ),
+  no_rule: answer(403, 'no', false, 'no rule matches the request'),
+  refused_by_rule: answer(403, 'no', false, 'a rule refuses the request'),
+  no_endpoint: answer(503, 'no', true, 'no endpoint can take the request now'),
+  overloaded: answer(429, 'no', true, 'the queue for this work is full'),
+  deadline_unreachable: answer(
+    503,
+    'no',
+    true,
+    'the request can not be done before its deadline',
+  ),
+  draining: answer(503, 'no', true, 'this VM is shutting down'),
+  not_current: answer(
+    503,
+    'no',
+    true,
+    'this VM can not tell whether its configuration is current',
+  ),
+  suspect_request: answer(
+    422,
+    'no',
+    false,
+    'requests like this one crashed endpoints before',
+  ),
+  duplicate_request: answer(
+    409,
+    'maybe',
+    false,
+    'a request with this id was accepted before and runs at most once',
+  ),
+  endpoint_unreachable: answer(
+    502,
+    'no',
+    true,
+    'no connection to the endpoint could be made',
+  ),
+  endpoint_failed: answer(
+    502,
+    'maybe',
+    true,
+    'the endpoint failed while it had the request',
+  ),
+  endpoint_silent: answer(
+    504,
+    'maybe',
+    true,
+    'the endpoint stopped answering while it had the request',
+  ),
+  outcome_unknown: answer(
+    502,
+    'maybe',
+    false,
+    'a non-idempotent request was sent and its outcome is unknown',
+  ),
+  not_fresh_in_time: answer(
+    503,
+    'maybe',
+    true,
+    'no rollout within the staleness bound could be had in time',
+  ),
+  deadline_passed: answer(504, 'maybe', true, 'the deadline has passed'),
+  cancelled: answer(410, 'maybe', false, 'the caller cancelled this'),
+  stale_lease: answer(409, 'no', true, 'a newer owner holds the lease'),
+  not_owner: answer(503, 'no', true, 'another VM owns this step'),
+  config_conflict: answer(
+    409,
+    'no',
+    true,
+    'the publication was based on a version that is no longer the latest',
+  ),
+  config_invalid: answer(422, 'no', false, 'the configuration is not valid'),
+  log_unavailable: answer(
+    503,
+    'no',
+    true,
+    'the platform log can not be reached',
+  ),
+  store_unavailable: answer(
+    503,
+    'maybe',
+    true,
+    'the weight store is unavailable',
+  ),
+  internal: answer(500, 'maybe', false, 'an internal error'),
+};
+
+/** A failure as a value. Tagged by `kind`; never thrown across a package. */
+export interface RadishyokeError {
+  readonly kind: ErrorKind;
+  /** What went wrong in this case, for a person. */
+  readonly detail: string;
+  /** When to come back, in ms from now, where the service can tell honestly. */
+  readonly retryAfterMs?: number;
+  /** Overrides the table where more is known, only ever from `maybe`. */
+  readonly ran?: Ran;
+}
+
+/** Builds an error value. */
+export function createError(
+  kind: ErrorKind,
+  detail: string = ERROR_ANSWERS[kind].message,
+  extra: Pick<RadishyokeError, 'retryAfterMs' | 'ran'> = {},
+): RadishyokeError {
+  return {kind, detail, ...extra};
+}
+
+/** Whether the request of `err` may have reached an endpoint. */
+export function resolveRan(err: RadishyokeError): Ran {
+  return err.ran ?? ERROR_ANSWERS[err.kind].ran;
+}
