--- a/eslint.config.js
+++ b/eslint.config.js
@@ -16,6 +16,7 @@
 export default [
   {ignores: ['**/dist/**', '**/node_modules/**']},
   ...gts,
+  {files: ['*.js'], languageOptions: {sourceType: 'module'}},
   {
     files: ['packages/**/*.ts'],
     languageOptions: {sourceType: 'module', parserOptions: {project: null}},
