feat(shared): caller address of a VM, voided samples and shortfalls on the log

Cause: a VM that does not own a step forwards the trainer to the owner, and an owner must be able to take back a winner that never reached the trainer. Change: VmInfo.callerAddress, record samples_voided, CommittedSample.shortfall.

--- a/packages/shared/src/endpoint.ts
+++ b/packages/shared/src/endpoint.ts
@@ -26,6 +26,8 @@
   readonly id: VmId;
   /** `ip:port` of the peer listener. */
   readonly peerAddress: string;
+  /** `ip:port` of the caller listener, to which other VMs forward. */
+  readonly callerAddress: string;
   readonly dataCentre: DataCentreId;
   readonly state: 'live' | 'leaving';
 }
@@ -43,6 +45,7 @@
     z.object({
       id: z.string().min(1),
       peerAddress: z.string(),
+      callerAddress: z.string(),
       dataCentre: z.string().min(1),
       state: stateSchema,
     }),
--- a/packages/shared/src/log_record.ts
+++ b/packages/shared/src/log_record.ts
@@ -4,6 +4,7 @@
  * and a copy appended twice counts once.
  */
 
+import type {ErrorKind} from './error_kind.js';
 import type {
   EndpointId,
   IncarnationId,
@@ -56,8 +57,10 @@
   readonly cursor: number;
   readonly endpoint: EndpointId;
   readonly spans: readonly TokenSpan[];
-  /** SHA-256 of the text, hex. */
+  /** SHA-256 of the text, hex; empty for a shortfall. */
   readonly digest: string;
+  /** Set when the sample was given up on and the trainer is told so. */
+  readonly shortfall?: ErrorKind;
 }
 
 /** What the stream `state` holds. `fencing` is the offset of the owner's claim. */
@@ -108,6 +111,18 @@
       readonly fencing: number;
       readonly samples: readonly CommittedSample[];
     }
+  | {
+      /**
+       * Takes back winners that were committed but never reached the trainer:
+       * their text was lost with their owner, or they became stale. The samples
+       * run again and win at a later cursor.
+       */
+      readonly kind: 'samples_voided';
+      readonly tenant: TenantId;
+      readonly step: StepId;
+      readonly fencing: number;
+      readonly cursors: readonly number[];
+    }
   | {
       readonly kind: 'cursor_acknowledged';
       readonly tenant: TenantId;
