feat(core): fold of the state stream and chain of configuration versions

Cause: VMs have no disk and no consensus group; what must be agreed has to follow from the order of the platform's log alone. Change: StateFold (sessions, leases with the claim's offset as fencing number, steps with first-valid-commit-wins, at-most-once claims, suspects, copies by writer and sequence) and ConfigHistory (chain per team, losers of a race named). The fold gives out cursors, so SampleCommit carries none.

--- /dev/null
+++ b/packages/core/src/__tests__/state_fold.spec.ts
@@ -0,0 +1,140 @@
+import test from 'ava';
+import type {StateRecord} from '@radishyoke/shared/log_record';
+import {toRequestId} from '@radishyoke/shared/ids';
+import {DEFAULT_CLAIM_HORIZON_MS, StateFold} from '../state_fold.js';
+import {
+  commitSample,
+  openStep,
+  RecordFixture,
+  type StateBody,
+  STEP,
+  TENANT,
+} from './log_fixtures.js';
+
+const TTL_MS = 5000;
+const LEASE = `step:${TENANT}/${STEP}`;
+const SESSION: StateBody = {kind: 'session', ttlMs: TTL_MS};
+const CLAIM: StateBody = {kind: 'lease_claimed', lease: LEASE};
+
+function createFold() {
+  const stream = new RecordFixture<StateRecord>();
+  const fold = new StateFold();
+  const add = (vm: string, body: StateBody, timeMs: number) =>
+    fold.apply(stream.add(vm, body, timeMs));
+  return {stream, fold, add};
+}
+
+function commit(fencing: number, ...samples: number[]): StateBody {
+  return {
+    kind: 'samples_committed',
+    tenant: TENANT,
+    step: STEP,
+    fencing,
+    samples: samples.map(sample => commitSample(sample)),
+  };
+}
+
+// A trainer gets one sample from two owners.
+// 1. VM a owns the step and is paused; its session lapses.
+// 2. VM b claims the step and commits sample 0.
+// 3. a wakes, believes it is still the owner and commits samples 0 and 1.
+// Cause: nothing but a's own clock told it that its lease had gone.
+test('a paused owner commits nothing after another claim', t => {
+  const {fold, add} = createFold();
+  add('a', openStep(2), 0);
+  add('a', SESSION, 0);
+  t.deepEqual(add('a', CLAIM, 0), {kind: 'accepted', fencing: 2});
+  add('b', SESSION, TTL_MS - 1);
+  t.deepEqual(add('b', CLAIM, TTL_MS - 1), {
+    kind: 'void',
+    reason: 'lease_held',
+  });
+  t.deepEqual(add('b', CLAIM, TTL_MS), {kind: 'accepted', fencing: 5});
+  t.is(add('b', commit(5, 0), TTL_MS).kind, 'accepted');
+  add('a', SESSION, TTL_MS + 1);
+  t.deepEqual(add('a', commit(2, 0, 1), TTL_MS + 1), {
+    kind: 'void',
+    reason: 'stale_fencing',
+  });
+  t.deepEqual(
+    fold
+      .findStep(TENANT, STEP)!
+      .listCommitted()
+      .map(s => [s.sample, s.cursor]),
+    [[0, 1]],
+  );
+});
+
+// A note is filed twice on a grower's record.
+// 1. A VM claims a request id; the append takes effect and its answer is lost.
+// 2. The VM appends the same record again; the caller, having heard nothing,
+//    sends the request to another VM too.
+// Cause: a lost answer taken for a failure.
+test('one claim on a request id wins, however often it is appended', t => {
+  const {stream, fold, add} = createFold();
+  const claim: StateBody = {
+    kind: 'request_claimed',
+    tenant: TENANT,
+    req: toRequestId('r1'),
+  };
+  t.is(add('a', claim, 0).kind, 'accepted');
+  t.deepEqual(fold.apply(stream.append(stream.records[0]!.value, 1)), {
+    kind: 'void',
+    reason: 'copy',
+  });
+  t.deepEqual(add('b', claim, 2), {kind: 'void', reason: 'claimed_before'});
+  const later = 2 + DEFAULT_CLAIM_HORIZON_MS;
+  t.is(add('b', claim, later - 1).kind, 'void');
+  t.is(
+    add('b', claim, later - 1 + DEFAULT_CLAIM_HORIZON_MS).kind,
+    'accepted',
+    'the horizon counts from the last claim',
+  );
+});
+
+// A step stands still for an hour after its owner died.
+// 1. The log's clock is set back an hour.
+// 2. The owner dies; its session seems to lapse only in an hour.
+// Cause: expiry compared with a clock that went back.
+test('a step back of the log clock does not prolong a dead session', t => {
+  const {add} = createFold();
+  const startMs = 10_000_000;
+  add('a', openStep(1), startMs);
+  add('a', SESSION, startMs);
+  add('a', CLAIM, startMs);
+  const backMs = startMs - 3_600_000;
+  add('b', SESSION, backMs);
+  t.is(add('b', CLAIM, backMs).kind, 'void');
+  add('b', SESSION, backMs + TTL_MS);
+  t.is(add('b', CLAIM, backMs + TTL_MS).kind, 'accepted');
+});
+
+test('a winner is voided only past the trainer cursor and wins anew later', t => {
+  const {fold, add} = createFold();
+  const owner = {tenant: TENANT, step: STEP, fencing: 2};
+  add('a', openStep(2), 0);
+  add('a', SESSION, 0);
+  add('a', CLAIM, 0);
+  add('a', commit(2, 0, 1), 1);
+  add(
+    'a',
+    {kind: 'cursor_acknowledged', ...owner, cursor: 1, weightVersion: 3},
+    1,
+  );
+  add('a', {kind: 'samples_voided', ...owner, cursors: [1, 2]}, 1);
+  add('a', commit(2, 0, 1), 2);
+  const step = fold.findStep(TENANT, STEP)!;
+  t.deepEqual(
+    step.listCommitted().map(s => [s.sample, s.cursor]),
+    [
+      [0, 1],
+      [1, 3],
+    ],
+  );
+  t.is(step.trainerVersion, 3);
+  add('a', {kind: 'step_closed', ...owner, reason: 'complete'}, 3);
+  t.deepEqual(add('a', commit(2, 1), 3), {
+    kind: 'void',
+    reason: 'step_closed',
+  });
+});
--- /dev/null
+++ b/packages/core/src/config_history.ts
@@ -0,0 +1,169 @@
+/**
+ * Folds the stream `config` to each team's chain of versions. The log's order
+ * decides between operators who publish at once, and every reader sees the same
+ * winner; an accepted version is never taken back, only followed by another.
+ */
+
+import type {TeamId} from '@radishyoke/shared/ids';
+import type {
+  ConfigRecord,
+  LoggedRecord,
+  PublishedConfig,
+  Stamp,
+} from '@radishyoke/shared/log_record';
+import {nameWriter, type WriterEntry, WriterTable} from './writer_table.js';
+
+/** Says what is wrong with a rule set; undefined if nothing is. */
+export type CheckConfig = (text: string) => string | undefined;
+
+/** An accepted publication. */
+export interface ConfigVersion {
+  readonly team: TeamId;
+  /** Offset of the record. */
+  readonly version: number;
+  readonly basedOn: number;
+  readonly author: string;
+  readonly text: string;
+  /** Log time at which it was taken. */
+  readonly publishedAtMs: number;
+}
+
+/** What became of one publication. */
+export type ConfigOutcome =
+  | {readonly kind: 'accepted'; readonly version: number}
+  | {
+      /** Another publication was based on the same version and came first. */
+      readonly kind: 'lost_race';
+      readonly basedOn: number;
+      /** The version now in force; -1 for none. */
+      readonly current: number;
+      readonly author?: string;
+    }
+  | {readonly kind: 'invalid'; readonly problem: string}
+  /** The same record was appended before; the first copy's outcome counts. */
+  | {readonly kind: 'copy'};
+
+/** The whole history as plain data. */
+export interface ConfigSnapshot {
+  readonly next: number;
+  readonly writers: readonly WriterEntry[];
+  readonly teams: ReadonlyArray<readonly ConfigVersion[]>;
+}
+
+/** Version of a team without any. */
+export const NO_VERSION = -1;
+/** Versions kept of each team; older ones are in the audit export. */
+const VERSIONS_KEPT = 50;
+/** Outcomes kept to answer operators who ask what became of a publication. */
+const OUTCOMES_KEPT = 1000;
+
+function nameStamp(stamp: Stamp): string {
+  return `${nameWriter(stamp)}/${stamp.seq}`;
+}
+
+/** Each team's configuration, as the records up to `next` make it. */
+export class ConfigHistory {
+  private readonly teams = new Map<TeamId, ConfigVersion[]>();
+  private readonly outcomes = new Map<string, ConfigOutcome>();
+  private readonly writers: WriterTable;
+  private nextOffset: number;
+
+  constructor(
+    private readonly check: CheckConfig,
+    snapshot?: ConfigSnapshot,
+  ) {
+    this.nextOffset = snapshot?.next ?? 0;
+    this.writers = new WriterTable(snapshot?.writers);
+    for (const versions of snapshot?.teams ?? []) {
+      const team = versions[0]?.team;
+      if (team !== undefined) this.teams.set(team, [...versions]);
+    }
+  }
+
+  /** Offset of the next record to apply. */
+  get next(): number {
+    return this.nextOffset;
+  }
+
+  /** The version in force for a team. */
+  current(team: TeamId): ConfigVersion | undefined {
+    return this.teams.get(team)?.at(-1);
+  }
+
+  /** Accepted versions of a team, oldest first. */
+  history(team: TeamId): readonly ConfigVersion[] {
+    return this.teams.get(team) ?? [];
+  }
+
+  listTeams(): readonly TeamId[] {
+    return [...this.teams.keys()];
+  }
+
+  /** What became of the publication with this stamp, if it was read. */
+  outcomeOf(stamp: Stamp): ConfigOutcome | undefined {
+    return this.outcomes.get(nameStamp(stamp));
+  }
+
+  /** Applies the next record and tells what became of it. */
+  apply(record: LoggedRecord<ConfigRecord>): ConfigOutcome {
+    this.nextOffset = record.offset + 1;
+    const {value} = record;
+    if (!this.writers.admit(value.stamp, record.timeMs)) return {kind: 'copy'};
+    if (value.kind !== 'config_published') {
+      return {kind: 'accepted', version: record.offset};
+    }
+    const outcome = this.publish(value, record.offset, record.timeMs);
+    this.remember(value.stamp, outcome);
+    return outcome;
+  }
+
+  toSnapshot(): ConfigSnapshot {
+    return {
+      next: this.nextOffset,
+      writers: this.writers.toSnapshot(),
+      teams: [...this.teams.values()].map(versions => [...versions]),
+    };
+  }
+
+  private publish(
+    value: PublishedConfig,
+    offset: number,
+    timeMs: number,
+  ): ConfigOutcome {
+    const current = this.current(value.team);
+    const version = current?.version ?? NO_VERSION;
+    // Two operators publish at once, each from the same version: the second
+    // would undo the first unseen. It names what it was based on, and the
+    // log's order makes it the loser on every VM.
+    if (value.basedOn !== version) {
+      return {
+        kind: 'lost_race',
+        basedOn: value.basedOn,
+        current: version,
+        author: current?.author,
+      };
+    }
+    const problem = this.check(value.text);
+    if (problem !== undefined) return {kind: 'invalid', problem};
+    const {team, basedOn, author, text} = value;
+    const versions = this.teams.get(team) ?? [];
+    versions.push({
+      team,
+      version: offset,
+      basedOn,
+      author,
+      text,
+      publishedAtMs: timeMs,
+    });
+    this.teams.set(team, versions.slice(-VERSIONS_KEPT));
+    return {kind: 'accepted', version: offset};
+  }
+
+  private remember(stamp: Stamp, outcome: ConfigOutcome): void {
+    this.outcomes.set(nameStamp(stamp), outcome);
+    for (const name of this.outcomes.keys()) {
+      if (this.outcomes.size <= OUTCOMES_KEPT) return;
+      this.outcomes.delete(name);
+    }
+  }
+}
--- /dev/null
+++ b/packages/core/src/request_claims.ts
@@ -0,0 +1,76 @@
+/** At-most-once claims on callers' request ids, within a horizon. */
+
+/** One claimed id: key, writer of the winning claim, time of the last claim. */
+export type ClaimEntry = readonly [string, string, number];
+
+interface Claim {
+  readonly winner: string;
+  readonly lastClaimAtMs: number;
+}
+
+/** Claims kept at most, some 20 MB; over it new ids are refused. */
+export const MAX_REQUEST_CLAIMS = 100_000;
+
+/** What a claim came to; `full` means that none can be kept now. */
+export type ClaimOutcome = 'won' | 'lost' | 'full';
+
+/**
+ * The first claim on an id wins. A claim counts for `horizonMs` of log time from
+ * the last attempt to claim the id, won or lost: so whether a claim wins depends
+ * on the horizon before it alone, and every reader that has seen that much of
+ * the log judges alike.
+ */
+export class RequestClaims {
+  /** In the order of the last claim, because each claim is put in anew. */
+  private readonly claims = new Map<string, Claim>();
+
+  constructor(
+    private readonly horizonMs: number,
+    entries: readonly ClaimEntry[] = [],
+  ) {
+    for (const [key, winner, lastClaimAtMs] of entries) {
+      this.claims.set(key, {winner, lastClaimAtMs});
+    }
+  }
+
+  /** Claims `key` for `writer`. */
+  claim(key: string, writer: string, nowMs: number): ClaimOutcome {
+    this.dropExpired(nowMs);
+    const known = this.claims.get(key);
+    // Dropping the oldest to make room would let a resent request run twice,
+    // unseen. A refused id was not run, and its caller is told so.
+    if (known === undefined && this.claims.size >= MAX_REQUEST_CLAIMS) {
+      return 'full';
+    }
+    this.claims.delete(key);
+    this.claims.set(key, {
+      winner: known?.winner ?? writer,
+      lastClaimAtMs: nowMs,
+    });
+    return known === undefined ? 'won' : 'lost';
+  }
+
+  /** Who holds the claim on `key`, if anybody does. */
+  winnerOf(key: string): string | undefined {
+    return this.claims.get(key)?.winner;
+  }
+
+  get size(): number {
+    return this.claims.size;
+  }
+
+  toSnapshot(): readonly ClaimEntry[] {
+    return [...this.claims].map(([key, {winner, lastClaimAtMs}]) => [
+      key,
+      winner,
+      lastClaimAtMs,
+    ]);
+  }
+
+  private dropExpired(nowMs: number): void {
+    for (const [key, {lastClaimAtMs}] of this.claims) {
+      if (lastClaimAtMs + this.horizonMs > nowMs) return;
+      this.claims.delete(key);
+    }
+  }
+}
--- /dev/null
+++ b/packages/core/src/state_fold.ts
@@ -0,0 +1,306 @@
+/**
+ * Folds the stream `state` to what all VMs agree on: sessions, leases, steps,
+ * at-most-once claims and suspects. It depends on the records alone, so every
+ * reader that has read as far holds the same state.
+ */
+
+import type {RequestId, StepId, TenantId} from '@radishyoke/shared/ids';
+import type {LoggedRecord, StateRecord} from '@radishyoke/shared/log_record';
+import {type Lease, LeaseTable, nameStepLease} from './lease_table.js';
+import {LogClock, type LogClockSnapshot} from './log_clock.js';
+import {type ClaimEntry, RequestClaims} from './request_claims.js';
+import {type SessionEntry, SessionTable} from './session_table.js';
+import {
+  nameStep,
+  type StepOpening,
+  StepLedger,
+  type StepSnapshot,
+} from './step_ledger.js';
+import {type SuspectEntry, SuspectTable} from './suspect_table.js';
+import {ACCEPTED, type Verdict, voidBecause} from './verdict.js';
+import {nameWriter, type WriterEntry, WriterTable} from './writer_table.js';
+
+/** How long a request id is remembered after the last attempt to claim it. */
+export const DEFAULT_CLAIM_HORIZON_MS = 3_600_000;
+/** How long a closed step answers a late reader before it is forgotten. */
+const CLOSED_STEP_KEPT_MS = 600_000;
+/** How long past its timeout a step that nobody closed is kept. */
+const OVERDUE_STEP_KEPT_MS = 3_600_000;
+const LEASE_KEPT_MS = 86_400_000;
+const WRITER_KEPT_MS = 3_600_000;
+const SUSPECT_KEPT_MS = 3_600_000;
+/** Old entries are looked for once in this much log time. */
+const SWEEP_EVERY_MS = 10_000;
+
+type RecordOf<K extends StateRecord['kind']> = Extract<StateRecord, {kind: K}>;
+/** Records that only the owner of a step may write. */
+type OwnerRecord = RecordOf<
+  | 'attempts_started'
+  | 'samples_committed'
+  | 'samples_voided'
+  | 'cursor_acknowledged'
+  | 'step_closed'
+>;
+
+/** The whole folded state as plain data. */
+export interface StateSnapshot {
+  /** Offset of the next record to apply. */
+  readonly next: number;
+  readonly clock: LogClockSnapshot;
+  readonly sweptAtMs: number;
+  readonly claimHorizonMs: number;
+  readonly writers: readonly WriterEntry[];
+  readonly sessions: readonly SessionEntry[];
+  readonly leases: readonly Lease[];
+  readonly steps: readonly StepSnapshot[];
+  readonly claims: readonly ClaimEntry[];
+  readonly suspects: readonly SuspectEntry[];
+}
+
+/** Settings that must be equal on all VMs, or they would judge differently. */
+export interface StateFoldConfig {
+  readonly claimHorizonMs: number;
+}
+
+/** The state that the records up to `next` fold to. */
+export class StateFold {
+  private readonly clock: LogClock;
+  private readonly writers: WriterTable;
+  private readonly sessionTable: SessionTable;
+  private readonly leaseTable: LeaseTable;
+  private readonly stepMap = new Map<string, StepLedger>();
+  private readonly claims: RequestClaims;
+  private readonly suspectTable: SuspectTable;
+  private readonly claimHorizonMs: number;
+  private nextOffset: number;
+  private sweptAtMs: number;
+
+  constructor(
+    cfg: StateFoldConfig = {claimHorizonMs: DEFAULT_CLAIM_HORIZON_MS},
+    snapshot?: StateSnapshot,
+  ) {
+    this.claimHorizonMs = snapshot?.claimHorizonMs ?? cfg.claimHorizonMs;
+    this.clock = new LogClock(snapshot?.clock);
+    this.writers = new WriterTable(snapshot?.writers);
+    this.sessionTable = new SessionTable(snapshot?.sessions);
+    this.leaseTable = new LeaseTable(this.sessionTable, snapshot?.leases);
+    this.claims = new RequestClaims(this.claimHorizonMs, snapshot?.claims);
+    this.suspectTable = new SuspectTable(snapshot?.suspects);
+    this.nextOffset = snapshot?.next ?? 0;
+    this.sweptAtMs = snapshot?.sweptAtMs ?? 0;
+    for (const step of snapshot?.steps ?? []) {
+      const ledger = new StepLedger(step.opening, step);
+      this.stepMap.set(ledger.key, ledger);
+    }
+  }
+
+  /** Offset of the next record to apply. */
+  get next(): number {
+    return this.nextOffset;
+  }
+
+  /** Adjusted log time at the last record. */
+  get nowMs(): number {
+    return this.clock.nowMs;
+  }
+
+  get sessions(): Pick<SessionTable, 'isLive' | 'expiresAtMs' | 'count'> {
+    return this.sessionTable;
+  }
+
+  get leases(): Pick<
+    LeaseTable,
+    'find' | 'isHeld' | 'isCurrent' | 'listOf' | 'list'
+  > {
+    return this.leaseTable;
+  }
+
+  get suspects(): Pick<SuspectTable, 'find' | 'list'> {
+    return this.suspectTable;
+  }
+
+  get claimCount(): number {
+    return this.claims.size;
+  }
+
+  findStep(tenant: TenantId, step: StepId): StepLedger | undefined {
+    return this.stepMap.get(nameStep(tenant, step));
+  }
+
+  listSteps(): readonly StepLedger[] {
+    return [...this.stepMap.values()];
+  }
+
+  /** Open steps whose lease nobody holds at `nowMs` of the log. */
+  listOrphans(nowMs: number): readonly StepLedger[] {
+    return this.listSteps().filter(step => {
+      if (step.closed !== undefined) return false;
+      const lease = this.leaseTable.find(nameStepLease(step.key));
+      return lease === undefined || !this.leaseTable.isHeld(lease, nowMs);
+    });
+  }
+
+  /** Writer that holds the claim on a request id, as `vm/incarnation`. */
+  claimantOf(tenant: TenantId, req: RequestId): string | undefined {
+    return this.claims.winnerOf(`${tenant}/${req}`);
+  }
+
+  /** Highest sequence number seen of a writer. */
+  highestSeqOf(writer: string): number {
+    return this.writers.highestOf(writer);
+  }
+
+  /** Applies the next record and tells what became of it. */
+  apply(record: LoggedRecord<StateRecord>): Verdict {
+    this.nextOffset = record.offset + 1;
+    const nowMs = this.clock.advance(record.timeMs);
+    this.sweep(nowMs);
+    if (!this.writers.admit(record.value.stamp, nowMs)) {
+      return voidBecause('copy');
+    }
+    return this.judge(record.value, record.offset, nowMs);
+  }
+
+  toSnapshot(): StateSnapshot {
+    return {
+      next: this.nextOffset,
+      clock: this.clock.toSnapshot(),
+      sweptAtMs: this.sweptAtMs,
+      claimHorizonMs: this.claimHorizonMs,
+      writers: this.writers.toSnapshot(),
+      sessions: this.sessionTable.toSnapshot(),
+      leases: this.leaseTable.toSnapshot(),
+      steps: this.listSteps().map(step => step.toSnapshot()),
+      claims: this.claims.toSnapshot(),
+      suspects: this.suspectTable.toSnapshot(),
+    };
+  }
+
+  private judge(value: StateRecord, offset: number, nowMs: number): Verdict {
+    const writer = nameWriter(value.stamp);
+    switch (value.kind) {
+      case 'session':
+        this.sessionTable.renew(writer, value.ttlMs, nowMs);
+        return ACCEPTED;
+      case 'session_closed':
+        this.sessionTable.close(writer);
+        return ACCEPTED;
+      case 'lease_claimed':
+        return this.leaseTable.claim(value.lease, value.stamp, offset, nowMs);
+      case 'lease_released':
+        return this.leaseTable.release(value.lease, value.fencing, nowMs)
+          ? ACCEPTED
+          : voidBecause('stale_fencing');
+      case 'step_opened':
+        return this.openStep(value, nowMs);
+      case 'request_claimed':
+        return this.claimRequest(value, writer, nowMs);
+      case 'crash_seen':
+        this.suspectTable.add(value.endpoint, value.fingerprints, nowMs);
+        return ACCEPTED;
+      case 'checkpoint_part':
+        return ACCEPTED;
+      default:
+        return this.judgeOwner(value, nowMs);
+    }
+  }
+
+  private claimRequest(
+    value: RecordOf<'request_claimed'>,
+    writer: string,
+    nowMs: number,
+  ): Verdict {
+    const key = `${value.tenant}/${value.req}`;
+    switch (this.claims.claim(key, writer, nowMs)) {
+      case 'won':
+        return ACCEPTED;
+      case 'lost':
+        return voidBecause('claimed_before');
+      case 'full':
+        return voidBecause('claims_full');
+    }
+  }
+
+  private openStep(value: RecordOf<'step_opened'>, nowMs: number): Verdict {
+    const {tenant, step, digest, req, rule, configVersion} = value;
+    const known = this.findStep(tenant, step);
+    if (known !== undefined) {
+      const same = known.opening.digest === digest;
+      return voidBecause(same ? 'no_change' : 'step_conflict');
+    }
+    const opening: StepOpening = {
+      tenant,
+      step,
+      digest,
+      req,
+      rule,
+      configVersion,
+      openedAtMs: nowMs,
+    };
+    this.stepMap.set(nameStep(tenant, step), new StepLedger(opening));
+    return ACCEPTED;
+  }
+
+  private judgeOwner(value: OwnerRecord, nowMs: number): Verdict {
+    const step = this.findStep(value.tenant, value.step);
+    if (step === undefined) return voidBecause('unknown_step');
+    if (step.closed !== undefined) return voidBecause('step_closed');
+    const lease = nameStepLease(step.key);
+    if (!this.leaseTable.isCurrent(lease, value.fencing)) {
+      return voidBecause('stale_fencing');
+    }
+    switch (value.kind) {
+      case 'attempts_started':
+        return step.start(value.attempts)
+          ? ACCEPTED
+          : voidBecause('out_of_range');
+      case 'samples_committed': {
+        const committed = step.commit(value.samples);
+        return committed.length > 0
+          ? {kind: 'accepted', committed}
+          : voidBecause('no_change');
+      }
+      case 'samples_voided':
+        return step.voidCursors(value.cursors)
+          ? ACCEPTED
+          : voidBecause('no_change');
+      case 'cursor_acknowledged':
+        return step.acknowledge(value.cursor, value.weightVersion)
+          ? ACCEPTED
+          : voidBecause('no_change');
+      case 'step_closed':
+        step.close(value.reason, nowMs);
+        this.leaseTable.release(lease, value.fencing, nowMs);
+        return ACCEPTED;
+    }
+  }
+
+  /** Forgets what no longer counts. Due times come from the log, as all else. */
+  private sweep(nowMs: number): void {
+    if (nowMs < this.sweptAtMs + SWEEP_EVERY_MS) return;
+    this.sweptAtMs = nowMs;
+    this.sessionTable.dropLapsed(nowMs);
+    this.writers.dropBefore(nowMs - WRITER_KEPT_MS);
+    this.suspectTable.dropBefore(nowMs - SUSPECT_KEPT_MS);
+    for (const step of this.listSteps()) {
+      if (nowMs < dropStepAtMs(step)) continue;
+      this.stepMap.delete(step.key);
+      this.leaseTable.drop(nameStepLease(step.key));
+    }
+    this.dropIdleLeases(nowMs);
+  }
+
+  private dropIdleLeases(nowMs: number): void {
+    for (const lease of this.leaseTable.list()) {
+      if (this.leaseTable.isHeld(lease, nowMs)) continue;
+      if (nowMs < lease.changedAtMs + LEASE_KEPT_MS) continue;
+      this.leaseTable.drop(lease.name);
+    }
+  }
+}
+
+function dropStepAtMs(step: StepLedger): number {
+  if (step.closed !== undefined) return step.closedAtMs + CLOSED_STEP_KEPT_MS;
+  const {openedAtMs, req} = step.opening;
+  return openedAtMs + req.timeoutMs + OVERDUE_STEP_KEPT_MS;
+}
--- a/packages/shared/src/log_record.ts
+++ b/packages/shared/src/log_record.ts
@@ -48,13 +48,11 @@
   readonly text: string;
 }
 
-/** The winner of one sample. */
-export interface CommittedSample {
+/** A winner of one sample as its owner proposes it. */
+export interface SampleCommit {
   readonly group: number;
   readonly sample: number;
   readonly attempt: number;
-  /** Position in the trainer's stream. */
-  readonly cursor: number;
   readonly endpoint: EndpointId;
   readonly spans: readonly TokenSpan[];
   /** SHA-256 of the text, hex; empty for a shortfall. */
@@ -63,8 +61,38 @@
   readonly shortfall?: ErrorKind;
 }
 
+/**
+ * The winner of one sample, as the fold of the log accepted it. The fold assigns
+ * the cursor, so that two owners can not give one position to two samples.
+ */
+export interface CommittedSample extends SampleCommit {
+  /** Position in the trainer's stream, from 1; rises strictly, may have gaps. */
+  readonly cursor: number;
+}
+
+/**
+ * One part of a snapshot of everything the stream's records before `asOf` fold
+ * to. A reader whose start was dropped by retention begins with a whole one.
+ */
+export interface CheckpointPart {
+  readonly kind: 'checkpoint_part';
+  readonly stamp: Stamp;
+  /** Offset of the first record that the snapshot does not cover. */
+  readonly asOf: number;
+  /** Counts from 0. */
+  readonly part: number;
+  readonly parts: number;
+  /** SHA-256 of the whole snapshot's text, hex. */
+  readonly digest: string;
+  readonly text: string;
+}
+
+/** What the stream `config` holds. */
+export type ConfigRecord = PublishedConfig | CheckpointPart;
+
 /** What the stream `state` holds. `fencing` is the offset of the owner's claim. */
 export type StateRecord = {readonly stamp: Stamp} & (
+  | Omit<CheckpointPart, 'stamp'>
   | {
       /** Opens or renews the VM's session; its leases last as long as it. */
       readonly kind: 'session';
@@ -109,7 +137,7 @@
       readonly tenant: TenantId;
       readonly step: StepId;
       readonly fencing: number;
-      readonly samples: readonly CommittedSample[];
+      readonly samples: readonly SampleCommit[];
     }
   | {
       /**
