feat(core): the owner's state machine of one step

Cause: handover needs one place that knows commit, cursor and trainer version. Change: StepMachine; commits precede handover, staleness is checked again at handover, a new owner recovers or reruns only what the trainer lacks.

--- /dev/null
+++ b/packages/core/src/__tests__/step_machine.spec.ts
@@ -0,0 +1,146 @@
+import test from 'ava';
+import {toEndpointId, toStepId} from '@radishyoke/shared/ids';
+import type {StepRequest} from '@radishyoke/shared/rollout';
+import {StepMachine, StepMachineOptions, StepOutput} from '../step_machine.js';
+
+function createStepRequest(samples: number): StepRequest {
+  return {
+    model: 'tutor',
+    weightVersion: 5,
+    maxStaleness: 1,
+    timeoutMs: 10_000,
+    groups: [{prompt: 'p', samples, maxTokens: 10}],
+  };
+}
+
+function createMachine(
+  samples: number,
+  extra: Partial<StepMachineOptions> = {},
+): StepMachine {
+  return new StepMachine({
+    step: toStepId('s'),
+    req: createStepRequest(samples),
+    fencing: 7,
+    openedAtMs: 0,
+    ownedFromMs: 0,
+    ...extra,
+  });
+}
+
+function finish(
+  machine: StepMachine,
+  sample: number,
+  version: number,
+  nowMs = 1,
+) {
+  return machine.handle(
+    {
+      kind: 'finished',
+      output: {
+        group: 0,
+        sample,
+        attempt: 1,
+        endpoint: toEndpointId('e'),
+        text: `text ${sample}`,
+        spans: [{weightVersion: version, tokens: 3}],
+        finishReason: 'stop',
+      },
+    },
+    nowMs,
+  );
+}
+
+function listSentCursors(out: readonly StepOutput[]): readonly number[] {
+  return out.flatMap(o =>
+    o.kind === 'send' && o.event.kind === 'rollout' ? [o.event.cursor] : [],
+  );
+}
+
+test('hands over only what the log holds, in cursor order', t => {
+  const machine = createMachine(2);
+  t.is(machine.begin().filter(o => o.kind === 'run').length, 2);
+  machine.handle({kind: 'attached', cursor: 0, weightVersion: 5}, 0);
+  t.deepEqual(listSentCursors(finish(machine, 0, 5)), []);
+  t.deepEqual(listSentCursors(finish(machine, 1, 5)), []);
+  const early = machine.handle({kind: 'committed', cursors: [2]}, 2);
+  t.deepEqual(listSentCursors(early), []);
+  const both = machine.handle({kind: 'committed', cursors: [1]}, 3);
+  t.deepEqual(listSentCursors(both), [1, 2]);
+  const last = machine.handle(
+    {kind: 'acknowledged', cursor: 2, weightVersion: 5},
+    4,
+  );
+  t.like(last.at(-1), {kind: 'close', reason: 'complete'});
+});
+
+// A trainer would learn from output older than its bound.
+// 1. A rollout of version 4 is committed while no connection is open.
+// 2. The trainer comes back two versions later with a bound of one.
+// Cause: freshness was checked only when the rollout finished.
+test('takes back a winner that became stale before it was handed over', t => {
+  const machine = createMachine(1);
+  machine.begin();
+  finish(machine, 0, 5);
+  machine.handle({kind: 'committed', cursors: [1]}, 2);
+  const out = machine.handle(
+    {kind: 'attached', cursor: 0, weightVersion: 7},
+    3,
+  );
+  t.deepEqual(listSentCursors(out), []);
+  t.true(out.some(o => o.kind === 'void'));
+  t.true(out.some(o => o.kind === 'run' && o.minWeightVersion === 6));
+});
+
+// A trainer would receive a rollout twice after its owner's VM was replaced.
+// 1. The old owner commits cursors 1 and 2; the trainer receives only 1.
+// 2. A new owner reads the log; no engine still has the text of cursor 2.
+// Cause: the new owner runs a sample again before it knows what was received.
+test('a new owner runs again only what the trainer has not received', t => {
+  const committed = [0, 1].map(sample => ({
+    group: 0,
+    sample,
+    attempt: 1,
+    cursor: sample + 1,
+    endpoint: toEndpointId('e'),
+    spans: [{weightVersion: 5, tokens: 3}],
+    digest: 'd',
+  }));
+  const machine = createMachine(2, {
+    history: {
+      committed,
+      acknowledgedCursor: 0,
+      highestCursor: 2,
+      weightVersion: 5,
+      attempts: new Map([
+        ['0/0', 1],
+        ['0/1', 1],
+      ]),
+    },
+  });
+  t.is(machine.begin().filter(o => o.kind === 'recover').length, 2);
+  for (const cursor of [1, 2]) {
+    t.deepEqual(machine.handle({kind: 'recovered', cursor}, 1), []);
+  }
+  const out = machine.handle(
+    {kind: 'attached', cursor: 1, weightVersion: 5},
+    2,
+  );
+  const runs = out.filter(o => o.kind === 'run');
+  t.deepEqual(
+    runs.map(o => [o.sample, o.firstAttempt]),
+    [[1, 2]],
+  );
+});
+
+test('reports every unfinished sample as a shortfall at the deadline', t => {
+  const machine = createMachine(2);
+  machine.begin();
+  machine.handle({kind: 'attached', cursor: 0, weightVersion: 5}, 0);
+  const out = machine.handle({kind: 'tick'}, 10_000);
+  t.is(out.filter(o => o.kind === 'commit').length, 2);
+  const sent = machine.handle({kind: 'committed', cursors: [1, 2]}, 10_001);
+  t.deepEqual(
+    sent.flatMap(o => (o.kind === 'send' ? [o.event.kind] : [])),
+    ['shortfall', 'shortfall', 'end'],
+  );
+});
