--- /dev/null
+++ b/packages/daemon/src/log_task.ts
@@ -0,0 +1,323 @@
+/**
+ * The task that owns this VM's side of the platform's log: one writer and one
+ * reader a stream, the folds, and the VM's session. Everything else asks it.
+ */
+
+import {
+  type CheckConfig,
+  ConfigHistory,
+  type ConfigOutcome,
+} from '@radishyoke/core/config_history';
+import {StateFold} from '@radishyoke/core/state_fold';
+import type {JudgedRecord} from '@radishyoke/core/verdict';
+import {nameWriter} from '@radishyoke/core/writer_table';
+import {AppendBudget} from '@radishyoke/platform/append_budget';
+import type {LogClient} from '@radishyoke/platform/log_client';
+import {
+  LOG_READER_DEFAULTS,
+  LogReader,
+  type LogReaderHandler,
+} from '@radishyoke/platform/log_reader';
+import {
+  LOG_WRITER_DEFAULTS,
+  LogWriter,
+  type Unstamped,
+} from '@radishyoke/platform/log_writer';
+import {createError} from '@radishyoke/shared/error_kind';
+import type {IncarnationId, TeamId, VmId} from '@radishyoke/shared/ids';
+import type {
+  ConfigRecord,
+  LoggedRecord,
+  StateRecord,
+} from '@radishyoke/shared/log_record';
+import {fail, type Result, succeed} from '@radishyoke/shared/result';
+import type {Stream} from 'most';
+import {EventSource} from './event_source.js';
+import {SessionKeeper, type SessionTiming} from './session_keeper.js';
+
+export type StateBody = Unstamped<StateRecord>;
+
+export interface LogTaskConfig {
+  readonly vm: VmId;
+  readonly incarnation: IncarnationId;
+  readonly session: SessionTiming;
+  /** Appends a second that all VMs together may make. */
+  readonly deploymentAppendsPerSecond: number;
+  readonly claimHorizonMs: number;
+  /** The same check on every VM, or they would disagree on versions. */
+  readonly checkConfig: CheckConfig;
+}
+
+/** What the task tells those who observe `changes`. */
+export type LogChange =
+  | {readonly kind: 'state'; readonly judged: JudgedRecord<StateRecord>}
+  | {
+      readonly kind: 'config';
+      readonly record: LoggedRecord<ConfigRecord>;
+      readonly outcome: ConfigOutcome;
+    }
+  /** The folds were replaced: look at all of them anew. */
+  | {readonly kind: 'reset'}
+  | {readonly kind: 'health'; readonly health: LogHealth};
+
+/** How this VM stands with the log. */
+export interface LogHealth {
+  /** Unix ms of the last read that succeeded; 0 for none. */
+  readonly lastReadAtMs: number;
+  /** Unix ms since which reads fail; undefined when they do not. */
+  readonly outageSinceMs: number | undefined;
+  /** Whether all records that the log had were read, on each stream. */
+  readonly caughtUp: boolean;
+  readonly stateNext: number;
+  readonly configNext: number;
+  readonly pending: number;
+}
+
+/** A lease that this VM holds. */
+export interface HeldLease {
+  readonly lease: string;
+  readonly fencing: number;
+}
+
+/** How often due renewals are looked for. */
+const TICK_MS = 250;
+
+type FoldedStream = 'state' | 'config';
+type StateWriter = LogWriter<StateRecord, JudgedRecord<StateRecord>>;
+type ConfigWriter = LogWriter<ConfigRecord, ConfigOutcome>;
+
+/** One instance a VM. */
+export class LogTask {
+  private readonly budget: AppendBudget;
+  private readonly stateWriter: StateWriter;
+  private readonly configWriter: ConfigWriter;
+  private readonly stateReader: LogReader<StateRecord>;
+  private readonly configReader: LogReader<ConfigRecord>;
+  private readonly source = new EventSource<LogChange>();
+  private readonly session: SessionKeeper;
+  private readonly wanted = new Set<string>();
+  private readonly caughtUp = {state: false, config: false};
+  private stateFold: StateFold;
+  private configHistory: ConfigHistory;
+  private lastReadAtMs = 0;
+  private readonly failingSinceMs = new Map<FoldedStream, number>();
+  private renewing = false;
+  private lastRecordAtMs = Date.now();
+  private timer: NodeJS.Timeout | undefined;
+
+  constructor(
+    client: LogClient,
+    private readonly cfg: LogTaskConfig,
+  ) {
+    this.budget = new AppendBudget(cfg.deploymentAppendsPerSecond);
+    this.session = new SessionKeeper(cfg.session);
+    this.stateFold = new StateFold({claimHorizonMs: cfg.claimHorizonMs});
+    this.configHistory = new ConfigHistory(cfg.checkConfig);
+    const writer = {vm: cfg.vm, incarnation: cfg.incarnation};
+    this.stateWriter = new LogWriter(client, this.budget, {
+      ...LOG_WRITER_DEFAULTS,
+      ...writer,
+      stream: 'state',
+    });
+    this.configWriter = new LogWriter(client, this.budget, {
+      ...LOG_WRITER_DEFAULTS,
+      ...writer,
+      stream: 'config',
+    });
+    this.stateReader = new LogReader(
+      client,
+      {...LOG_READER_DEFAULTS, stream: 'state'},
+      this.createHandler('state', record => this.applyState(record)),
+    );
+    this.configReader = new LogReader(
+      client,
+      {...LOG_READER_DEFAULTS, stream: 'config'},
+      this.createHandler('config', record => this.applyConfig(record)),
+    );
+  }
+
+  /** The folded stream `state`; read only, and only until the next turn. */
+  get state(): StateFold {
+    return this.stateFold;
+  }
+
+  /** The folded stream `config`. */
+  get config(): ConfigHistory {
+    return this.configHistory;
+  }
+
+  /** Folded changes, in the order of the log. */
+  get changes(): Stream<LogChange> {
+    return this.source.stream;
+  }
+
+  start(): void {
+    this.stateReader.start(this.stateFold.next);
+    this.configReader.start(this.configHistory.next);
+    this.timer = setInterval(() => this.tick(), TICK_MS);
+  }
+
+  /** Stops at once; leases lapse by themselves. Call `leave` before to end well. */
+  stop(): void {
+    clearInterval(this.timer);
+    this.stateReader.stop();
+    this.configReader.stop();
+    this.stateWriter.close();
+    this.configWriter.close();
+    this.source.end();
+  }
+
+  /** Gives back all leases at once, so that others need not wait for a lapse. */
+  async leave(): Promise<void> {
+    this.wanted.clear();
+    await this.append({kind: 'session_closed'});
+  }
+
+  /** Live VMs share the deployment's budget of appends evenly. */
+  setLiveVms(count: number): void {
+    const share = this.cfg.deploymentAppendsPerSecond / Math.max(1, count);
+    this.budget.setAppendsPerSecond(share);
+  }
+
+  /** Appends a record; resolves when it is read back and judged. */
+  append(body: StateBody): Promise<Result<JudgedRecord<StateRecord>>> {
+    return this.stateWriter.append(body);
+  }
+
+  /** Publishes a configuration; resolves when the log has decided on it. */
+  publish(publication: {
+    readonly team: TeamId;
+    readonly basedOn: number;
+    readonly author: string;
+    readonly text: string;
+  }): Promise<Result<ConfigOutcome>> {
+    return this.configWriter.append({kind: 'config_published', ...publication});
+  }
+
+  /**
+   * Claims a lease and returns the fencing number. Fails with `not_owner` when
+   * another live session holds it.
+   */
+  async claim(lease: string): Promise<Result<number>> {
+    this.wanted.add(lease);
+    if (!this.session.isValid(performance.now())) void this.renewSession();
+    const result = await this.append({kind: 'lease_claimed', lease});
+    if (!result.ok) {
+      this.wanted.delete(lease);
+      return result;
+    }
+    const {verdict} = result.value;
+    if (verdict.kind === 'accepted' && verdict.fencing !== undefined) {
+      return succeed(verdict.fencing);
+    }
+    this.wanted.delete(lease);
+    const holder = this.stateFold.leases.find(lease)?.vm;
+    const detail = holder ? `${holder} holds ${lease}` : `${lease} is not held`;
+    return fail(createError('not_owner', detail));
+  }
+
+  /** Gives a lease back. */
+  async release(held: HeldLease): Promise<void> {
+    this.wanted.delete(held.lease);
+    await this.append({kind: 'lease_released', ...held});
+  }
+
+  /**
+   * Whether this VM may act on the lease now: the log names it the holder under
+   * this number, and by its own clock no other can have followed yet. Between
+   * this answer and the act the VM can be paused; that is what fencing numbers
+   * in records, orders and the trainer's stream are for.
+   */
+  holds(held: HeldLease): boolean {
+    return (
+      this.stateFold.leases.isCurrent(held.lease, held.fencing) &&
+      this.session.isValid(performance.now())
+    );
+  }
+
+  /** Log time as far as this VM can tell, for judging whether leases lapsed. */
+  estimateLogNowMs(): number {
+    const sinceReadMs = Math.max(0, Date.now() - this.lastRecordAtMs);
+    return this.stateFold.nowMs + sinceReadMs;
+  }
+
+  health(): LogHealth {
+    return {
+      lastReadAtMs: this.lastReadAtMs,
+      outageSinceMs: this.findOutageStart(),
+      caughtUp: this.caughtUp.state && this.caughtUp.config,
+      stateNext: this.stateFold.next,
+      configNext: this.configHistory.next,
+      pending: this.stateWriter.pendingCount + this.configWriter.pendingCount,
+    };
+  }
+
+  private createHandler<T>(
+    stream: FoldedStream,
+    apply: (record: LoggedRecord<T>) => void,
+  ): LogReaderHandler<T> {
+    return {
+      read: (records, caughtUp) => {
+        records.forEach(apply);
+        this.caughtUp[stream] = caughtUp;
+        this.markRead(stream);
+      },
+      expired: oldest => oldest,
+      failed: () => this.markFailed(stream),
+    };
+  }
+
+  private applyState(record: LoggedRecord<StateRecord>): void {
+    const verdict = this.stateFold.apply(record);
+    this.lastRecordAtMs = Date.now();
+    const judged = {record, verdict};
+    if (!(verdict.kind === 'void' && verdict.reason === 'copy')) {
+      this.stateWriter.settle(record.value.stamp, judged);
+    }
+    this.source.emit({kind: 'state', judged});
+  }
+
+  private applyConfig(record: LoggedRecord<ConfigRecord>): void {
+    const outcome = this.configHistory.apply(record);
+    if (outcome.kind !== 'copy') {
+      this.configWriter.settle(record.value.stamp, outcome);
+    }
+    this.source.emit({kind: 'config', record, outcome});
+  }
+
+  private tick(): void {
+    const own = nameWriter(this.cfg);
+    const owns =
+      this.wanted.size > 0 || this.stateFold.leases.listOf(own).length > 0;
+    if (owns && this.session.isDue(performance.now())) void this.renewSession();
+  }
+
+  /** One renewal at a time: more would only fill the buffer in an outage. */
+  private async renewSession(): Promise<void> {
+    if (this.renewing) return;
+    this.renewing = true;
+    const askedAtMs = performance.now();
+    this.session.ask(askedAtMs);
+    const {ttlMs} = this.cfg.session;
+    const result = await this.append({kind: 'session', ttlMs});
+    this.renewing = false;
+    if (result.ok) this.session.confirm(askedAtMs);
+  }
+
+  private findOutageStart(): number | undefined {
+    const starts = [...this.failingSinceMs.values()];
+    return starts.length === 0 ? undefined : Math.min(...starts);
+  }
+
+  private markRead(stream: FoldedStream): void {
+    this.lastReadAtMs = Date.now();
+    if (!this.failingSinceMs.delete(stream)) return;
+    this.source.emit({kind: 'health', health: this.health()});
+  }
+
+  private markFailed(stream: FoldedStream): void {
+    if (this.failingSinceMs.has(stream)) return;
+    this.failingSinceMs.set(stream, Date.now());
+    this.source.emit({kind: 'health', health: this.health()});
+  }
+}
--- /dev/null
+++ b/packages/platform/src/log_reader.ts
@@ -0,0 +1,124 @@
+/** Follows one stream of the log from an offset, through outages. */
+
+import type {RadishyokeError} from '@radishyoke/shared/error_kind';
+import type {LoggedRecord, StreamName} from '@radishyoke/shared/log_record';
+import type {LogClient, LogRead} from './log_client.js';
+
+/** What a reader tells its owner. */
+export interface LogReaderHandler<T> {
+  /**
+   * New records, maybe none, in order and without gaps. `caughtUp` when the log
+   * had no more at that moment.
+   */
+  read(records: ReadonlyArray<LoggedRecord<T>>, caughtUp: boolean): void;
+  /** Retention dropped the wanted offset; returns the offset to go on from. */
+  expired(oldest: number): number;
+  /** A read failed; the reader goes on trying. */
+  failed(error: RadishyokeError): void;
+}
+
+export interface LogReaderConfig {
+  readonly stream: StreamName;
+  /** Most records in one read. */
+  readonly maxRecords: number;
+  /** How long the log may hold a read that has nothing to tell. */
+  readonly pollWaitMs: number;
+  /** On top of the wait: a connection silent for longer counts as lost. */
+  readonly timeoutMs: number;
+}
+
+/**
+ * The wait and the timeout together bound how long a connection that went
+ * silent for good can hide a new configuration: 3.5 s, after which the read is
+ * made again on another connection. That leaves time within the 6 s in which a
+ * change has to be in force.
+ */
+export const LOG_READER_DEFAULTS = {
+  maxRecords: 1000,
+  pollWaitMs: 2000,
+  timeoutMs: 1500,
+} as const;
+
+const FIRST_BACKOFF_MS = 50;
+const MAX_BACKOFF_MS = 1000;
+
+/** A task that reads until it is stopped. */
+export class LogReader<T> {
+  private readonly abort = new AbortController();
+  private next = 0;
+  private wake: (() => void) | undefined;
+
+  constructor(
+    private readonly client: LogClient,
+    private readonly cfg: LogReaderConfig,
+    private readonly handler: LogReaderHandler<T>,
+  ) {}
+
+  /** Starts reading at offset `from`. */
+  start(from: number): void {
+    this.next = from;
+    void this.loop();
+  }
+
+  stop(): void {
+    this.abort.abort();
+    this.wake?.();
+  }
+
+  /** Goes on from another offset after the read in flight, if that is higher. */
+  skipTo(offset: number): void {
+    this.next = Math.max(this.next, offset);
+  }
+
+  private async loop(): Promise<void> {
+    let backoffMs = FIRST_BACKOFF_MS;
+    while (!this.abort.signal.aborted) {
+      if (await this.readOnce()) {
+        backoffMs = FIRST_BACKOFF_MS;
+        continue;
+      }
+      await this.sleep(backoffMs);
+      backoffMs = Math.min(MAX_BACKOFF_MS, backoffMs * 2);
+    }
+  }
+
+  private async readOnce(): Promise<boolean> {
+    const {stream, maxRecords, pollWaitMs, timeoutMs} = this.cfg;
+    const from = this.next;
+    const result = await this.client.read(
+      stream,
+      {from, max: maxRecords, waitMs: pollWaitMs},
+      {timeoutMs, signal: this.abort.signal},
+    );
+    if (this.abort.signal.aborted) return true;
+    if (!result.ok) {
+      this.handler.failed(result.error);
+      return false;
+    }
+    this.take(result.value);
+    return true;
+  }
+
+  private take(page: LogRead): void {
+    if (page.kind === 'expired') {
+      this.next = this.handler.expired(page.oldest);
+      return;
+    }
+    const records = page.records.filter(record => record.offset >= this.next);
+    this.next = Math.max(this.next, page.next);
+    this.handler.read(
+      records as ReadonlyArray<LoggedRecord<T>>,
+      page.records.length < this.cfg.maxRecords,
+    );
+  }
+
+  private sleep(ms: number): Promise<void> {
+    return new Promise(resolve => {
+      const timer = setTimeout(resolve, ms);
+      this.wake = () => {
+        clearTimeout(timer);
+        resolve();
+      };
+    });
+  }
+}
--- /dev/null
+++ b/packages/platform/src/log_writer.ts
@@ -0,0 +1,209 @@
+/**
+ * Writes one stream of the log for one VM: queues, batches, stamps and appends
+ * again until the records are read back.
+ */
+
+import {createError, type RadishyokeError} from '@radishyoke/shared/error_kind';
+import type {IncarnationId, VmId} from '@radishyoke/shared/ids';
+import type {Stamp, StreamName} from '@radishyoke/shared/log_record';
+import {fail, type Result, succeed} from '@radishyoke/shared/result';
+import type {AppendBudget} from './append_budget.js';
+import type {LogClient} from './log_client.js';
+
+/** A record's own fields, without the stamp that the writer adds. */
+export type Unstamped<T> = T extends unknown ? Omit<T, 'stamp'> : never;
+
+export interface LogWriterConfig {
+  readonly stream: StreamName;
+  readonly vm: VmId;
+  readonly incarnation: IncarnationId;
+  /** Most records that wait; one more is refused. */
+  readonly maxPending: number;
+  /** Most records in one append. */
+  readonly maxBatch: number;
+  readonly appendTimeoutMs: number;
+}
+
+/** Bounds that do for every stream. */
+export const LOG_WRITER_DEFAULTS = {
+  maxPending: 4096,
+  maxBatch: 512,
+  appendTimeoutMs: 2000,
+} as const;
+
+const FIRST_BACKOFF_MS = 50;
+const MAX_BACKOFF_MS = 1000;
+
+interface Pending<T, R> {
+  readonly value: T;
+  /** Whether the log answered that it stands. */
+  standing: boolean;
+  /** Whether an append with it was ever sent. */
+  sent: boolean;
+  readonly resolve: (result: Result<R>) => void;
+}
+
+/**
+ * One append is in flight at a time, and a later record is never sent before
+ * the earlier ones are known to stand or are sent along. So, when an append's
+ * answer is lost, sending the same records again is harmless: readers take the
+ * first copy of each sequence number and drop the others, also one that was
+ * delayed on its way and lands last.
+ */
+export class LogWriter<T extends {readonly stamp: Stamp}, R> {
+  private readonly pending = new Map<number, Pending<T, R>>();
+  private lastSeq = 0;
+  private looping = false;
+  private closed = false;
+  private wake: (() => void) | undefined;
+
+  constructor(
+    private readonly client: LogClient,
+    private readonly budget: AppendBudget,
+    private readonly cfg: LogWriterConfig,
+  ) {}
+
+  /** Records neither read back nor refused. */
+  get pendingCount(): number {
+    return this.pending.size;
+  }
+
+  /**
+   * Queues a record. Resolves with what its reader made of it, once it is read
+   * back; fails at once, and truly unwritten, when the buffer is full.
+   */
+  append(body: Unstamped<T>): Promise<Result<R>> {
+    if (this.closed) return Promise.resolve(fail(refuse('the writer is shut')));
+    if (this.pending.size >= this.cfg.maxPending) {
+      return Promise.resolve(fail(refuse('too many records wait for the log')));
+    }
+    const {vm, incarnation} = this.cfg;
+    const seq = ++this.lastSeq;
+    const value = {...body, stamp: {vm, incarnation, seq}} as unknown as T;
+    return new Promise(resolve => {
+      this.pending.set(seq, {value, standing: false, sent: false, resolve});
+      this.run();
+    });
+  }
+
+  /** Takes the outcome of a record read back; returns whether it was awaited. */
+  settle(stamp: Stamp, outcome: R): boolean {
+    if (!this.isOwn(stamp)) return false;
+    const entry = this.pending.get(stamp.seq);
+    if (entry === undefined) return false;
+    this.pending.delete(stamp.seq);
+    entry.resolve(succeed(outcome));
+    this.failThrough(stamp.seq - 1);
+    return true;
+  }
+
+  /**
+   * Fails records up to `seq` that were not read: retention dropped them before
+   * this VM read them, or a later one was read, so that they can not count.
+   */
+  failThrough(seq: number): void {
+    for (const [known, entry] of this.pending) {
+      if (known > seq) return;
+      this.pending.delete(known);
+      entry.resolve(
+        fail(
+          createError('log_unavailable', 'the record was not read back', {
+            ran: 'maybe',
+          }),
+        ),
+      );
+    }
+  }
+
+  /** Refuses all that waits and sends nothing more. */
+  close(): void {
+    this.closed = true;
+    for (const [seq, entry] of this.pending) {
+      this.pending.delete(seq);
+      const detail = 'the writer was shut before the record was read back';
+      const ran = entry.sent ? 'maybe' : 'no';
+      entry.resolve(fail(createError('log_unavailable', detail, {ran})));
+    }
+    this.wake?.();
+  }
+
+  private isOwn(stamp: Stamp): boolean {
+    return (
+      stamp.vm === this.cfg.vm && stamp.incarnation === this.cfg.incarnation
+    );
+  }
+
+  private run(): void {
+    if (this.looping) return;
+    this.looping = true;
+    void this.loop();
+  }
+
+  private async loop(): Promise<void> {
+    let backoffMs = 0;
+    // Lets the records of one turn of the event loop gather.
+    await Promise.resolve();
+    while (!this.closed && this.hasUnsent()) {
+      const waitMs = Math.max(backoffMs, this.budget.waitMs(Date.now()));
+      if (waitMs > 0) {
+        await this.sleep(waitMs);
+        backoffMs = 0;
+        continue;
+      }
+      this.budget.take(Date.now());
+      backoffMs = await this.appendBatch(backoffMs);
+    }
+    this.looping = false;
+  }
+
+  private failures = 0;
+
+  /** Sends one append; returns how long to wait before the next. */
+  private async appendBatch(lastBackoffMs: number): Promise<number> {
+    const batch = this.takeBatch();
+    for (const entry of batch) entry.sent = true;
+    const result = await this.client.append(
+      this.cfg.stream,
+      batch.map(entry => entry.value),
+      {timeoutMs: this.cfg.appendTimeoutMs},
+    );
+    if (result.kind === 'appended') {
+      for (const entry of batch) entry.standing = true;
+      this.failures = 0;
+      return 0;
+    }
+    this.failures++;
+    const exponentialMs = FIRST_BACKOFF_MS * 2 ** Math.min(this.failures, 8);
+    const backoffMs = Math.min(MAX_BACKOFF_MS, exponentialMs);
+    return Math.max(lastBackoffMs, backoffMs, result.error.retryAfterMs ?? 0);
+  }
+
+  private hasUnsent(): boolean {
+    for (const entry of this.pending.values()) if (!entry.standing) return true;
+    return false;
+  }
+
+  private takeBatch(): Array<Pending<T, R>> {
+    const batch: Array<Pending<T, R>> = [];
+    for (const entry of this.pending.values()) {
+      if (entry.standing) continue;
+      batch.push(entry);
+      if (batch.length >= this.cfg.maxBatch) break;
+    }
+    return batch;
+  }
+
+  private sleep(ms: number): Promise<void> {
+    return new Promise(resolve => {
+      const timer = setTimeout(resolve, ms);
+      this.wake = () => {
+        clearTimeout(timer);
+        resolve();
+      };
+    });
+  }
+}
+
+function refuse(detail: string): RadishyokeError {
+  return createError('log_unavailable', detail);
+}
