feat(core): a scheduler with fair queues, limits, retries and freshness

Cause: the naive scheduler admits all, retries whole and knows no freshness. Change: PolicyScheduler over small modules; the contract is unchanged. One property over random events: each work ends once, a non-idempotent request is sent once.

--- /dev/null
+++ b/packages/core/src/__tests__/policy_scheduler.spec.ts
@@ -0,0 +1,238 @@
+import test from 'ava';
+import fc from 'fast-check';
+import type {EndpointInfo} from '@radishyoke/shared/endpoint';
+import {
+  toDataCentreId,
+  toEndpointId,
+  toTenantId,
+  toVmId,
+} from '@radishyoke/shared/ids';
+import type {FailureKind} from '../failure.js';
+import {PolicyScheduler} from '../policy_scheduler.js';
+import {createRandomBits} from '../random_bits.js';
+import {RETRY_TABLE} from '../retry_policy.js';
+import type {SchedulerAction, SchedulerEvent, WorkItem} from '../scheduler.js';
+
+const ENGINES = ['a', 'b', 'c'] as const;
+const GROUP = 'tutors';
+const FAILURES = Object.keys(RETRY_TABLE) as FailureKind[];
+
+function createEndpoint(
+  id: string,
+  state: EndpointInfo['state'] = 'live',
+): EndpointInfo {
+  return {
+    id: toEndpointId(id),
+    kind: 'engine',
+    address: '127.0.0.1:1',
+    dataCentre: toDataCentreId('gebze-a'),
+    group: GROUP,
+    state,
+    checksFencing: true,
+  };
+}
+
+function createWork(id: string, changes: Partial<WorkItem> = {}): WorkItem {
+  return {
+    id,
+    tenant: toTenantId('trainer-1'),
+    workClass: 'rollout',
+    group: GROUP,
+    priority: 0,
+    deadlineAtMs: 600_000,
+    promptTokens: 10,
+    maxTokens: 100,
+    prefixKey: '',
+    stepKey: '',
+    groupKey: '',
+    minWeightVersion: 0,
+    idempotent: true,
+    maxAttempts: 4,
+    fingerprint: id,
+    ...changes,
+  };
+}
+
+function createScheduler(): PolicyScheduler {
+  const scheduler = new PolicyScheduler(
+    {vm: toVmId('vm-1'), dataCentre: toDataCentreId('gebze-a')},
+    createRandomBits(1),
+  );
+  const endpoints = ENGINES.map(id => createEndpoint(id));
+  scheduler.handle({kind: 'endpoints', endpoints}, 0);
+  return scheduler;
+}
+
+/** Runs a scheduler and keeps an account of each work by its actions alone. */
+class Account {
+  nowMs = 0;
+  readonly live = new Map<string, {attempt: number; endpoint: string}[]>();
+  readonly works = new Map<string, WorkItem>();
+  readonly sent = new Set<string>();
+  readonly finals = new Map<string, number>();
+  readonly leaving = new Set<string>();
+  readonly problems: string[] = [];
+
+  constructor(readonly scheduler: PolicyScheduler) {}
+
+  handle(event: SchedulerEvent): void {
+    if (event.kind === 'enqueue') this.works.set(event.work.id, event.work);
+    for (const action of this.scheduler.handle(event, this.nowMs)) {
+      this.apply(action);
+    }
+  }
+
+  end(index: number, failure: FailureKind | undefined, sent: boolean): void {
+    const all = [...this.live].flatMap(([workId, attempts]) =>
+      attempts.map(({attempt}) => ({workId, attempt})),
+    );
+    if (all.length === 0) return;
+    const {workId, attempt} = all[index % all.length];
+    this.drop(workId, attempt);
+    const isSent = sent && failure !== 'connect_failed';
+    if (isSent || !failure) this.sent.add(workId);
+    this.handle({
+      kind: 'ended',
+      workId,
+      attempt,
+      outcome: failure
+        ? {kind: 'failed', failure, sent: isSent, tokensReceived: 0}
+        : {kind: 'finished', tokens: 5, spans: []},
+    });
+  }
+
+  private apply(action: SchedulerAction): void {
+    if (action.kind === 'report_crash') return;
+    const {workId} = action;
+    if (this.finals.has(workId)) this.problems.push(`${workId} after its end`);
+    if (action.kind === 'start') return this.start(action);
+    if (action.kind === 'stop') return this.drop(workId, action.attempt);
+    this.finals.set(workId, 1);
+    const isUntrue =
+      action.kind === 'give_up' &&
+      action.error.ran === 'no' &&
+      this.sent.has(workId);
+    if (isUntrue) this.problems.push(`${workId} ran though told it did not`);
+    if (action.kind === 'give_up') this.live.delete(workId);
+    if (action.kind === 'done') this.live.delete(workId);
+  }
+
+  private start(action: SchedulerAction & {kind: 'start'}): void {
+    const {workId, attempt, endpoint} = action;
+    const work = this.works.get(workId)!;
+    if (attempt > work.maxAttempts) this.problems.push(`${workId} too often`);
+    if (this.leaving.has(endpoint)) this.problems.push(`${workId} to leaving`);
+    const running = this.live.get(workId) ?? [];
+    const isSecond = running.length > 0 || this.sent.has(workId);
+    if (!work.idempotent && isSecond) this.problems.push(`${workId} twice`);
+    this.live.set(workId, [...running, {attempt, endpoint}]);
+  }
+
+  private drop(workId: string, attempt: number): void {
+    const running = this.live.get(workId) ?? [];
+    this.live.set(
+      workId,
+      running.filter(other => other.attempt !== attempt),
+    );
+  }
+}
+
+type Op =
+  | {
+      readonly op: 'enqueue';
+      readonly idempotent: boolean;
+      readonly tenant: number;
+      readonly interactive: boolean;
+      readonly fingerprint: number;
+    }
+  | {
+      readonly op: 'end';
+      readonly index: number;
+      readonly failure: FailureKind | undefined;
+      readonly sent: boolean;
+    }
+  | {readonly op: 'wait'; readonly ms: number}
+  | {readonly op: 'leave' | 'back'; readonly engine: number};
+
+const opArbitrary: fc.Arbitrary<Op> = fc.oneof(
+  fc.record({
+    op: fc.constant('enqueue' as const),
+    idempotent: fc.boolean(),
+    tenant: fc.nat(2),
+    interactive: fc.boolean(),
+    fingerprint: fc.nat(4),
+  }),
+  fc.record({
+    op: fc.constant('end' as const),
+    index: fc.nat(50),
+    failure: fc.option(fc.constantFrom(...FAILURES), {nil: undefined}),
+    sent: fc.boolean(),
+  }),
+  fc.record({op: fc.constant('wait' as const), ms: fc.nat(3000)}),
+  fc.record({
+    op: fc.constantFrom('leave' as const, 'back' as const),
+    engine: fc.nat(2),
+  }),
+);
+
+function run(account: Account, op: Op, index: number): void {
+  switch (op.op) {
+    case 'enqueue':
+      return account.handle({
+        kind: 'enqueue',
+        work: createWork(`w${index}`, {
+          idempotent: op.idempotent,
+          tenant: toTenantId(`t${op.tenant}`),
+          workClass: op.interactive ? 'interactive' : 'rollout',
+          fingerprint: `f${op.fingerprint}`,
+        }),
+      });
+    case 'end':
+      return account.end(op.index, op.failure, op.sent);
+    case 'wait':
+      account.nowMs += op.ms;
+      return account.handle({kind: 'tick'});
+    default: {
+      const id = ENGINES[op.engine];
+      if (op.op === 'leave') account.leaving.add(id);
+      else account.leaving.delete(id);
+      const endpoints = ENGINES.map(e =>
+        createEndpoint(e, account.leaving.has(e) ? 'leaving' : 'live'),
+      );
+      return account.handle({kind: 'endpoints', endpoints});
+    }
+  }
+}
+
+/** Lets everything that is left run to its end. */
+function drain(account: Account): void {
+  account.leaving.clear();
+  const endpoints = ENGINES.map(id => createEndpoint(id));
+  account.handle({kind: 'endpoints', endpoints});
+  for (let i = 0; i < 500 && account.scheduler.countWorks() > 0; i++) {
+    account.end(0, undefined, true);
+    account.nowMs += 100;
+    account.handle({kind: 'tick'});
+  }
+}
+
+// A caller gets no answer, two answers, or finds a note filed twice.
+// 1. Requests of all kinds come while endpoints fail in every way and leave.
+// 2. Retries, hedges and waits overlap.
+// Cause: the scheduler loses a work, ends it twice, or sends a non-idempotent
+// request again after the first could have been received.
+test('every work ends once, and the non-idempotent are sent once', t => {
+  fc.assert(
+    fc.property(fc.array(opArbitrary, {maxLength: 150}), ops => {
+      const account = new Account(createScheduler());
+      ops.forEach((op, index) => run(account, op, index));
+      drain(account);
+      const missing = [...account.works.keys()].filter(
+        id => !account.finals.has(id),
+      );
+      return account.problems.length === 0 && missing.length === 0;
+    }),
+    {seed: 4, numRuns: 300},
+  );
+  t.pass();
+});
--- /dev/null
+++ b/packages/core/src/binary_heap.ts
@@ -0,0 +1,61 @@
+/** A priority queue on an array. */
+
+export class BinaryHeap<T> {
+  private readonly items: T[] = [];
+
+  /** `isBefore(a, b)` tells whether `a` leaves the heap earlier than `b`. */
+  constructor(private readonly isBefore: (a: T, b: T) => boolean) {}
+
+  get size(): number {
+    return this.items.length;
+  }
+
+  peek(): T | undefined {
+    return this.items[0];
+  }
+
+  push(item: T): void {
+    const {items} = this;
+    let index = items.length;
+    items.push(item);
+    while (index > 0) {
+      const parent = (index - 1) >> 1;
+      if (!this.isBefore(item, items[parent])) break;
+      items[index] = items[parent];
+      index = parent;
+    }
+    items[index] = item;
+  }
+
+  pop(): T | undefined {
+    const {items} = this;
+    const first = items[0];
+    const last = items.pop();
+    if (items.length > 0) this.sink(last!);
+    return first;
+  }
+
+  /** Drops all items for which `keep` is false. */
+  retain(keep: (item: T) => boolean): void {
+    const kept = this.items.filter(keep);
+    this.items.length = 0;
+    for (const item of kept) this.push(item);
+  }
+
+  private sink(item: T): void {
+    const {items} = this;
+    const size = items.length;
+    let index = 0;
+    for (;;) {
+      let child = 2 * index + 1;
+      if (child >= size) break;
+      if (child + 1 < size && this.isBefore(items[child + 1], items[child])) {
+        child++;
+      }
+      if (!this.isBefore(items[child], item)) break;
+      items[index] = items[child];
+      index = child;
+    }
+    items[index] = item;
+  }
+}
--- /dev/null
+++ b/packages/core/src/concurrency_limit.ts
@@ -0,0 +1,83 @@
+/**
+ * How many requests an endpoint takes at once, found from its reports, and how
+ * the VMs share that number without a coordinator.
+ */
+
+import type {LoadReport} from '@radishyoke/shared/endpoint';
+
+/** The limit before anything is known. */
+const INITIAL_LIMIT = 16;
+const MIN_LIMIT = 1;
+const MAX_LIMIT = 1024;
+/** Part of the limit in use from which on it may grow. */
+const GROW_FROM_USE = 0.8;
+const GROWTH = 1.15;
+const REJECTION_CUT = 0.7;
+
+/**
+ * Adapts one endpoint's limit. Engines admit all that comes: what they can't run
+ * waits inside, where no priority holds. So the limit follows what runs as soon
+ * as anything waits there, and grows while the endpoint keeps up.
+ */
+export class ConcurrencyLimit {
+  private value = INITIAL_LIMIT;
+  private rejectedAtMs = -Infinity;
+
+  get limit(): number {
+    return Math.max(MIN_LIMIT, Math.floor(this.value));
+  }
+
+  noteReport(report: LoadReport): void {
+    const {running, waiting} = report;
+    if (waiting > 0 && running > 0) {
+      this.value = clamp(Math.min(this.value, running));
+      return;
+    }
+    // A report from before the endpoint refused work knows nothing of it.
+    if (report.measuredAtMs <= this.rejectedAtMs) return;
+    if (running >= this.value * GROW_FROM_USE) {
+      this.value = clamp(this.value * GROWTH + 1);
+    }
+  }
+
+  noteRejected(nowMs: number): void {
+    this.rejectedAtMs = nowMs;
+    this.value = clamp(this.value * REJECTION_CUT);
+  }
+}
+
+function clamp(limit: number): number {
+  return Math.min(MAX_LIMIT, Math.max(MIN_LIMIT, limit));
+}
+
+/**
+ * Divides `limit` among VMs by their demands: each gets what it asks for up to
+ * an equal share, and what is not asked for goes to the others in equal parts.
+ * Every VM computes the same parts from the same view, in the same order, so
+ * that they add up to at most `limit`. Remainders go to the first VMs from
+ * `offset` on, which differs by endpoint, so that no VM is favoured everywhere.
+ */
+export function divideLimit(
+  limit: number,
+  demands: readonly number[],
+  offset: number,
+): readonly number[] {
+  const parts = demands.map(() => 0);
+  let rest = limit;
+  let open = demands.map((_, index) => index).filter(i => demands[i] > 0);
+  while (rest > 0 && open.length > 0) {
+    const each = Math.floor(rest / open.length);
+    if (each === 0) break;
+    for (const index of open) {
+      const part = Math.min(each, demands[index] - parts[index]);
+      parts[index] += part;
+      rest -= part;
+    }
+    open = open.filter(index => parts[index] < demands[index]);
+  }
+  const start = open.findIndex(index => index >= offset % demands.length);
+  for (let i = 0; i < open.length && rest > 0; i++, rest--) {
+    parts[open[(Math.max(0, start) + i) % open.length]]++;
+  }
+  return parts;
+}
--- /dev/null
+++ b/packages/core/src/endpoint_directory.ts
@@ -0,0 +1,163 @@
+/**
+ * All endpoints a VM knows, by group, and the events that tell of them: the VM
+ * list, load reports, peers' digests and cache events.
+ */
+
+import type {EndpointInfo, LoadReport} from '@radishyoke/shared/endpoint';
+import type {EndpointId, VmId} from '@radishyoke/shared/ids';
+import {DrainRate} from './drain_rate.js';
+import {EndpointPool} from './endpoint_pool.js';
+import {EndpointState, VmView} from './endpoint_state.js';
+import {FairQueue} from './fair_queue.js';
+import type {RandomBits} from './random_bits.js';
+import type {WorkClass} from './scheduler.js';
+import type {WorkState} from './work_state.js';
+
+/** One group's endpoints and what waits for them. */
+export class EndpointGroup {
+  readonly pool: EndpointPool;
+  readonly queues: Readonly<Record<WorkClass, FairQueue<WorkState>>> = {
+    interactive: new FairQueue<WorkState>(),
+    rollout: new FairQueue<WorkState>(),
+  };
+  readonly drains: Readonly<Record<WorkClass, DrainRate>> = {
+    interactive: new DrainRate(),
+    rollout: new DrainRate(),
+  };
+  /** Works for which no endpoint has the weights. */
+  parked: WorkState[] = [];
+  /** Works under suspicion that wait for their turn to run alone. */
+  quarantined: WorkState[] = [];
+  quarantineRunning?: WorkState;
+
+  constructor(random: RandomBits) {
+    this.pool = new EndpointPool(random);
+  }
+}
+
+export class EndpointDirectory {
+  readonly groups = new Map<string, EndpointGroup>();
+  readonly endpoints = new Map<EndpointId, EndpointState>();
+  view: VmView;
+  private readonly peerEndpoints = new Map<VmId, ReadonlySet<EndpointId>>();
+  /** Endpoints whose backoff ends with time alone. */
+  private readonly suspected = new Set<EndpointState>();
+
+  constructor(
+    self: VmId,
+    private readonly random: RandomBits,
+  ) {
+    this.view = {self, vms: [self]};
+  }
+
+  getGroup(name: string): EndpointGroup {
+    let group = this.groups.get(name);
+    if (!group) {
+      group = new EndpointGroup(this.random);
+      this.groups.set(name, group);
+    }
+    return group;
+  }
+
+  groupOf(endpoint: EndpointState): EndpointGroup {
+    return this.getGroup(endpoint.info.group);
+  }
+
+  /** Takes the VM list. An endpoint that is no longer listed has left. */
+  setEndpoints(infos: readonly EndpointInfo[], nowMs: number): void {
+    const listed = new Set(infos.map(info => info.id));
+    for (const endpoint of [...this.endpoints.values()]) {
+      if (!listed.has(endpoint.id)) this.removeEndpoint(endpoint);
+    }
+    for (const info of infos) this.setEndpoint(info, nowMs);
+  }
+
+  noteReport(report: LoadReport, nowMs: number): EndpointState | undefined {
+    const endpoint = this.endpoints.get(report.endpoint);
+    if (!endpoint?.noteReport(report)) return undefined;
+    this.refresh(endpoint, nowMs);
+    return endpoint;
+  }
+
+  setVms(vms: readonly VmId[], nowMs: number): void {
+    const self = this.view.self;
+    this.view = {self, vms: vms.includes(self) ? vms : [...vms, self]};
+    for (const endpoint of this.endpoints.values()) {
+      endpoint.retainPeers(vms);
+      this.refresh(endpoint, nowMs);
+    }
+  }
+
+  notePeer(
+    vm: VmId,
+    inFlight: ReadonlyMap<EndpointId, number>,
+    nowMs: number,
+  ): void {
+    if (vm === this.view.self) return;
+    for (const id of this.peerEndpoints.get(vm) ?? []) {
+      if (!inFlight.has(id)) this.notePeerAt(vm, id, 0, nowMs);
+    }
+    for (const [id, count] of inFlight) this.notePeerAt(vm, id, count, nowMs);
+    this.peerEndpoints.set(vm, new Set(inFlight.keys()));
+  }
+
+  noteCache(id: EndpointId, prefixKey: string, cached: boolean): void {
+    const endpoint = this.endpoints.get(id);
+    if (!endpoint) return;
+    if (!cached) {
+      endpoint.dropPrefix(prefixKey);
+      return;
+    }
+    endpoint.notePrefix(prefixKey);
+    this.groupOf(endpoint).pool.noteHolder(prefixKey, endpoint);
+  }
+
+  /** To be called after anything about the endpoint changed. */
+  refresh(endpoint: EndpointState, nowMs: number): void {
+    if (this.endpoints.get(endpoint.id) !== endpoint) return;
+    if (endpoint.health.suspected) this.suspected.add(endpoint);
+    else this.suspected.delete(endpoint);
+    this.groupOf(endpoint).pool.refresh(endpoint, this.view, nowMs);
+  }
+
+  /** Looks again at the endpoints that come back with time. */
+  refreshSuspected(nowMs: number): readonly EndpointState[] {
+    const endpoints = [...this.suspected];
+    for (const endpoint of endpoints) this.refresh(endpoint, nowMs);
+    return endpoints;
+  }
+
+  private setEndpoint(info: EndpointInfo, nowMs: number): void {
+    let endpoint = this.endpoints.get(info.id);
+    if (endpoint && endpoint.info.group !== info.group) {
+      this.removeEndpoint(endpoint);
+      endpoint = undefined;
+    }
+    if (!endpoint) {
+      endpoint = new EndpointState(info);
+      this.endpoints.set(info.id, endpoint);
+      this.groupOf(endpoint).pool.add(endpoint);
+    }
+    endpoint.info = info;
+    endpoint.health.noteListed(info);
+    this.refresh(endpoint, nowMs);
+  }
+
+  private removeEndpoint(endpoint: EndpointState): void {
+    this.endpoints.delete(endpoint.id);
+    this.suspected.delete(endpoint);
+    this.groupOf(endpoint).pool.remove(endpoint);
+  }
+
+  private notePeerAt(
+    vm: VmId,
+    id: EndpointId,
+    count: number,
+    nowMs: number,
+  ): void {
+    const endpoint = this.endpoints.get(id);
+    if (!endpoint) return;
+    endpoint.notePeer(vm, count);
+    this.refresh(endpoint, nowMs);
+  }
+}
--- /dev/null
+++ b/packages/core/src/endpoint_score.ts
@@ -0,0 +1,89 @@
+/**
+ * The expected time until a work would be complete at an endpoint, by which the
+ * candidates are compared.
+ */
+
+import type {DataCentreId} from '@radishyoke/shared/ids';
+import type {EndpointState} from './endpoint_state.js';
+
+/** Prompt tokens a second that an engine is assumed to prefill. */
+const PREFILL_TOKENS_PER_SECOND = 8000;
+/** Tokens a second of one stream where none was measured yet. */
+const ASSUMED_STREAM_SPEED = 50;
+/** Added by another data centre, there and back. */
+const OTHER_DATA_CENTRE_MS = 3;
+/** A report says nothing of the present after this long. */
+const REPORT_FORGOTTEN_AFTER_MS = 5000;
+/** Ms of expected time that each version behind the newest counts for. */
+const VERSION_LAG_COST_MS = 2000;
+/** Slow-down of a stream by a full endpoint, relative to an empty one. */
+const LOAD_SLOWDOWN = 1;
+
+/** What is to be placed. */
+export interface ScoredWork {
+  readonly promptTokens: number;
+  readonly expectedTokens: number;
+  readonly prefixKey: string;
+  readonly isRollout: boolean;
+}
+
+/** What is the same for all candidates. */
+export interface ScoreView {
+  readonly dataCentre: DataCentreId;
+  readonly newestVersion: number;
+  readonly nowMs: number;
+}
+
+/** Expected ms until completion; lower is better. */
+export function scoreEndpoint(
+  endpoint: EndpointState,
+  work: ScoredWork,
+  view: ScoreView,
+): number {
+  const distanceMs =
+    endpoint.info.dataCentre === view.dataCentre ? 0 : OTHER_DATA_CENTRE_MS;
+  const firstTokenMs = estimatePrefillMs(endpoint, work, view.nowMs);
+  const use = measureUse(endpoint, view.nowMs);
+  const speed = endpoint.streamSpeed || ASSUMED_STREAM_SPEED;
+  // The speed was measured at about the present load; beyond the limit the
+  // endpoint queues.
+  const decodeMs =
+    (Math.max(1, work.expectedTokens) / speed) *
+    1e3 *
+    (1 + LOAD_SLOWDOWN * use);
+  const lag = work.isRollout
+    ? Math.max(0, view.newestVersion - endpoint.weightVersion)
+    : 0;
+  return distanceMs + firstTokenMs + decodeMs + lag * VERSION_LAG_COST_MS;
+}
+
+/** Part of the limit in use: own and peers' work, and what a report adds. */
+function measureUse(endpoint: EndpointState, nowMs: number): number {
+  const known = endpoint.totalInFlight;
+  const {report} = endpoint;
+  let inFlight = known;
+  if (report) {
+    // The report counts what nobody told us of, but it is old: its surplus
+    // over what is known fades with its age.
+    const ageMs = Math.max(0, nowMs - report.measuredAtMs);
+    const trust = Math.max(0, 1 - ageMs / REPORT_FORGOTTEN_AFTER_MS);
+    const surplus = report.running + report.waiting - known;
+    inFlight += Math.max(0, surplus) * trust;
+  }
+  return inFlight / endpoint.limit.limit;
+}
+
+function estimatePrefillMs(
+  endpoint: EndpointState,
+  work: ScoredWork,
+  nowMs: number,
+): number {
+  const hit = work.prefixKey !== '' && endpoint.hasPrefix(work.prefixKey);
+  const own = hit ? 0 : work.promptTokens;
+  let waiting = endpoint.pendingPromptTokens;
+  const {report} = endpoint;
+  if (report && nowMs - report.measuredAtMs < REPORT_FORGOTTEN_AFTER_MS) {
+    waiting = Math.max(waiting, report.waitingPromptTokens);
+  }
+  return ((own + waiting) / PREFILL_TOKENS_PER_SECOND) * 1e3;
+}
--- /dev/null
+++ b/packages/core/src/endpoint_state.ts
@@ -0,0 +1,182 @@
+/** What one VM knows of one endpoint. */
+
+import type {EndpointInfo, LoadReport} from '@radishyoke/shared/endpoint';
+import type {EndpointId, VmId} from '@radishyoke/shared/ids';
+import {ConcurrencyLimit, divideLimit} from './concurrency_limit.js';
+import {EndpointHealth} from './endpoint_health.js';
+import type {WorkClass} from './scheduler.js';
+import type {Attempt} from './work_state.js';
+
+/** Part of an endpoint's limit that rollouts leave to interactive requests. */
+const INTERACTIVE_RESERVE = 0.1;
+/** Weight of the newest ms of a stream in the speed estimate. */
+const SPEED_MEMORY_STREAM_MS = 5000;
+/** Prefixes remembered of one endpoint; engines have limited cache. */
+const MAX_PREFIXES = 4096;
+
+/** The VMs that share the endpoints, as the owner of the state sees them. */
+export interface VmView {
+  readonly self: VmId;
+  readonly vms: readonly VmId[];
+}
+
+/** Figures and guesses about one endpoint, kept up to date by events. */
+export class EndpointState {
+  readonly id: EndpointId;
+  readonly limit = new ConcurrencyLimit();
+  readonly health = new EndpointHealth();
+  /** Position in the pool's arrays; -1 when not in them. */
+  readonly positions = {usable: -1, open: -1};
+  report?: LoadReport;
+  weightVersion = 0;
+  /** Own attempts in flight here. */
+  readonly attempts = new Set<Attempt>();
+  /** Their number, by class. */
+  readonly running: Record<WorkClass, number> = {interactive: 0, rollout: 0};
+  /** Prompt tokens of own attempts that have shown no output yet. */
+  pendingPromptTokens = 0;
+  /** Set while a suspect request runs here: nothing else goes there. */
+  quarantined = false;
+  private readonly peers = new Map<VmId, number>();
+  private peerTotal = 0;
+  private readonly prefixes = new Map<string, true>();
+  private versionSeenAtMs = 0;
+  private streamMs = 0;
+  private streamTokens = 0;
+  private allowance = 0;
+  private isAllowanceStale = true;
+
+  constructor(public info: EndpointInfo) {
+    this.id = info.id;
+  }
+
+  get inFlight(): number {
+    return this.running.interactive + this.running.rollout;
+  }
+
+  /** In flight by all VMs, as far as known. */
+  get totalInFlight(): number {
+    return this.inFlight + this.peerTotal;
+  }
+
+  /** Tokens a second that one stream gets here, or 0 when not yet measured. */
+  get streamSpeed(): number {
+    return this.streamMs > 0 ? (this.streamTokens / this.streamMs) * 1e3 : 0;
+  }
+
+  noteSpeed(tokens: number, elapsedMs: number): void {
+    const keep = Math.exp(-elapsedMs / SPEED_MEMORY_STREAM_MS);
+    this.streamTokens = this.streamTokens * keep + tokens;
+    this.streamMs = this.streamMs * keep + elapsedMs;
+  }
+
+  noteReport(report: LoadReport): boolean {
+    if (!this.health.noteReport(report)) return false;
+    this.report = report;
+    this.limit.noteReport(report);
+    this.noteWeightVersion(report.weightVersion, report.measuredAtMs);
+    this.isAllowanceStale = true;
+    return true;
+  }
+
+  /**
+   * Takes the version that the endpoint showed at `seenAtMs`. It can fall: an
+   * engine that crashed may come back with what it had on its disk, and a
+   * failed swap leaves the old one. A report that is older than what a stream
+   * has shown since says nothing.
+   */
+  noteWeightVersion(version: number, seenAtMs: number): void {
+    if (seenAtMs < this.versionSeenAtMs) return;
+    this.versionSeenAtMs = seenAtMs;
+    this.weightVersion = version;
+  }
+
+  notePeer(vm: VmId, inFlight: number): void {
+    this.peerTotal += inFlight - (this.peers.get(vm) ?? 0);
+    if (inFlight > 0) this.peers.set(vm, inFlight);
+    else this.peers.delete(vm);
+    this.isAllowanceStale = true;
+  }
+
+  /** Forgets peers that are gone. */
+  retainPeers(vms: readonly VmId[]): void {
+    for (const vm of this.peers.keys()) {
+      if (!vms.includes(vm)) this.notePeer(vm, 0);
+    }
+    this.isAllowanceStale = true;
+  }
+
+  markAllowanceStale(): void {
+    this.isAllowanceStale = true;
+  }
+
+  /** Whether one more of `workClass` may go there. */
+  hasRoomFor(workClass: WorkClass, view: VmView): boolean {
+    if (this.quarantined) return false;
+    const limit = this.limit.limit;
+    if (workClass === 'interactive') {
+      // The reserve is for requests that come now and then, from any VM; what
+      // peers have is known late, so own interactive work may always use it.
+      const reserve = measureReserve(limit);
+      return this.running.interactive < reserve || this.totalInFlight < limit;
+    }
+    return this.running.rollout < this.measureAllowance(view);
+  }
+
+  /** Rollouts that this VM may have in flight here. */
+  measureAllowance(view: VmView): number {
+    if (this.isAllowanceStale) {
+      this.isAllowanceStale = false;
+      this.allowance = this.computeAllowance(view);
+    }
+    return this.allowance;
+  }
+
+  notePrefix(prefixKey: string): void {
+    if (prefixKey === '') return;
+    this.prefixes.delete(prefixKey);
+    this.prefixes.set(prefixKey, true);
+    if (this.prefixes.size > MAX_PREFIXES) {
+      this.prefixes.delete(this.prefixes.keys().next().value!);
+    }
+  }
+
+  dropPrefix(prefixKey: string): void {
+    this.prefixes.delete(prefixKey);
+  }
+
+  hasPrefix(prefixKey: string): boolean {
+    return this.prefixes.has(prefixKey);
+  }
+
+  clearPrefixes(): void {
+    this.prefixes.clear();
+  }
+
+  private computeAllowance(view: VmView): number {
+    const limit = this.limit.limit;
+    const forRollouts = Math.max(1, limit - measureReserve(limit));
+    if (this.peers.size === 0) return forRollouts;
+    const vms = view.vms.filter(vm => vm === view.self || this.peers.has(vm));
+    // What this VM would take if it could, and what the others do take: an
+    // idle VM's share is lent until its digest shows work there.
+    const demands = vms.map(vm =>
+      vm === view.self ? forRollouts : this.peers.get(vm)! + 1,
+    );
+    const parts = divideLimit(forRollouts, demands, hashOffset(this.id));
+    return parts[vms.indexOf(view.self)];
+  }
+}
+
+function measureReserve(limit: number): number {
+  return limit <= 1 ? 1 : Math.max(1, Math.floor(limit * INTERACTIVE_RESERVE));
+}
+
+/** Spreads remainders of shares over the VMs differently for each endpoint. */
+function hashOffset(id: string): number {
+  let hash = 0;
+  for (let i = 0; i < id.length; i++) {
+    hash = (Math.imul(hash, 31) + id.charCodeAt(i)) >>> 0;
+  }
+  return hash;
+}
--- /dev/null
+++ b/packages/core/src/random_bits.ts
@@ -0,0 +1,22 @@
+/** A seeded source of random bits, so that a decision can be run again as it was. */
+
+/** Returns the next 32 random bits as an unsigned integer. */
+export type RandomBits = () => number;
+
+/** A generator by the method of Weyl sequence and mixing; not for secrets. */
+export function createRandomBits(seed: number): RandomBits {
+  let state = seed >>> 0;
+  return () => {
+    state = (state + 0x9e3779b9) >>> 0;
+    let mixed = state ^ (state >>> 16);
+    mixed = Math.imul(mixed, 0x21f0aaad);
+    mixed ^= mixed >>> 15;
+    mixed = Math.imul(mixed, 0x735a2d97);
+    return (mixed ^ (mixed >>> 15)) >>> 0;
+  };
+}
+
+/** A uniform integer from 0 up to but without `bound`. */
+export function drawBelow(random: RandomBits, bound: number): number {
+  return Math.floor((random() / 2 ** 32) * bound);
+}
--- /dev/null
+++ b/packages/core/src/straggler.ts
@@ -0,0 +1,67 @@
+/**
+ * Finds attempts that hold up their step and would be complete much earlier
+ * elsewhere. A step is as late as its last sample.
+ */
+
+import type {TenantId} from '@radishyoke/shared/ids';
+import type {EndpointState} from './endpoint_state.js';
+import {TokenBucket} from './token_bucket.js';
+import type {Attempt} from './work_state.js';
+
+/** What to do about one attempt. */
+export type StragglerAction =
+  | 'leave'
+  /** Stop it and go on from its output elsewhere. */
+  | 'move'
+  /** Go on from its output elsewhere as well, and take what ends first. */
+  | 'hedge';
+
+/** An attempt that has shown nothing for this long may never again. */
+const QUIET_BEFORE_HEDGE_MS = 1500;
+/** How many times faster the other endpoint has to be. */
+const MIN_GAIN = 1.5;
+const MIN_SAVED_MS = 2000;
+/** Second attempts for the tail, as a share of all starts. */
+const BUDGET_PER_START = 0.05;
+const BUDGET_BURST = 16;
+/** What time alone adds, so that a long tail isn't left alone. */
+const BUDGET_PER_SECOND = 0.5;
+
+export class StragglerPolicy {
+  private readonly budgets = new Map<TenantId, TokenBucket>();
+
+  noteStart(tenant: TenantId): void {
+    this.getBudget(tenant).earn(BUDGET_PER_START);
+  }
+
+  /** Whether the tenant's budget allows one more second attempt; takes it. */
+  takeBudget(tenant: TenantId, nowMs: number): boolean {
+    return this.getBudget(tenant).take(nowMs);
+  }
+
+  private getBudget(tenant: TenantId): TokenBucket {
+    let budget = this.budgets.get(tenant);
+    if (!budget) {
+      budget = new TokenBucket(BUDGET_BURST, BUDGET_PER_SECOND);
+      this.budgets.set(tenant, budget);
+    }
+    return budget;
+  }
+}
+
+/** Compares staying with going on at `target`. */
+export function judgeStraggler(
+  attempt: Attempt,
+  target: EndpointState,
+  remainingTokens: number,
+  nowMs: number,
+): StragglerAction {
+  if (nowMs - attempt.progressAtMs > QUIET_BEFORE_HEDGE_MS) return 'hedge';
+  const speed = attempt.endpoint.streamSpeed;
+  const targetSpeed = target.streamSpeed;
+  if (speed <= 0 || targetSpeed <= 0) return 'leave';
+  const stayMs = (remainingTokens / speed) * 1e3;
+  const goMs = (remainingTokens / targetSpeed) * 1e3;
+  const isWorthIt = stayMs > goMs * MIN_GAIN && stayMs - goMs > MIN_SAVED_MS;
+  return isWorthIt ? 'move' : 'leave';
+}
--- /dev/null
+++ b/packages/core/src/token_bucket.ts
@@ -0,0 +1,40 @@
+/** A token bucket on a clock that comes in as an argument. */
+
+export class TokenBucket {
+  private tokens: number;
+  private refilledAtMs = 0;
+
+  /** Starts full. */
+  constructor(
+    private readonly capacity: number,
+    private readonly tokensPerSecond: number,
+  ) {
+    this.tokens = capacity;
+  }
+
+  /** Takes `count` tokens if they are there. */
+  take(nowMs: number, count = 1): boolean {
+    this.refill(nowMs);
+    if (this.tokens < count) return false;
+    this.tokens -= count;
+    return true;
+  }
+
+  /** Adds tokens besides those that time brings. */
+  earn(count: number): void {
+    this.tokens = Math.min(this.capacity, this.tokens + count);
+  }
+
+  /** Ms until `count` tokens are there by time alone. */
+  measureWaitMs(nowMs: number, count = 1): number {
+    this.refill(nowMs);
+    const missing = count - this.tokens;
+    return missing <= 0 ? 0 : Math.ceil((missing / this.tokensPerSecond) * 1e3);
+  }
+
+  private refill(nowMs: number): void {
+    const elapsedMs = Math.max(0, nowMs - this.refilledAtMs);
+    this.refilledAtMs = Math.max(this.refilledAtMs, nowMs);
+    this.earn((elapsedMs * this.tokensPerSecond) / 1e3);
+  }
+}
