--- /dev/null
+++ b/packages/wire/src/engine_stream.ts
@@ -0,0 +1,238 @@
+/**
+ * One generation on a model engine, as a stream of chunks. A connection that
+ * breaks or falls silent is replaced by a new one that goes on from the last
+ * token received, so that a half-open connection costs no generated token.
+ */
+
+import type {Readable} from 'node:stream';
+import {createParser} from 'eventsource-parser';
+import type {Dispatcher} from 'undici';
+import {z} from 'zod';
+import type {FailureKind} from '@radishyoke/core/failure';
+import {isNotConnected, isSilence} from './connection_error.js';
+
+/** What an engine is asked to generate. */
+export interface GenerationRequest {
+  readonly requestId: string;
+  readonly model: string;
+  readonly prompt: string;
+  readonly maxTokens: number;
+  readonly seed: number;
+  /** Output of an earlier attempt to go on from. */
+  readonly resume?: {readonly text: string; readonly tokens: number};
+}
+
+/** Tokens that arrived together. */
+export interface GenerationChunk {
+  readonly text: string;
+  readonly tokens: number;
+  readonly weightVersion: number;
+}
+
+export type GenerationEnd =
+  | {readonly kind: 'finished'; readonly finishReason: string}
+  | {
+      readonly kind: 'failed';
+      readonly failure: FailureKind;
+      readonly sent: boolean;
+    }
+  | {readonly kind: 'stopped'};
+
+export interface GenerationTimeouts {
+  /** Longest silence before the connection is replaced, ms. */
+  readonly progressMs: number;
+  /** Most times one generation is attached to by a new connection. */
+  readonly maxReattaches: number;
+}
+
+export const DEFAULT_GENERATION_TIMEOUTS: GenerationTimeouts = {
+  progressMs: 3000,
+  maxReattaches: 3,
+};
+
+const chunkSchema = z.object({
+  choices: z
+    .array(
+      z.object({
+        text: z.string(),
+        finish_reason: z.string().nullable(),
+      }),
+    )
+    .min(1),
+  tokens: z.number().int().min(0),
+  weight_version: z.number().int().min(0),
+});
+
+/** How one connection ended; `broken` and `silent` may be attached to again. */
+type ConnectionEnd =
+  | {readonly kind: 'finished'; readonly finishReason: string}
+  | {readonly kind: 'broken' | 'silent' | 'refused' | 'unknown_stream'}
+  | {readonly kind: 'status'; readonly status: number};
+
+const endOfStream = '[DONE]';
+
+export class EngineStream {
+  private readonly abort = new AbortController();
+  private tokens = 0;
+  private stopped = false;
+
+  /**
+   * @param dispatcher Connections to use; its pool makes new ones on demand.
+   * @param origin `http://ip:port` of the engine.
+   */
+  constructor(
+    private readonly dispatcher: Dispatcher,
+    private readonly origin: string,
+    private readonly req: GenerationRequest,
+    private readonly onChunk: (chunk: GenerationChunk) => void,
+    private readonly timeouts: GenerationTimeouts = DEFAULT_GENERATION_TIMEOUTS,
+  ) {}
+
+  /** Starts the generation and resolves when it has ended; never rejects. */
+  async run(): Promise<GenerationEnd> {
+    return this.follow(await this.connect('POST', '/v1/completions'));
+  }
+
+  /** Attaches to a generation that an earlier owner started, from its first token. */
+  async attach(): Promise<GenerationEnd> {
+    return this.follow(await this.connect('GET', this.streamPath(0)));
+  }
+
+  /** Cancels the generation at the engine as well. */
+  stop(): void {
+    if (this.stopped) return;
+    this.stopped = true;
+    this.abort.abort();
+    const path = `/v1/streams/${encodeURIComponent(this.req.requestId)}`;
+    // The engine forgets an unread stream by itself, so a lost cancel costs
+    // only the tokens generated until then.
+    this.dispatcher
+      .request({origin: this.origin, method: 'DELETE', path})
+      .then(res => res.body.dump())
+      .catch(() => undefined);
+  }
+
+  private streamPath(from: number): string {
+    const id = encodeURIComponent(this.req.requestId);
+    return `/v1/streams/${id}?from=${from}`;
+  }
+
+  private async follow(first: ConnectionEnd): Promise<GenerationEnd> {
+    let end = first;
+    for (let i = 0; i < this.timeouts.maxReattaches; i++) {
+      if (this.stopped) return {kind: 'stopped'};
+      if (end.kind !== 'broken' && end.kind !== 'silent') break;
+      const before = end;
+      end = await this.connect('GET', this.streamPath(this.tokens));
+      // A connection refused right after one broke: the process is gone.
+      if (end.kind === 'refused') return failWith('crashed');
+      if (end.kind === 'unknown_stream') {
+        return failWith(
+          before.kind === 'silent' ? 'silent' : 'connection_lost',
+        );
+      }
+    }
+    if (this.stopped) return {kind: 'stopped'};
+    return resolveEnd(end);
+  }
+
+  private async connect(
+    method: 'POST' | 'GET',
+    path: string,
+  ): Promise<ConnectionEnd> {
+    try {
+      const res = await this.dispatcher.request({
+        origin: this.origin,
+        method,
+        path,
+        body: method === 'POST' ? this.buildBody() : null,
+        headers:
+          method === 'POST' ? {'content-type': 'application/json'} : undefined,
+        headersTimeout: this.timeouts.progressMs,
+        bodyTimeout: this.timeouts.progressMs,
+        signal: this.abort.signal,
+      });
+      if (res.statusCode === 200) return await this.read(res.body);
+      await res.body.dump();
+      if (method === 'GET' && res.statusCode === 404) {
+        return {kind: 'unknown_stream'};
+      }
+      return {kind: 'status', status: res.statusCode};
+    } catch (err) {
+      if (isNotConnected(err)) return {kind: 'refused'};
+      return {kind: isSilence(err) ? 'silent' : 'broken'};
+    }
+  }
+
+  private buildBody(): string {
+    const {requestId, model, prompt, maxTokens, seed, resume} = this.req;
+    return JSON.stringify({
+      model,
+      prompt,
+      max_tokens: maxTokens,
+      stream: true,
+      request_id: requestId,
+      seed,
+      ...(resume ? {resume} : {}),
+    });
+  }
+
+  private async read(body: Readable): Promise<ConnectionEnd> {
+    let finishReason: string | undefined;
+    let done = false;
+    const parser = createParser({
+      onEvent: event => {
+        if (event.data === endOfStream) {
+          done = true;
+          return;
+        }
+        finishReason = this.takeChunk(event.data) ?? finishReason;
+      },
+    });
+    body.setEncoding('utf8');
+    for await (const text of body) parser.feed(text as string);
+    // Without the closing marker the stream was cut: taking it for whole would
+    // show as a truncated rollout.
+    if (!done || finishReason === undefined) return {kind: 'broken'};
+    return {kind: 'finished', finishReason};
+  }
+
+  private takeChunk(data: string): string | undefined {
+    const chunk = chunkSchema.parse(JSON.parse(data));
+    const [choice] = chunk.choices;
+    if (chunk.tokens > 0) {
+      this.tokens += chunk.tokens;
+      this.onChunk({
+        text: choice.text,
+        tokens: chunk.tokens,
+        weightVersion: chunk.weight_version,
+      });
+    }
+    return choice.finish_reason ?? undefined;
+  }
+}
+
+function failWith(failure: FailureKind): GenerationEnd {
+  return {kind: 'failed', failure, sent: true};
+}
+
+function resolveEnd(end: ConnectionEnd): GenerationEnd {
+  switch (end.kind) {
+    case 'finished':
+      return end;
+    case 'refused':
+      return {kind: 'failed', failure: 'connect_failed', sent: false};
+    case 'silent':
+      return failWith('silent');
+    case 'status':
+      return failWith(resolveStatusFailure(end.status));
+    case 'unknown_stream':
+    case 'broken':
+      return failWith('connection_lost');
+  }
+}
+
+function resolveStatusFailure(status: number): FailureKind {
+  if (status === 429 || status === 503) return 'rejected';
+  return status >= 500 ? 'server_error' : 'client_error';
+}
