feat(platform): clients and stand-ins for log, VM list and weight store

The daemon needs the platform's interfaces before anything else can run. Each has an abstract client, an HTTP client whose calls are bounded by a timeout, and a stand-in over loopback HTTP that can be told to fail. An append whose answer was lost is told apart from one that was refused.

--- /dev/null
+++ b/packages/fakes/src/http_server.ts
@@ -0,0 +1,236 @@
+/**
+ * The HTTP side that all stand-ins share: a loopback server that shows the
+ * transport faults of a plan and turns bad bodies into 400.
+ */
+
+import http from 'node:http';
+import net from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {FaultPlan, takeLostAnswer, TransportFault} from './fault_plan.js';
+
+const HOST = '127.0.0.1';
+const BODY_LIMIT_BYTES = 16 * 1024 * 1024;
+const RELISTEN_RETRY_MS = 20;
+
+/** Answers one request; a thrown `HttpFailure` becomes its status. */
+export type Handler = (
+  req: http.IncomingMessage,
+  res: http.ServerResponse,
+  url: URL,
+) => void | Promise<void>;
+
+/** A request that can not be served, as an answer. */
+export class HttpFailure extends Error {
+  constructor(
+    readonly status: number,
+    readonly body: object,
+  ) {
+    super(`answered ${status}`);
+  }
+}
+
+/** A running stand-in's server. */
+export interface HttpStandIn {
+  /** `127.0.0.1:port`. */
+  readonly address: string;
+  close(): Promise<void>;
+}
+
+/** A server that can also go away and come back on its port. */
+export class FaultyHttpServer implements HttpStandIn {
+  private readonly sockets = new Set<net.Socket>();
+  private readonly silenced = new WeakSet<net.Socket>();
+  private port = 0;
+
+  private constructor(
+    private readonly server: http.Server,
+    private readonly faults: FaultPlan<TransportFault>,
+  ) {}
+
+  /** Listens on `port` of the loopback interface; 0 takes a free one. */
+  static async start(
+    handler: Handler,
+    faults: FaultPlan<TransportFault>,
+    port = 0,
+  ): Promise<FaultyHttpServer> {
+    const server = http.createServer();
+    const self = new FaultyHttpServer(server, faults);
+    server.on('connection', socket => self.addSocket(socket));
+    server.on('request', (req, res) => self.serve(handler, req, res));
+    faults.onSet(fault => {
+      if (fault.kind === 'silent') self.silenceOpen();
+    });
+    await self.listen(port);
+    return self;
+  }
+
+  get address(): string {
+    return `${HOST}:${this.port}`;
+  }
+
+  async close(): Promise<void> {
+    await this.stopListening();
+  }
+
+  /** Breaks all connections and refuses new ones, as a dead process does. */
+  async stopListening(): Promise<void> {
+    const closed = new Promise(resolve => this.server.close(resolve));
+    // Silenced sockets have their own `destroy` replaced, hence the prototype's.
+    for (const socket of this.sockets)
+      net.Socket.prototype.destroy.call(socket);
+    await closed;
+  }
+
+  /** Takes connections again on the same port. */
+  async listenAgain(): Promise<void> {
+    for (;;) {
+      try {
+        return await this.listen(this.port);
+      } catch (err) {
+        if ((err as NodeJS.ErrnoException).code !== 'EADDRINUSE') throw err;
+        await sleep(RELISTEN_RETRY_MS);
+      }
+    }
+  }
+
+  private listen(port: number): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, HOST, () => {
+        this.server.off('error', reject);
+        this.port = (this.server.address() as net.AddressInfo).port;
+        resolve();
+      });
+    });
+  }
+
+  private addSocket(socket: net.Socket): void {
+    this.sockets.add(socket);
+    socket.once('close', () => this.sockets.delete(socket));
+    socket.on('error', () => {});
+    if (this.faults.find('silent')?.connections === 'all') this.silence(socket);
+  }
+
+  private silenceOpen(): void {
+    for (const socket of this.sockets) this.silence(socket);
+  }
+
+  private silence(socket: net.Socket): void {
+    this.silenced.add(socket);
+    socket.write = () => true;
+    socket.end = () => socket;
+    socket.destroy = () => socket;
+  }
+
+  private async serve(
+    handler: Handler,
+    req: http.IncomingMessage,
+    res: http.ServerResponse,
+  ): Promise<void> {
+    try {
+      const delay = this.faults.find('delay');
+      if (delay) await sleep(delay.delayMs);
+      if (this.silenced.has(req.socket)) return;
+      if (this.faults.find('unreachable')) return void req.socket.destroy();
+      if (this.faults.find('outage')) return failWith(res, 503, 'outage');
+      if (takeLostAnswer(this.faults, req.method!)) breakInsteadOfAnswer(res);
+      const url = new URL(req.url!, 'http://stand-in');
+      await handler(req, res, url);
+    } catch (err) {
+      answerFailure(res, err);
+    }
+  }
+}
+
+/** Makes the first byte of the answer break the connection. */
+function breakInsteadOfAnswer(res: http.ServerResponse): void {
+  res.write = () => {
+    res.destroy();
+    return false;
+  };
+  res.end = () => res.destroy();
+  res.flushHeaders = () => {};
+}
+
+function answerFailure(res: http.ServerResponse, err: unknown): void {
+  if (res.headersSent) return void res.destroy();
+  if (err instanceof HttpFailure) return sendJson(res, err.status, err.body);
+  failWith(res, 500, String(err));
+}
+
+function failWith(
+  res: http.ServerResponse,
+  status: number,
+  error: string,
+): void {
+  sendJson(res, status, {error});
+}
+
+/** Answers with a JSON body. */
+export function sendJson(
+  res: http.ServerResponse,
+  status: number,
+  body: unknown,
+  headers: http.OutgoingHttpHeaders = {},
+): void {
+  const text = JSON.stringify(body);
+  res.writeHead(status, {
+    'content-type': 'application/json',
+    'content-length': Buffer.byteLength(text),
+    ...headers,
+  });
+  res.end(text);
+}
+
+/** Reads a whole body of bounded size. */
+export async function readBody(req: http.IncomingMessage): Promise<Buffer> {
+  const parts: Buffer[] = [];
+  let bytes = 0;
+  for await (const part of req) {
+    bytes += (part as Buffer).length;
+    if (bytes > BODY_LIMIT_BYTES)
+      throw new HttpFailure(413, {error: 'too_large'});
+    parts.push(part as Buffer);
+  }
+  return Buffer.concat(parts);
+}
+
+/** Reads a body that must be a JSON object. */
+export async function readJsonObject(
+  req: http.IncomingMessage,
+): Promise<Readonly<Record<string, unknown>>> {
+  const body = (await readBody(req)).toString('utf8');
+  let value: unknown;
+  try {
+    value = JSON.parse(body);
+  } catch {
+    throw new HttpFailure(400, {error: 'not_json'});
+  }
+  if (typeof value !== 'object' || value === null || Array.isArray(value))
+    throw new HttpFailure(400, {error: 'not_an_object'});
+  return value as Readonly<Record<string, unknown>>;
+}
+
+/** Reads a whole number of at least 0 from the query. */
+export function readCount(url: URL, name: string, fallback: number): number {
+  const text = url.searchParams.get(name);
+  if (text === null) return fallback;
+  const value = Number(text);
+  if (!/^\d+$/.test(text) || !Number.isSafeInteger(value))
+    throw new HttpFailure(400, {error: `bad_${name}`});
+  return value;
+}
+
+/** The decoded segments of the path. */
+export function splitPath(url: URL): readonly string[] {
+  try {
+    return url.pathname.split('/').slice(1).map(decodeURIComponent);
+  } catch {
+    throw new HttpFailure(400, {error: 'bad_path'});
+  }
+}
+
+/** What answers to a path or method that does not exist. */
+export function createNotFound(): HttpFailure {
+  return new HttpFailure(404, {error: 'not_found'});
+}
--- /dev/null
+++ b/packages/fakes/src/weight_store_model.ts
@@ -0,0 +1,66 @@
+/**
+ * The weight store without its HTTP side: versions a model and a limit on how
+ * many fetches may start a second.
+ */
+
+/** One published version. */
+export interface StoredVersion {
+  readonly version: number;
+  readonly bytes: number;
+}
+
+export type FetchAnswer =
+  | {readonly kind: 'weights'; readonly bytes: number}
+  | {readonly kind: 'limited'; readonly retryAfterMs: number}
+  | {readonly kind: 'unknown_version'};
+
+const WINDOW_MS = 1000;
+
+/** The versions of all models. All times are Unix ms. */
+export class WeightStoreModel {
+  private readonly models = new Map<string, Map<number, StoredVersion>>();
+  private windowStartMs = 0;
+  private fetchesInWindow = 0;
+  private fetches = 0;
+
+  constructor(private fetchesPerSecond: number) {}
+
+  setFetchesPerSecond(fetchesPerSecond: number): void {
+    this.fetchesPerSecond = fetchesPerSecond;
+  }
+
+  /** Adds a version; publishing it again changes nothing. */
+  publish(model: string, version: number, bytes: number): void {
+    const versions = this.models.get(model) ?? new Map();
+    this.models.set(model, versions);
+    if (!versions.has(version)) versions.set(version, {version, bytes});
+  }
+
+  /** All versions of a model, ascending. */
+  listVersions(model: string): readonly StoredVersion[] {
+    const versions = [...(this.models.get(model)?.values() ?? [])];
+    return versions.sort((a, b) => a.version - b.version);
+  }
+
+  /** Takes one fetch from the limit. */
+  fetch(model: string, version: number, nowMs: number): FetchAnswer {
+    const stored = this.models.get(model)?.get(version);
+    if (!stored) return {kind: 'unknown_version'};
+    if (nowMs - this.windowStartMs >= WINDOW_MS) {
+      this.windowStartMs = nowMs;
+      this.fetchesInWindow = 0;
+    }
+    if (this.fetchesInWindow >= this.fetchesPerSecond) {
+      const retryAfterMs = this.windowStartMs + WINDOW_MS - nowMs;
+      return {kind: 'limited', retryAfterMs};
+    }
+    this.fetchesInWindow++;
+    this.fetches++;
+    return {kind: 'weights', bytes: stored.bytes};
+  }
+
+  /** Fetches allowed so far. */
+  countFetches(): number {
+    return this.fetches;
+  }
+}
--- /dev/null
+++ b/packages/platform/src/http_log_client.ts
@@ -0,0 +1,133 @@
+/** The log over HTTP, as docs/PROTOCOLS.md has it. */
+
+import {createError} from '@radishyoke/shared/error_kind';
+import type {LoggedRecord, StreamName} from '@radishyoke/shared/log_record';
+import {fail, Result, succeed} from '@radishyoke/shared/result';
+import {z} from 'zod';
+import type {CallOptions} from './call_options.js';
+import {JsonAnswer, JsonCaller} from './http_json.js';
+import {AppendResult, LogClient, LogQuery, LogRead} from './log_client.js';
+
+const offsetSchema = z.number().int().min(0);
+
+const appendAnswerSchema = z.object({first: offsetSchema, next: offsetSchema});
+
+const expiredAnswerSchema = z.object({oldest: offsetSchema});
+
+const readAnswerSchema = z.object({
+  oldest: offsetSchema,
+  next: offsetSchema,
+  records: z.array(
+    z.object({offset: offsetSchema, timeMs: z.number(), value: z.unknown()}),
+  ),
+});
+
+type Answered = Extract<JsonAnswer, {kind: 'answered'}>;
+
+export class HttpLogClient extends LogClient {
+  private readonly caller: JsonCaller;
+
+  /** `address` is `ip:port`. */
+  constructor(address: string) {
+    super();
+    this.caller = new JsonCaller(address);
+  }
+
+  async read(
+    stream: StreamName,
+    query: LogQuery,
+    options: CallOptions,
+  ): Promise<Result<LogRead>> {
+    const {from, max, waitMs} = query;
+    const search = `from=${from}&max=${max}&waitMs=${waitMs}`;
+    const answer = await this.caller.call(
+      {method: 'GET', path: `/streams/${stream}/records?${search}`, waitMs},
+      options,
+    );
+    if (answer.kind === 'failed')
+      return fail(createError('log_unavailable', answer.detail));
+    return decodeReadAnswer(answer, from);
+  }
+
+  async append(
+    stream: StreamName,
+    values: readonly unknown[],
+    options: CallOptions,
+  ): Promise<AppendResult> {
+    const answer = await this.caller.call(
+      {
+        method: 'POST',
+        path: `/streams/${stream}/records`,
+        body: {records: values},
+      },
+      options,
+    );
+    if (answer.kind === 'answered')
+      return decodeAppendAnswer(answer, values.length);
+    const error = createError('log_unavailable', answer.detail);
+    return {kind: answer.sent ? 'unknown' : 'refused', error};
+  }
+
+  close(): Promise<void> {
+    return this.caller.close();
+  }
+}
+
+/** Decodes an answer to a read from offset `from`. */
+export function decodeReadAnswer(
+  answer: Answered,
+  from: number,
+): Result<LogRead> {
+  if (answer.status === 410) {
+    const expired = expiredAnswerSchema.safeParse(answer.body);
+    if (expired.success)
+      return succeed({kind: 'expired', oldest: expired.data.oldest});
+  }
+  if (answer.status !== 200) return fail(describeStatus(answer));
+  const page = readAnswerSchema.safeParse(answer.body);
+  if (!page.success || !isUnbroken(page.data.records, from, page.data.next))
+    return fail(createError('log_unavailable', 'the log answered nonsense'));
+  const {oldest, next} = page.data;
+  const records = page.data.records as ReadonlyArray<LoggedRecord<unknown>>;
+  return succeed({kind: 'page', oldest, next, records});
+}
+
+// A reader that skips or repeats a record folds another state than its peers,
+// which shows as two owners or a doubled rollout. A page with a hole is refused
+// as a whole, so that what a reader has folded is always a prefix of the stream.
+function isUnbroken(
+  records: ReadonlyArray<{readonly offset: number}>,
+  from: number,
+  next: number,
+): boolean {
+  return (
+    records.every((record, i) => record.offset === from + i) &&
+    next === from + records.length
+  );
+}
+
+/** Decodes an answer to an append of `count` records. */
+export function decodeAppendAnswer(
+  answer: Answered,
+  count: number,
+): AppendResult {
+  const {status} = answer;
+  if (status === 200) {
+    const body = appendAnswerSchema.safeParse(answer.body);
+    if (body.success && body.data.next - body.data.first === count)
+      return {kind: 'appended', first: body.data.first, next: body.data.next};
+    const detail = 'the log took the append and answered nonsense';
+    return {kind: 'unknown', error: createError('log_unavailable', detail)};
+  }
+  const error = describeStatus(answer);
+  // The log promises of 4xx and 503 that nothing was appended. Any other 5xx
+  // can come from something between, after the log has taken the records.
+  const refused = (status >= 400 && status < 500) || status === 503;
+  return {kind: refused ? 'refused' : 'unknown', error};
+}
+
+function describeStatus(answer: Answered) {
+  return createError('log_unavailable', `the log answered ${answer.status}`, {
+    retryAfterMs: answer.retryAfterMs,
+  });
+}
--- /dev/null
+++ b/packages/platform/src/http_weight_store_client.ts
@@ -0,0 +1,62 @@
+/** The weight store over HTTP, as docs/PROTOCOLS.md has it. */
+
+import {createError} from '@radishyoke/shared/error_kind';
+import {fail, Result, succeed} from '@radishyoke/shared/result';
+import {z} from 'zod';
+import type {CallOptions} from './call_options.js';
+import {JsonCaller} from './http_json.js';
+import {WeightStoreClient, WeightVersionInfo} from './weight_store_client.js';
+
+const versionsSchema = z.object({
+  versions: z.array(
+    z.object({
+      version: z.number().int().min(0),
+      bytes: z.number().int().min(0),
+    }),
+  ),
+});
+
+export class HttpWeightStoreClient extends WeightStoreClient {
+  private readonly caller: JsonCaller;
+
+  /** `address` is `ip:port`. */
+  constructor(address: string) {
+    super();
+    this.caller = new JsonCaller(address);
+  }
+
+  async listVersions(
+    model: string,
+    options: CallOptions,
+  ): Promise<Result<readonly WeightVersionInfo[]>> {
+    const path = `/models/${encodeURIComponent(model)}/versions`;
+    const answer = await this.caller.call({method: 'GET', path}, options);
+    if (answer.kind === 'failed')
+      return fail(createError('store_unavailable', answer.detail));
+    if (answer.status === 200) return decodeVersions(answer.body);
+    const detail = `the weight store answered ${answer.status}`;
+    const {retryAfterMs} = answer;
+    return fail(createError('store_unavailable', detail, {retryAfterMs}));
+  }
+
+  close(): Promise<void> {
+    return this.caller.close();
+  }
+}
+
+/** Decodes the store's list of versions. */
+export function decodeVersions(
+  body: unknown,
+): Result<readonly WeightVersionInfo[]> {
+  const list = versionsSchema.safeParse(body);
+  const ascending =
+    list.success &&
+    list.data.versions.every(
+      (v, i, all) => i === 0 || all[i - 1].version < v.version,
+    );
+  if (!list.success || !ascending)
+    return fail(
+      createError('store_unavailable', 'the store answered nonsense'),
+    );
+  return succeed(list.data.versions);
+}
--- a/packages/shared/src/error_kind.ts
+++ b/packages/shared/src/error_kind.ts
@@ -34,6 +34,7 @@
   | 'config_conflict'
   | 'config_invalid'
   | 'log_unavailable'
+  | 'vm_list_unavailable'
   | 'store_unavailable'
   | 'internal';
 
@@ -144,6 +145,12 @@
     true,
     'the platform log can not be reached',
   ),
+  vm_list_unavailable: answer(
+    503,
+    'no',
+    true,
+    'the platform VM list can not be reached',
+  ),
   store_unavailable: answer(
     503,
     'maybe',
