--- a/packages/core/src/key_spec.ts
+++ b/packages/core/src/key_spec.ts
@@ -34,6 +34,7 @@
 };
 
 const DURATION_UNITS_MS = {ms: 1, s: 1000, m: 60_000, h: 3_600_000} as const;
+const MAX_PORT = 65_535;
 const SIZE_UNITS_BYTES = {B: 1, KiB: 1024, MiB: 1_048_576} as const;
 
 /** A key that must be there. */
@@ -206,18 +207,10 @@
 }
 
 function isAddress(text: string): boolean {
-  const match =
-    /^(?:\[([0-9a-fA-F:.]+)\]|(\d{1,3}(?:\.\d{1,3}){3})):(\d{1,5})$/.exec(text);
-  if (!match || Number(match[3]) > 65_535) return false;
-  if (match[2]) return match[2].split('.').every(part => Number(part) <= 255);
-  return isIpv6(match[1]);
-}
-
-function isIpv6(text: string): boolean {
-  const groups = text.split(':');
-  const hasGap = text.includes('::');
-  const full = hasGap ? groups.length <= 8 : groups.length === 8;
-  return full && groups.every(group => /^[0-9a-fA-F]{0,4}$/.test(group));
+  const match = /^(?:\[([^\]]+)\]|([^:[\]]+)):(\d{1,5})$/.exec(text);
+  if (!match || Number(match[3]) > MAX_PORT) return false;
+  const host = match[1] ? z.ipv6() : z.ipv4();
+  return host.safeParse(match[1] ?? match[2]).success;
 }
 
 /** Reads a section by its table; adds what is wrong to `problems`. */
