feat(core,daemon): checkpoints carry state and configuration past retention

Cause: the log keeps records for a limited time; a VM that starts later would know of no open step, claim, lease or configuration. Configuration also goes from VM to VM by exportConfig and importConfig, never backwards.

--- a/packages/core/src/config_history.ts
+++ b/packages/core/src/config_history.ts
@@ -11,6 +11,7 @@
   PublishedConfig,
   Stamp,
 } from '@radishyoke/shared/log_record';
+import {LogClock, type LogClockSnapshot} from './log_clock.js';
 import {nameWriter, type WriterEntry, WriterTable} from './writer_table.js';
 
 /** Says what is wrong with a rule set; undefined if nothing is. */
@@ -46,14 +47,35 @@
 /** The whole history as plain data. */
 export interface ConfigSnapshot {
   readonly next: number;
+  readonly clock: LogClockSnapshot;
   readonly writers: readonly WriterEntry[];
   readonly teams: ReadonlyArray<readonly ConfigVersion[]>;
 }
 
+/** A record with what became of it. */
+export interface JudgedConfig {
+  readonly record: LoggedRecord<ConfigRecord>;
+  readonly outcome: ConfigOutcome;
+}
+
+/**
+ * What one VM gives another whose own log connection brings nothing: the records
+ * from the wanted offset on, or, when they are no longer at hand, the whole.
+ */
+export type ConfigTransfer =
+  | {
+      readonly kind: 'records';
+      readonly records: ReadonlyArray<LoggedRecord<ConfigRecord>>;
+    }
+  | {readonly kind: 'snapshot'; readonly snapshot: ConfigSnapshot};
+
 /** Version of a team without any. */
 export const NO_VERSION = -1;
 /** Versions kept of each team; older ones are in the audit export. */
-const VERSIONS_KEPT = 50;
+const VERSIONS_KEPT = 10;
+const WRITER_KEPT_MS = 3_600_000;
+/** Records kept to be given to other VMs. */
+const RECENT_KEPT = 64;
 /** Outcomes kept to answer operators who ask what became of a publication. */
 const OUTCOMES_KEPT = 1000;
 
@@ -65,19 +87,16 @@
 export class ConfigHistory {
   private readonly teams = new Map<TeamId, ConfigVersion[]>();
   private readonly outcomes = new Map<string, ConfigOutcome>();
-  private readonly writers: WriterTable;
-  private nextOffset: number;
+  private readonly recent: Array<LoggedRecord<ConfigRecord>> = [];
+  private writers = new WriterTable();
+  private clock = new LogClock();
+  private nextOffset = 0;
 
   constructor(
     private readonly check: CheckConfig,
     snapshot?: ConfigSnapshot,
   ) {
-    this.nextOffset = snapshot?.next ?? 0;
-    this.writers = new WriterTable(snapshot?.writers);
-    for (const versions of snapshot?.teams ?? []) {
-      const team = versions[0]?.team;
-      if (team !== undefined) this.teams.set(team, [...versions]);
-    }
+    if (snapshot !== undefined) this.restore(snapshot);
   }
 
   /** Offset of the next record to apply. */
@@ -85,6 +104,16 @@
     return this.nextOffset;
   }
 
+  /** Adjusted log time at the last record. */
+  get nowMs(): number {
+    return this.clock.nowMs;
+  }
+
+  /** Highest sequence number seen of a writer. */
+  highestSeqOf(writer: string): number {
+    return this.writers.highestOf(writer);
+  }
+
   /** The version in force for a team. */
   current(team: TeamId): ConfigVersion | undefined {
     return this.teams.get(team)?.at(-1);
@@ -107,24 +136,88 @@
   /** Applies the next record and tells what became of it. */
   apply(record: LoggedRecord<ConfigRecord>): ConfigOutcome {
     this.nextOffset = record.offset + 1;
+    this.keepRecent(record);
+    const nowMs = this.clock.advance(record.timeMs);
+    this.writers.dropBefore(nowMs - WRITER_KEPT_MS);
     const {value} = record;
-    if (!this.writers.admit(value.stamp, record.timeMs)) return {kind: 'copy'};
-    if (value.kind !== 'config_published') {
-      return {kind: 'accepted', version: record.offset};
-    }
-    const outcome = this.publish(value, record.offset, record.timeMs);
+    if (!this.writers.admit(value.stamp, nowMs)) return {kind: 'copy'};
+    const outcome = this.judge(record);
     this.remember(value.stamp, outcome);
     return outcome;
   }
 
+  /** What a VM needs that lacks the records from `offset` on. */
+  exportRecords(offset: number): ConfigTransfer {
+    const first = this.recent[0]?.offset ?? this.nextOffset;
+    if (offset < first) {
+      return {kind: 'snapshot', snapshot: this.toSnapshot()};
+    }
+    const records = this.recent.filter(record => record.offset >= offset);
+    return {kind: 'records', records};
+  }
+
+  /**
+   * Takes what another VM exported and returns what it applied. What this VM
+   * knows already is left out, and a gap is refused: a VM that was paused for
+   * long can send nothing that turns this one back.
+   */
+  importRecords(transfer: ConfigTransfer): readonly JudgedConfig[] {
+    if (transfer.kind === 'snapshot') {
+      if (transfer.snapshot.next > this.nextOffset) {
+        this.restore(transfer.snapshot);
+      }
+      return [];
+    }
+    const applied: JudgedConfig[] = [];
+    for (const record of transfer.records) {
+      if (record.offset !== this.nextOffset) continue;
+      applied.push({record, outcome: this.apply(record)});
+    }
+    return applied;
+  }
+
   toSnapshot(): ConfigSnapshot {
     return {
       next: this.nextOffset,
+      clock: this.clock.toSnapshot(),
       writers: this.writers.toSnapshot(),
       teams: [...this.teams.values()].map(versions => [...versions]),
     };
   }
 
+  private restore(snapshot: ConfigSnapshot): void {
+    this.nextOffset = snapshot.next;
+    this.clock = new LogClock(snapshot.clock);
+    this.writers = new WriterTable(snapshot.writers);
+    this.recent.length = 0;
+    this.teams.clear();
+    for (const versions of snapshot.teams) {
+      const team = versions[0]?.team;
+      if (team !== undefined) this.teams.set(team, [...versions]);
+    }
+  }
+
+  private keepRecent(record: LoggedRecord<ConfigRecord>): void {
+    if (record.value.kind === 'checkpoint_part') {
+      // A checkpoint's text would be kept and sent many times over; who lacks
+      // records before it gets the snapshot.
+      this.recent.length = 0;
+      return;
+    }
+    this.recent.push(record);
+    if (this.recent.length > RECENT_KEPT) this.recent.shift();
+  }
+
+  private judge({
+    value,
+    offset,
+    timeMs,
+  }: LoggedRecord<ConfigRecord>): ConfigOutcome {
+    return value.kind === 'config_published'
+      ? this.publish(value, offset, timeMs)
+      : {kind: 'accepted', version: offset};
+  }
+
   private publish(
     value: PublishedConfig,
     offset: number,
--- a/packages/core/src/state_fold.ts
+++ b/packages/core/src/state_fold.ts
@@ -6,6 +6,7 @@
 
 import type {RequestId, StepId, TenantId} from '@radishyoke/shared/ids';
 import type {LoggedRecord, StateRecord} from '@radishyoke/shared/log_record';
+import {STEP_LIMITS} from '@radishyoke/shared/rollout';
 import {type Lease, LeaseTable, nameStepLease} from './lease_table.js';
 import {LogClock, type LogClockSnapshot} from './log_clock.js';
 import {type ClaimEntry, RequestClaims} from './request_claims.js';
@@ -57,6 +58,31 @@
   readonly suspects: readonly SuspectEntry[];
 }
 
+/** A state with nothing in it, before the record at `next`. */
+export function createEmptySnapshot(
+  next: number,
+  claimHorizonMs: number,
+): StateSnapshot {
+  return {
+    next,
+    clock: {nowMs: 0, lastRawMs: 0},
+    sweptAtMs: 0,
+    claimHorizonMs,
+    writers: [],
+    sessions: [],
+    leases: [],
+    steps: [],
+    claims: [],
+    suspects: [],
+  };
+}
+
+/** Log time after which nothing of an older record can matter, but its number. */
+export function measureStateSpanMs(cfg: StateFoldConfig): number {
+  const stepSpanMs = STEP_LIMITS.timeoutMs + OVERDUE_STEP_KEPT_MS;
+  return Math.max(cfg.claimHorizonMs, stepSpanMs);
+}
+
 /** Settings that must be equal on all VMs, or they would judge differently. */
 export interface StateFoldConfig {
   readonly claimHorizonMs: number;
--- a/packages/daemon/src/__tests__/log_task.spec.ts
+++ b/packages/daemon/src/__tests__/log_task.spec.ts
@@ -12,6 +12,8 @@
 import {DEFAULT_SESSION_TIMING} from '../session_keeper.js';
 import {LogTask} from '../log_task.js';
 
+const LOG_RETENTION_MS = 3_600_000;
+
 /** A log with as many log tasks as `vms` names; all are ended with the test. */
 async function createVms(t: ExecutionContext, vms: readonly string[]) {
   const log = await startFakeLog();
@@ -20,7 +22,12 @@
   return {log, tasks};
 }
 
-function startTask(t: ExecutionContext, log: FakeLog, vm: string): LogTask {
+function startTask(
+  t: ExecutionContext,
+  log: FakeLog,
+  vm: string,
+  logRetentionMs = LOG_RETENTION_MS,
+): LogTask {
   const client = new HttpLogClient(log.address);
   const task = new LogTask(client, {
     vm: toVmId(vm),
@@ -28,6 +35,7 @@
     session: DEFAULT_SESSION_TIMING,
     deploymentAppendsPerSecond: 300,
     claimHorizonMs: DEFAULT_CLAIM_HORIZON_MS,
+    logRetentionMs,
     checkConfig: () => undefined,
   });
   task.start();
@@ -38,6 +46,14 @@
   return task;
 }
 
+/** A retention so short that a checkpoint is due at each tick. */
+const CHECKPOINT_AT_ONCE_MS = 0;
+
+/** Waits until `done` holds after some change that `task` reports. */
+async function waitFor(task: LogTask, done: () => boolean): Promise<void> {
+  await task.changes.takeWhile(() => !done()).drain();
+}
+
 const REQUEST_CLAIM = {
   kind: 'request_claimed',
   tenant: toTenantId('app'),
@@ -106,3 +122,30 @@
   t.true((await appended).ok);
   t.is(seen[0], 'down');
 });
+
+// A note is filed twice, and a configuration is gone, a day after it was made.
+// 1. A request id is claimed and rules are published.
+// 2. The log's retention drops both records.
+// 3. A VM starts, reads what is left, and knows of neither.
+test('a VM that starts after retention dropped records holds the same state', async t => {
+  const {log, tasks} = await createVms(t, ['a']);
+  const [a] = tasks as [LogTask];
+  const team = toTeamId('k');
+  const publication = {team, basedOn: -1, author: 'op', text: 'rules'};
+  await a.publish(publication);
+  await a.append(REQUEST_CLAIM);
+  const dropBelow = {state: a.state.next, config: a.config.next};
+  const checkpointer = startTask(t, log, 'b', CHECKPOINT_AT_ONCE_MS);
+  await waitFor(
+    checkpointer,
+    () => a.state.next > dropBelow.state && a.config.next > dropBelow.config,
+  );
+  log.model.dropBelow('state', dropBelow.state);
+  log.model.dropBelow('config', dropBelow.config);
+  const late = startTask(t, log, 'c');
+  const claim = await late.append(REQUEST_CLAIM);
+  t.true(claim.ok && claim.value.verdict.kind === 'void');
+  const again = await late.publish({...publication, text: 'other rules'});
+  t.true(again.ok && again.value.kind === 'lost_race');
+  t.deepEqual(late.config.current(team), a.config.current(team));
+});
--- a/packages/daemon/src/log_task.ts
+++ b/packages/daemon/src/log_task.ts
@@ -7,17 +7,21 @@
   type CheckConfig,
   ConfigHistory,
   type ConfigOutcome,
+  type ConfigSnapshot,
+  type ConfigTransfer,
+  type JudgedConfig,
 } from '@radishyoke/core/config_history';
-import {StateFold} from '@radishyoke/core/state_fold';
+import {splitCheckpoint} from '@radishyoke/core/checkpoint';
+import {
+  createEmptySnapshot,
+  measureStateSpanMs,
+  StateFold,
+  type StateSnapshot,
+} from '@radishyoke/core/state_fold';
 import type {JudgedRecord} from '@radishyoke/core/verdict';
 import {nameWriter} from '@radishyoke/core/writer_table';
 import {AppendBudget} from '@radishyoke/platform/append_budget';
 import type {LogClient} from '@radishyoke/platform/log_client';
-import {
-  LOG_READER_DEFAULTS,
-  LogReader,
-  type LogReaderHandler,
-} from '@radishyoke/platform/log_reader';
 import {
   LOG_WRITER_DEFAULTS,
   LogWriter,
@@ -34,6 +38,7 @@
 import type {Stream} from 'most';
 import {EventSource} from './event_source.js';
 import {SessionKeeper, type SessionTiming} from './session_keeper.js';
+import {FoldPort, StreamFollower} from './stream_follower.js';
 
 export type StateBody = Unstamped<StateRecord>;
 
@@ -44,6 +49,8 @@
   /** Appends a second that all VMs together may make. */
   readonly deploymentAppendsPerSecond: number;
   readonly claimHorizonMs: number;
+  /** How long the log keeps a record, as its operators state it. */
+  readonly logRetentionMs: number;
   /** The same check on every VM, or they would disagree on versions. */
   readonly checkConfig: CheckConfig;
 }
@@ -68,6 +75,8 @@
   readonly outageSinceMs: number | undefined;
   /** Whether all records that the log had were read, on each stream. */
   readonly caughtUp: boolean;
+  /** Whether the start of a stream was dropped and no checkpoint was found. */
+  readonly seeking: boolean;
   readonly stateNext: number;
   readonly configNext: number;
   readonly pending: number;
@@ -82,7 +91,6 @@
 /** How often due renewals are looked for. */
 const TICK_MS = 250;
 
-type FoldedStream = 'state' | 'config';
 type StateWriter = LogWriter<StateRecord, JudgedRecord<StateRecord>>;
 type ConfigWriter = LogWriter<ConfigRecord, ConfigOutcome>;
 
@@ -91,18 +99,16 @@
   private readonly budget: AppendBudget;
   private readonly stateWriter: StateWriter;
   private readonly configWriter: ConfigWriter;
-  private readonly stateReader: LogReader<StateRecord>;
-  private readonly configReader: LogReader<ConfigRecord>;
+  private readonly stateFollower: StreamFollower<StateRecord>;
+  private readonly configFollower: StreamFollower<ConfigRecord>;
   private readonly source = new EventSource<LogChange>();
   private readonly session: SessionKeeper;
   private readonly wanted = new Set<string>();
-  private readonly caughtUp = {state: false, config: false};
+  private readonly jitter = Math.random();
+  private checkpointing = false;
   private stateFold: StateFold;
   private configHistory: ConfigHistory;
-  private lastReadAtMs = 0;
-  private readonly failingSinceMs = new Map<FoldedStream, number>();
   private renewing = false;
-  private lastRecordAtMs = Date.now();
   private timer: NodeJS.Timeout | undefined;
 
   constructor(
@@ -124,15 +130,19 @@
       ...writer,
       stream: 'config',
     });
-    this.stateReader = new LogReader(
+    const onHealth = () =>
+      this.source.emit({kind: 'health', health: this.health()});
+    this.stateFollower = new StreamFollower<StateRecord>(
       client,
-      {...LOG_READER_DEFAULTS, stream: 'state'},
-      this.createHandler('state', record => this.applyState(record)),
+      'state',
+      this.createStatePort(),
+      onHealth,
     );
-    this.configReader = new LogReader(
+    this.configFollower = new StreamFollower<ConfigRecord>(
       client,
-      {...LOG_READER_DEFAULTS, stream: 'config'},
-      this.createHandler('config', record => this.applyConfig(record)),
+      'config',
+      this.createConfigPort(),
+      onHealth,
     );
   }
 
@@ -152,16 +162,16 @@
   }
 
   start(): void {
-    this.stateReader.start(this.stateFold.next);
-    this.configReader.start(this.configHistory.next);
+    this.stateFollower.start();
+    this.configFollower.start();
     this.timer = setInterval(() => this.tick(), TICK_MS);
   }
 
   /** Stops at once; leases lapse by themselves. Call `leave` before to end well. */
   stop(): void {
     clearInterval(this.timer);
-    this.stateReader.stop();
-    this.configReader.stop();
+    this.stateFollower.stop();
+    this.configFollower.stop();
     this.stateWriter.close();
     this.configWriter.close();
     this.source.end();
@@ -237,39 +247,85 @@
 
   /** Log time as far as this VM can tell, for judging whether leases lapsed. */
   estimateLogNowMs(): number {
-    const sinceReadMs = Math.max(0, Date.now() - this.lastRecordAtMs);
-    return this.stateFold.nowMs + sinceReadMs;
+    return this.stateFollower.estimateLogNowMs();
+  }
+
+  /** What a VM needs that lacks the `config` records from `offset` on. */
+  exportConfig(offset: number): ConfigTransfer {
+    return this.configHistory.exportRecords(offset);
+  }
+
+  /** Takes `config` records from another VM; returns whether they were news. */
+  importConfig(transfer: ConfigTransfer): boolean {
+    const before = this.configHistory.next;
+    const applied = this.configHistory.importRecords(transfer);
+    if (this.configHistory.next === before) return false;
+    this.configFollower.catchUpWithFold();
+    for (const judged of applied) this.announceConfig(judged);
+    if (transfer.kind === 'snapshot') {
+      const own = this.configHistory.highestSeqOf(nameWriter(this.cfg));
+      this.configWriter.failThrough(own);
+      this.source.emit({kind: 'reset'});
+    }
+    return true;
   }
 
   health(): LogHealth {
+    const state = this.stateFollower.status();
+    const config = this.configFollower.status();
+    const starts = [state.failingSinceMs, config.failingSinceMs].filter(
+      start => start !== undefined,
+    );
     return {
-      lastReadAtMs: this.lastReadAtMs,
-      outageSinceMs: this.findOutageStart(),
-      caughtUp: this.caughtUp.state && this.caughtUp.config,
-      stateNext: this.stateFold.next,
-      configNext: this.configHistory.next,
+      lastReadAtMs: Math.min(state.lastReadAtMs, config.lastReadAtMs),
+      outageSinceMs: starts.length === 0 ? undefined : Math.min(...starts),
+      caughtUp: state.caughtUp && config.caughtUp,
+      seeking: state.seeking || config.seeking,
+      stateNext: state.next,
+      configNext: config.next,
       pending: this.stateWriter.pendingCount + this.configWriter.pendingCount,
     };
   }
 
-  private createHandler<T>(
-    stream: FoldedStream,
-    apply: (record: LoggedRecord<T>) => void,
-  ): LogReaderHandler<T> {
+  private createStatePort(): FoldPort<StateRecord> {
+    const {claimHorizonMs} = this.cfg;
+    const replace = (snapshot: StateSnapshot) => {
+      this.stateFold = new StateFold({claimHorizonMs}, snapshot);
+      const own = this.stateFold.highestSeqOf(nameWriter(this.cfg));
+      this.stateWriter.failThrough(own);
+      this.source.emit({kind: 'reset'});
+    };
+    return {
+      next: () => this.stateFold.next,
+      nowMs: () => this.stateFold.nowMs,
+      apply: record => this.applyState(record),
+      restore: snapshot => replace(snapshot as StateSnapshot),
+      startEmpty: (oldest, windowMs) => {
+        if (windowMs < measureStateSpanMs({claimHorizonMs})) return false;
+        replace(createEmptySnapshot(oldest, claimHorizonMs));
+        return true;
+      },
+    };
+  }
+
+  private createConfigPort(): FoldPort<ConfigRecord> {
     return {
-      read: (records, caughtUp) => {
-        records.forEach(apply);
-        this.caughtUp[stream] = caughtUp;
-        this.markRead(stream);
+      next: () => this.configHistory.next,
+      nowMs: () => this.configHistory.nowMs,
+      apply: record => this.applyConfig(record),
+      restore: snapshot => {
+        this.importConfig({
+          kind: 'snapshot',
+          snapshot: snapshot as ConfigSnapshot,
+        });
       },
-      expired: oldest => oldest,
-      failed: () => this.markFailed(stream),
+      // A configuration counts for ever, so nothing can stand for a lost one.
+      startEmpty: () => false,
     };
   }
 
   private applyState(record: LoggedRecord<StateRecord>): void {
     const verdict = this.stateFold.apply(record);
-    this.lastRecordAtMs = Date.now();
     const judged = {record, verdict};
     if (!(verdict.kind === 'void' && verdict.reason === 'copy')) {
       this.stateWriter.settle(record.value.stamp, judged);
@@ -279,13 +335,17 @@
 
   private applyConfig(record: LoggedRecord<ConfigRecord>): void {
     const outcome = this.configHistory.apply(record);
-    if (outcome.kind !== 'copy') {
-      this.configWriter.settle(record.value.stamp, outcome);
-    }
+    this.announceConfig({record, outcome});
+  }
+
+  private announceConfig({record, outcome}: JudgedConfig): void {
+    if (outcome.kind === 'copy') return;
+    this.configWriter.settle(record.value.stamp, outcome);
     this.source.emit({kind: 'config', record, outcome});
   }
 
   private tick(): void {
+    void this.writeDueCheckpoints();
     const own = nameWriter(this.cfg);
     const owns =
       this.wanted.size > 0 || this.stateFold.leases.listOf(own).length > 0;
@@ -304,20 +364,23 @@
     if (result.ok) this.session.confirm(askedAtMs);
   }
 
-  private findOutageStart(): number | undefined {
-    const starts = [...this.failingSinceMs.values()];
-    return starts.length === 0 ? undefined : Math.min(...starts);
-  }
-
-  private markRead(stream: FoldedStream): void {
-    this.lastReadAtMs = Date.now();
-    if (!this.failingSinceMs.delete(stream)) return;
-    this.source.emit({kind: 'health', health: this.health()});
-  }
-
-  private markFailed(stream: FoldedStream): void {
-    if (this.failingSinceMs.has(stream)) return;
-    this.failingSinceMs.set(stream, Date.now());
-    this.source.emit({kind: 'health', health: this.health()});
+  private async writeDueCheckpoints(): Promise<void> {
+    if (this.checkpointing) return;
+    this.checkpointing = true;
+    const timing = {
+      retentionMs: this.cfg.logRetentionMs,
+      jitter: this.jitter,
+    };
+    if (this.stateFollower.isCheckpointDue(timing)) {
+      const snapshot = this.stateFold.toSnapshot();
+      const parts = splitCheckpoint(snapshot.next, snapshot);
+      await Promise.all(parts.map(part => this.stateWriter.append(part)));
+    }
+    if (this.configFollower.isCheckpointDue(timing)) {
+      const snapshot = this.configHistory.toSnapshot();
+      const parts = splitCheckpoint(snapshot.next, snapshot);
+      await Promise.all(parts.map(part => this.configWriter.append(part)));
+    }
+    this.checkpointing = false;
   }
 }
--- a/packages/platform/src/log_reader.ts
+++ b/packages/platform/src/log_reader.ts
@@ -8,9 +8,14 @@
 export interface LogReaderHandler<T> {
   /**
    * New records, maybe none, in order and without gaps. `caughtUp` when the log
-   * had no more at that moment.
+   * had no more at that moment; `oldest` is the lowest offset it still holds.
+   * May return another offset to go on from.
    */
-  read(records: ReadonlyArray<LoggedRecord<T>>, caughtUp: boolean): void;
+  read(
+    records: ReadonlyArray<LoggedRecord<T>>,
+    caughtUp: boolean,
+    oldest: number,
+  ): number | undefined;
   /** Retention dropped the wanted offset; returns the offset to go on from. */
   expired(oldest: number): number;
   /** A read failed; the reader goes on trying. */
@@ -65,9 +70,9 @@
     this.wake?.();
   }
 
-  /** Goes on from another offset after the read in flight, if that is higher. */
-  skipTo(offset: number): void {
-    this.next = Math.max(this.next, offset);
+  /** Goes on from another offset; what a read in flight brings is dropped. */
+  moveTo(offset: number): void {
+    this.next = offset;
   }
 
   private async loop(): Promise<void> {
@@ -90,7 +95,7 @@
       {from, max: maxRecords, waitMs: pollWaitMs},
       {timeoutMs, signal: this.abort.signal},
     );
-    if (this.abort.signal.aborted) return true;
+    if (this.abort.signal.aborted || this.next !== from) return true;
     if (!result.ok) {
       this.handler.failed(result.error);
       return false;
@@ -104,12 +109,13 @@
       this.next = this.handler.expired(page.oldest);
       return;
     }
-    const records = page.records.filter(record => record.offset >= this.next);
-    this.next = Math.max(this.next, page.next);
-    this.handler.read(
-      records as ReadonlyArray<LoggedRecord<T>>,
+    this.next = page.next;
+    const elsewhere = this.handler.read(
+      page.records as ReadonlyArray<LoggedRecord<T>>,
       page.records.length < this.cfg.maxRecords,
+      page.oldest,
     );
+    this.next = elsewhere ?? this.next;
   }
 
   private sleep(ms: number): Promise<void> {
