--- /dev/null
+++ b/packages/daemon/src/logger.ts
@@ -0,0 +1,47 @@
+/** Structured logs: JSON lines on standard output by `roarr`. */
+
+import {ROARR, Roarr} from 'roarr';
+
+export type LogLevel = 'debug' | 'info' | 'warn' | 'error';
+
+/** Weights of the levels, as `roarr` orders them. */
+const levelWeights: Readonly<Record<LogLevel, number>> = {
+  debug: 20,
+  info: 30,
+  warn: 40,
+  error: 50,
+};
+
+/** Fields of a log line; those known are on every line of a request. */
+export interface LogFields {
+  readonly requestId?: string;
+  readonly stepId?: string;
+  readonly tenant?: string;
+  readonly rule?: string;
+  readonly configVersion?: number;
+  readonly endpoint?: string;
+  readonly [field: string]: string | number | boolean | undefined;
+}
+
+export interface Logger {
+  log(level: LogLevel, message: string, fields?: LogFields): void;
+}
+
+/** Creates a logger that drops lines below `level` and hands others to `write`. */
+export function createLogger(
+  level: LogLevel,
+  base: LogFields,
+  write: (line: string) => void = line => process.stdout.write(`${line}\n`),
+): Logger {
+  ROARR.write = write;
+  const root = Roarr.child({...base, application: 'radishyoke'});
+  return {
+    log(lineLevel, message, fields = {}) {
+      if (levelWeights[lineLevel] < levelWeights[level]) return;
+      root[lineLevel](fields, '%s', message);
+    },
+  };
+}
+
+/** A logger that writes nothing, for tests and embedding. */
+export const silentLogger: Logger = {log: () => undefined};
