--- a/packages/core/src/step_machine.ts
+++ b/packages/core/src/step_machine.ts
@@ -5,11 +5,14 @@
  * that moment. Pure: events in, actions out.
  */
 
-import type {ErrorKind, RadishyokeError} from '@radishyoke/shared/error_kind';
+import type {RadishyokeError} from '@radishyoke/shared/error_kind';
 import {createError} from '@radishyoke/shared/error_kind';
 import type {EndpointId, StepId} from '@radishyoke/shared/ids';
-import {toRolloutId} from '@radishyoke/shared/ids';
-import type {CommittedSample} from '@radishyoke/shared/log_record';
+import {toEndpointId, toRolloutId} from '@radishyoke/shared/ids';
+import type {
+  CommittedSample,
+  SampleCommit,
+} from '@radishyoke/shared/log_record';
 import {
   measureStaleness,
   Rollout,
@@ -40,9 +43,12 @@
   /** The partial output of a running sample is already over the bound. */
   | ({readonly kind: 'outdated'} & SampleRef)
   /** The log holds these winners and no newer owner existed before them. */
-  | {readonly kind: 'committed'; readonly cursors: readonly number[]}
+  | {
+      readonly kind: 'committed';
+      readonly samples: readonly CommittedSample[];
+    }
   /** The log did not take these; they are committed again. */
-  | {readonly kind: 'commit_failed'; readonly cursors: readonly number[]}
+  | {readonly kind: 'commit_failed'; readonly samples: readonly SampleRef[]}
   | {
       readonly kind: 'attached';
       readonly cursor: number;
@@ -72,7 +78,7 @@
     } & SampleRef)
   | ({readonly kind: 'abandon'} & SampleRef)
   | {readonly kind: 'min_version'; readonly minWeightVersion: number}
-  | {readonly kind: 'commit'; readonly samples: readonly CommittedSample[]}
+  | {readonly kind: 'commit'; readonly samples: readonly SampleCommit[]}
   | {readonly kind: 'void'; readonly cursors: readonly number[]}
   | {readonly kind: 'send'; readonly event: StepEvent}
   | {readonly kind: 'recover'; readonly committed: CommittedSample}
@@ -121,8 +127,8 @@
   /** Text and error wait here for the log, then for the trainer. */
   | {
       readonly kind: 'settled';
-      readonly cursor: number;
-      readonly committed: boolean;
+      /** Position in the trainer's stream; absent until the log holds it. */
+      readonly cursor?: number;
       readonly output?: SampleOutput;
       readonly shortfall?: RadishyokeError;
     }
@@ -134,6 +140,8 @@
     }
   | {readonly kind: 'acknowledged'; readonly shortfall: boolean};
 
+type SettledState = Extract<SampleState, {readonly kind: 'settled'}>;
+
 /** How long a new owner waits for an engine to give back a winner's text. */
 const recoveryTimeoutMs = 5000;
 
@@ -151,6 +159,8 @@
   private readonly cursors = new Map<number, SampleRef>();
   private readonly deadlineAtMs: number;
   private highestCursor: number;
+  /** Cursors up to here were given out before this owner; some were voided. */
+  private readonly adoptedCursor: number;
   private acknowledgedCursor: number;
   private sentCursor = 0;
   private attached = false;
@@ -162,6 +172,7 @@
     const {req, history, openedAtMs} = options;
     this.deadlineAtMs = openedAtMs + req.timeoutMs;
     this.highestCursor = history?.highestCursor ?? 0;
+    this.adoptedCursor = this.highestCursor;
     this.acknowledgedCursor = history?.acknowledgedCursor ?? 0;
     this.weightVersion = Math.max(
       req.weightVersion,
@@ -201,10 +212,10 @@
         this.rerun(input, out);
         break;
       case 'committed':
-        this.markCommitted(input.cursors);
+        this.markCommitted(input.samples);
         break;
       case 'commit_failed':
-        this.commitAgain(input.cursors, out);
+        this.commitAgain(input.samples, out);
         break;
       case 'attached':
         this.attached = true;
@@ -272,7 +283,6 @@
       this.states.set(key, {
         kind: 'settled',
         cursor: committed.cursor,
-        committed: true,
         shortfall: createError(committed.shortfall),
       });
       return;
@@ -319,19 +329,11 @@
       this.run(ref, out);
       return;
     }
-    const cursor = ++this.highestCursor;
-    this.cursors.set(cursor, {group: ref.group, sample: ref.sample});
-    this.states.set(formatSampleKey(ref), {
-      kind: 'settled',
-      cursor,
-      committed: false,
-      ...result,
-    });
-    out.push({kind: 'commit', samples: [this.buildCommit(cursor)]});
+    this.states.set(formatSampleKey(ref), {kind: 'settled', ...result});
+    out.push({kind: 'commit', samples: [this.buildCommit(ref)]});
   }
 
-  private buildCommit(cursor: number): CommittedSample {
-    const ref = this.cursors.get(cursor)!;
+  private buildCommit(ref: SampleRef): SampleCommit {
     const state = this.states.get(formatSampleKey(ref));
     if (state?.kind !== 'settled') throw new Error('sample is not settled');
     const {output, shortfall} = state;
@@ -339,36 +341,32 @@
       group: ref.group,
       sample: ref.sample,
       attempt: output?.attempt ?? 0,
-      cursor,
-      endpoint: output?.endpoint ?? ('' as EndpointId),
+      endpoint: output?.endpoint ?? toEndpointId(''),
       spans: output?.spans ?? [],
       digest: output ? computeDigest(output.text) : '',
-      ...(shortfall ? {shortfall: shortfall.kind as ErrorKind} : {}),
+      ...(shortfall ? {shortfall: shortfall.kind} : {}),
     };
   }
 
-  private markCommitted(cursors: readonly number[]): void {
-    for (const cursor of cursors) {
-      const found = this.findSettled(cursor);
-      if (!found) continue;
-      this.states.set(found.key, {...found.state, committed: true});
+  private markCommitted(samples: readonly CommittedSample[]): void {
+    for (const {group, sample, cursor} of samples) {
+      const ref = {group, sample};
+      const key = formatSampleKey(ref);
+      const state = this.states.get(key);
+      this.cursors.set(cursor, ref);
+      this.highestCursor = Math.max(this.highestCursor, cursor);
+      if (state?.kind !== 'settled') continue;
+      this.states.set(key, {...state, cursor});
     }
   }
 
-  private commitAgain(cursors: readonly number[], out: StepOutput[]): void {
-    const samples = cursors
-      .filter(cursor => this.findSettled(cursor)?.state.committed === false)
-      .map(cursor => this.buildCommit(cursor));
-    if (samples.length > 0) out.push({kind: 'commit', samples});
-  }
-
-  private findSettled(cursor: number) {
-    const ref = this.cursors.get(cursor);
-    if (!ref) return undefined;
-    const key = formatSampleKey(ref);
-    const state = this.states.get(key);
-    if (state?.kind !== 'settled' || state.cursor !== cursor) return undefined;
-    return {key, ref, state};
+  private commitAgain(samples: readonly SampleRef[], out: StepOutput[]): void {
+    const open = samples.filter(ref => {
+      const state = this.states.get(formatSampleKey(ref));
+      return state?.kind === 'settled' && state.cursor === undefined;
+    });
+    if (open.length === 0) return;
+    out.push({kind: 'commit', samples: open.map(ref => this.buildCommit(ref))});
   }
 
   private moveTrainer(
@@ -421,7 +419,7 @@
     const intact =
       output && computeDigest(output.text) === state.committed.digest;
     if (intact) {
-      this.states.set(key, {kind: 'settled', cursor, committed: true, output});
+      this.states.set(key, {kind: 'settled', cursor, output});
       return;
     }
     this.states.set(key, {...state, lost: true});
@@ -430,72 +428,69 @@
 
   private handOver(out: StepOutput[]): void {
     if (!this.attached) return;
-    for (const [key, state] of this.listDeliverable()) {
+    for (const {ref, state, cursor} of this.listDeliverable()) {
       if (state.output && this.isStale(state.output.spans)) {
         // The trainer moved on while this output waited for the log or for a
         // connection. Handing it over would break the staleness bound; the
         // winner is taken back and the sample runs again.
-        const ref = this.cursors.get(state.cursor)!;
-        out.push({kind: 'void', cursors: [state.cursor]});
-        this.states.delete(key);
+        out.push({kind: 'void', cursors: [cursor]});
         this.run(ref, out);
         continue;
       }
-      this.sentCursor = Math.max(this.sentCursor, state.cursor);
-      out.push({kind: 'send', event: this.buildEvent(state)});
+      this.sentCursor = Math.max(this.sentCursor, cursor);
+      out.push({kind: 'send', event: this.buildEvent(ref, state, cursor)});
     }
     this.sendEnd(out);
   }
 
   /**
-   * Settled samples the trainer has not been sent, in cursor order, up to the
-   * first whose commit is open: a cursor must never be passed by a higher one.
+   * Committed samples the trainer has not been sent, in cursor order, up to the
+   * first that is not at hand: a cursor must never be passed by a higher one.
    */
   private listDeliverable() {
-    const deliverable: Array<
-      [string, Extract<SampleState, {kind: 'settled'}>]
-    > = [];
+    const deliverable: Array<{
+      readonly ref: SampleRef;
+      readonly state: SettledState;
+      readonly cursor: number;
+    }> = [];
     for (let at = this.sentCursor + 1; at <= this.highestCursor; at++) {
       const ref = this.cursors.get(at);
-      if (!ref) continue;
-      const key = formatSampleKey(ref);
-      const state = this.states.get(key);
+      if (!ref) {
+        if (at <= this.adoptedCursor) continue;
+        break;
+      }
+      const state = this.states.get(formatSampleKey(ref));
       if (state?.kind === 'recovering' && state.committed.cursor === at) break;
       if (state?.kind !== 'settled' || state.cursor !== at) continue;
-      if (!state.committed) break;
-      deliverable.push([key, state]);
+      deliverable.push({ref, state, cursor: at});
     }
     return deliverable;
   }
 
   private buildEvent(
-    state: Extract<SampleState, {kind: 'settled'}>,
+    ref: SampleRef,
+    state: SettledState,
+    cursor: number,
   ): StepEvent {
     const {fencing, step} = this.options;
-    const ref = this.cursors.get(state.cursor)!;
     const id = toRolloutId(step, ref.group, ref.sample);
     if (!state.output) {
-      return {
-        kind: 'shortfall',
-        cursor: state.cursor,
-        fencing,
-        rolloutId: id,
-        error: state.shortfall ?? createError('internal'),
-      };
+      const error = state.shortfall ?? createError('internal');
+      return {kind: 'shortfall', cursor, fencing, rolloutId: id, error};
     }
-    const {output} = state;
+    const {attempt, endpoint, text, spans, finishReason} = state.output;
     const rollout: Rollout = {
       id,
       step,
       group: ref.group,
       sample: ref.sample,
-      attempt: output.attempt,
-      endpoint: output.endpoint,
-      text: output.text,
-      spans: output.spans,
-      finishReason: output.finishReason,
+      attempt,
+      endpoint,
+      text,
+      spans,
+      finishReason,
     };
-    return {kind: 'rollout', cursor: state.cursor, fencing, rollout};
+    return {kind: 'rollout', cursor, fencing, rollout};
   }
 
   private sendEnd(out: StepOutput[]): void {
@@ -504,7 +499,10 @@
     let shortfalls = 0;
     for (const state of this.states.values()) {
       if (state.kind === 'running' || state.kind === 'recovering') return;
-      if (state.kind === 'settled' && state.cursor > this.sentCursor) return;
+      if (state.kind === 'settled') {
+        if (state.cursor === undefined) return;
+        if (state.cursor > this.sentCursor) return;
+      }
       if (state.shortfall) shortfalls++;
       else rollouts++;
     }
