feat(daemon): steps owned by lease, run by the scheduler, handed over by cursor

Cause: the path from a trainer to engines and back needs its owner's tasks. A new owner goes on from an engine's running generation when it can.

--- a/packages/core/src/state_fold.ts
+++ b/packages/core/src/state_fold.ts
@@ -251,7 +251,7 @@
     }
     switch (value.kind) {
       case 'attempts_started':
-        return step.start(value.attempts)
+        return step.start(value.attempts, value.fencing)
           ? ACCEPTED
           : voidBecause('out_of_range');
       case 'samples_committed': {
--- a/packages/core/src/step_ledger.ts
+++ b/packages/core/src/step_ledger.ts
@@ -13,6 +13,8 @@
   readonly sample: number;
   readonly attempt: number;
   readonly endpoint: EndpointId;
+  /** Fencing number of the owner that started it. */
+  readonly fencing: number;
 }
 
 export type CloseReason = 'complete' | 'cancelled' | 'timed_out';
@@ -161,17 +163,13 @@
     return changed;
   }
 
-  start(attempts: readonly StartedAttempt[]): boolean {
+  /** Notes attempts that the owner under `fencing` started. */
+  start(
+    attempts: ReadonlyArray<Omit<StartedAttempt, 'fencing'>>,
+    fencing: number,
+  ): boolean {
     const valid = attempts.filter(a => this.hasSample(a.group, a.sample));
-    for (const attempt of valid) {
-      const name = nameSample(attempt.group, attempt.sample);
-      const known = (this.started.get(name) ?? []).filter(
-        a => a.attempt !== attempt.attempt,
-      );
-      known.push(attempt);
-      known.sort((a, b) => a.attempt - b.attempt);
-      this.started.set(name, known.slice(-ATTEMPTS_KEPT_PER_SAMPLE));
-    }
+    for (const entry of valid) this.noteAttempt({...entry, fencing});
     return valid.length > 0;
   }
 
@@ -203,6 +201,16 @@
     };
   }
 
+  private noteAttempt(attempt: StartedAttempt): void {
+    const name = nameSample(attempt.group, attempt.sample);
+    const known = (this.started.get(name) ?? []).filter(
+      a => a.attempt !== attempt.attempt,
+    );
+    known.push(attempt);
+    known.sort((a, b) => a.attempt - b.attempt);
+    this.started.set(name, known.slice(-ATTEMPTS_KEPT_PER_SAMPLE));
+  }
+
   private hasSample(group: number, sample: number): boolean {
     const known = this.opening.req.groups[group];
     return known !== undefined && sample >= 0 && sample < known.samples;
@@ -212,7 +220,7 @@
     for (const winner of snapshot.committed) {
       this.winners.set(nameSample(winner.group, winner.sample), winner);
     }
-    this.start(snapshot.attempts);
+    for (const attempt of snapshot.attempts) this.noteAttempt(attempt);
     this.nextCursor = snapshot.nextCursor;
     this.acknowledgedCursor = snapshot.acknowledged;
     this.version = snapshot.trainerVersion;
--- a/packages/daemon/src/dispatcher.ts
+++ b/packages/daemon/src/dispatcher.ts
@@ -32,6 +32,9 @@
   {readonly kind: 'report_crash'}
 >;
 
+/** Number of an adopted attempt within its work. */
+const adoptedAttempt = 1;
+
 /** How often the scheduler is asked whether a timeout is due, ms. */
 const tickMs = 100;
 
@@ -58,6 +61,13 @@
     this.post({kind: 'enqueue', work});
   }
 
+  /** Takes work over whose first attempt already runs on `endpoint`. */
+  adopt(work: WorkItem, runner: WorkRunner, endpoint: EndpointId): void {
+    this.runners.set(work.id, runner);
+    this.countStart(work.id, adoptedAttempt, endpoint);
+    this.post({kind: 'adopt', work, attempt: adoptedAttempt, endpoint});
+  }
+
   post(event: SchedulerEvent): void {
     this.events.post(event);
   }
@@ -68,6 +78,12 @@
     this.runners.delete(workId);
   }
 
+  /** Drops the work without a word to its runner or its endpoint. */
+  forget(workId: string): void {
+    this.runners.delete(workId);
+    this.post({kind: 'cancel', workId});
+  }
+
   findEndpoint(id: EndpointId): EndpointInfo | undefined {
     return this.endpoints.get(id);
   }
@@ -126,17 +142,19 @@
       runner?.giveUp(createError('no_endpoint'));
       return;
     }
-    this.attemptEndpoints.set(
-      `${action.workId}#${action.attempt}`,
-      action.endpoint,
-    );
-    this.inFlight.set(
-      action.endpoint,
-      (this.inFlight.get(action.endpoint) ?? 0) + 1,
-    );
+    this.countStart(action.workId, action.attempt, action.endpoint);
     runner.start(action, endpoint);
   }
 
+  private countStart(
+    workId: string,
+    attempt: number,
+    endpoint: EndpointId,
+  ): void {
+    this.attemptEndpoints.set(`${workId}#${attempt}`, endpoint);
+    this.inFlight.set(endpoint, (this.inFlight.get(endpoint) ?? 0) + 1);
+  }
+
   private release(workId: string, attempt: number): void {
     const key = `${workId}#${attempt}`;
     const endpoint = this.attemptEndpoints.get(key);
--- /dev/null
+++ b/packages/daemon/src/endpoint_task.ts
@@ -0,0 +1,128 @@
+/**
+ * The task that watches endpoints: it reads the VM list and each endpoint's own
+ * load report and tells the scheduler.
+ */
+
+import type {Dispatcher as HttpDispatcher} from 'undici';
+import type {RuleGroup} from '@radishyoke/core/rule';
+import type {VmListClient} from '@radishyoke/platform/vm_list_client';
+import {
+  EndpointInfo,
+  LoadReport,
+  loadReportSchema,
+  VmInfo,
+} from '@radishyoke/shared/endpoint';
+import type {EndpointId} from '@radishyoke/shared/ids';
+import type {Dispatcher} from './dispatcher.js';
+import type {Logger} from './logger.js';
+import {createMailbox} from './mailbox.js';
+
+/** Time between two looks at the VM list and at each endpoint, ms. */
+const pollMs = 1000;
+const reportTimeoutMs = 1000;
+
+export interface EndpointTaskOptions {
+  readonly vmList: VmListClient;
+  readonly dispatcher: Dispatcher;
+  readonly http: HttpDispatcher;
+  readonly logger: Logger;
+  readonly listGroups: () => readonly RuleGroup[];
+}
+
+export class EndpointTask {
+  private readonly vmBox = createMailbox<readonly VmInfo[]>();
+  private readonly reports = new Map<EndpointId, LoadReport>();
+  private endpoints: readonly EndpointInfo[] = [];
+  private vms: readonly VmInfo[] = [];
+  private timer: NodeJS.Timeout | undefined;
+  private stopped = false;
+
+  /** The service's own VMs, each time the list was read. */
+  readonly vmLists = this.vmBox.messages;
+
+  constructor(private readonly options: EndpointTaskOptions) {}
+
+  /** Reads the list once, then goes on by itself. */
+  async start(): Promise<void> {
+    await this.poll();
+  }
+
+  stop(): void {
+    this.stopped = true;
+    clearTimeout(this.timer);
+  }
+
+  listEndpoints(): readonly EndpointInfo[] {
+    return this.endpoints;
+  }
+
+  listVms(): readonly VmInfo[] {
+    return this.vms;
+  }
+
+  findReport(id: EndpointId): LoadReport | undefined {
+    return this.reports.get(id);
+  }
+
+  private async poll(): Promise<void> {
+    await this.readList();
+    // One endpoint that answers slowly must not hold up the news of the others.
+    for (const endpoint of this.endpoints) void this.readReport(endpoint);
+    if (this.stopped) return;
+    this.timer = setTimeout(() => void this.poll(), pollMs);
+  }
+
+  private async readList(): Promise<void> {
+    const {vmList, dispatcher, logger} = this.options;
+    const list = await vmList.fetch({timeoutMs: reportTimeoutMs});
+    if (!list.ok) {
+      logger.log('warn', 'VM list unavailable', {detail: list.error.detail});
+      return;
+    }
+    this.endpoints = this.applyGroups(list.value.endpoints);
+    this.vms = list.value.vms;
+    dispatcher.post({kind: 'endpoints', endpoints: this.endpoints});
+    this.vmBox.post(this.vms);
+  }
+
+  private applyGroups(
+    endpoints: readonly EndpointInfo[],
+  ): readonly EndpointInfo[] {
+    const groups = new Map<EndpointId, string>();
+    for (const group of this.options.listGroups()) {
+      for (const id of group.endpoints) groups.set(id, group.name);
+    }
+    return endpoints.map(endpoint => ({
+      ...endpoint,
+      group: groups.get(endpoint.id) ?? endpoint.group,
+    }));
+  }
+
+  private async readReport(endpoint: EndpointInfo): Promise<void> {
+    const report = await this.fetchReport(endpoint);
+    if (!report || this.stopped) return;
+    this.reports.set(endpoint.id, report);
+    this.options.dispatcher.post({kind: 'load', report});
+  }
+
+  private async fetchReport(
+    endpoint: EndpointInfo,
+  ): Promise<LoadReport | undefined> {
+    try {
+      const res = await this.options.http.request({
+        origin: `http://${endpoint.address}`,
+        method: 'GET',
+        path: '/load',
+        headersTimeout: reportTimeoutMs,
+        bodyTimeout: reportTimeoutMs,
+      });
+      const parsed = loadReportSchema.safeParse(await res.body.json());
+      return parsed.success
+        ? {...parsed.data, endpoint: endpoint.id}
+        : undefined;
+    } catch {
+      // A missing report is no sign of a dead endpoint: attempts tell that.
+      return undefined;
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/rule_book.ts
@@ -0,0 +1,92 @@
+/** The rules in force for each team, compiled once per version. */
+
+import type {ConfigHistory} from '@radishyoke/core/config_history';
+import type {
+  RouteAction,
+  RuleFacts,
+  RuleGroup,
+  RuleSet,
+} from '@radishyoke/core/rule';
+import {
+  CompiledRules,
+  compileRules,
+  resolveRule,
+} from '@radishyoke/core/rule_matcher';
+import {parseRuleText} from '@radishyoke/core/rule_text';
+import {createError} from '@radishyoke/shared/error_kind';
+import type {TeamId, TenantId} from '@radishyoke/shared/ids';
+import {fail, Result, succeed} from '@radishyoke/shared/result';
+
+/** The rule that decides a request, and the version it stands in. */
+export interface Route {
+  readonly rule: string;
+  readonly configVersion: number;
+  readonly action: RouteAction;
+}
+
+interface CompiledVersion {
+  readonly version: number;
+  readonly ruleSet: RuleSet;
+  readonly compiled: CompiledRules;
+}
+
+const fileName = 'published configuration';
+
+/** Says what is wrong with a configuration; the same on every VM. */
+export function checkRuleText(text: string): string | undefined {
+  const parsed = parseRuleText(text, fileName);
+  return parsed.ok ? undefined : JSON.stringify(parsed.error);
+}
+
+export class RuleBook {
+  private readonly cache = new Map<TeamId, CompiledVersion>();
+
+  constructor(
+    private readonly tenants: ReadonlyMap<TenantId, TeamId>,
+    private readonly readHistory: () => ConfigHistory,
+  ) {}
+
+  /** Team that answers for `tenant`. */
+  findTeam(tenant: TenantId): TeamId | undefined {
+    return this.tenants.get(tenant);
+  }
+
+  /** Finds the rule for a request; a refusal by rule is an error. */
+  resolve(team: TeamId, facts: RuleFacts): Result<Route> {
+    const current = this.compile(team);
+    if (!current) return fail(createError('not_current', 'no configuration'));
+    const decision = resolveRule(current.compiled, facts);
+    if (!decision) return fail(createError('no_rule'));
+    if (decision.then.kind === 'refuse') {
+      const detail = `refused by rule ${decision.rule} of version ${current.version}`;
+      return fail(createError(decision.then.error, detail, {ran: 'no'}));
+    }
+    return succeed({
+      rule: decision.rule,
+      configVersion: current.version,
+      action: decision.then,
+    });
+  }
+
+  /** Groups that the teams' configurations list by endpoint id. */
+  listGroups(): readonly RuleGroup[] {
+    const teams = new Set(this.tenants.values());
+    return [...teams].flatMap(team => this.compile(team)?.ruleSet.groups ?? []);
+  }
+
+  private compile(team: TeamId): CompiledVersion | undefined {
+    const current = this.readHistory().current(team);
+    if (!current) return undefined;
+    const cached = this.cache.get(team);
+    if (cached?.version === current.version) return cached;
+    const parsed = parseRuleText(current.text, fileName);
+    if (!parsed.ok) return cached;
+    const compiled = {
+      version: current.version,
+      ruleSet: parsed.value,
+      compiled: compileRules(parsed.value),
+    };
+    this.cache.set(team, compiled);
+    return compiled;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/sample_runner.ts
@@ -0,0 +1,281 @@
+/** Runs one sample of a step on engines and gathers its output. */
+
+import type {Dispatcher as HttpDispatcher} from 'undici';
+import type {AttemptOutcome} from '@radishyoke/core/failure';
+import type {WorkItem} from '@radishyoke/core/scheduler';
+import type {SampleOutput, SampleRef} from '@radishyoke/core/step_machine';
+import type {EndpointInfo} from '@radishyoke/shared/endpoint';
+import type {RadishyokeError} from '@radishyoke/shared/error_kind';
+import type {EndpointId} from '@radishyoke/shared/ids';
+import type {TokenSpan} from '@radishyoke/shared/rollout';
+import {
+  EngineStream,
+  GenerationChunk,
+  GenerationEnd,
+  GenerationRequest,
+} from '@radishyoke/wire/engine_stream';
+import {Dispatcher, StartAction, WorkRunner} from './dispatcher.js';
+
+/** Number within the work of an attempt taken over from an earlier owner. */
+const adoptedAttempt = 1;
+
+/** Shortest time between two reports of an attempt's progress, ms. */
+const progressReportMs = 250;
+
+export interface SampleRunnerOptions extends SampleRef {
+  /** Engines know an attempt as `<requestPrefix>.<attempt>`. */
+  readonly requestPrefix: string;
+  /** The sample as the scheduler sees it. */
+  readonly work: WorkItem;
+  /** Number of the scheduler's first attempt within the sample. */
+  readonly firstAttempt: number;
+  readonly model: string;
+  readonly prompt: string;
+  readonly maxTokens: number;
+  readonly seed: number;
+  readonly http: HttpDispatcher;
+  readonly dispatcher: Dispatcher;
+  readonly onAttempt: (attempt: number, endpoint: EndpointId) => void;
+  readonly onOutput: (output: SampleOutput) => void;
+  readonly onGiveUp: (err: RadishyokeError) => void;
+}
+
+/** One attempt's output so far, what it was resumed from included. */
+interface PartialOutput {
+  readonly endpoint: EndpointId;
+  readonly chunks: GenerationChunk[];
+  tokens: number;
+  reportedAtMs: number;
+  stream?: EngineStream;
+  finishReason: string;
+}
+
+export class SampleRunner extends WorkRunner {
+  private readonly partials = new Map<number, PartialOutput>();
+  private stopped = false;
+
+  constructor(private readonly options: SampleRunnerOptions) {
+    super();
+  }
+
+  get workId(): string {
+    return this.options.work.id;
+  }
+
+  /** Hands the work to the scheduler. */
+  submit(): void {
+    this.options.dispatcher.submit(this.options.work, this);
+  }
+
+  /**
+   * Goes on reading an attempt that an earlier owner started as `requestId`.
+   * The work is submitted anew if the engine no longer has it: an engine keeps
+   * a generation for a while after its reader is gone.
+   */
+  adopt(endpoint: EndpointInfo, requestId: string): void {
+    const partial = createPartial(endpoint.id, []);
+    let adopted = false;
+    partial.stream = this.createStream(
+      endpoint,
+      requestId,
+      undefined,
+      chunk => {
+        if (!adopted) {
+          adopted = true;
+          this.partials.set(adoptedAttempt, partial);
+          const {dispatcher, work} = this.options;
+          dispatcher.adopt(work, this, endpoint.id);
+        }
+        this.take(adoptedAttempt, partial, chunk);
+      },
+    );
+    void partial.stream.attach().then(end => {
+      if (adopted) this.finish(adoptedAttempt, partial, end);
+      else if (!this.stopped) this.submit();
+    });
+  }
+
+  start(action: StartAction, endpoint: EndpointInfo): void {
+    const prefix = this.selectPrefix(action);
+    const partial = createPartial(endpoint.id, prefix);
+    this.partials.set(action.attempt, partial);
+    const attempt = this.numberAttempt(action.attempt);
+    this.options.onAttempt(attempt, endpoint.id);
+    const resume =
+      prefix.length === 0
+        ? undefined
+        : {text: joinText(prefix), tokens: partial.tokens};
+    partial.stream = this.createStream(
+      endpoint,
+      `${this.options.requestPrefix}.${attempt}`,
+      resume,
+      chunk => this.take(action.attempt, partial, chunk),
+    );
+    void partial.stream
+      .run()
+      .then(end => this.finish(action.attempt, partial, end));
+  }
+
+  stop(attempt: number): void {
+    this.partials.get(attempt)?.stream?.stop();
+  }
+
+  /** Cancels all attempts; the dispatcher has forgotten the work. */
+  stopAll(): void {
+    this.stopped = true;
+    for (const attempt of this.partials.keys()) this.stop(attempt);
+  }
+
+  /** Stops reading and leaves the generations to the step's next owner. */
+  detachAll(): void {
+    this.stopped = true;
+    for (const partial of this.partials.values()) partial.stream?.detach();
+  }
+
+  done(attempt: number): void {
+    const partial = this.partials.get(attempt);
+    if (!partial) return;
+    const {group, sample} = this.options;
+    this.options.onOutput({
+      group,
+      sample,
+      attempt: this.numberAttempt(attempt),
+      endpoint: partial.endpoint,
+      text: joinText(partial.chunks),
+      spans: mergeSpans(partial.chunks),
+      finishReason: partial.finishReason,
+    });
+    this.partials.clear();
+  }
+
+  giveUp(err: RadishyokeError): void {
+    this.stopAll();
+    this.partials.clear();
+    this.options.onGiveUp(err);
+  }
+
+  /** Whether every attempt holds tokens older than `minWeightVersion`. */
+  isOutdated(minWeightVersion: number): boolean {
+    const partials = [...this.partials.values()];
+    const outdated = (partial: PartialOutput) =>
+      partial.chunks.some(chunk => chunk.weightVersion < minWeightVersion);
+    return partials.length > 0 && partials.every(outdated);
+  }
+
+  private createStream(
+    endpoint: EndpointInfo,
+    requestId: string,
+    resume: GenerationRequest['resume'],
+    onChunk: (chunk: GenerationChunk) => void,
+  ): EngineStream {
+    const {http, model, prompt, maxTokens, seed} = this.options;
+    return new EngineStream(
+      http,
+      `http://${endpoint.address}`,
+      {requestId, model, prompt, maxTokens, seed, resume},
+      onChunk,
+    );
+  }
+
+  private numberAttempt(attempt: number): number {
+    return this.options.firstAttempt + attempt - 1;
+  }
+
+  private selectPrefix(action: StartAction): readonly GenerationChunk[] {
+    if (action.resumeTokens === 0) return [];
+    const earlier = this.partials.get(action.resumeAttempt);
+    const selected: GenerationChunk[] = [];
+    let tokens = 0;
+    for (const chunk of earlier?.chunks ?? []) {
+      if (tokens + chunk.tokens > action.resumeTokens) break;
+      tokens += chunk.tokens;
+      selected.push(chunk);
+    }
+    return selected;
+  }
+
+  private take(
+    attempt: number,
+    partial: PartialOutput,
+    chunk: GenerationChunk,
+  ): void {
+    partial.chunks.push(chunk);
+    partial.tokens += chunk.tokens;
+    const nowMs = Date.now();
+    if (nowMs - partial.reportedAtMs < progressReportMs) return;
+    partial.reportedAtMs = nowMs;
+    this.options.dispatcher.post({
+      kind: 'progress',
+      workId: this.options.work.id,
+      attempt,
+      tokens: partial.tokens,
+      weightVersion: chunk.weightVersion,
+    });
+  }
+
+  private finish(
+    attempt: number,
+    partial: PartialOutput,
+    end: GenerationEnd,
+  ): void {
+    if (end.kind === 'finished') partial.finishReason = end.finishReason;
+    const {dispatcher, work} = this.options;
+    const outcome = resolveOutcome(end, partial);
+    dispatcher.post({kind: 'ended', workId: work.id, attempt, outcome});
+  }
+}
+
+function resolveOutcome(
+  end: GenerationEnd,
+  partial: PartialOutput,
+): AttemptOutcome {
+  switch (end.kind) {
+    case 'finished':
+      return {
+        kind: 'finished',
+        tokens: partial.tokens,
+        spans: mergeSpans(partial.chunks),
+      };
+    case 'failed':
+      return {...end, tokensReceived: partial.tokens};
+    case 'stopped':
+      return {kind: 'stopped'};
+  }
+}
+
+function createPartial(
+  endpoint: EndpointId,
+  prefix: readonly GenerationChunk[],
+): PartialOutput {
+  return {
+    endpoint,
+    chunks: [...prefix],
+    tokens: countTokens(prefix),
+    reportedAtMs: 0,
+    finishReason: '',
+  };
+}
+
+function countTokens(chunks: readonly GenerationChunk[]): number {
+  return chunks.reduce((sum, chunk) => sum + chunk.tokens, 0);
+}
+
+function joinText(chunks: readonly GenerationChunk[]): string {
+  return chunks.map(chunk => chunk.text).join('');
+}
+
+/** Joins neighbouring chunks of one weight version. */
+export function mergeSpans(
+  chunks: readonly GenerationChunk[],
+): readonly TokenSpan[] {
+  const spans: TokenSpan[] = [];
+  for (const {weightVersion, tokens} of chunks) {
+    const last = spans.at(-1);
+    if (last?.weightVersion !== weightVersion) {
+      spans.push({weightVersion, tokens});
+      continue;
+    }
+    spans[spans.length - 1] = {weightVersion, tokens: last.tokens + tokens};
+  }
+  return spans;
+}
--- /dev/null
+++ b/packages/daemon/src/step_directory.ts
@@ -0,0 +1,230 @@
+/**
+ * The steps this VM owns. Opens steps on the log, takes their leases, and takes
+ * over steps whose owner is gone.
+ */
+
+import type {Dispatcher as HttpDispatcher} from 'undici';
+import {computeDigest} from '@radishyoke/core/digest';
+import {nameStepLease} from '@radishyoke/core/lease_table';
+import type {StepLedger} from '@radishyoke/core/step_ledger';
+import type {SampleOutput} from '@radishyoke/core/step_machine';
+import {createError} from '@radishyoke/shared/error_kind';
+import type {StepId, TenantId, VmId} from '@radishyoke/shared/ids';
+import {fail, Result, succeed} from '@radishyoke/shared/result';
+import type {StepRequest} from '@radishyoke/shared/rollout';
+import type {Dispatcher} from './dispatcher.js';
+import type {LogTask} from './log_task.js';
+import type {Logger} from './logger.js';
+import type {Route} from './rule_book.js';
+import {StepEnd, StepTask} from './step_task.js';
+
+/** Where a step is to be found. */
+export type StepPlace =
+  | {readonly kind: 'here'; readonly task: StepTask}
+  | {readonly kind: 'elsewhere'; readonly vm: VmId}
+  | {readonly kind: 'closed'; readonly ledger: StepLedger};
+
+export interface StepDirectoryOptions {
+  readonly vm: VmId;
+  readonly log: LogTask;
+  readonly dispatcher: Dispatcher;
+  readonly http: HttpDispatcher;
+  readonly logger: Logger;
+  readonly slowReaderTimeoutMs: number;
+  readonly maxOpenSteps: number;
+  /** Rule that now holds for a step; its own rule may be gone. */
+  readonly resolveRoute: (ledger: StepLedger) => Result<Route>;
+  readonly onSettled: (ledger: StepLedger, output: SampleOutput) => void;
+  readonly onEnd: (ledger: StepLedger, end: StepEnd) => void;
+}
+
+/** How often steps without an owner are looked for, ms. */
+const orphanScanMs = 500;
+/** How much longer each VM waits than the one before it in line, ms. */
+const orphanTurnMs = 1500;
+
+export class StepDirectory {
+  private readonly tasks = new Map<string, StepTask>();
+  private readonly claiming = new Map<string, Promise<Result<StepPlace>>>();
+  private readonly orphanSince = new Map<string, number>();
+  private readonly scanner: NodeJS.Timeout;
+  private liveVms: readonly VmId[] = [];
+  private leaving = false;
+
+  constructor(private readonly options: StepDirectoryOptions) {
+    this.scanner = setInterval(() => this.scanOrphans(), orphanScanMs);
+  }
+
+  setLiveVms(vms: readonly VmId[]): void {
+    this.liveVms = vms;
+  }
+
+  listTasks(): ReadonlyMap<string, StepTask> {
+    return this.tasks;
+  }
+
+  /** Opens a step, or finds it if it is open with the same body. */
+  async open(
+    tenant: TenantId,
+    step: StepId,
+    req: StepRequest,
+    route: Route,
+  ): Promise<Result<StepPlace>> {
+    const {log, maxOpenSteps} = this.options;
+    const digest = computeDigest(JSON.stringify(req));
+    const known = log.state.findStep(tenant, step);
+    if (known && known.opening.digest !== digest) {
+      return fail(createError('step_conflict'));
+    }
+    if (known) return this.locate(tenant, step);
+    if (this.tasks.size >= maxOpenSteps) {
+      return fail(createError('overloaded', 'too many open steps on this VM'));
+    }
+    const {rule, configVersion} = route;
+    const opened = await log.append({
+      kind: 'step_opened',
+      tenant,
+      step,
+      digest,
+      req,
+      rule,
+      configVersion,
+    });
+    if (!opened.ok) return opened;
+    const {verdict} = opened.value;
+    if (verdict.kind === 'void' && verdict.reason === 'step_conflict') {
+      return fail(createError('step_conflict'));
+    }
+    return this.locate(tenant, step);
+  }
+
+  /** Finds a step, taking it over when nobody owns it. */
+  async locate(tenant: TenantId, step: StepId): Promise<Result<StepPlace>> {
+    const {log} = this.options;
+    const ledger = log.state.findStep(tenant, step);
+    if (!ledger) return fail(createError('not_found', `no step ${step}`));
+    if (ledger.closed) return succeed({kind: 'closed', ledger});
+    const task = this.tasks.get(ledger.key);
+    if (task) return succeed({kind: 'here', task});
+    const owner = this.findOwner(ledger);
+    if (owner) return succeed({kind: 'elsewhere', vm: owner});
+    return this.claim(ledger);
+  }
+
+  /** Gives all steps back for others to go on with. */
+  leave(): void {
+    this.leaving = true;
+    clearInterval(this.scanner);
+    for (const task of [...this.tasks.values()]) task.leave();
+  }
+
+  private findOwner(ledger: StepLedger): VmId | undefined {
+    const {log, vm} = this.options;
+    const lease = log.state.leases.find(nameStepLease(ledger.key));
+    if (!lease || lease.vm === vm) return undefined;
+    const held = log.state.leases.isHeld(lease, log.estimateLogNowMs());
+    return held ? lease.vm : undefined;
+  }
+
+  /** One claim at a time for a step: a second would only burn an append. */
+  private claim(ledger: StepLedger): Promise<Result<StepPlace>> {
+    const pending = this.claiming.get(ledger.key);
+    if (pending) return pending;
+    const claim = this.claimOnce(ledger).finally(() =>
+      this.claiming.delete(ledger.key),
+    );
+    this.claiming.set(ledger.key, claim);
+    return claim;
+  }
+
+  private async claimOnce(ledger: StepLedger): Promise<Result<StepPlace>> {
+    if (this.leaving) return fail(createError('draining'));
+    const route = this.options.resolveRoute(ledger);
+    if (!route.ok) return route;
+    const lease = nameStepLease(ledger.key);
+    const claimed = await this.options.log.claim(lease);
+    if (!claimed.ok) {
+      const owner = this.findOwner(ledger);
+      if (owner) return succeed({kind: 'elsewhere', vm: owner});
+      return claimed;
+    }
+    const task = this.startTask(ledger, claimed.value, route.value);
+    return succeed({kind: 'here', task});
+  }
+
+  private startTask(
+    ledger: StepLedger,
+    fencing: number,
+    route: Route,
+  ): StepTask {
+    const {log, dispatcher, http, logger, slowReaderTimeoutMs} = this.options;
+    const task = new StepTask({
+      ledger,
+      fencing,
+      action: route.action,
+      log,
+      dispatcher,
+      http,
+      logger,
+      slowReaderTimeoutMs,
+      onSettled: output => this.options.onSettled(ledger, output),
+      onEnd: end => this.end(ledger, task, end),
+    });
+    this.tasks.set(ledger.key, task);
+    logger.log('info', 'step owned', {
+      stepId: ledger.opening.step,
+      tenant: ledger.opening.tenant,
+      rule: route.rule,
+      configVersion: route.configVersion,
+      fencing,
+    });
+    task.begin();
+    return task;
+  }
+
+  private end(ledger: StepLedger, task: StepTask, end: StepEnd): void {
+    if (this.tasks.get(ledger.key) === task) this.tasks.delete(ledger.key);
+    const lease = nameStepLease(ledger.key);
+    if (end === 'left') {
+      void this.options.log.release({lease, fencing: task.fencing});
+    }
+    this.options.logger.log('info', 'step left this VM', {
+      stepId: ledger.opening.step,
+      tenant: ledger.opening.tenant,
+      end,
+    });
+    this.options.onEnd(ledger, end);
+  }
+
+  /**
+   * Takes over steps nobody owns, also when no trainer asks for them. The VMs
+   * stand in an order of their own for each step, so that as a rule one claims
+   * and the others find it owned when their turn comes.
+   */
+  private scanOrphans(): void {
+    if (this.leaving) return;
+    const {log} = this.options;
+    const orphans = log.state.listOrphans(log.estimateLogNowMs());
+    const keys = new Set(orphans.map(ledger => ledger.key));
+    for (const key of [...this.orphanSince.keys()]) {
+      if (!keys.has(key)) this.orphanSince.delete(key);
+    }
+    for (const ledger of orphans) this.considerOrphan(ledger);
+  }
+
+  private considerOrphan(ledger: StepLedger): void {
+    if (this.tasks.has(ledger.key)) return;
+    const sinceMs = this.orphanSince.get(ledger.key) ?? Date.now();
+    this.orphanSince.set(ledger.key, sinceMs);
+    const waitMs = this.findTurn(ledger.key) * orphanTurnMs;
+    if (Date.now() - sinceMs < waitMs) return;
+    void this.claim(ledger);
+  }
+
+  private findTurn(key: string): number {
+    const {vm} = this.options;
+    const rank = (id: VmId) => computeDigest(`${id} ${key}`);
+    const own = rank(vm);
+    return this.liveVms.filter(id => id !== vm && rank(id) < own).length;
+  }
+}
--- a/packages/wire/src/engine_stream.ts
+++ b/packages/wire/src/engine_stream.ts
@@ -98,11 +98,16 @@
     return this.follow(await this.connect('GET', this.streamPath(0)));
   }
 
+  /** Stops reading; the engine goes on for whoever attaches next. */
+  detach(): void {
+    this.stopped = true;
+    this.abort.abort();
+  }
+
   /** Cancels the generation at the engine as well. */
   stop(): void {
     if (this.stopped) return;
-    this.stopped = true;
-    this.abort.abort();
+    this.detach();
     const path = `/v1/streams/${encodeURIComponent(this.req.requestId)}`;
     // The engine forgets an unread stream by itself, so a lost cancel costs
     // only the tokens generated until then.
