--- /dev/null
+++ b/packages/cli/src/check_command.ts
@@ -0,0 +1,39 @@
+/** `radishyoke check`: is a settings or rules file valid? */
+
+import {ConfigProblem, formatProblem} from '@radishyoke/core/config_problem';
+import type {CliIo} from './cli_io.js';
+import {readConfigFile} from './config_file.js';
+import {EXIT_CODES, ExitCode} from './exit_code.js';
+
+interface CheckOptions {
+  readonly json?: boolean;
+}
+
+/** Checks the file at `path` and reports each problem in it. */
+export async function runCheck(
+  io: CliIo,
+  path: string,
+  {json}: CheckOptions,
+): Promise<ExitCode> {
+  const read = await readConfigFile(path);
+  if (!read.ok) return reportProblems(io, path, read.error, json);
+  const {kind} = read.value;
+  if (json) {
+    io.writeOut(JSON.stringify({ok: true, file: path, kind, problems: []}));
+  } else {
+    io.writeOut(`${path}: valid ${kind}`);
+  }
+  return EXIT_CODES.ok;
+}
+
+/** Prints `problems`, one line each or as JSON. */
+export function reportProblems(
+  io: CliIo,
+  path: string,
+  problems: readonly ConfigProblem[],
+  json = false,
+): ExitCode {
+  if (json) io.writeOut(JSON.stringify({ok: false, file: path, problems}));
+  else problems.forEach(problem => io.writeErr(formatProblem(problem)));
+  return EXIT_CODES.invalidConfig;
+}
--- /dev/null
+++ b/packages/cli/src/cli.ts
@@ -0,0 +1,96 @@
+/** The commands of `radishyoke`. Each returns the exit code of the process. */
+
+import {cac, CAC} from 'cac';
+import {runCheck} from './check_command.js';
+import type {CliIo} from './cli_io.js';
+import {runCompletion, Subcommands} from './completion_command.js';
+import {runDemoCommand} from './demo_command.js';
+import {EXIT_CODE_TEXTS, EXIT_CODES, ExitCode} from './exit_code.js';
+import {runExplain} from './explain_command.js';
+import {runServeCommand} from './serve_command.js';
+import {UsageError} from './usage_error.js';
+
+const VERSION = '0.1.0';
+
+const SUBCOMMANDS: Subcommands = {completion: ['bash']};
+
+/** Runs the command that `args` (without node and script) names. */
+export async function runCli(
+  args: readonly string[],
+  io: CliIo,
+): Promise<ExitCode> {
+  const cli = createCli(args, io);
+  try {
+    cli.parse(['node', 'radishyoke', ...args], {run: false});
+    if (cli.options.help || cli.options.version) return EXIT_CODES.ok;
+    if (!cli.matchedCommand) return reportUnknownCommand(cli);
+    return (await cli.runMatchedCommand()) ?? EXIT_CODES.ok;
+  } catch (err) {
+    if (!isUsageError(err)) throw err;
+    io.writeErr(`radishyoke: ${err.message}`);
+    io.writeErr('Try "radishyoke --help".');
+    return EXIT_CODES.usage;
+  }
+}
+
+function createCli(args: readonly string[], io: CliIo): CAC {
+  const cli = cac('radishyoke');
+  addProcessCommands(cli);
+  addFileCommands(cli, args, io);
+  cli
+    .command('completion <shell>', 'Print a completion script (bash)')
+    .action(shell => runCompletion(io, cli, shell, SUBCOMMANDS));
+  cli.help(sections => [...sections, {title: 'Exit codes', body: listCodes()}]);
+  cli.version(VERSION);
+  return cli;
+}
+
+function addProcessCommands(cli: CAC): void {
+  cli
+    .command('serve <settings>', 'Run one entry VM with the settings file')
+    .action(settings => runServeCommand(settings));
+  cli
+    .command('demo', 'Run three trainers and an app against stand-ins')
+    .action(() => runDemoCommand());
+}
+
+function addFileCommands(cli: CAC, args: readonly string[], io: CliIo): void {
+  cli
+    .command('check <file>', 'Check a settings or rules file')
+    .option('--json', 'Print JSON')
+    .action((file, options) => runCheck(io, file, options));
+  cli
+    .command('explain <rules>', 'Say which rule decides a request, and why')
+    .option('--request <json>', 'The request as a JSON object, or:')
+    .option('--tenant <name>', 'Tenant that sends it')
+    .option('--class <class>', 'interactive or rollout')
+    .option('--model <name>', 'Model that it names')
+    .option('--method <method>', 'HTTP method (default: GET)')
+    .option('--path <path>', 'Path (default: /)')
+    .option('--header <header>', '"name: value"; may be repeated')
+    .option('--data-centre <name>', 'Data centre of the VM that takes it')
+    .option('--json', 'Print JSON')
+    .example(
+      'radishyoke explain examples/rules-kodkutu.ini --tenant lesson-app --method POST --path /orders',
+    )
+    .action((file, options) => runExplain(io, file, args, options));
+}
+
+function reportUnknownCommand(cli: CAC): ExitCode {
+  if (cli.args.length === 0) {
+    cli.outputHelp();
+    return EXIT_CODES.usage;
+  }
+  throw new UsageError(`unknown command ${cli.args[0]}`);
+}
+
+function isUsageError(err: unknown): err is Error {
+  // The option parser keeps its error class to itself.
+  return err instanceof Error && ['UsageError', 'CACError'].includes(err.name);
+}
+
+function listCodes(): string {
+  return (Object.keys(EXIT_CODES) as Array<keyof typeof EXIT_CODES>)
+    .map(name => `  ${EXIT_CODES[name]}  ${EXIT_CODE_TEXTS[name]}`)
+    .join('\n');
+}
--- /dev/null
+++ b/packages/cli/src/cli_io.ts
@@ -0,0 +1,25 @@
+/** What a command writes to and reads from; tests pass their own. */
+
+export interface CliIo {
+  readonly writeOut: (text: string) => void;
+  readonly writeErr: (text: string) => void;
+  readonly env: Readonly<Record<string, string | undefined>>;
+  /** Resolves to the whole standard input. */
+  readonly readIn: () => Promise<string>;
+}
+
+/** The streams of this process. */
+export function createProcessIo(): CliIo {
+  return {
+    writeOut: text => process.stdout.write(`${text}\n`),
+    writeErr: text => process.stderr.write(`${text}\n`),
+    env: process.env,
+    readIn: readStandardInput,
+  };
+}
+
+async function readStandardInput(): Promise<string> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of process.stdin) chunks.push(Buffer.from(chunk));
+  return Buffer.concat(chunks).toString('utf8');
+}
