--- a/packages/cli/src/cli.ts
+++ b/packages/cli/src/cli.ts
@@ -7,6 +7,7 @@
 import {runDemoCommand} from './demo_command.js';
 import {EXIT_CODE_TEXTS, EXIT_CODES, ExitCode} from './exit_code.js';
 import {runExplain} from './explain_command.js';
+import {runKeys} from './keys_command.js';
 import {runServeCommand} from './serve_command.js';
 import {UsageError} from './usage_error.js';
 
@@ -37,6 +38,9 @@
   const cli = cac('radishyoke');
   addProcessCommands(cli);
   addFileCommands(cli, args, io);
+  cli
+    .command('keys', 'Print the reference of all keys, in Markdown')
+    .action(() => runKeys(io));
   cli
     .command('completion <shell>', 'Print a completion script (bash)')
     .action(shell => runCompletion(io, cli, shell, SUBCOMMANDS));
