feat(fakes): model engine stand-in over a model without I/O

The daemon needs an engine to stream from and experiments need one on a paused clock. Its tokens carry version, seed and position, so that a text can be checked without the service's books.

--- /dev/null
+++ b/packages/fakes/src/engine_books.ts
@@ -0,0 +1,85 @@
+/**
+ * An engine's own account of what it ran, from which lost, doubled or too old
+ * rollouts are counted without asking the service.
+ */
+
+import type {TokenSpan} from '@radishyoke/shared/rollout';
+import {addToSpans} from './token_text.js';
+
+export type RunEnd = 'finished' | 'cancelled' | 'crashed' | 'abandoned';
+
+/** One request as the engine ran it. */
+export interface EngineRun {
+  readonly requestId: string;
+  readonly seed: number;
+  /** Tokens that came with the request and were not generated here. */
+  readonly resumeTokens: number;
+  readonly startedAtMs: number;
+  /** Undefined while it runs. */
+  readonly endedAtMs?: number;
+  readonly end?: RunEnd;
+  /** The versions that generated its tokens, in order. */
+  readonly spans: readonly TokenSpan[];
+}
+
+interface OpenRun {
+  readonly requestId: string;
+  readonly seed: number;
+  readonly resumeTokens: number;
+  readonly startedAtMs: number;
+  endedAtMs?: number;
+  end?: RunEnd;
+  readonly spans: Array<{weightVersion: number; tokens: number}>;
+}
+
+/** Keeps the last runs, as many as `maxRuns`. */
+export class EngineBooks {
+  private runs: OpenRun[] = [];
+  private dropped = 0;
+
+  constructor(private readonly maxRuns: number) {}
+
+  open(
+    requestId: string,
+    seed: number,
+    resumeTokens: number,
+    startedAtMs: number,
+  ): RunEntry {
+    const run = {requestId, seed, resumeTokens, startedAtMs, spans: []};
+    this.runs.push(run);
+    if (this.runs.length >= 2 * this.maxRuns) this.dropOldest();
+    return new RunEntry(run);
+  }
+
+  list(): readonly EngineRun[] {
+    return this.runs;
+  }
+
+  /** Runs no longer listed; a count over the books holds only while this is 0. */
+  countDropped(): number {
+    return this.dropped;
+  }
+
+  private dropOldest(): void {
+    this.dropped += this.runs.length - this.maxRuns;
+    this.runs = this.runs.slice(-this.maxRuns);
+  }
+}
+
+/** Writes to one run. */
+export class RunEntry {
+  constructor(private readonly run: OpenRun) {}
+
+  get spans(): readonly TokenSpan[] {
+    return this.run.spans;
+  }
+
+  addTokens(weightVersion: number, tokens: number): void {
+    if (tokens > 0) addToSpans(this.run.spans, weightVersion, tokens);
+  }
+
+  close(end: RunEnd, atMs: number): void {
+    this.run.end = end;
+    this.run.endedAtMs = atMs;
+  }
+}
--- /dev/null
+++ b/packages/fakes/src/engine_model.ts
@@ -0,0 +1,411 @@
+/**
+ * A model engine without its HTTP side: continuous batching, prefix cache,
+ * weight swaps and crashes on a clock that is passed in. The same requests at
+ * the same times give the same events.
+ *
+ * Requests run in turns. A turn prefills new requests and gives each running
+ * one `tokensPerChunk` tokens; its duration grows with both. Requests join, and
+ * swaps and crashes happen, between turns.
+ */
+
+import {EngineBooks, EngineRun} from './engine_books.js';
+import type {
+  EngineEvent,
+  EngineOrder,
+  EngineRequest,
+  KvState,
+  OrderAnswer,
+  OrderStatus,
+  SubmitAnswer,
+} from './engine_event.js';
+import {DEFAULT_ENGINE_OPTIONS, EngineOptions} from './engine_options.js';
+import {EngineStream} from './engine_stream.js';
+import {EngineLoad, LoadFigures, LoadHistory} from './load_history.js';
+import {CacheEvent, PrefixCache} from './prefix_cache.js';
+import {SwapFailure, WeightLoader} from './weight_loader.js';
+
+const FULL_RETRY_AFTER_MS = 1000;
+const MAX_IMPORTED_STATES = 1000;
+const SWEEP_EVERY_MS = 1000;
+
+interface Turn {
+  readonly endsAtMs: number;
+  readonly decoding: readonly EngineStream[];
+}
+
+export class EngineModel {
+  private readonly options: EngineOptions;
+  private readonly books: EngineBooks;
+  private readonly cache: PrefixCache;
+  private readonly loader: WeightLoader;
+  private readonly history: LoadHistory;
+  private readonly streams = new Map<string, EngineStream>();
+  private readonly running = new Set<EngineStream>();
+  private readonly waiting = new Set<EngineStream>();
+  /** Prompt tokens of all that wait. */
+  private waitingPromptTokens = 0;
+  private readonly imported = new Map<string, KvState>();
+  private events: EngineEvent[] = [];
+  private turn: Turn | undefined;
+  private clockMs: number;
+  private restartAtMs = Infinity;
+  private hungSinceMs: number | undefined;
+  private sweptAtMs: number;
+  private slowFactor = 1;
+  private leaving = false;
+  private tokens = 0;
+  private crashAtTokens = Infinity;
+
+  /** `startMs` is the Unix ms at which it starts, idle. */
+  constructor(options: Partial<EngineOptions> = {}, startMs = 0) {
+    this.options = {...DEFAULT_ENGINE_OPTIONS, ...options};
+    this.clockMs = startMs;
+    this.sweptAtMs = startMs;
+    this.books = new EngineBooks(this.options.maxRuns);
+    this.cache = new PrefixCache(this.options);
+    this.loader = new WeightLoader(this.options);
+    const {loadLagMs} = this.options;
+    this.history = new LoadHistory(loadLagMs, this.measure(), startMs);
+  }
+
+  /** Does all that is due until `nowMs` and returns what happened since the last call. */
+  advance(nowMs: number): readonly EngineEvent[] {
+    this.settle(nowMs);
+    const {events} = this;
+    this.events = [];
+    return events;
+  }
+
+  /** When `advance` will next have something to return; Infinity for never. */
+  nextEventAtMs(): number {
+    return this.events.length > 0 ? this.clockMs : this.nextStepAtMs();
+  }
+
+  /** Takes a request; whoever submits it counts as a reader until `detach`. */
+  submit(req: EngineRequest, nowMs: number): SubmitAnswer {
+    this.settle(nowMs);
+    if (this.isDown) return {kind: 'down'};
+    const known = this.streams.get(req.id);
+    if (known && known.state !== 'finished') return {kind: 'duplicate'};
+    if (this.waiting.size >= this.options.maxWaiting)
+      return {kind: 'full', retryAfterMs: FULL_RETRY_AFTER_MS};
+    const run = this.books.open(req.id, req.seed, req.resumeTokens, nowMs);
+    const stream = new EngineStream(req, run, this.options, nowMs);
+    this.streams.set(req.id, stream);
+    this.waiting.add(stream);
+    this.waitingPromptTokens += req.promptTokens;
+    this.beginTurn(nowMs);
+    this.recordLoad(nowMs);
+    return {kind: 'accepted', weightVersion: this.loader.weightVersion};
+  }
+
+  /** Stops a request and forgets its stream; false when it is unknown. */
+  cancel(id: string, nowMs: number): boolean {
+    this.settle(nowMs);
+    const stream = this.streams.get(id);
+    if (!stream) return false;
+    if (stream.state !== 'finished') stream.run.close('cancelled', nowMs);
+    this.forget(stream);
+    this.recordLoad(nowMs);
+    return true;
+  }
+
+  /** The stream of a request, while it is kept. */
+  findStream(id: string, nowMs: number): EngineStream | undefined {
+    this.settle(nowMs);
+    return this.streams.get(id);
+  }
+
+  /** Counts one more reader, for which the stream is kept. */
+  attach(id: string, nowMs: number): void {
+    const stream = this.findStream(id, nowMs);
+    if (stream) stream.readers++;
+  }
+
+  detach(id: string, nowMs: number): void {
+    const stream = this.findStream(id, nowMs);
+    if (!stream || stream.readers === 0) return;
+    stream.readers--;
+    stream.unreadSinceMs = nowMs;
+  }
+
+  reportLoad(nowMs: number): EngineLoad {
+    this.settle(nowMs);
+    return this.history.report(nowMs);
+  }
+
+  listCacheEvents(
+    from: number,
+    nowMs: number,
+  ): {readonly next: number; readonly events: readonly CacheEvent[]} {
+    this.settle(nowMs);
+    return this.cache.listEvents(from, nowMs);
+  }
+
+  exportKv(id: string, nowMs: number): KvState | undefined {
+    const stream = this.findStream(id, nowMs);
+    if (!stream) return undefined;
+    const {req, outputTokens} = stream;
+    return {id, promptTokens: req.promptTokens, outputTokens};
+  }
+
+  /** Keeps a state, so that a request resumed under its id prefills nothing. */
+  importKv(state: KvState): void {
+    this.imported.delete(state.id);
+    this.imported.set(state.id, state);
+    if (this.imported.size <= MAX_IMPORTED_STATES) return;
+    this.imported.delete(this.imported.keys().next().value!);
+  }
+
+  order(order: EngineOrder, nowMs: number): OrderAnswer {
+    this.settle(nowMs);
+    if (this.isDown) return {kind: 'failed', detail: 'the engine is down'};
+    const answer = this.loader.order(order, nowMs, this.events);
+    this.beginTurn(nowMs);
+    return answer;
+  }
+
+  describeOrders(nowMs: number): OrderStatus {
+    this.settle(nowMs);
+    return this.loader.describe();
+  }
+
+  /** The owner fetched the weights that `fetch_weights` asked for, or failed to. */
+  endFetch(version: number, error: string | undefined, nowMs: number): void {
+    this.settle(nowMs);
+    this.loader.endFetch(version, error, nowMs, this.events);
+    this.beginTurn(nowMs);
+  }
+
+  /** Every request that came, in the order of coming. */
+  listRuns(): readonly EngineRun[] {
+    return this.books.list();
+  }
+
+  countDroppedRuns(): number {
+    return this.books.countDropped();
+  }
+
+  get isDown(): boolean {
+    return this.restartAtMs !== Infinity;
+  }
+
+  /** Kills the process; it restarts after a while. */
+  crash(nowMs: number): void {
+    this.settle(nowMs);
+    this.die(nowMs);
+  }
+
+  /** Stands still, or goes on: requests are taken, but nothing is generated. */
+  setHung(hung: boolean, nowMs: number): void {
+    this.settle(nowMs);
+    if (hung) this.hungSinceMs ??= nowMs;
+    else this.goOn(nowMs);
+  }
+
+  /** Makes every turn that begins from now on take `factor` times as long. */
+  setSlowFactor(factor: number): void {
+    this.slowFactor = factor;
+  }
+
+  setLeaving(leaving: boolean, nowMs: number): void {
+    this.settle(nowMs);
+    this.leaving = leaving;
+    this.recordLoad(nowMs);
+  }
+
+  setSwapFailure(failure: SwapFailure | undefined): void {
+    this.loader.setSwapFailure(failure);
+  }
+
+  setChecksFencing(checksFencing: boolean): void {
+    this.loader.setChecksFencing(checksFencing);
+  }
+
+  /** Crashes once it has generated this many more tokens; Infinity for never. */
+  crashAfterTokens(tokens: number): void {
+    this.crashAtTokens = this.tokens + tokens;
+  }
+
+  /** Does all steps that are due until `nowMs`, each at its own time. */
+  private settle(nowMs: number): void {
+    for (;;) {
+      const atMs = this.nextStepAtMs();
+      if (atMs > nowMs) break;
+      this.clockMs = Math.max(this.clockMs, atMs);
+      this.step(this.clockMs);
+    }
+    this.clockMs = Math.max(this.clockMs, nowMs);
+    this.sweep(this.clockMs);
+  }
+
+  private nextStepAtMs(): number {
+    if (this.hungSinceMs !== undefined) return Infinity;
+    return Math.min(
+      this.restartAtMs,
+      this.turn?.endsAtMs ?? Infinity,
+      this.loader.nextEventAtMs(),
+    );
+  }
+
+  private step(nowMs: number): void {
+    if (this.restartAtMs <= nowMs) this.restart(nowMs);
+    // The cache holds what the old weights computed, which is of no more use.
+    if (this.loader.advance(nowMs, this.events)) this.cache.clear(nowMs);
+    if (this.turn && this.turn.endsAtMs <= nowMs) this.endTurn(nowMs);
+    this.beginTurn(nowMs);
+    this.recordLoad(nowMs);
+  }
+
+  private beginTurn(nowMs: number): void {
+    const stopped = this.turn || this.isDown || this.hungSinceMs !== undefined;
+    if (stopped || this.loader.beginSwap(nowMs)) return;
+    this.fillBatch(nowMs);
+    if (this.running.size === 0) return;
+    const prefilled = this.prefill();
+    const decoding = [...this.running].filter(s => s.prefillTokens === 0);
+    const {decodeBaseMs, decodeSlopeMs, tokensPerChunk} = this.options;
+    const tokenMs = decodeBaseMs + decodeSlopeMs * decoding.length;
+    const decodeMs = decoding.length > 0 ? tokenMs * tokensPerChunk : 0;
+    const durationMs = prefilled * this.options.prefillMsPerToken + decodeMs;
+    const endsAtMs = nowMs + durationMs * this.slowFactor;
+    this.turn = {endsAtMs, decoding};
+  }
+
+  private fillBatch(nowMs: number): void {
+    for (const stream of this.waiting) {
+      if (this.running.size >= this.options.maxBatch) return;
+      this.stopWaiting(stream);
+      this.running.add(stream);
+      stream.state = 'running';
+      stream.prefillTokens = this.countPrefill(stream.req);
+      this.cache.use(stream.req, nowMs);
+    }
+  }
+
+  private countPrefill(req: EngineRequest): number {
+    if (req.resumeTokens > 0 && this.imported.delete(req.id)) return 0;
+    return req.promptTokens + req.resumeTokens - this.cache.countCached(req);
+  }
+
+  /** Prefills as much as one turn may; returns the number of tokens. */
+  private prefill(): number {
+    let left = this.options.prefillTokensPerTurn;
+    for (const stream of this.running) {
+      const tokens = Math.min(left, stream.prefillTokens);
+      stream.prefillTokens -= tokens;
+      left -= tokens;
+    }
+    return this.options.prefillTokensPerTurn - left;
+  }
+
+  private endTurn(nowMs: number): void {
+    const decoding = this.turn!.decoding.filter(s => s.state === 'running');
+    this.turn = undefined;
+    if (decoding.some(stream => stream.req.poison)) return this.die(nowMs);
+    for (const stream of decoding) this.generate(stream, nowMs);
+    if (this.tokens >= this.crashAtTokens) this.die(nowMs);
+  }
+
+  private generate(stream: EngineStream, nowMs: number): void {
+    const firstToken = stream.outputTokens;
+    const {weightVersion} = this.loader;
+    const tokens = stream.generate(this.options.tokensPerChunk, weightVersion);
+    this.tokens += tokens;
+    const finishReason = stream.isComplete ? stream.finishReason : null;
+    this.events.push({
+      kind: 'chunk',
+      atMs: nowMs,
+      id: stream.req.id,
+      firstToken,
+      tokens,
+      weightVersion,
+      finishReason,
+    });
+    if (!stream.isComplete) return;
+    this.running.delete(stream);
+    stream.state = 'finished';
+    stream.run.close('finished', nowMs);
+    stream.unreadSinceMs = nowMs;
+  }
+
+  private die(nowMs: number): void {
+    if (this.isDown) return;
+    const unfinished = [...this.running, ...this.waiting];
+    for (const stream of unfinished) stream.run.close('crashed', nowMs);
+    const lostIds = unfinished.map(stream => stream.req.id);
+    this.streams.clear();
+    this.running.clear();
+    this.waiting.clear();
+    this.waitingPromptTokens = 0;
+    this.imported.clear();
+    this.cache.clear(nowMs);
+    this.turn = undefined;
+    this.hungSinceMs = undefined;
+    this.crashAtTokens = Infinity;
+    this.loader.reset();
+    this.restartAtMs = nowMs + this.options.restartAfterMs;
+    this.events.push({kind: 'crashed', atMs: nowMs, lostIds});
+    this.recordLoad(nowMs);
+  }
+
+  private restart(nowMs: number): void {
+    this.restartAtMs = Infinity;
+    this.events.push({kind: 'restarted', atMs: nowMs});
+  }
+
+  private goOn(nowMs: number): void {
+    if (this.hungSinceMs === undefined) return;
+    const byMs = nowMs - this.hungSinceMs;
+    this.hungSinceMs = undefined;
+    this.restartAtMs += byMs;
+    this.loader.postpone(byMs);
+    if (this.turn)
+      this.turn = {...this.turn, endsAtMs: this.turn.endsAtMs + byMs};
+    this.beginTurn(nowMs);
+  }
+
+  /** Drops streams that nobody has read for too long. */
+  private sweep(nowMs: number): void {
+    if (nowMs - this.sweptAtMs < SWEEP_EVERY_MS) return;
+    this.sweptAtMs = nowMs;
+    const {streamKeepMs} = this.options;
+    for (const stream of this.streams.values()) {
+      if (!stream.isAbandoned(nowMs, streamKeepMs)) continue;
+      const unfinished = stream.state !== 'finished';
+      this.forget(stream);
+      if (!unfinished) continue;
+      stream.run.close('abandoned', nowMs);
+      this.events.push({kind: 'abandoned', atMs: nowMs, id: stream.req.id});
+    }
+  }
+
+  private forget(stream: EngineStream): void {
+    this.streams.delete(stream.req.id);
+    this.running.delete(stream);
+    this.stopWaiting(stream);
+    stream.state = 'finished';
+  }
+
+  private stopWaiting(stream: EngineStream): void {
+    if (this.waiting.delete(stream))
+      this.waitingPromptTokens -= stream.req.promptTokens;
+  }
+
+  private recordLoad(nowMs: number): void {
+    this.history.record(this.measure(), this.tokens, nowMs);
+  }
+
+  private measure(): LoadFigures {
+    let {waitingPromptTokens} = this;
+    for (const stream of this.running)
+      waitingPromptTokens += stream.prefillTokens;
+    return {
+      running: this.running.size,
+      waiting: this.waiting.size,
+      waitingPromptTokens,
+      weightVersion: this.loader.weightVersion,
+      leaving: this.leaving,
+    };
+  }
+}
--- a/packages/fakes/src/fault_plan.ts
+++ b/packages/fakes/src/fault_plan.ts
@@ -32,7 +32,7 @@
 /** The faults in force at one stand-in. */
 export class FaultPlan<F extends Fault> {
   private readonly active = new Map<string, Fault>();
-  private readonly listeners: Array<(fault: Fault) => void> = [];
+  private readonly listeners: Array<(fault?: Fault) => void> = [];
 
   set(fault: F): void {
     this.active.set(fault.kind, fault);
@@ -43,6 +43,7 @@
   clear(kind?: F['kind']): void {
     if (kind === undefined) this.active.clear();
     else this.active.delete(kind);
+    for (const listener of this.listeners) listener();
   }
 
   find<K extends F['kind']>(kind: K): Extract<F, {kind: K}> | undefined {
@@ -54,9 +55,9 @@
     return this as unknown as FaultPlan<TransportFault>;
   }
 
-  /** Calls `listener` with each fault as it is set. */
-  onSet(listener: (fault: F) => void): void {
-    this.listeners.push(listener as (fault: Fault) => void);
+  /** Calls `listener` after each change, with the fault that was set if one was. */
+  onChange(listener: (fault?: F) => void): void {
+    this.listeners.push(listener as (fault?: Fault) => void);
   }
 }
 
--- a/packages/fakes/src/http_server.ts
+++ b/packages/fakes/src/http_server.ts
@@ -10,6 +10,7 @@
 
 const HOST = '127.0.0.1';
 const BODY_LIMIT_BYTES = 16 * 1024 * 1024;
+const KEEP_ALIVE_MS = 60_000;
 const RELISTEN_RETRY_MS = 20;
 
 /** Answers one request; a thrown `HttpFailure` becomes its status. */
@@ -41,6 +42,7 @@
   private readonly sockets = new Set<net.Socket>();
   private readonly silenced = new WeakSet<net.Socket>();
   private port = 0;
+  private closed = false;
 
   private constructor(
     private readonly server: http.Server,
@@ -53,12 +55,12 @@
     faults: FaultPlan<TransportFault>,
     port = 0,
   ): Promise<FaultyHttpServer> {
-    const server = http.createServer();
+    const server = http.createServer({keepAliveTimeout: KEEP_ALIVE_MS});
     const self = new FaultyHttpServer(server, faults);
     server.on('connection', socket => self.addSocket(socket));
     server.on('request', (req, res) => self.serve(handler, req, res));
-    faults.onSet(fault => {
-      if (fault.kind === 'silent') self.silenceOpen();
+    faults.onChange(fault => {
+      if (fault?.kind === 'silent') self.silenceOpen();
     });
     await self.listen(port);
     return self;
@@ -69,6 +71,7 @@
   }
 
   async close(): Promise<void> {
+    this.closed = true;
     await this.stopListening();
   }
 
@@ -83,7 +86,7 @@
 
   /** Takes connections again on the same port. */
   async listenAgain(): Promise<void> {
-    for (;;) {
+    while (!this.closed) {
       try {
         return await this.listen(this.port);
       } catch (err) {
--- /dev/null
+++ b/packages/fakes/src/output_length.ts
@@ -0,0 +1,24 @@
+/** How many tokens a request's output has: log-normal, drawn from its seed. */
+
+import {mixUnit} from './mix.js';
+
+export interface LengthDistribution {
+  readonly medianTokens: number;
+  /** Standard deviation of the logarithm; 0 makes all outputs equally long. */
+  readonly sigma: number;
+}
+
+// Positions far from those that token checks are drawn from.
+const FIRST_DRAW = -1;
+const SECOND_DRAW = -2;
+
+/** Draws the length of the whole output; at least 1. */
+export function drawOutputTokens(
+  seed: number,
+  distribution: LengthDistribution,
+): number {
+  const radius = Math.sqrt(-2 * Math.log(mixUnit(seed, FIRST_DRAW)));
+  const normal = radius * Math.cos(2 * Math.PI * mixUnit(seed, SECOND_DRAW));
+  const {medianTokens, sigma} = distribution;
+  return Math.max(1, Math.round(medianTokens * Math.exp(sigma * normal)));
+}
