test(core,bench): seeded schedules of faults check every promise the log carries

Cause: exactly once, at most once, one winner and no reversal depend on many guards that only meet each other under crossed faults. Each of five guards left out is caught by the symptom a user would see.

--- /dev/null
+++ b/packages/core/src/__tests__/log_promises.spec.ts
@@ -0,0 +1,59 @@
+import test from 'ava';
+import fc from 'fast-check';
+import {
+  runSchedule,
+  SCHEDULE_ARG_MAX,
+  SCHEDULE_OP_CODES,
+  type ScheduleOp,
+} from './log_schedule.js';
+import type {MissingGuard} from './schedule_vm.js';
+
+const SCHEDULES = 2000;
+const OPS_MAX = 150;
+
+const op: fc.Arbitrary<ScheduleOp> = fc.tuple(
+  fc.nat({max: SCHEDULE_OP_CODES - 1}),
+  fc.nat({max: SCHEDULE_ARG_MAX}),
+);
+const schedule = fc.array(op, {maxLength: OPS_MAX, size: 'max'});
+
+/** Looks for a schedule that breaks a promise whose name matches `symptom`. */
+function findBroken(guard: MissingGuard, symptom: RegExp) {
+  const holds = (ops: readonly ScheduleOp[]) =>
+    !runSchedule(ops, guard).some(broken => symptom.test(broken));
+  return fc.check(fc.property(schedule, holds), {
+    seed: 2026,
+    numRuns: SCHEDULES,
+  });
+}
+
+// A step over three VMs while answers get lost, appends arrive late, VMs pause,
+// restart and start after retention, and the log is down: every sample reaches
+// the trainer exactly once and is the ledger's, no request id runs twice, no
+// configuration reverts or comes into force after it was said to have failed,
+// no former owner's record counts, and all VMs hold the same state.
+test('all promises hold over seeded schedules', t => {
+  const details = findBroken('none', /./);
+  const [ops] = details.counterexample ?? [];
+  t.deepEqual(ops && [ops, runSchedule(ops)], undefined);
+});
+
+interface MissingGuardCase {
+  readonly guard: MissingGuard;
+  /** What a user would see without it. */
+  readonly symptom: RegExp;
+}
+
+const MISSING_GUARDS: readonly MissingGuardCase[] = [
+  {guard: 'log_fencing', symptom: /of a former owner counts/},
+  {guard: 'trainer_fencing', symptom: /doubled/},
+  {guard: 'trainer_cursor', symptom: /doubled/},
+  {guard: 'lost_answer', symptom: /failed and is in force/},
+  {guard: 'carried_claims', symptom: /ran 2 times/},
+];
+
+for (const {guard, symptom} of MISSING_GUARDS) {
+  test(`the schedules catch a system without the guard ${guard}`, t => {
+    t.true(findBroken(guard, symptom).failed);
+  });
+}
--- /dev/null
+++ b/packages/core/src/__tests__/schedule_log.ts
@@ -0,0 +1,93 @@
+/** The log and the network before it, as a schedule drives them. */
+
+import type {LoggedRecord, Stamp} from '@radishyoke/shared/log_record';
+
+/** What a schedule lets happen to one append. */
+export type AppendFate =
+  | 'answered'
+  /** Takes effect; the writer hears nothing. */
+  | 'answer_lost'
+  /** Takes effect at some later time; the writer hears nothing. */
+  | 'delayed'
+  | 'refused';
+
+interface Stamped {
+  readonly stamp: Stamp;
+}
+
+/** One stream with every record it ever took. */
+export class ScheduleLog<T extends Stamped> {
+  readonly records: Array<LoggedRecord<T>> = [];
+  /** Retention has dropped what lies below. */
+  oldest = 0;
+  private readonly delayed: T[][] = [];
+
+  append(values: readonly T[], timeMs: number): void {
+    for (const value of values) {
+      this.records.push({offset: this.records.length, timeMs, value});
+    }
+  }
+
+  /** Sends an append on its way; returns whether the writer hears that it stands. */
+  send(values: readonly T[], fate: AppendFate, timeMs: number): boolean {
+    if (fate === 'refused') return false;
+    if (fate === 'delayed') {
+      this.delayed.push([...values]);
+      return false;
+    }
+    this.append(values, timeMs);
+    return fate === 'answered';
+  }
+
+  /** Lets a delayed append take effect. */
+  deliverDelayed(timeMs: number): void {
+    const values = this.delayed.shift();
+    if (values !== undefined) this.append(values, timeMs);
+  }
+
+  get hasDelayed(): boolean {
+    return this.delayed.length > 0;
+  }
+}
+
+/**
+ * A writer with the discipline of the platform's LogWriter, without its timers:
+ * unsettled records are sent again under their old numbers.
+ */
+export class ScheduleWriter<T extends Stamped> {
+  readonly pending: Array<{readonly value: T; standing: boolean}> = [];
+  private seq = 0;
+
+  /** `forgetsLost` takes a lost answer for a failure: the fault to be caught. */
+  constructor(
+    private readonly log: ScheduleLog<T>,
+    private readonly stamp: Omit<Stamp, 'seq'>,
+    private readonly forgetsLost: boolean,
+  ) {}
+
+  push(body: object): T {
+    const stamp = {...this.stamp, seq: ++this.seq};
+    const value = {...body, stamp} as unknown as T;
+    this.pending.push({value, standing: false});
+    return value;
+  }
+
+  /** Sends what waits; returns the records that it gives up as failed. */
+  flush(fate: AppendFate, timeMs: number): readonly T[] {
+    const batch = this.pending.filter(entry => !entry.standing);
+    if (batch.length === 0) return [];
+    const values = batch.map(entry => entry.value);
+    const answered = this.log.send(values, fate, timeMs);
+    if (answered) for (const entry of batch) entry.standing = true;
+    if (answered || fate === 'refused' || !this.forgetsLost) return [];
+    this.pending.length = 0;
+    return values;
+  }
+
+  settle(stamp: Stamp): void {
+    const {vm, incarnation} = this.stamp;
+    if (stamp.vm !== vm || stamp.incarnation !== incarnation) return;
+    const kept = this.pending.filter(e => e.value.stamp.seq > stamp.seq);
+    this.pending.splice(0, this.pending.length, ...kept);
+  }
+}
--- /dev/null
+++ b/packages/core/src/__tests__/schedule_vm.ts
@@ -0,0 +1,334 @@
+/** One VM of a schedule: folds, writers and a small owner of the one step. */
+
+import {
+  toEndpointId,
+  toIncarnationId,
+  toRequestId,
+  toVmId,
+} from '@radishyoke/shared/ids';
+import type {
+  CheckpointPart,
+  CommittedSample,
+  ConfigRecord,
+  LoggedRecord,
+  StateRecord,
+} from '@radishyoke/shared/log_record';
+import {CheckpointAssembler, splitCheckpoint} from '../checkpoint.js';
+import {ConfigHistory, NO_VERSION} from '../config_history.js';
+import {nameStepLease} from '../lease_table.js';
+import {
+  DEFAULT_CLAIM_HORIZON_MS,
+  StateFold,
+  type StateSnapshot,
+} from '../state_fold.js';
+import {openStep, STEP, TEAM, TENANT} from './log_fixtures.js';
+import {type ScheduleLog, ScheduleWriter} from './schedule_log.js';
+
+export const SESSION_TTL_MS = 6000;
+/** Part of the ttl for which a holder believes in its own lease. */
+const LOCAL_VALIDITY_SHARE = 0.9;
+const LEASE = nameStepLease(`${TENANT}/${STEP}`);
+
+/** A guard that a schedule runs without, to show that it is missed. */
+export type MissingGuard =
+  | 'none'
+  | 'log_fencing'
+  | 'trainer_fencing'
+  | 'trainer_cursor'
+  | 'lost_answer'
+  | 'carried_claims';
+
+/** What a VM sends to the trainer: one rollout. */
+export interface Handover {
+  readonly fencing: number;
+  readonly cursor: number;
+  readonly sample: number;
+  readonly text: string;
+}
+
+/** What a schedule shares between its VMs. */
+export interface ScheduleWorld {
+  readonly state: ScheduleLog<StateRecord>;
+  readonly config: ScheduleLog<ConfigRecord>;
+  readonly samples: number;
+  readonly guard: MissingGuard;
+  nowMs: number;
+  /** Times that each request id was run. */
+  readonly runs: Map<string, number>;
+  /** Texts of publications whose operator was told that they failed. */
+  readonly toldFailed: Set<string>;
+}
+
+/** Builds a fold; without fencing when that is the guard left out. */
+export function createFold(
+  guard: MissingGuard,
+  snapshot?: StateSnapshot,
+): StateFold {
+  const cfg = {claimHorizonMs: DEFAULT_CLAIM_HORIZON_MS};
+  const fold = new StateFold(cfg, snapshot);
+  if (guard === 'log_fencing') {
+    (fold.leases as {isCurrent: unknown}).isCurrent = () => true;
+  }
+  return fold;
+}
+
+/** A live VM. A restart is another instance with another incarnation. */
+export class ScheduleVm {
+  paused = false;
+  fold: StateFold;
+  config = new ConfigHistory(() => undefined);
+  /** Whether it has read to the end of both streams since it started. */
+  ready = false;
+  readonly stateWriter: ScheduleWriter<StateRecord>;
+  private readonly configWriter: ScheduleWriter<ConfigRecord>;
+  private readonly texts = new Map<string, string>();
+  private validUntilMs = 0;
+  /** When each renewal was handed to the writer, by its number. */
+  private readonly renewals = new Map<number, number>();
+  /** Set while the trainer is connected: its cursor, under which number. */
+  private link: {readonly fencing: number; sent: number} | undefined;
+  private publications = 0;
+  private attempts = 0;
+
+  constructor(
+    private readonly world: ScheduleWorld,
+    private readonly name: string,
+    private readonly incarnation: string,
+  ) {
+    const stamp = {
+      vm: toVmId(name),
+      incarnation: toIncarnationId(incarnation),
+    };
+    const forgets = world.guard === 'lost_answer';
+    this.fold = createFold(world.guard);
+    this.stateWriter = new ScheduleWriter(world.state, stamp, forgets);
+    this.configWriter = new ScheduleWriter(world.config, stamp, forgets);
+  }
+
+  /** Fencing number under which the log names this VM the owner. */
+  get fencing(): number | undefined {
+    const lease = this.fold.leases.find(LEASE);
+    const own =
+      lease?.vm === this.name && lease.incarnation === this.incarnation;
+    return own && !lease.released ? lease.fencing : undefined;
+  }
+
+  /** As `fencing`, while the VM's own clock says that nobody can have followed. */
+  get validFencing(): number | undefined {
+    return this.world.nowMs < this.validUntilMs ? this.fencing : undefined;
+  }
+
+  read(max: number): void {
+    this.readConfig(max);
+    this.readState(max);
+    this.ready ||=
+      this.fold.next === this.world.state.records.length &&
+      this.config.next === this.world.config.records.length;
+  }
+
+  flush(fate: Parameters<ScheduleWriter<StateRecord>['flush']>[0]): void {
+    this.stateWriter.flush(fate, this.world.nowMs);
+    const failed = this.configWriter.flush(fate, this.world.nowMs);
+    for (const value of failed) {
+      if (value.kind === 'config_published') {
+        this.world.toldFailed.add(value.text);
+      }
+    }
+  }
+
+  openStep(): void {
+    this.stateWriter.push(openStep(this.world.samples));
+  }
+
+  renew(): void {
+    const {stamp} = this.stateWriter.push({
+      kind: 'session',
+      ttlMs: SESSION_TTL_MS,
+    });
+    this.renewals.set(stamp.seq, this.world.nowMs);
+  }
+
+  claim(): void {
+    const lease = this.fold.leases.find(LEASE);
+    const held =
+      lease !== undefined && this.fold.leases.isHeld(lease, this.world.nowMs);
+    if (held) return;
+    this.renew();
+    this.stateWriter.push({kind: 'lease_claimed', lease: LEASE});
+  }
+
+  publish(): void {
+    const basedOn = this.config.current(TEAM)?.version ?? NO_VERSION;
+    const text = `${this.name}/${this.incarnation}/${++this.publications}`;
+    this.configWriter.push({
+      kind: 'config_published',
+      team: TEAM,
+      basedOn,
+      author: this.name,
+      text,
+    });
+  }
+
+  request(req: string): void {
+    this.stateWriter.push({
+      kind: 'request_claimed',
+      tenant: TENANT,
+      req: toRequestId(req),
+    });
+  }
+
+  /** Generates one sample that has no winner yet and proposes it. */
+  generate(sample: number): void {
+    const fencing = this.validFencing;
+    const step = this.step;
+    if (fencing === undefined || step === undefined) return;
+    if (step.findCommitted(0, sample) !== undefined) return;
+    const text = `${this.name}/${this.incarnation}/${++this.attempts}`;
+    this.texts.set(text, text);
+    this.stateWriter.push({
+      kind: 'samples_committed',
+      ...this.owner(fencing),
+      samples: [
+        {
+          group: 0,
+          sample,
+          attempt: this.attempts,
+          endpoint: toEndpointId('e1'),
+          spans: [{weightVersion: 1, tokens: 1}],
+          digest: text,
+        },
+      ],
+    });
+  }
+
+  /** The trainer connects and tells its cursor; returns the owner's number. */
+  connect(cursor: number): number | undefined {
+    const fencing = this.validFencing;
+    if (fencing === undefined) return undefined;
+    this.link = {fencing, sent: cursor};
+    this.acknowledge(cursor);
+    return fencing;
+  }
+
+  acknowledge(cursor: number): void {
+    const fencing = this.validFencing;
+    if (fencing === undefined) return;
+    this.stateWriter.push({
+      kind: 'cursor_acknowledged',
+      ...this.owner(fencing),
+      cursor,
+      weightVersion: 1,
+    });
+    if (cursor >= (this.step?.lastCursor ?? 0)) this.closeIfDone(fencing);
+  }
+
+  /** Hands over the next winners, in the order of their cursors. */
+  handOver(): readonly Handover[] {
+    const {link} = this;
+    const fencing = this.validFencing;
+    if (link === undefined || fencing === undefined) return [];
+    if (fencing !== link.fencing) return [];
+    const out: Handover[] = [];
+    for (const winner of this.step?.listCommitted() ?? []) {
+      if (winner.cursor <= link.sent) continue;
+      const text = this.texts.get(winner.digest);
+      if (text === undefined) {
+        this.voidWinner(fencing, winner);
+        break;
+      }
+      link.sent = winner.cursor;
+      const {cursor, sample} = winner;
+      out.push({fencing, cursor, sample, text});
+    }
+    return out;
+  }
+
+  checkpoint(): void {
+    const snapshot = this.fold.toSnapshot();
+    const carried =
+      this.world.guard === 'carried_claims'
+        ? {...snapshot, claims: []}
+        : snapshot;
+    for (const part of splitCheckpoint(snapshot.next, carried)) {
+      this.stateWriter.push(part);
+    }
+  }
+
+  get step() {
+    return this.fold.findStep(TENANT, STEP);
+  }
+
+  private owner(fencing: number) {
+    return {tenant: TENANT, step: STEP, fencing};
+  }
+
+  private voidWinner(fencing: number, winner: CommittedSample): void {
+    const cursors = [winner.cursor];
+    this.stateWriter.push({
+      kind: 'samples_voided',
+      ...this.owner(fencing),
+      cursors,
+    });
+  }
+
+  private closeIfDone(fencing: number): void {
+    const {step} = this;
+    if (step === undefined || step.committedCount < step.sampleCount) return;
+    this.stateWriter.push({
+      kind: 'step_closed',
+      ...this.owner(fencing),
+      reason: 'complete',
+    });
+  }
+
+  private readConfig(max: number): void {
+    const {records} = this.world.config;
+    for (const record of records.slice(this.config.next).slice(0, max)) {
+      const outcome = this.config.apply(record);
+      if (outcome.kind !== 'copy') this.configWriter.settle(record.value.stamp);
+    }
+  }
+
+  private readState(max: number): void {
+    if (this.fold.next < this.world.state.oldest) this.loadCheckpoint();
+    const {records} = this.world.state;
+    for (const record of records.slice(this.fold.next).slice(0, max)) {
+      this.applyState(record);
+    }
+  }
+
+  private applyState(record: LoggedRecord<StateRecord>): void {
+    const {value} = record;
+    const verdict = this.fold.apply(record);
+    if (verdict.kind === 'void' && verdict.reason === 'copy') return;
+    const own =
+      value.stamp.vm === this.name &&
+      value.stamp.incarnation === this.incarnation;
+    if (!own) return;
+    this.stateWriter.settle(value.stamp);
+    if (value.kind === 'session') this.confirmSession(value.stamp.seq);
+    if (value.kind === 'request_claimed' && verdict.kind === 'accepted') {
+      const {runs} = this.world;
+      runs.set(value.req, (runs.get(value.req) ?? 0) + 1);
+    }
+  }
+
+  private confirmSession(seq: number): void {
+    const sentAtMs = this.renewals.get(seq) ?? 0;
+    const untilMs = sentAtMs + SESSION_TTL_MS * LOCAL_VALIDITY_SHARE;
+    this.validUntilMs = Math.max(this.validUntilMs, untilMs);
+  }
+
+  private loadCheckpoint(): void {
+    const {records, oldest} = this.world.state;
+    const assembler = new CheckpointAssembler();
+    for (const record of records.slice(oldest)) {
+      if (record.value.kind !== 'checkpoint_part') continue;
+      const part = record as LoggedRecord<CheckpointPart>;
+      const checkpoint = assembler.add(part);
+      if (checkpoint === undefined || checkpoint.asOf < oldest) continue;
+      this.fold = createFold(this.world.guard, JSON.parse(checkpoint.text));
+      return;
+    }
+  }
+}
