--- /dev/null
+++ b/packages/daemon/src/app_api.ts
@@ -0,0 +1,242 @@
+/** The interface for apps: any request is routed by rule and streamed through. */
+
+import {randomUUID} from 'node:crypto';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Dispatcher as HttpDispatcher} from 'undici';
+import {computeDigest} from '@radishyoke/core/digest';
+import type {WorkItem} from '@radishyoke/core/scheduler';
+import {createError, RadishyokeError} from '@radishyoke/shared/error_kind';
+import {HEADERS} from '@radishyoke/shared/header';
+import {DataCentreId, RequestId, toRequestId} from '@radishyoke/shared/ids';
+import {fail, Result, succeed} from '@radishyoke/shared/result';
+import {sendError} from '@radishyoke/wire/error_answer';
+import {readBody} from '@radishyoke/wire/request_body';
+import {AppEnd, AppRunner} from './app_runner.js';
+import {
+  Caller,
+  createRouteHeaders,
+  identifyCaller,
+  readFacts,
+  readSingleHeader,
+} from './caller.js';
+import type {Dispatcher} from './dispatcher.js';
+import type {LogTask} from './log_task.js';
+import type {Logger} from './logger.js';
+import type {Route, RuleBook} from './rule_book.js';
+
+/** Methods that may be repeated (RFC 9110, section 9.2.2). */
+const idempotentMethods: ReadonlySet<string> = new Set([
+  'GET',
+  'HEAD',
+  'PUT',
+  'DELETE',
+  'OPTIONS',
+  'TRACE',
+]);
+
+/** Longest body that is kept to be sent again; a longer one is sent once. */
+const maxReplayBytes = 65_536;
+/** Longest silence of an endpoint within one request, ms. */
+const progressTimeoutMs = 10_000;
+const requestIdPattern = /^[\x21-\x7e]{1,200}$/;
+/** Expected output where a plain call to an engine does not say it, tokens. */
+const charsPerToken = 4;
+
+/** One finished request, for metrics and the audit. */
+export interface AppRecord {
+  readonly caller: Caller;
+  readonly requestId: RequestId;
+  readonly route: Route;
+  readonly end: AppEnd;
+  readonly durationMs: number;
+}
+
+export interface AppApiOptions {
+  readonly dataCentre: DataCentreId;
+  readonly rules: RuleBook;
+  readonly dispatcher: Dispatcher;
+  readonly http: HttpDispatcher;
+  readonly log: LogTask;
+  readonly logger: Logger;
+  readonly onEnd: (record: AppRecord) => void;
+}
+
+export class AppApi {
+  private inFlight = 0;
+
+  constructor(private readonly options: AppApiOptions) {}
+
+  /** Requests that have no answer yet. */
+  countInFlight(): number {
+    return this.inFlight;
+  }
+
+  async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const {rules, dataCentre} = this.options;
+    const caller = identifyCaller(req, rules);
+    if (!caller.ok) return this.refuse(res, caller.error);
+    const {tenant, team} = caller.value;
+    const route = rules.resolve(team, readFacts(req, tenant, dataCentre));
+    if (!route.ok) return this.refuse(res, route.error);
+    const idempotent = resolveIdempotent(req, route.value);
+    if (!idempotent.ok) return this.refuse(res, idempotent.error);
+    const body = await readReplayBody(req);
+    if (!body.ok) return this.refuse(res, body.error);
+    const id = await this.claimRequest(req, caller.value, idempotent.value);
+    if (!id.ok) return this.refuse(res, id.error);
+    this.submit(
+      {req, res, caller: caller.value, route: route.value, id: id.value},
+      body.value,
+      idempotent.value,
+    );
+  }
+
+  private refuse(res: ServerResponse, err: RadishyokeError): void {
+    sendError(res, err);
+  }
+
+  /**
+   * A caller that had no answer sends its non-idempotent request again, perhaps
+   * through another VM. The claim on its id goes through the log before anything
+   * is sent, so one VM wins and the request runs at most once.
+   */
+  private async claimRequest(
+    req: IncomingMessage,
+    caller: Caller,
+    idempotent: boolean,
+  ): Promise<Result<RequestId>> {
+    const given = readSingleHeader(req, HEADERS.requestId);
+    if (given === undefined) return succeed(toRequestId(randomUUID()));
+    if (!requestIdPattern.test(given)) {
+      const detail = `header ${HEADERS.requestId} is malformed`;
+      return fail(createError('bad_request', detail));
+    }
+    const id = toRequestId(given);
+    if (idempotent) return succeed(id);
+    const {tenant} = caller;
+    const claimed = await this.options.log.append({
+      kind: 'request_claimed',
+      tenant,
+      req: id,
+    });
+    if (!claimed.ok) return claimed;
+    const {verdict} = claimed.value;
+    if (verdict.kind === 'accepted') return succeed(id);
+    if (verdict.reason === 'claims_full') {
+      return fail(createError('overloaded', 'too many request ids are held'));
+    }
+    return fail(createError('duplicate_request'));
+  }
+
+  private submit(
+    call: AppCall,
+    body: Buffer | undefined,
+    idempotent: boolean,
+  ): void {
+    const {dispatcher, http} = this.options;
+    const work = buildWork(call, body, idempotent);
+    const startedAtMs = Date.now();
+    this.inFlight++;
+    const runner = new AppRunner({
+      workId: work.id,
+      req: call.req,
+      res: call.res,
+      body,
+      answerHeaders: createRouteHeaders(call.route),
+      progressTimeoutMs,
+      http,
+      dispatcher,
+      onEnd: end => this.finish(call, end, Date.now() - startedAtMs),
+    });
+    dispatcher.submit(work, runner);
+  }
+
+  private finish(call: AppCall, end: AppEnd, durationMs: number): void {
+    this.inFlight--;
+    const {caller, route, id} = call;
+    this.options.logger.log(end.error ? 'warn' : 'debug', 'request ended', {
+      requestId: id,
+      tenant: caller.tenant,
+      rule: route.rule,
+      configVersion: route.configVersion,
+      endpoint: end.endpoint?.id,
+      status: end.status,
+      attempts: end.attempts,
+      error: end.error?.kind,
+    });
+    this.options.onEnd({caller, requestId: id, route, end, durationMs});
+  }
+}
+
+interface AppCall {
+  readonly req: IncomingMessage;
+  readonly res: ServerResponse;
+  readonly caller: Caller;
+  readonly route: Route;
+  readonly id: RequestId;
+}
+
+let nextWork = 1;
+
+function buildWork(
+  call: AppCall,
+  body: Buffer | undefined,
+  idempotent: boolean,
+): WorkItem {
+  const {req, route, caller} = call;
+  const {action} = route;
+  const target = `${req.method} ${req.url}`;
+  const fingerprint = body?.length
+    ? `${target} ${computeDigest(body.toString('latin1'))}`
+    : target;
+  return {
+    id: `app/${nextWork++}`,
+    tenant: caller.tenant,
+    workClass: action.workClass ?? 'interactive',
+    group: action.group,
+    priority: action.priority,
+    deadlineAtMs: Date.now() + action.timeoutMs,
+    promptTokens: Math.ceil((body?.length ?? 0) / charsPerToken),
+    maxTokens: 0,
+    prefixKey: '',
+    stepKey: '',
+    groupKey: '',
+    minWeightVersion: 0,
+    idempotent,
+    maxAttempts: body === undefined ? 1 : action.maxAttempts,
+    fingerprint,
+  };
+}
+
+/** The rule says it first, then the caller's mark, then the method. */
+function resolveIdempotent(
+  req: IncomingMessage,
+  route: Route,
+): Result<boolean> {
+  const mark = readSingleHeader(req, HEADERS.nonIdempotent);
+  if (mark !== undefined && mark !== 'true' && mark !== 'false') {
+    const detail = `header ${HEADERS.nonIdempotent} must be true or false`;
+    return fail(createError('bad_request', detail));
+  }
+  // A caller that marks its request non-idempotent is believed over a rule: the
+  // other way round a note would be filed twice by a rule meant for reads.
+  if (mark === 'true') return succeed(false);
+  if (route.action.idempotent !== undefined) {
+    return succeed(route.action.idempotent);
+  }
+  if (mark === 'false') return succeed(true);
+  return succeed(idempotentMethods.has(req.method ?? ''));
+}
+
+/** Reads a short body whole; undefined where it must be streamed. */
+async function readReplayBody(
+  req: IncomingMessage,
+): Promise<Result<Buffer | undefined>> {
+  const length = req.headers['content-length'];
+  if (length === undefined) {
+    const chunked = req.headers['transfer-encoding'] !== undefined;
+    return succeed(chunked ? undefined : Buffer.alloc(0));
+  }
+  if (Number(length) > maxReplayBytes) return succeed(undefined);
+  return readBody(req, maxReplayBytes);
+}
--- /dev/null
+++ b/packages/daemon/src/caller.ts
@@ -0,0 +1,70 @@
+/** What every request of a caller goes through before its own handler. */
+
+import type {IncomingMessage} from 'node:http';
+import type {RuleFacts} from '@radishyoke/core/rule';
+import type {WorkClass} from '@radishyoke/core/scheduler';
+import {createError} from '@radishyoke/shared/error_kind';
+import {HEADERS} from '@radishyoke/shared/header';
+import type {DataCentreId, TeamId, TenantId} from '@radishyoke/shared/ids';
+import {toTenantId} from '@radishyoke/shared/ids';
+import {fail, Result, succeed} from '@radishyoke/shared/result';
+import type {Route, RuleBook} from './rule_book.js';
+
+/** Who calls. */
+export interface Caller {
+  readonly tenant: TenantId;
+  readonly team: TeamId;
+}
+
+/** Reads one header that may stand only once. */
+export function readSingleHeader(
+  req: IncomingMessage,
+  name: string,
+): string | undefined {
+  const value = req.headers[name];
+  return typeof value === 'string' ? value : undefined;
+}
+
+/** Finds the tenant and its team. */
+export function identifyCaller(
+  req: IncomingMessage,
+  rules: RuleBook,
+): Result<Caller> {
+  const name = readSingleHeader(req, HEADERS.tenant);
+  if (!name) {
+    return fail(
+      createError('unauthorized', `header ${HEADERS.tenant} missing`),
+    );
+  }
+  const tenant = toTenantId(name);
+  const team = rules.findTeam(tenant);
+  if (!team) return fail(createError('unauthorized', 'unknown tenant'));
+  return succeed({tenant, team});
+}
+
+/** Facts of `req` by which its rule is found. */
+export function readFacts(
+  req: IncomingMessage,
+  tenant: TenantId,
+  dataCentre: DataCentreId,
+  extra: {readonly workClass?: WorkClass; readonly model?: string} = {},
+): RuleFacts {
+  return {
+    tenant,
+    method: req.method ?? 'GET',
+    path: req.url ?? '/',
+    headers: req.headers,
+    dataCentre,
+    ...extra,
+  };
+}
+
+/** Headers that tell a caller which rule decided. */
+export function createRouteHeaders(
+  route: Route,
+): Readonly<Record<string, string>> {
+  return {
+    [HEADERS.rule]: route.rule,
+    [HEADERS.configVersion]: String(route.configVersion),
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/caller_server.ts
@@ -0,0 +1,113 @@
+/** The HTTP listener for callers. */
+
+import http from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {createError, RadishyokeError} from '@radishyoke/shared/error_kind';
+import {sendError, sendJson} from '@radishyoke/wire/error_answer';
+import type {AppApi} from './app_api.js';
+import type {Logger} from './logger.js';
+import type {LimitSettings} from './settings.js';
+import {StepApi} from './step_api.js';
+
+export interface CallerServerOptions {
+  /** `ip:port`; port 0 takes a free one. */
+  readonly address: string;
+  readonly limits: LimitSettings;
+  readonly steps: StepApi;
+  readonly apps: AppApi;
+  readonly logger: Logger;
+  /** Why this VM takes no new requests, if so. */
+  readonly findObstacle: () => RadishyokeError | undefined;
+}
+
+/** Time a kept-alive connection may stand idle; longer than balancers keep it. */
+const keepAliveTimeoutMs = 75_000;
+
+export class CallerServer {
+  private readonly server: http.Server;
+
+  constructor(private readonly options: CallerServerOptions) {
+    const {limits} = options;
+    this.server = http.createServer(
+      {
+        maxHeaderSize: limits.maxHeaderBytes,
+        keepAliveTimeout: keepAliveTimeoutMs,
+        headersTimeout: limits.slowWriterTimeoutMs,
+        requestTimeout: 0,
+      },
+      (req, res) => void this.handle(req, res),
+    );
+    this.server.maxConnections = limits.maxConnections;
+  }
+
+  /** Resolves with the address listened on. */
+  async listen(): Promise<string> {
+    const at = this.options.address.lastIndexOf(':');
+    const host = this.options.address.slice(0, at);
+    const port = Number(this.options.address.slice(at + 1));
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, host, resolve);
+    });
+    const bound = this.server.address() as AddressInfo;
+    return `${bound.address}:${bound.port}`;
+  }
+
+  /** Takes no new connection; resolves when the open ones have ended. */
+  async close(): Promise<void> {
+    const closed = new Promise<void>(resolve =>
+      this.server.close(() => resolve()),
+    );
+    this.server.closeIdleConnections();
+    await closed;
+  }
+
+  /** Breaks all connections. */
+  destroy(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  private async handle(
+    req: http.IncomingMessage,
+    res: http.ServerResponse,
+  ): Promise<void> {
+    const path = req.url ?? '/';
+    if (path === '/healthz') return sendJson(res, 200, {healthy: true});
+    const obstacle = this.options.findObstacle();
+    if (path === '/readyz' && !obstacle) {
+      return sendJson(res, 200, {ready: true});
+    }
+    if (obstacle) {
+      // The balancer sees a draining VM late; a caller told to go elsewhere
+      // must not come back over the same connection.
+      res.setHeader('connection', 'close');
+      return sendError(res, obstacle);
+    }
+    this.guardBody(req);
+    try {
+      if (StepApi.matches(path)) await this.options.steps.handle(req, res);
+      else await this.options.apps.handle(req, res);
+    } catch (err) {
+      this.options.logger.log('error', 'request handler failed', {
+        path,
+        detail: err instanceof Error ? (err.stack ?? err.message) : String(err),
+      });
+      sendError(res, createError('internal'));
+    }
+  }
+
+  /** Cuts off a caller that stops in the middle of its request's body. */
+  private guardBody(req: http.IncomingMessage): void {
+    const {slowWriterTimeoutMs} = this.options.limits;
+    const {socket} = req;
+    const cut = () => {
+      if (!req.complete) socket.destroy();
+    };
+    socket.setTimeout(slowWriterTimeoutMs, cut);
+    req.once('close', () => {
+      socket.setTimeout(0);
+      socket.off('timeout', cut);
+    });
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/serve.ts
@@ -0,0 +1,46 @@
+/** Runs one entry VM as a process, from a settings file to its drained end. */
+
+import {randomInt} from 'node:crypto';
+import {createLogger} from './logger.js';
+import {loadSettings} from './settings.js';
+import {Vm} from './vm.js';
+
+const exitOk = 0;
+const exitFailure = 1;
+const exitInvalidSettings = 3;
+const maxSeed = 2 ** 31;
+
+/** Resolves with the exit code when the VM has drained. */
+export async function runServe(path: string): Promise<number> {
+  const settings = await loadSettings(path);
+  if (!settings.ok) {
+    for (const problem of settings.error) {
+      process.stderr.write(`${JSON.stringify(problem)}\n`);
+    }
+    return exitInvalidSettings;
+  }
+  const {vm, logging, shutdown} = settings.value;
+  const logger = createLogger(logging.level, {
+    vm: vm.id,
+    dataCentre: vm.dataCentre,
+  });
+  const service = new Vm({
+    settings: settings.value,
+    logger,
+    seed: randomInt(maxSeed),
+  });
+  const told = waitForSignal();
+  await service.start();
+  const signal = await told;
+  logger.log('info', 'draining', {signal});
+  const report = await service.drain(shutdown.maxDrainMs);
+  logger.log(report.appsLeft > 0 ? 'warn' : 'info', 'stopped', {...report});
+  return report.appsLeft > 0 ? exitFailure : exitOk;
+}
+
+function waitForSignal(): Promise<string> {
+  return new Promise(resolve => {
+    process.once('SIGTERM', () => resolve('SIGTERM'));
+    process.once('SIGINT', () => resolve('SIGINT'));
+  });
+}
--- /dev/null
+++ b/packages/daemon/src/step_api.ts
@@ -0,0 +1,289 @@
+/** The interface for trainers: open, follow, acknowledge and cancel a step. */
+
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Dispatcher as HttpDispatcher} from 'undici';
+import {createError, RadishyokeError} from '@radishyoke/shared/error_kind';
+import {HEADERS} from '@radishyoke/shared/header';
+import {DataCentreId, StepId, toStepId, VmId} from '@radishyoke/shared/ids';
+import {fail, Result, succeed} from '@radishyoke/shared/result';
+import {StepRequest, stepRequestSchema} from '@radishyoke/shared/rollout';
+import {sendError, sendJson} from '@radishyoke/wire/error_answer';
+import {Forward} from '@radishyoke/wire/forward';
+import {readBody} from '@radishyoke/wire/request_body';
+import {z} from 'zod';
+import {
+  Caller,
+  createRouteHeaders,
+  identifyCaller,
+  readFacts,
+  readSingleHeader,
+} from './caller.js';
+import type {Route, RuleBook} from './rule_book.js';
+import type {LimitSettings} from './settings.js';
+import type {StepDirectory, StepPlace} from './step_directory.js';
+import {HEARTBEAT_MS} from './step_stream.js';
+
+const stepsPrefix = '/v1/steps/';
+const stepIdPattern = /^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$/;
+/** When a trainer should ask again for a step whose owner is not known, ms. */
+const ownerRetryMs = 500;
+/** Heartbeats missed before a forwarded stream is given up on. */
+const missedHeartbeats = 3;
+
+const cursorSchema = z.coerce.number().int().min(0);
+const acknowledgementSchema = z.strictObject({
+  cursor: z.number().int().min(0),
+  weightVersion: z.number().int().min(0),
+});
+
+export interface StepApiOptions {
+  readonly vm: VmId;
+  readonly dataCentre: DataCentreId;
+  readonly limits: LimitSettings;
+  readonly rules: RuleBook;
+  readonly directory: StepDirectory;
+  readonly http: HttpDispatcher;
+  /** `ip:port` of another VM's caller listener. */
+  readonly findCallerAddress: (vm: VmId) => string | undefined;
+}
+
+/** One call on a step. */
+interface StepCall {
+  readonly req: IncomingMessage;
+  readonly res: ServerResponse;
+  readonly caller: Caller;
+  readonly step: StepId;
+  readonly url: URL;
+  /** The body as received; empty for calls without one. */
+  readonly body: Buffer;
+}
+
+export class StepApi {
+  constructor(private readonly options: StepApiOptions) {}
+
+  /** Whether `path` belongs to this interface. */
+  static matches(path: string): boolean {
+    return path.startsWith(stepsPrefix);
+  }
+
+  async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const caller = identifyCaller(req, this.options.rules);
+    if (!caller.ok) return sendError(res, caller.error);
+    const url = new URL(req.url ?? '/', 'http://vm');
+    const [id = '', leaf = ''] = url.pathname
+      .slice(stepsPrefix.length)
+      .split('/');
+    if (!stepIdPattern.test(id)) {
+      return sendError(res, createError('bad_request', 'malformed step id'));
+    }
+    const body = await readBody(req, this.options.limits.maxBodyBytes);
+    if (!body.ok) return sendError(res, body.error);
+    const call: StepCall = {
+      req,
+      res,
+      caller: caller.value,
+      step: toStepId(id),
+      url,
+      body: body.value,
+    };
+    const err = await this.route(call, `${req.method} ${leaf}`.trim());
+    if (err) sendError(res, err);
+  }
+
+  private async route(
+    call: StepCall,
+    operation: string,
+  ): Promise<RadishyokeError | undefined> {
+    switch (operation) {
+      case 'PUT':
+        return this.open(call);
+      case 'GET rollouts':
+        return this.follow(call);
+      case 'POST ack':
+        return this.acknowledge(call);
+      case 'DELETE':
+        return this.cancel(call);
+      case 'GET':
+        return this.describe(call);
+      default:
+        return createError('not_found', `no operation ${operation} on a step`);
+    }
+  }
+
+  private async open(call: StepCall): Promise<RadishyokeError | undefined> {
+    const req = parseStepRequest(call.body, this.options.limits);
+    if (!req.ok) return req.error;
+    const {rules, dataCentre, directory} = this.options;
+    const {tenant, team} = call.caller;
+    const facts = readFacts(call.req, tenant, dataCentre, {
+      workClass: 'rollout',
+      model: req.value.model,
+    });
+    const route = rules.resolve(team, facts);
+    if (!route.ok) return route.error;
+    const place = await directory.open(
+      tenant,
+      call.step,
+      applyRule(req.value, route.value),
+      route.value,
+    );
+    if (!place.ok) return place.error;
+    const headers = createRouteHeaders(route.value);
+    const owner =
+      place.value.kind === 'elsewhere' ? place.value.vm : this.options.vm;
+    const state = place.value.kind === 'closed' ? 'closed' : 'open';
+    sendJson(call.res, 200, {step: call.step, state, owner}, headers);
+    return undefined;
+  }
+
+  private async follow(call: StepCall): Promise<RadishyokeError | undefined> {
+    const cursor = cursorSchema.safeParse(
+      call.url.searchParams.get('cursor') ?? 0,
+    );
+    const version = cursorSchema.safeParse(
+      call.url.searchParams.get('weightVersion') ?? 0,
+    );
+    if (!cursor.success || !version.success) {
+      const detail = 'cursor and weightVersion must be whole numbers';
+      return createError('bad_request', detail);
+    }
+    return this.withStep(call, place => {
+      if (place.kind === 'here') {
+        place.task.attach(call.res, cursor.data, version.data, {});
+        return;
+      }
+      const end = {kind: 'end', fencing: 0, ...countSettled(place)};
+      call.res.writeHead(200, {'content-type': 'application/x-ndjson'});
+      call.res.end(`${JSON.stringify(end)}\n`);
+    });
+  }
+
+  private async acknowledge(
+    call: StepCall,
+  ): Promise<RadishyokeError | undefined> {
+    const body = parseJson(call.body);
+    const parsed = acknowledgementSchema.safeParse(body);
+    if (!parsed.success) {
+      return createError('bad_request', z.prettifyError(parsed.error));
+    }
+    const {cursor, weightVersion} = parsed.data;
+    return this.withStep(call, place => {
+      if (place.kind === 'here') place.task.acknowledge(cursor, weightVersion);
+      sendJson(call.res, 202, {cursor});
+    });
+  }
+
+  private async cancel(call: StepCall): Promise<RadishyokeError | undefined> {
+    return this.withStep(call, place => {
+      if (place.kind === 'here') place.task.cancel();
+      sendJson(call.res, 202, {step: call.step});
+    });
+  }
+
+  private async describe(call: StepCall): Promise<RadishyokeError | undefined> {
+    return this.withStep(call, place => {
+      const {step} = call;
+      if (place.kind === 'here') {
+        const progress = place.task.describe();
+        sendJson(call.res, 200, {step, state: 'open', ...progress});
+        return;
+      }
+      const state = place.ledger.closed;
+      sendJson(call.res, 200, {step, state, ...countSettled(place)});
+    });
+  }
+
+  /** Answers here, or forwards to the VM that owns the step. */
+  private async withStep(
+    call: StepCall,
+    answer: (place: Exclude<StepPlace, {kind: 'elsewhere'}>) => void,
+  ): Promise<RadishyokeError | undefined> {
+    const {tenant} = call.caller;
+    const place = await this.options.directory.locate(tenant, call.step);
+    if (!place.ok) return place.error;
+    if (place.value.kind !== 'elsewhere') {
+      answer(place.value);
+      return undefined;
+    }
+    return this.forward(call, place.value.vm);
+  }
+
+  private async forward(
+    call: StepCall,
+    owner: VmId,
+  ): Promise<RadishyokeError | undefined> {
+    const retry = {retryAfterMs: ownerRetryMs};
+    const address = this.options.findCallerAddress(owner);
+    const {forwardedBy} = HEADERS;
+    // Two VMs that each take the other for the owner would send a request
+    // round between them; one hop is enough when the log is read.
+    if (!address || readSingleHeader(call.req, forwardedBy)) {
+      return createError('not_owner', undefined, retry);
+    }
+    const forward = new Forward(
+      this.options.http,
+      {
+        origin: `http://${address}`,
+        method: call.req.method ?? 'GET',
+        path: call.req.url ?? '/',
+        headers: {...call.req.headers, [forwardedBy]: this.options.vm},
+        body: call.body,
+        answerHeaders: {},
+        progressTimeoutMs: missedHeartbeats * HEARTBEAT_MS,
+      },
+      call.res,
+    );
+    const end = await forward.run();
+    if (end.kind !== 'failed') return undefined;
+    if (end.answered) {
+      call.res.destroy();
+      return undefined;
+    }
+    return createError('not_owner', `the owner ${owner} is not reached`, retry);
+  }
+}
+
+function parseJson(body: Buffer): unknown {
+  try {
+    return JSON.parse(body.toString('utf8'));
+  } catch {
+    return undefined;
+  }
+}
+
+function parseStepRequest(
+  body: Buffer,
+  limits: LimitSettings,
+): Result<StepRequest> {
+  const parsed = stepRequestSchema.safeParse(parseJson(body));
+  if (!parsed.success) {
+    return fail(createError('bad_request', z.prettifyError(parsed.error)));
+  }
+  const {groups} = parsed.data;
+  const samples = groups.reduce((sum, group) => sum + group.samples, 0);
+  const tooLarge =
+    groups.length > limits.maxGroups ||
+    samples > limits.maxSamples ||
+    groups.some(
+      group =>
+        group.samples > limits.maxSamplesPerGroup ||
+        Buffer.byteLength(group.prompt) > limits.maxPromptBytes,
+    );
+  if (tooLarge) {
+    return fail(createError('too_large', 'the step is over a size limit'));
+  }
+  return succeed(parsed.data);
+}
+
+/** Tightens the trainer's bound to the rule's. */
+function applyRule(req: StepRequest, route: Route): StepRequest {
+  const {maxStaleness} = route.action;
+  if (maxStaleness === undefined) return req;
+  return {...req, maxStaleness: Math.min(req.maxStaleness, maxStaleness)};
+}
+
+function countSettled(place: Extract<StepPlace, {kind: 'closed'}>) {
+  const committed = place.ledger.listCommitted();
+  const shortfalls = committed.filter(entry => entry.shortfall).length;
+  return {rollouts: committed.length - shortfalls, shortfalls};
+}
--- a/packages/daemon/src/step_directory.ts
+++ b/packages/daemon/src/step_directory.ts
@@ -118,6 +118,13 @@
     for (const task of [...this.tasks.values()]) task.leave();
   }
 
+  /** Stops without a word, as a crash would. */
+  stop(): void {
+    this.leaving = true;
+    clearInterval(this.scanner);
+    for (const task of this.tasks.values()) task.stop();
+  }
+
   private findOwner(ledger: StepLedger): VmId | undefined {
     const {log, vm} = this.options;
     const lease = log.state.leases.find(nameStepLease(ledger.key));
--- a/packages/daemon/src/step_task.ts
+++ b/packages/daemon/src/step_task.ts
@@ -142,6 +142,14 @@
     this.finish('left');
   }
 
+  /** Stops without a word to the log or the engines, as a crash would. */
+  stop(): void {
+    this.ended = true;
+    clearInterval(this.ticker);
+    clearTimeout(this.flushTimer);
+    for (const runner of this.runners.values()) runner.detachAll();
+  }
+
   private handle(input: StepInput): void {
     if (this.ended) return;
     this.carryOutAll(this.machine.handle(input, Date.now()));
--- /dev/null
+++ b/packages/daemon/src/vm.ts
@@ -0,0 +1,257 @@
+/** One entry VM: its tasks, wired together from its settings. */
+
+import {randomUUID} from 'node:crypto';
+import {Agent} from 'undici';
+import {PolicyScheduler} from '@radishyoke/core/policy_scheduler';
+import {createRandomBits} from '@radishyoke/core/random_bits';
+import type {Scheduler} from '@radishyoke/core/scheduler';
+import type {StepLedger} from '@radishyoke/core/step_ledger';
+import {HttpLogClient} from '@radishyoke/platform/http_log_client';
+import {HttpVmListClient} from '@radishyoke/platform/http_vm_list_client';
+import {HttpWeightStoreClient} from '@radishyoke/platform/http_weight_store_client';
+import {createError, RadishyokeError} from '@radishyoke/shared/error_kind';
+import {toIncarnationId, VmId} from '@radishyoke/shared/ids';
+import {AppApi} from './app_api.js';
+import {CallerServer} from './caller_server.js';
+import {Dispatcher} from './dispatcher.js';
+import {EndpointTask} from './endpoint_task.js';
+import {LogTask} from './log_task.js';
+import type {Logger} from './logger.js';
+import {OrderTask} from './order_task.js';
+import {checkRuleText, RuleBook} from './rule_book.js';
+import type {Settings} from './settings.js';
+import {StepApi} from './step_api.js';
+import {StepDirectory} from './step_directory.js';
+
+/** Appends a second that the platform's log grants to the whole deployment. */
+const deploymentAppendsPerSecond = 300;
+const claimHorizonMs = 3_600_000;
+/** Most connections to one endpoint. */
+const connectionsPerEndpoint = 512;
+const connectTimeoutMs = 1000;
+const drainPollMs = 50;
+/** Time the balancer has to see that this VM is not ready, ms. */
+const drainNoticeMs = 200;
+
+export interface VmOptions {
+  readonly settings: Settings;
+  readonly logger: Logger;
+  /** Seeds the scheduler's draws. */
+  readonly seed: number;
+  readonly scheduler?: Scheduler;
+}
+
+/** What was unfinished when a VM stopped. */
+export interface DrainReport {
+  readonly appsLeft: number;
+  readonly stepsHandedOver: number;
+}
+
+export class Vm {
+  readonly log: LogTask;
+  readonly dispatcher: Dispatcher;
+  readonly endpoints: EndpointTask;
+  readonly directory: StepDirectory;
+  readonly rules: RuleBook;
+  private readonly http: Agent;
+  private readonly logClient: HttpLogClient;
+  private readonly vmListClient: HttpVmListClient;
+  private readonly weightStoreClient: HttpWeightStoreClient;
+  private readonly orders: OrderTask;
+  private readonly apps: AppApi;
+  private readonly server: CallerServer;
+  private draining = false;
+
+  constructor(private readonly options: VmOptions) {
+    const {settings, logger} = options;
+    const {vm, platform, limits} = settings;
+    this.http = new Agent({
+      connections: connectionsPerEndpoint,
+      connectTimeout: connectTimeoutMs,
+      pipelining: 1,
+    });
+    this.logClient = new HttpLogClient(platform.log);
+    this.vmListClient = new HttpVmListClient(platform.vmList);
+    this.weightStoreClient = new HttpWeightStoreClient(platform.weightStore);
+    this.log = new LogTask(this.logClient, {
+      vm: vm.id,
+      incarnation: toIncarnationId(randomUUID()),
+      session: {
+        ttlMs: settings.leases.sessionTtlMs,
+        renewalMs: settings.leases.sessionRenewalMs,
+      },
+      deploymentAppendsPerSecond,
+      claimHorizonMs,
+      checkConfig: checkRuleText,
+    });
+    this.rules = new RuleBook(settings.tenants, () => this.log.config);
+    this.dispatcher = new Dispatcher(
+      options.scheduler ??
+        new PolicyScheduler(
+          {vm: vm.id, dataCentre: vm.dataCentre},
+          createRandomBits(options.seed),
+        ),
+    );
+    this.endpoints = new EndpointTask({
+      vmList: this.vmListClient,
+      dispatcher: this.dispatcher,
+      http: this.http,
+      logger,
+      listGroups: () => this.rules.listGroups(),
+    });
+    this.orders = new OrderTask({
+      log: this.log,
+      endpoints: this.endpoints,
+      weightStore: this.weightStoreClient,
+      http: this.http,
+      logger,
+    });
+    this.directory = this.createDirectory();
+    this.apps = new AppApi({
+      dataCentre: vm.dataCentre,
+      rules: this.rules,
+      dispatcher: this.dispatcher,
+      http: this.http,
+      log: this.log,
+      logger,
+      onEnd: () => undefined,
+    });
+    this.server = new CallerServer({
+      address: vm.callerAddress,
+      limits,
+      steps: new StepApi({
+        vm: vm.id,
+        dataCentre: vm.dataCentre,
+        limits,
+        rules: this.rules,
+        directory: this.directory,
+        http: this.http,
+        findCallerAddress: id => this.findCallerAddress(id),
+      }),
+      apps: this.apps,
+      logger,
+      findObstacle: () => this.findObstacle(),
+    });
+  }
+
+  /** Starts all tasks; resolves with the address callers connect to. */
+  async start(): Promise<string> {
+    void this.endpoints.vmLists.observe(vms => {
+      const live = vms.filter(entry => entry.state === 'live');
+      this.setLiveVms(live.map(entry => entry.id));
+    });
+    void this.dispatcher.notices.observe(notice => {
+      const {endpoint, fingerprints} = notice;
+      void this.log.append({kind: 'crash_seen', endpoint, fingerprints});
+    });
+    void this.log.changes.observe(change => {
+      if (change.kind !== 'state') return;
+      const {value} = change.judged.record;
+      if (value.kind !== 'crash_seen') return;
+      if (value.stamp.vm === this.options.settings.vm.id) return;
+      const {fingerprints} = value;
+      this.dispatcher.post({kind: 'suspects', fingerprints});
+    });
+    this.log.start();
+    await this.endpoints.start();
+    this.orders.start();
+    const address = await this.server.listen();
+    this.options.logger.log('info', 'VM ready for callers', {address});
+    return address;
+  }
+
+  /**
+   * Leaves well: takes no new work, gives steps to other VMs and waits for
+   * requests in flight, at most `maxDrainMs`.
+   */
+  async drain(maxDrainMs: number): Promise<DrainReport> {
+    this.draining = true;
+    const deadlineAtMs = Date.now() + maxDrainMs;
+    await sleep(drainNoticeMs);
+    const stepsHandedOver = this.directory.listTasks().size;
+    this.directory.leave();
+    while (this.apps.countInFlight() > 0 && Date.now() < deadlineAtMs) {
+      await sleep(drainPollMs);
+    }
+    const appsLeft = this.apps.countInFlight();
+    await Promise.race([this.log.leave(), sleep(drainNoticeMs)]);
+    await this.stop();
+    return {appsLeft, stepsHandedOver};
+  }
+
+  /** Stops at once, as a crash would, but for closed sockets. */
+  async stop(): Promise<void> {
+    this.orders.stop();
+    this.endpoints.stop();
+    this.directory.stop();
+    this.dispatcher.close();
+    this.log.stop();
+    this.server.destroy();
+    await Promise.allSettled([
+      this.logClient.close(),
+      this.vmListClient.close(),
+      this.weightStoreClient.close(),
+      this.http.destroy(),
+    ]);
+  }
+
+  private createDirectory(): StepDirectory {
+    const {settings, logger} = this.options;
+    const {vm, limits} = settings;
+    return new StepDirectory({
+      vm: vm.id,
+      log: this.log,
+      dispatcher: this.dispatcher,
+      http: this.http,
+      logger,
+      slowReaderTimeoutMs: limits.slowReaderTimeoutMs,
+      maxOpenSteps: limits.maxOpenSteps,
+      resolveRoute: ledger => this.resolveStepRoute(ledger),
+      onSettled: () => undefined,
+      onEnd: () => undefined,
+    });
+  }
+
+  private resolveStepRoute(ledger: StepLedger) {
+    const {tenant, step, req} = ledger.opening;
+    const team = this.rules.findTeam(tenant);
+    if (!team) {
+      const err = createError('no_rule', 'the tenant has no team');
+      return {ok: false, error: err} as const;
+    }
+    return this.rules.resolve(team, {
+      tenant,
+      workClass: 'rollout',
+      model: req.model,
+      method: 'PUT',
+      path: `/v1/steps/${step}`,
+      headers: {},
+      dataCentre: this.options.settings.vm.dataCentre,
+    });
+  }
+
+  private setLiveVms(vms: readonly VmId[]): void {
+    const own = this.options.settings.vm.id;
+    const live = vms.includes(own) ? vms : [...vms, own];
+    this.dispatcher.post({kind: 'vms', vms: live});
+    this.directory.setLiveVms(live);
+    this.log.setLiveVms(live.length);
+  }
+
+  private findCallerAddress(id: VmId): string | undefined {
+    const entry = this.endpoints.listVms().find(vm => vm.id === id);
+    return entry?.callerAddress;
+  }
+
+  private findObstacle(): RadishyokeError | undefined {
+    if (this.draining) {
+      return createError('draining', undefined, {retryAfterMs: 0});
+    }
+    if (!this.log.health().caughtUp) return createError('not_current');
+    return undefined;
+  }
+}
+
+function sleep(ms: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, ms));
+}
