feat(core): groups by endpoint id and caps per tenant in the scheduler's contract

Cause: rules name groups by endpoint ids and bound queue and attempts of a tenant; the contract had no place for either. Change: event `groups`, optional hedge, maxQueue and maxInFlight of a work. Existing events and actions keep their shapes.

--- a/packages/core/src/endpoint_directory.ts
+++ b/packages/core/src/endpoint_directory.ts
@@ -10,7 +10,7 @@
 import {EndpointState, VmView} from './endpoint_state.js';
 import {FairQueue} from './fair_queue.js';
 import type {RandomBits} from './random_bits.js';
-import type {WorkClass} from './scheduler.js';
+import type {NamedGroup, WorkClass} from './scheduler.js';
 import type {WorkState} from './work_state.js';
 
 /** One group's endpoints and what waits for them. */
@@ -39,6 +39,8 @@
   readonly groups = new Map<string, EndpointGroup>();
   readonly endpoints = new Map<EndpointId, EndpointState>();
   view: VmView;
+  private namedGroups: readonly NamedGroup[] = [];
+  private readonly memberships = new Map<EndpointState, Set<EndpointGroup>>();
   private readonly peerEndpoints = new Map<VmId, ReadonlySet<EndpointId>>();
   /** Endpoints whose backoff ends with time alone. */
   private readonly suspected = new Set<EndpointState>();
@@ -59,8 +61,18 @@
     return group;
   }
 
-  groupOf(endpoint: EndpointState): EndpointGroup {
-    return this.getGroup(endpoint.info.group);
+  /** The groups that an endpoint is in: its label's and those that name it. */
+  groupsOf(endpoint: EndpointState): Iterable<EndpointGroup> {
+    return this.memberships.get(endpoint) ?? [];
+  }
+
+  /** Takes the groups that rules define by endpoint. */
+  setNamedGroups(groups: readonly NamedGroup[], nowMs: number): void {
+    this.namedGroups = groups;
+    for (const endpoint of this.endpoints.values()) {
+      this.updateMembership(endpoint);
+      this.refresh(endpoint, nowMs);
+    }
   }
 
   /** Takes the VM list. An endpoint that is no longer listed has left. */
@@ -108,8 +120,15 @@
       endpoint.dropPrefix(prefixKey);
       return;
     }
+    this.notePrefix(endpoint, prefixKey);
+  }
+
+  /** The endpoint holds the prefix, or will once it has read the prompt. */
+  notePrefix(endpoint: EndpointState, prefixKey: string): void {
     endpoint.notePrefix(prefixKey);
-    this.groupOf(endpoint).pool.noteHolder(prefixKey, endpoint);
+    for (const group of this.groupsOf(endpoint)) {
+      group.pool.noteHolder(prefixKey, endpoint);
+    }
   }
 
   /** To be called after anything about the endpoint changed. */
@@ -117,7 +136,9 @@
     if (this.endpoints.get(endpoint.id) !== endpoint) return;
     if (endpoint.health.suspected) this.suspected.add(endpoint);
     else this.suspected.delete(endpoint);
-    this.groupOf(endpoint).pool.refresh(endpoint, this.view, nowMs);
+    for (const group of this.groupsOf(endpoint)) {
+      group.pool.refresh(endpoint, this.view, nowMs);
+    }
   }
 
   /** Looks again at the endpoints that come back with time. */
@@ -129,24 +150,35 @@
 
   private setEndpoint(info: EndpointInfo, nowMs: number): void {
     let endpoint = this.endpoints.get(info.id);
-    if (endpoint && endpoint.info.group !== info.group) {
-      this.removeEndpoint(endpoint);
-      endpoint = undefined;
-    }
     if (!endpoint) {
       endpoint = new EndpointState(info);
       this.endpoints.set(info.id, endpoint);
-      this.groupOf(endpoint).pool.add(endpoint);
     }
     endpoint.info = info;
     endpoint.health.noteListed(info);
+    this.updateMembership(endpoint);
     this.refresh(endpoint, nowMs);
   }
 
   private removeEndpoint(endpoint: EndpointState): void {
     this.endpoints.delete(endpoint.id);
     this.suspected.delete(endpoint);
-    this.groupOf(endpoint).pool.remove(endpoint);
+    for (const group of this.groupsOf(endpoint)) group.pool.remove(endpoint);
+    this.memberships.delete(endpoint);
+  }
+
+  private updateMembership(endpoint: EndpointState): void {
+    const names = this.namedGroups
+      .filter(group => group.endpoints.includes(endpoint.id))
+      .map(group => group.name);
+    const groups = new Set(
+      [endpoint.info.group, ...names].map(name => this.getGroup(name)),
+    );
+    for (const group of this.groupsOf(endpoint)) {
+      if (!groups.has(group)) group.pool.remove(endpoint);
+    }
+    for (const group of groups) group.pool.add(endpoint);
+    this.memberships.set(endpoint, groups);
   }
 
   private notePeerAt(
--- a/packages/core/src/endpoint_pool.ts
+++ b/packages/core/src/endpoint_pool.ts
@@ -7,7 +7,8 @@
 import type {EndpointId} from '@radishyoke/shared/ids';
 import type {EndpointState, VmView} from './endpoint_state.js';
 import {scoreEndpoint, ScoredWork, ScoreView} from './endpoint_score.js';
-import {drawBelow, RandomBits} from './random_bits.js';
+import {DrawSet} from './draw_set.js';
+import type {RandomBits} from './random_bits.js';
 import type {WorkClass} from './scheduler.js';
 
 /** Candidates drawn at random for a choice. */
@@ -29,8 +30,10 @@
 export class EndpointPool {
   readonly endpoints = new Map<EndpointId, EndpointState>();
   newestVersion = 0;
-  private readonly usable: EndpointState[] = [];
-  private readonly open: EndpointState[] = [];
+  /** May get work at all. */
+  private readonly usable = new DrawSet<EndpointState>();
+  /** Have room for one more rollout. */
+  private readonly open = new DrawSet<EndpointState>();
   private readonly holders = new Map<string, EndpointState[]>();
 
   constructor(private readonly random: RandomBits) {}
@@ -41,25 +44,25 @@
 
   remove(endpoint: EndpointState): void {
     this.endpoints.delete(endpoint.id);
-    this.setMember(this.usable, 'usable', endpoint, false);
-    this.setMember(this.open, 'open', endpoint, false);
+    this.usable.set(endpoint, false);
+    this.open.set(endpoint, false);
   }
 
   /** Brings the index up to date after anything changed at the endpoint. */
   refresh(endpoint: EndpointState, view: VmView, nowMs: number): void {
     const isUsable = this.isUsable(endpoint, nowMs);
     const isOpen = isUsable && endpoint.hasRoomFor('rollout', view);
-    this.setMember(this.usable, 'usable', endpoint, isUsable);
-    this.setMember(this.open, 'open', endpoint, isOpen);
+    this.usable.set(endpoint, isUsable);
+    this.open.set(endpoint, isOpen);
     this.newestVersion = Math.max(this.newestVersion, endpoint.weightVersion);
   }
 
   get hasUsable(): boolean {
-    return this.usable.length > 0;
+    return this.usable.size > 0;
   }
 
   get hasOpen(): boolean {
-    return this.open.length > 0;
+    return this.open.size > 0;
   }
 
   /** Remembers where a prefix was sent. */
@@ -80,7 +83,7 @@
     vms: VmView,
     view: ScoreView,
   ): EndpointState | undefined {
-    const array = choice.workClass === 'rollout' ? this.open : this.usable;
+    const set = choice.workClass === 'rollout' ? this.open : this.usable;
     let best: EndpointState | undefined;
     let bestScore = Infinity;
     const consider = (endpoint: EndpointState): boolean => {
@@ -93,16 +96,16 @@
       }
       return true;
     };
-    if (array.length <= DRAWN_CANDIDATES + PREFIX_CANDIDATES) {
-      array.forEach(consider);
+    if (set.size <= DRAWN_CANDIDATES + PREFIX_CANDIDATES) {
+      set.list().forEach(consider);
       return best;
     }
     for (const endpoint of this.holders.get(choice.prefixKey) ?? []) {
-      if (isMember(endpoint, choice.workClass)) consider(endpoint);
+      if (set.has(endpoint)) consider(endpoint);
     }
     let drawn = 0;
     for (let i = 0; i < MAX_DRAWS && drawn < DRAWN_CANDIDATES; i++) {
-      if (consider(array[drawBelow(this.random, array.length)])) drawn++;
+      if (consider(set.draw(this.random))) drawn++;
     }
     return best;
   }
@@ -112,38 +115,11 @@
     // After a failure one probe at a time, until something is heard.
     return !endpoint.health.suspected || endpoint.inFlight === 0;
   }
-
-  private setMember(
-    array: EndpointState[],
-    name: 'usable' | 'open',
-    endpoint: EndpointState,
-    isMember: boolean,
-  ): void {
-    const {positions} = endpoint;
-    const at = positions[name];
-    if (isMember === at >= 0) return;
-    if (isMember) {
-      positions[name] = array.length;
-      array.push(endpoint);
-      return;
-    }
-    const last = array.pop()!;
-    if (last !== endpoint) {
-      array[at] = last;
-      last.positions[name] = at;
-    }
-    positions[name] = -1;
-  }
 }
 
 /** What an endpoint that failed this very work counts as worse by. */
 const AVOIDED_COST_MS = 60_000;
 
-function isMember(endpoint: EndpointState, workClass: WorkClass): boolean {
-  const {positions} = endpoint;
-  return (workClass === 'rollout' ? positions.open : positions.usable) >= 0;
-}
-
 function isEligible(
   endpoint: EndpointState,
   choice: Choice,
--- a/packages/core/src/endpoint_state.ts
+++ b/packages/core/src/endpoint_state.ts
@@ -25,8 +25,6 @@
   readonly id: EndpointId;
   readonly limit = new ConcurrencyLimit();
   readonly health = new EndpointHealth();
-  /** Position in the pool's arrays; -1 when not in them. */
-  readonly positions = {usable: -1, open: -1};
   report?: LoadReport;
   weightVersion = 0;
   /** Own attempts in flight here. */
--- a/packages/core/src/policy_scheduler.ts
+++ b/packages/core/src/policy_scheduler.ts
@@ -32,6 +32,7 @@
 } from './scheduler.js';
 import {judgeStraggler, StragglerPolicy} from './straggler.js';
 import {SuspectList} from './suspect_list.js';
+import {TenantCap} from './tenant_cap.js';
 import {Attempt, WorkState} from './work_state.js';
 
 /** Works of one tenant that may wait in one group, by class. */
@@ -69,6 +70,7 @@
   private readonly suspects = new SuspectList();
   private readonly retries = new RetryBudget();
   private readonly stragglers = new StragglerPolicy();
+  private readonly caps = new TenantCap();
   private readonly lengths = new LengthEstimate();
   private readonly dirty = new Set<EndpointGroup>();
   private actions: SchedulerAction[] = [];
@@ -114,6 +116,9 @@
       case 'endpoints':
         this.directory.setEndpoints(event.endpoints, this.nowMs);
         return this.markAllDirty();
+      case 'groups':
+        this.directory.setNamedGroups(event.groups, this.nowMs);
+        return this.markAllDirty();
       case 'vms':
         this.directory.setVms(event.vms, this.nowMs);
         return this.markAllDirty();
@@ -196,7 +201,8 @@
     if (queue.size === 0) return undefined;
     const ahead = queue.measureCostAhead(tenant);
     const waitMs = group.drains[workClass].estimateMs(ahead);
-    const isFull = queue.countOf(tenant) >= MAX_QUEUED[workClass];
+    const maxQueue = work.item.maxQueue ?? MAX_QUEUED[workClass];
+    const isFull = queue.countOf(tenant) >= maxQueue;
     if (isFull) {
       // Room for one more comes with the next one that leaves.
       const oneMs = waitMs && waitMs / queue.countOf(tenant);
@@ -291,6 +297,12 @@
     while (workClass === 'rollout' ? pool.hasOpen : pool.hasUsable) {
       const work = queue.peek();
       if (!work) break;
+      if (this.caps.isFull(work)) {
+        queue.pop();
+        work.phase = 'held';
+        this.caps.hold(work);
+        continue;
+      }
       const endpoint = this.chooseEndpoint(group, work);
       if (endpoint) {
         queue.pop();
@@ -396,11 +408,13 @@
     work.phase = 'running';
     work.running.push(attempt);
     work.lastEndpoint = undefined;
+    this.caps.noteStart(work.tenant);
     endpoint.attempts.add(attempt);
     endpoint.running[item.workClass]++;
     endpoint.pendingPromptTokens += item.promptTokens;
-    endpoint.notePrefix(item.prefixKey);
-    this.groupOf(work).pool.noteHolder(item.prefixKey, endpoint);
+    if (item.prefixKey !== '') {
+      this.directory.notePrefix(endpoint, item.prefixKey);
+    }
     this.directory.refresh(endpoint, this.nowMs);
     return attempt;
   }
@@ -445,6 +459,8 @@
     if (endpoint.attempts.delete(attempt)) {
       endpoint.running[work.item.workClass]--;
     }
+    const released = this.caps.noteEnd(work.tenant);
+    if (released) this.queue(released);
     const group = this.groupOf(work);
     if (group.quarantineRunning === work) {
       group.quarantineRunning = undefined;
@@ -642,6 +658,7 @@
   private unqueue(work: WorkState): void {
     const group = this.groupOf(work);
     if (work.phase === 'queued') group.queues[work.item.workClass].remove(work);
+    if (work.phase === 'held') this.caps.remove(work);
     if (work.phase === 'parked') {
       group.parked = group.parked.filter(other => other !== work);
     }
@@ -749,7 +766,8 @@
     const remaining = this.estimateLength(item, tokens) - tokens;
     const action = judgeStraggler(attempt, target, remaining, this.nowMs);
     if (action === 'leave') return;
-    if (action === 'hedge' && !this.options.hedging) return;
+    const mayHedge = this.options.hedging && item.hedge !== false;
+    if (action === 'hedge' && !mayHedge) return;
     if (action === 'move' && !this.options.moving) return;
     if (!this.stragglers.takeBudget(work.tenant, this.nowMs)) return;
     this.keepPartial(attempt, 'silent');
@@ -764,7 +782,9 @@
     if (!endpoint) return;
     endpoint.markAllowanceStale();
     this.directory.refresh(endpoint, this.nowMs);
-    this.dirty.add(this.directory.groupOf(endpoint));
+    for (const group of this.directory.groupsOf(endpoint)) {
+      this.dirty.add(group);
+    }
   }
 
   private markAllDirty(): void {
--- a/packages/core/src/scheduler.ts
+++ b/packages/core/src/scheduler.ts
@@ -45,10 +45,24 @@
   readonly maxAttempts: number;
   /** Digest of what the endpoint is asked to do; equal for a resent request. */
   readonly fingerprint: string;
+  /** Whether a late attempt may run beside the first; true when absent. */
+  readonly hedge?: boolean;
+  /** Most works of the tenant that may wait in the group on this VM. */
+  readonly maxQueue?: number;
+  /** Most works of the tenant that may run at once from this VM. */
+  readonly maxInFlight?: number;
+}
+
+/** A group of endpoints that a rule set defines by their ids. */
+export interface NamedGroup {
+  readonly name: string;
+  readonly endpoints: readonly EndpointId[];
 }
 
 export type SchedulerEvent =
   | {readonly kind: 'endpoints'; readonly endpoints: readonly EndpointInfo[]}
+  /** Groups by endpoint id, besides those that the VM list's labels make. */
+  | {readonly kind: 'groups'; readonly groups: readonly NamedGroup[]}
   /** Live VMs of the service, this one included. */
   | {readonly kind: 'vms'; readonly vms: readonly VmId[]}
   | {readonly kind: 'load'; readonly report: LoadReport}
--- a/packages/core/src/work_state.ts
+++ b/packages/core/src/work_state.ts
@@ -37,6 +37,8 @@
   | 'queued'
   /** No endpoint has the weights it needs. */
   | 'parked'
+  /** Its tenant runs as many as its rule allows. */
+  | 'held'
   /** Under suspicion: waits to run with no other suspect. */
   | 'quarantined'
   /** Waits for its retry. */
