feat(bench): decisions a second at 6, 72 and 720 endpoints

Cause: a choice must not cost more with more endpoints. Change: experiment `decide`: rule look-up, enqueue, choice and end of one work a decision. The prefix of a work is looked up once a choice rather than once a candidate; endpoints' own prefix maps are gone.

--- /dev/null
+++ b/packages/bench/src/decide.ts
@@ -0,0 +1,207 @@
+/**
+ * How many decisions one core makes a second: the rule of a request is found,
+ * its work queued, an endpoint chosen, and an earlier work ended.
+ */
+
+import type {RuleSet} from '@radishyoke/core/rule';
+import {compileRules, resolveRule} from '@radishyoke/core/rule_matcher';
+import {PolicyScheduler} from '@radishyoke/core/policy_scheduler';
+import {createRandomBits} from '@radishyoke/core/random_bits';
+import type {SchedulerAction, WorkItem} from '@radishyoke/core/scheduler';
+import type {EndpointInfo} from '@radishyoke/shared/endpoint';
+import {
+  toDataCentreId,
+  toEndpointId,
+  toTeamId,
+  toTenantId,
+  toVmId,
+} from '@radishyoke/shared/ids';
+
+const ENDPOINT_COUNTS = [6, 72, 720] as const;
+const RULE_COUNTS = [10, 200] as const;
+const SEED = 1;
+const WARM_UP_MS = 300;
+const SLICE_MS = 200;
+const SLICES = 5;
+/** Decisions between two looks at the clock. */
+const BATCH = 500;
+/** Works in flight for each endpoint. */
+const LOAD_PER_ENDPOINT = 4;
+const PEERS = 10;
+const GROUP = 'tutors';
+
+/** One line of output. */
+export interface DecideLine {
+  readonly endpoints: number;
+  readonly rules: number;
+  readonly decisionsPerSecond: number;
+  /** Cost of one decision, relative to 6 endpoints and the same rules. */
+  readonly costTo6Endpoints: number;
+}
+
+/** Measures all cases, smallest first. */
+export function* runDecide(): Generator<DecideLine> {
+  for (const rules of RULE_COUNTS) {
+    let atSix = 0;
+    for (const endpoints of ENDPOINT_COUNTS) {
+      const decisionsPerSecond = Math.round(measure(endpoints, rules));
+      if (atSix === 0) atSix = decisionsPerSecond;
+      const costTo6Endpoints = Number((atSix / decisionsPerSecond).toFixed(2));
+      yield {endpoints, rules, decisionsPerSecond, costTo6Endpoints};
+    }
+  }
+}
+
+/** The median of a few slices, so that one pause of the machine doesn't count. */
+function measure(endpoints: number, rules: number): number {
+  const driver = new DecideDriver(endpoints, rules);
+  driver.run(WARM_UP_MS);
+  const rates = Array.from({length: SLICES}, () => driver.run(SLICE_MS));
+  return rates.sort((a, b) => a - b)[Math.floor(SLICES / 2)];
+}
+
+class DecideDriver {
+  private readonly scheduler = new PolicyScheduler(
+    {vm: toVmId('vm-0'), dataCentre: toDataCentreId('dc-0')},
+    createRandomBits(SEED),
+  );
+  private readonly compiled;
+  private readonly running: {workId: string; attempt: number}[] = [];
+  private oldest = 0;
+  private made = 0;
+
+  constructor(
+    private readonly endpoints: number,
+    private readonly rules: number,
+  ) {
+    this.compiled = compileRules(createRules(rules));
+    this.setUp();
+  }
+
+  /** Decides for `durationMs` and returns the decisions a second. */
+  run(durationMs: number): number {
+    const startMs = performance.now();
+    const before = this.made;
+    let elapsedMs = 0;
+    while (elapsedMs < durationMs) {
+      for (let i = 0; i < BATCH; i++) this.decide();
+      elapsedMs = performance.now() - startMs;
+    }
+    return ((this.made - before) / elapsedMs) * 1e3;
+  }
+
+  private decide(): void {
+    const index = this.made++;
+    const tenant = toTenantId(`tenant-${index % this.rules}`);
+    const decision = resolveRule(this.compiled, {
+      tenant,
+      workClass: 'rollout',
+      model: 'm',
+      method: 'POST',
+      path: '/v1/completions',
+      headers: {},
+      dataCentre: toDataCentreId('dc-0'),
+    });
+    if (decision?.then.kind !== 'route') throw new Error('no rule matched');
+    const work = createWork(index, tenant, decision.then.group);
+    this.note(this.scheduler.handle({kind: 'enqueue', work}, index / 10));
+    if (this.running.length - this.oldest <= this.endpoints * LOAD_PER_ENDPOINT)
+      return;
+    this.endOldest(index / 10);
+  }
+
+  private endOldest(nowMs: number): void {
+    const {workId, attempt} = this.running[this.oldest++];
+    const outcome = {kind: 'finished', tokens: 40, spans: []} as const;
+    const event = {kind: 'ended', workId, attempt, outcome} as const;
+    this.note(this.scheduler.handle(event, nowMs));
+    if (this.oldest < 10_000) return;
+    this.running.splice(0, this.oldest);
+    this.oldest = 0;
+  }
+
+  private note(actions: readonly SchedulerAction[]): void {
+    for (const action of actions) {
+      if (action.kind === 'start') this.running.push(action);
+      else if (action.kind !== 'done') throw new Error(action.kind);
+    }
+  }
+
+  private setUp(): void {
+    const infos = Array.from({length: this.endpoints}, (_, i) =>
+      createEndpoint(i),
+    );
+    this.scheduler.handle({kind: 'endpoints', endpoints: infos}, 0);
+    const vms = Array.from({length: PEERS}, (_, i) => toVmId(`vm-${i}`));
+    this.scheduler.handle({kind: 'vms', vms}, 0);
+    for (const {id} of infos) {
+      const report = {
+        endpoint: id,
+        running: 4,
+        waiting: 0,
+        waitingPromptTokens: 0,
+        tokensPerSecond: 500,
+        weightVersion: 1,
+        leaving: false,
+        measuredAtMs: 0,
+      };
+      this.scheduler.handle({kind: 'load', report}, 0);
+    }
+    const inFlight = new Map(infos.map(({id}) => [id, 1]));
+    this.scheduler.handle({kind: 'peer_load', vm: vms[1], inFlight}, 0);
+  }
+}
+
+function createRules(count: number): RuleSet {
+  const rules = Array.from({length: count}, (_, i) => ({
+    name: `rule-${i}`,
+    when: {tenant: [`tenant-${i}`], pathPrefix: ['/v1'], headers: {}},
+    then: {
+      kind: 'route' as const,
+      group: GROUP,
+      maxAttempts: 3,
+      timeoutMs: 60_000,
+      priority: 0,
+      maxQueue: 1000,
+      hedge: true,
+    },
+  }));
+  return {team: toTeamId('team'), groups: [], rules};
+}
+
+function createEndpoint(index: number): EndpointInfo {
+  return {
+    id: toEndpointId(`engine-${index}`),
+    kind: 'engine',
+    address: `127.0.0.1:${index}`,
+    dataCentre: toDataCentreId(`dc-${index % 3}`),
+    group: GROUP,
+    state: 'live',
+    checksFencing: true,
+  };
+}
+
+function createWork(
+  index: number,
+  tenant: WorkItem['tenant'],
+  group: string,
+): WorkItem {
+  const step = Math.floor(index / 128);
+  return {
+    id: `work-${index}`,
+    tenant,
+    workClass: 'rollout',
+    group,
+    priority: 0,
+    deadlineAtMs: index + 60_000,
+    promptTokens: 200,
+    maxTokens: 1000,
+    prefixKey: `prefix-${Math.floor(index / 8)}`,
+    stepKey: `step-${step}`,
+    groupKey: `group-${Math.floor(index / 8)}`,
+    minWeightVersion: 1,
+    idempotent: true,
+    maxAttempts: 3,
+    fingerprint: `print-${index}`,
+  };
+}
--- a/packages/core/src/endpoint_directory.ts
+++ b/packages/core/src/endpoint_directory.ts
@@ -116,18 +116,16 @@
   noteCache(id: EndpointId, prefixKey: string, cached: boolean): void {
     const endpoint = this.endpoints.get(id);
     if (!endpoint) return;
-    if (!cached) {
-      endpoint.dropPrefix(prefixKey);
-      return;
+    if (cached) return this.notePrefix(endpoint, prefixKey);
+    for (const group of this.groupsOf(endpoint)) {
+      group.pool.prefixes.drop(prefixKey, endpoint);
     }
-    this.notePrefix(endpoint, prefixKey);
   }
 
   /** The endpoint holds the prefix, or will once it has read the prompt. */
   notePrefix(endpoint: EndpointState, prefixKey: string): void {
-    endpoint.notePrefix(prefixKey);
     for (const group of this.groupsOf(endpoint)) {
-      group.pool.noteHolder(prefixKey, endpoint);
+      group.pool.prefixes.note(prefixKey, endpoint);
     }
   }
 
--- a/packages/core/src/endpoint_pool.ts
+++ b/packages/core/src/endpoint_pool.ts
@@ -8,33 +8,35 @@
 import type {EndpointState, VmView} from './endpoint_state.js';
 import {scoreEndpoint, ScoredWork, ScoreView} from './endpoint_score.js';
 import {DrawSet} from './draw_set.js';
+import {PrefixIndex} from './prefix_index.js';
 import type {RandomBits} from './random_bits.js';
 import type {WorkClass} from './scheduler.js';
 
 /** Candidates drawn at random for a choice. */
 const DRAWN_CANDIDATES = 4;
-/** Endpoints tried that are believed to hold the work's prefix. */
+/** Endpoints tried besides that are believed to hold the work's prefix. */
 const PREFIX_CANDIDATES = 2;
 /** Draws after which a crowded group counts as full. */
 const MAX_DRAWS = 12;
-const MAX_PREFIXES = 20_000;
 
 /** What a choice depends on besides the endpoints. */
 export interface Choice extends ScoredWork {
   readonly workClass: WorkClass;
   readonly minWeightVersion: number;
+  /** Empty for none. */
+  readonly prefixKey: string;
   /** Endpoint to stay away from if there is another. */
   readonly avoid?: EndpointId;
 }
 
 export class EndpointPool {
   readonly endpoints = new Map<EndpointId, EndpointState>();
+  readonly prefixes = new PrefixIndex();
   newestVersion = 0;
   /** May get work at all. */
   private readonly usable = new DrawSet<EndpointState>();
   /** Have room for one more rollout. */
   private readonly open = new DrawSet<EndpointState>();
-  private readonly holders = new Map<string, EndpointState[]>();
 
   constructor(private readonly random: RandomBits) {}
 
@@ -65,18 +67,6 @@
     return this.open.size > 0;
   }
 
-  /** Remembers where a prefix was sent. */
-  noteHolder(prefixKey: string, endpoint: EndpointState): void {
-    if (prefixKey === '') return;
-    const known = this.holders.get(prefixKey) ?? [];
-    const others = known.filter(e => e !== endpoint);
-    others.unshift(endpoint);
-    this.holders.set(prefixKey, others.slice(0, PREFIX_CANDIDATES));
-    if (this.holders.size > MAX_PREFIXES) {
-      this.holders.delete(this.holders.keys().next().value!);
-    }
-  }
-
   /** The best of a few candidates, or undefined when none has room. */
   choose(
     choice: Choice,
@@ -84,11 +74,14 @@
     view: ScoreView,
   ): EndpointState | undefined {
     const set = choice.workClass === 'rollout' ? this.open : this.usable;
+    const holders =
+      choice.prefixKey === '' ? [] : this.prefixes.find(choice.prefixKey);
     let best: EndpointState | undefined;
     let bestScore = Infinity;
     const consider = (endpoint: EndpointState): boolean => {
       if (!isEligible(endpoint, choice, vms)) return false;
-      let score = scoreEndpoint(endpoint, choice, view);
+      const isCached = holders.includes(endpoint);
+      let score = scoreEndpoint(endpoint, choice, isCached, view);
       if (endpoint.id === choice.avoid) score += AVOIDED_COST_MS;
       if (score < bestScore) {
         best = endpoint;
@@ -100,7 +93,7 @@
       set.list().forEach(consider);
       return best;
     }
-    for (const endpoint of this.holders.get(choice.prefixKey) ?? []) {
+    for (const endpoint of holders) {
       if (set.has(endpoint)) consider(endpoint);
     }
     let drawn = 0;
--- a/packages/core/src/endpoint_score.ts
+++ b/packages/core/src/endpoint_score.ts
@@ -23,7 +23,6 @@
 export interface ScoredWork {
   readonly promptTokens: number;
   readonly expectedTokens: number;
-  readonly prefixKey: string;
   readonly isRollout: boolean;
 }
 
@@ -38,11 +37,16 @@
 export function scoreEndpoint(
   endpoint: EndpointState,
   work: ScoredWork,
+  isPrefixCached: boolean,
   view: ScoreView,
 ): number {
   const distanceMs =
     endpoint.info.dataCentre === view.dataCentre ? 0 : OTHER_DATA_CENTRE_MS;
-  const firstTokenMs = estimatePrefillMs(endpoint, work, view.nowMs);
+  const firstTokenMs = estimatePrefillMs(
+    endpoint,
+    isPrefixCached ? 0 : work.promptTokens,
+    view.nowMs,
+  );
   const use = measureUse(endpoint, view.nowMs);
   const speed = endpoint.streamSpeed || ASSUMED_STREAM_SPEED;
   // The speed was measured at about the present load; beyond the limit the
@@ -75,15 +79,13 @@
 
 function estimatePrefillMs(
   endpoint: EndpointState,
-  work: ScoredWork,
+  ownTokens: number,
   nowMs: number,
 ): number {
-  const hit = work.prefixKey !== '' && endpoint.hasPrefix(work.prefixKey);
-  const own = hit ? 0 : work.promptTokens;
   let waiting = endpoint.pendingPromptTokens;
   const {report} = endpoint;
   if (report && nowMs - report.measuredAtMs < REPORT_FORGOTTEN_AFTER_MS) {
     waiting = Math.max(waiting, report.waitingPromptTokens);
   }
-  return ((own + waiting) / PREFILL_TOKENS_PER_SECOND) * 1e3;
+  return ((ownTokens + waiting) / PREFILL_TOKENS_PER_SECOND) * 1e3;
 }
--- a/packages/core/src/endpoint_state.ts
+++ b/packages/core/src/endpoint_state.ts
@@ -11,8 +11,6 @@
 const INTERACTIVE_RESERVE = 0.1;
 /** Weight of the newest ms of a stream in the speed estimate. */
 const SPEED_MEMORY_STREAM_MS = 5000;
-/** Prefixes remembered of one endpoint; engines have limited cache. */
-const MAX_PREFIXES = 4096;
 
 /** The VMs that share the endpoints, as the owner of the state sees them. */
 export interface VmView {
@@ -37,7 +35,7 @@
   quarantined = false;
   private readonly peers = new Map<VmId, number>();
   private peerTotal = 0;
-  private readonly prefixes = new Map<string, true>();
+  private epoch = 0;
   private versionSeenAtMs = 0;
   private streamMs = 0;
   private streamTokens = 0;
@@ -86,6 +84,7 @@
   noteWeightVersion(version: number, seenAtMs: number): void {
     if (seenAtMs < this.versionSeenAtMs) return;
     this.versionSeenAtMs = seenAtMs;
+    if (version !== this.weightVersion) this.forgetCache();
     this.weightVersion = version;
   }
 
@@ -130,25 +129,14 @@
     return this.allowance;
   }
 
-  notePrefix(prefixKey: string): void {
-    if (prefixKey === '') return;
-    this.prefixes.delete(prefixKey);
-    this.prefixes.set(prefixKey, true);
-    if (this.prefixes.size > MAX_PREFIXES) {
-      this.prefixes.delete(this.prefixes.keys().next().value!);
-    }
-  }
-
-  dropPrefix(prefixKey: string): void {
-    this.prefixes.delete(prefixKey);
-  }
-
-  hasPrefix(prefixKey: string): boolean {
-    return this.prefixes.has(prefixKey);
+  /** The endpoint's cache is gone, after a crash or with new weights. */
+  forgetCache(): void {
+    this.epoch++;
   }
 
-  clearPrefixes(): void {
-    this.prefixes.clear();
+  /** Counts the times that the cache was lost. */
+  get cacheEpoch(): number {
+    return this.epoch;
   }
 
   private computeAllowance(view: VmView): number {
--- a/packages/core/src/policy_scheduler.ts
+++ b/packages/core/src/policy_scheduler.ts
@@ -631,7 +631,7 @@
       other.isCrashCounted = true;
       fingerprints.push(other.work.item.fingerprint);
     }
-    endpoint.clearPrefixes();
+    endpoint.forgetCache();
     this.suspects.noteCrash(fingerprints, this.nowMs);
     this.actions.push({
       kind: 'report_crash',
