test(fakes): properties of the engine model, and evict a prompt's rest first

The cache evicted a prefix before the rest that needs it, and then still counted the whole prompt as cached; the test of cached prompts found it.

--- /dev/null
+++ b/packages/fakes/src/__tests__/engine_model.spec.ts
@@ -0,0 +1,273 @@
+import test from 'ava';
+import fc from 'fast-check';
+import type {EngineEvent} from '../engine_event.js';
+import {EngineModel} from '../engine_model.js';
+import type {EngineOptions} from '../engine_options.js';
+import {addToSpans} from '../token_text.js';
+import {createRequest} from './engine_fixtures.js';
+
+const FAST_CHECK_SEED = 20_240_601;
+
+type Chunk = Extract<EngineEvent, {kind: 'chunk'}>;
+
+/** Advances from event to event; returns all events until `untilMs`. */
+function run(model: EngineModel, untilMs: number): EngineEvent[] {
+  const events: EngineEvent[] = [];
+  while (model.nextEventAtMs() <= untilMs)
+    events.push(...model.advance(model.nextEventAtMs()));
+  events.push(...model.advance(untilMs));
+  return events;
+}
+
+/** Ms until the last of `count` equal requests has ended. */
+function measureDuration(
+  count: number,
+  options: Partial<EngineOptions> = {},
+  prepare: (model: EngineModel) => void = () => {},
+): number {
+  const length = {medianTokens: 100, sigma: 0};
+  const model = new EngineModel({length, ...options});
+  prepare(model);
+  for (let i = 0; i < count; i++) model.submit(createRequest(`r${i}`), 0);
+  const chunks = run(model, 1e6).filter(e => e.kind === 'chunk') as Chunk[];
+  return Math.max(...chunks.filter(c => c.finishReason).map(c => c.atMs));
+}
+
+test('service time grows with batch, prompt and slowness', t => {
+  const alone = measureDuration(1);
+  t.is(alone, 100 * 0.05 + 100 * (8 + 0.25));
+  // The first of 16 has its first turn alone and ends a turn before the others.
+  const full = 4 * (8 + 0.25 * 16);
+  t.is(measureDuration(16), 5 + 4 * 8.25 + 24 * full + 4 * 11.75);
+  const queued = measureDuration(2, {maxBatch: 1, cacheTokens: 0});
+  t.is(queued, 2 * alone);
+  const slowed = measureDuration(1, {}, model => model.setSlowFactor(3));
+  t.is(slowed, 3 * alone);
+  const imported = measureDuration(1, {}, model =>
+    model.importKv({id: 'r0', promptTokens: 100, outputTokens: 0}),
+  );
+  t.is(imported, alone, 'an imported state counts only for a resumed request');
+});
+
+test('a prompt is prefilled once while its prefix is cached', t => {
+  const model = new EngineModel({
+    length: {medianTokens: 4, sigma: 0},
+    cacheTokens: 150,
+    cacheEventGapEvery: 3,
+  });
+  const durations: number[] = [];
+  let nowMs = 0;
+  for (const key of ['a', 'a', 'b', 'a']) {
+    const req = createRequest(`r${durations.length}`, {
+      prefixKey: key,
+      promptKey: key,
+    });
+    model.submit(req, nowMs);
+    const endMs = model.nextEventAtMs();
+    durations.push(endMs - nowMs);
+    nowMs = endMs;
+    model.advance(nowMs);
+  }
+  // `b` leaves no room for `a`.
+  t.deepEqual(durations, [38, 33, 38, 38]);
+  const early = model.listCacheEvents(0, nowMs);
+  t.deepEqual(early.events, [], 'events are late');
+  const shown = model.listCacheEvents(0, nowMs + 1000).events;
+  t.true(shown.every(e => e.seq % 3 !== 2) && shown.length > 0);
+});
+
+test('the load report shows the past', t => {
+  const length = {medianTokens: 1000, sigma: 0};
+  const model = new EngineModel({loadLagMs: 500, length});
+  model.submit(createRequest('a'), 1000);
+  t.like(model.reportLoad(1400), {running: 0, measuredAtMs: 900});
+  t.like(model.reportLoad(1600), {running: 1, measuredAtMs: 1100});
+  model.advance(3500);
+  const tokens = model.reportLoad(3500).tokensPerSecond;
+  t.true(tokens > 100 && tokens < 125, `${tokens}`);
+});
+
+interface SwapCase {
+  readonly name: string;
+  readonly options?: Partial<EngineOptions>;
+  readonly prepare: (model: EngineModel) => void;
+  readonly answers: readonly string[];
+  readonly version: number;
+}
+
+const SWAP_CASES: readonly SwapCase[] = [
+  {
+    name: 'calm',
+    prepare: () => {},
+    answers: ['begun', 'stale_fencing'],
+    version: 2,
+  },
+  {
+    name: 'fencing is not checked',
+    options: {checksFencing: false},
+    prepare: () => {},
+    answers: ['begun', 'begun'],
+    version: 3,
+  },
+  {
+    name: 'the swap fails at once',
+    prepare: model => model.setSwapFailure('at_once'),
+    answers: ['failed', 'stale_fencing'],
+    version: 1,
+  },
+  {
+    name: 'the swap fails later',
+    prepare: model => model.setSwapFailure('later'),
+    answers: ['begun', 'stale_fencing'],
+    version: 1,
+  },
+  {
+    name: 'the engine is down',
+    prepare: model => model.crash(0),
+    answers: ['failed', 'failed'],
+    version: 1,
+  },
+];
+
+for (const c of SWAP_CASES)
+  test(`two orders, the second with an older fencing number: ${c.name}`, t => {
+    const model = new EngineModel(c.options);
+    c.prepare(model);
+    const kind = 'load_version';
+    const answers = [
+      model.order({kind, fencing: 5, version: 2}, 0),
+      model.order({kind, fencing: 4, version: 3}, 0),
+    ];
+    t.deepEqual(
+      answers.map(answer => answer.kind),
+      c.answers,
+    );
+    model.advance(60_000);
+    const status = model.describeOrders(60_000);
+    t.like(status, {weightVersion: c.version, loading: null});
+    t.is(status.lastError !== null, c.name.startsWith('the swap'));
+  });
+
+type Step =
+  | {readonly kind: 'submit'; readonly req: number; readonly poison: boolean}
+  | {readonly kind: 'cancel'; readonly req: number}
+  | {readonly kind: 'order'; readonly version: number}
+  | {readonly kind: 'crash' | 'hang' | 'go_on'};
+
+const reqArb = fc.nat(40);
+const stepArb: fc.Arbitrary<Step> = fc.oneof(
+  {
+    weight: 6,
+    arbitrary: fc.record({
+      kind: fc.constant('submit' as const),
+      req: reqArb,
+      poison: fc.nat(30).map(n => n === 0),
+    }),
+  },
+  fc.record({kind: fc.constant('cancel' as const), req: reqArb}),
+  fc.record({kind: fc.constant('order' as const), version: fc.nat(5)}),
+  fc.record({kind: fc.constantFrom('crash', 'hang', 'go_on')}),
+);
+
+const scheduleArb = fc.array(fc.tuple(fc.nat(400), stepArb), {maxLength: 60});
+type Schedule = ReadonlyArray<readonly [delayMs: number, step: Step]>;
+
+const END_MS = 10_000_000;
+
+/** Plays a schedule; `advance` decides how finely time moves between steps. */
+function play(
+  schedule: Schedule,
+  advance: (model: EngineModel, untilMs: number) => readonly EngineEvent[],
+) {
+  const model = new EngineModel({
+    maxBatch: 4,
+    length: {medianTokens: 30, sigma: 1},
+    restartAfterMs: 200,
+  });
+  const events: EngineEvent[] = [];
+  let nowMs = 0;
+  for (const [delayMs, step] of schedule) {
+    nowMs += delayMs;
+    events.push(...advance(model, nowMs));
+    takeStep(model, step, nowMs);
+  }
+  model.setHung(false, nowMs);
+  events.push(...advance(model, END_MS));
+  return {events, runs: model.listRuns(), running: model.reportLoad(END_MS)};
+}
+
+function takeStep(model: EngineModel, step: Step, nowMs: number): void {
+  switch (step.kind) {
+    case 'submit': {
+      const {req, poison} = step;
+      model.submit(createRequest(`r${req}`, {seed: req, poison}), nowMs);
+      return;
+    }
+    case 'cancel':
+      model.cancel(`r${step.req}`, nowMs);
+      return;
+    case 'order': {
+      const {version} = step;
+      model.order({kind: 'load_version', fencing: 1, version}, nowMs);
+      return;
+    }
+    case 'crash':
+      return model.crash(nowMs);
+    case 'hang':
+    case 'go_on':
+      return model.setHung(step.kind === 'hang', nowMs);
+  }
+}
+
+test('events do not depend on how finely time is advanced', t => {
+  fc.assert(
+    fc.property(scheduleArb, schedule => {
+      const coarse = play(schedule, (model, untilMs) => model.advance(untilMs));
+      const fine = play(schedule, run);
+      t.deepEqual(coarse.events, fine.events);
+      t.deepEqual(coarse.runs, fine.runs);
+    }),
+    {seed: FAST_CHECK_SEED, numRuns: 200},
+  );
+});
+
+test('the books hold each token that was streamed, and each run ends once', t => {
+  fc.assert(
+    fc.property(scheduleArb, schedule => {
+      const {events, runs, running} = play(schedule, run);
+      t.like(running, {running: 0, waiting: 0, waitingPromptTokens: 0});
+      t.true(runs.every(r => r.end !== undefined));
+      const streamed = collectSpans(events);
+      const booked = runs.map(r => ({id: r.requestId, spans: r.spans}));
+      const withTokens = booked.filter(r => r.spans.length > 0);
+      t.deepEqual(sortRuns(streamed), sortRuns(withTokens));
+      const finishes = events.filter(e => e.kind === 'chunk' && e.finishReason);
+      t.is(finishes.length, runs.filter(r => r.end === 'finished').length);
+    }),
+    {seed: FAST_CHECK_SEED, numRuns: 200},
+  );
+});
+
+interface StreamedRun {
+  readonly id: string;
+  readonly spans: ReadonlyArray<{weightVersion: number; tokens: number}>;
+}
+
+/** Joins chunks to runs; a run begins with its token 0. */
+function collectSpans(events: readonly EngineEvent[]): StreamedRun[] {
+  const all: StreamedRun[] = [];
+  const open = new Map<string, {weightVersion: number; tokens: number}[]>();
+  for (const event of events) {
+    if (event.kind !== 'chunk' || event.tokens === 0) continue;
+    if (event.firstToken === 0) {
+      open.set(event.id, []);
+      all.push({id: event.id, spans: open.get(event.id)!});
+    }
+    addToSpans(open.get(event.id)!, event.weightVersion, event.tokens);
+  }
+  return all;
+}
+
+function sortRuns(runs: readonly StreamedRun[]): readonly string[] {
+  return runs.map(run => JSON.stringify(run)).sort();
+}
--- a/packages/fakes/src/prefix_cache.ts
+++ b/packages/fakes/src/prefix_cache.ts
@@ -58,9 +58,10 @@
   /** Marks a prompt as used now and cached from now on. */
   use(prompt: PromptShape, nowMs: number): void {
     const prefixTokens = countPrefix(prompt);
-    this.put(prompt.prefixKey, prefixTokens, true, nowMs);
     const restTokens = prompt.promptTokens - prefixTokens;
+    // The rest is of use only after its prefix, so it must be evicted first.
     this.put(promptEntryKey(prompt), restTokens, false, nowMs);
+    this.put(prompt.prefixKey, prefixTokens, true, nowMs);
     while (this.tokens > this.options.cacheTokens) this.evictOldest(nowMs);
   }
 
