feat(client): a trainer's client with cursor, reconnect and dedupe

Cause: exactly once needs the trainer's side to keep cursor and ids together. Change: StepProgress decides what is new, TrainerClient follows a step over as many connections as it takes and acknowledges as it reads.

--- /dev/null
+++ b/packages/client/src/step_progress.ts
@@ -0,0 +1,61 @@
+/**
+ * What a trainer must keep of a step: how far it has read and what it holds.
+ * Kept together with the rollouts themselves it makes each arrive exactly once.
+ */
+
+import type {RolloutId} from '@radishyoke/shared/ids';
+import type {StepEvent} from '@radishyoke/shared/rollout';
+
+/** A step's progress as plain data, to be stored with the rollouts. */
+export interface StepProgressData {
+  readonly cursor: number;
+  readonly fencing: number;
+  readonly settled: readonly RolloutId[];
+}
+
+/** What to do with an event. */
+export type EventVerdict = 'take' | 'duplicate' | 'outdated_owner';
+
+type SettlingEvent = Extract<
+  StepEvent,
+  {readonly kind: 'rollout' | 'shortfall'}
+>;
+
+export class StepProgress {
+  private readonly settled: Set<RolloutId>;
+  private cursor: number;
+  private fencing: number;
+
+  constructor(data: StepProgressData = {cursor: 0, fencing: 0, settled: []}) {
+    this.settled = new Set(data.settled);
+    this.cursor = data.cursor;
+    this.fencing = data.fencing;
+  }
+
+  /** Takes note of `event` and says whether its content is new. */
+  admit(event: SettlingEvent): EventVerdict {
+    // An owner that was paused past its lease may still write to an old
+    // connection; its cursors no longer count and could hide newer ones.
+    if (event.fencing < this.fencing) return 'outdated_owner';
+    this.fencing = event.fencing;
+    this.cursor = Math.max(this.cursor, event.cursor);
+    const id = event.kind === 'rollout' ? event.rollout.id : event.rolloutId;
+    if (this.settled.has(id)) return 'duplicate';
+    this.settled.add(id);
+    return 'take';
+  }
+
+  /** Highest position read. */
+  get position(): number {
+    return this.cursor;
+  }
+
+  countSettled(): number {
+    return this.settled.size;
+  }
+
+  toData(): StepProgressData {
+    const {cursor, fencing} = this;
+    return {cursor, fencing, settled: [...this.settled]};
+  }
+}
--- /dev/null
+++ b/packages/client/src/trainer_client.ts
@@ -0,0 +1,293 @@
+/**
+ * The trainer's side of the caller interface: opens a step, follows it over as
+ * many connections as it takes, and acknowledges what it has read.
+ */
+
+import {createInterface} from 'node:readline';
+import {Agent, Dispatcher} from 'undici';
+import type {RadishyokeError} from '@radishyoke/shared/error_kind';
+import {createError, ErrorKind} from '@radishyoke/shared/error_kind';
+import {HEADERS} from '@radishyoke/shared/header';
+import type {RolloutId, StepId, TenantId} from '@radishyoke/shared/ids';
+import {fail, Result, succeed} from '@radishyoke/shared/result';
+import type {Rollout, StepEvent, StepRequest} from '@radishyoke/shared/rollout';
+import {StepProgress} from './step_progress.js';
+
+export interface TrainerClientOptions {
+  /** `http://ip:port` of the balancer, or of several VMs to take in turn. */
+  readonly origins: readonly string[];
+  readonly tenant: TenantId;
+  /** Longest silence on the stream; the service sends a heartbeat a second. */
+  readonly silenceMs?: number;
+}
+
+export interface FollowOptions {
+  readonly step: StepId;
+  readonly req: StepRequest;
+  /** The trainer's weight version at this moment. */
+  readonly readWeightVersion: () => number;
+  readonly onRollout: (rollout: Rollout) => void;
+  readonly onShortfall?: (id: RolloutId, err: RadishyokeError) => void;
+  readonly progress?: StepProgress;
+  readonly signal?: AbortSignal;
+}
+
+export interface StepSummary {
+  readonly rollouts: number;
+  readonly shortfalls: number;
+  /** Times the stream was connected anew. */
+  readonly reconnects: number;
+  /** Events dropped because their rollout was already here. */
+  readonly duplicates: number;
+}
+
+const defaultSilenceMs = 3500;
+const requestTimeoutMs = 10_000;
+const firstBackoffMs = 50;
+const maxBackoffMs = 1000;
+/** Rollouts read before an acknowledgement is sent at the latest. */
+const acknowledgeEvery = 16;
+const acknowledgeAfterMs = 200;
+
+/** How one connection of the stream ended. */
+type StreamEnd = 'complete' | 'cut' | 'step_unknown' | RadishyokeError;
+
+export class TrainerClient {
+  private readonly http: Dispatcher;
+  private turn = 0;
+
+  constructor(private readonly options: TrainerClientOptions) {
+    const silenceMs = options.silenceMs ?? defaultSilenceMs;
+    this.http = new Agent({
+      headersTimeout: requestTimeoutMs,
+      bodyTimeout: silenceMs,
+      connectTimeout: silenceMs,
+    });
+  }
+
+  /**
+   * Opens the step, or finds it open. Safe to repeat: the same id and body are
+   * the same step.
+   */
+  async openStep(step: StepId, req: StepRequest): Promise<Result<void>> {
+    const body = JSON.stringify(req);
+    const res = await this.call('PUT', `/v1/steps/${step}`, body);
+    return res.ok ? succeed(undefined) : res;
+  }
+
+  async cancelStep(step: StepId): Promise<Result<void>> {
+    const res = await this.call('DELETE', `/v1/steps/${step}`);
+    return res.ok ? succeed(undefined) : res;
+  }
+
+  /** Tells the service how far the trainer has read and which weights it has. */
+  async acknowledge(
+    step: StepId,
+    cursor: number,
+    weightVersion: number,
+  ): Promise<Result<void>> {
+    const body = JSON.stringify({cursor, weightVersion});
+    const res = await this.call('POST', `/v1/steps/${step}/ack`, body);
+    return res.ok ? succeed(undefined) : res;
+  }
+
+  /**
+   * Opens the step and follows it to its end, connecting again as often as the
+   * connection or the VM behind it is lost. Every rollout is passed on once.
+   */
+  async runStep(options: FollowOptions): Promise<Result<StepSummary>> {
+    const progress = options.progress ?? new StepProgress();
+    const follower = new Follower(this, options, progress);
+    let backoffMs = firstBackoffMs;
+    let opened = false;
+    let reconnects = -1;
+    while (!options.signal?.aborted) {
+      if (!opened) {
+        const result = await this.openStep(options.step, options.req);
+        if (!result.ok && !isWorthRetrying(result.error)) return result;
+        opened = result.ok;
+      }
+      const before = progress.position;
+      const end: StreamEnd = opened ? await this.follow(follower) : 'cut';
+      if (opened) reconnects++;
+      if (end === 'complete') {
+        await follower.acknowledgeAll();
+        return succeed({...follower.summarize(), reconnects});
+      }
+      if (end === 'step_unknown') opened = false;
+      else if (end !== 'cut' && !isWorthRetrying(end)) return fail(end);
+      if (progress.position > before) backoffMs = firstBackoffMs;
+      await sleep(backoffMs);
+      backoffMs = Math.min(maxBackoffMs, backoffMs * 2);
+    }
+    return fail(createError('cancelled'));
+  }
+
+  async close(): Promise<void> {
+    await this.http.destroy();
+  }
+
+  private async follow(follower: Follower): Promise<StreamEnd> {
+    const {options, progress} = follower;
+    const query = new URLSearchParams({
+      cursor: String(progress.position),
+      weightVersion: String(options.readWeightVersion()),
+    });
+    const path = `/v1/steps/${options.step}/rollouts?${query}`;
+    const res = await this.call('GET', path);
+    if (!res.ok) {
+      return res.error.kind === 'not_found' ? 'step_unknown' : res.error;
+    }
+    try {
+      const lines = createInterface({input: res.value.body});
+      for await (const line of lines) {
+        if (options.signal?.aborted) return 'cut';
+        const event = JSON.parse(line) as StepEvent;
+        if (follower.take(event)) return 'complete';
+      }
+    } catch {
+      return 'cut';
+    } finally {
+      res.value.body.destroy();
+    }
+    return 'cut';
+  }
+
+  private async call(
+    method: 'GET' | 'PUT' | 'POST' | 'DELETE',
+    path: string,
+    body?: string,
+  ): Promise<Result<Dispatcher.ResponseData>> {
+    const {origins, tenant} = this.options;
+    const origin = origins[this.turn % origins.length];
+    try {
+      const res = await this.http.request({
+        origin,
+        path,
+        method,
+        body,
+        headers: {
+          [HEADERS.tenant]: tenant,
+          'content-type': 'application/json',
+        },
+      });
+      if (method === 'GET' && res.statusCode === 200) return succeed(res);
+      const text = await res.body.text();
+      if (res.statusCode < 300) return succeed(res);
+      this.turn++;
+      return fail(readError(text));
+    } catch {
+      this.turn++;
+      return fail(createError('endpoint_unreachable', `${origin} failed`));
+    }
+  }
+}
+
+/** Takes the events of one step, over all its connections. */
+class Follower {
+  private rollouts = 0;
+  private shortfalls = 0;
+  private duplicates = 0;
+  private unacknowledged = 0;
+  private timer: NodeJS.Timeout | undefined;
+
+  constructor(
+    private readonly client: TrainerClient,
+    readonly options: FollowOptions,
+    readonly progress: StepProgress,
+  ) {}
+
+  /** Returns whether the step is complete. */
+  take(event: StepEvent): boolean {
+    switch (event.kind) {
+      case 'heartbeat':
+        return false;
+      case 'end':
+        return true;
+      default:
+        this.settle(event);
+        return false;
+    }
+  }
+
+  summarize(): Omit<StepSummary, 'reconnects'> {
+    const {rollouts, shortfalls, duplicates} = this;
+    return {rollouts, shortfalls, duplicates};
+  }
+
+  async acknowledgeAll(): Promise<void> {
+    clearTimeout(this.timer);
+    this.timer = undefined;
+    this.unacknowledged = 0;
+    const {step, readWeightVersion} = this.options;
+    const {position} = this.progress;
+    await this.client.acknowledge(step, position, readWeightVersion());
+  }
+
+  private settle(
+    event: Exclude<StepEvent, {readonly kind: 'heartbeat' | 'end'}>,
+  ): void {
+    const verdict = this.progress.admit(event);
+    if (verdict === 'duplicate') this.duplicates++;
+    if (verdict === 'outdated_owner') return;
+    if (verdict === 'take') this.passOn(event);
+    this.scheduleAcknowledgement();
+  }
+
+  private passOn(
+    event: Exclude<StepEvent, {readonly kind: 'heartbeat' | 'end'}>,
+  ): void {
+    if (event.kind === 'rollout') {
+      this.rollouts++;
+      this.options.onRollout(event.rollout);
+      return;
+    }
+    this.shortfalls++;
+    this.options.onShortfall?.(event.rolloutId, event.error);
+  }
+
+  private scheduleAcknowledgement(): void {
+    this.unacknowledged++;
+    if (this.unacknowledged >= acknowledgeEvery) {
+      void this.acknowledgeAll();
+      return;
+    }
+    this.timer ??= setTimeout(
+      () => void this.acknowledgeAll(),
+      acknowledgeAfterMs,
+    );
+  }
+}
+
+/** Refusals after which the same call can succeed elsewhere or later. */
+const passingKinds: ReadonlySet<ErrorKind> = new Set<ErrorKind>([
+  'endpoint_unreachable',
+  'draining',
+  'not_current',
+  'not_owner',
+  'stale_lease',
+  'log_unavailable',
+  'overloaded',
+  'no_endpoint',
+  'internal',
+]);
+
+function isWorthRetrying(err: RadishyokeError): boolean {
+  return passingKinds.has(err.kind);
+}
+
+function readError(text: string): RadishyokeError {
+  try {
+    const body = JSON.parse(text) as {
+      readonly error: ErrorKind;
+      readonly detail: string;
+    };
+    return createError(body.error, body.detail);
+  } catch {
+    return createError('endpoint_failed', 'an answer that is not JSON');
+  }
+}
+
+function sleep(ms: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, ms));
+}
--- a/packages/daemon/src/vm.ts
+++ b/packages/daemon/src/vm.ts
@@ -26,6 +26,8 @@
 /** Appends a second that the platform's log grants to the whole deployment. */
 const deploymentAppendsPerSecond = 300;
 const claimHorizonMs = 3_600_000;
+/** How long the platform's log keeps a record, at the least. */
+const logRetentionMs = 86_400_000;
 /** Most connections to one endpoint. */
 const connectionsPerEndpoint = 512;
 const connectTimeoutMs = 1000;
@@ -82,6 +84,7 @@
       },
       deploymentAppendsPerSecond,
       claimHorizonMs,
+      logRetentionMs,
       checkConfig: checkRuleText,
     });
     this.rules = new RuleBook(settings.tenants, () => this.log.config);
