--- a/packages/core/src/config_history.ts
+++ b/packages/core/src/config_history.ts
@@ -13,8 +13,8 @@
 } from '@radishyoke/shared/log_record';
 import {nameWriter, type WriterEntry, WriterTable} from './writer_table.js';
 
-/** Says what is wrong with a rule set; undefined if nothing is. */
-export type CheckConfig = (text: string) => string | undefined;
+/** Says what is wrong with a rule set that `team` publishes; undefined if nothing is. */
+export type CheckConfig = (text: string, team: TeamId) => string | undefined;
 
 /** An accepted publication. */
 export interface ConfigVersion {
@@ -143,7 +143,7 @@
         author: current?.author,
       };
     }
-    const problem = this.check(value.text);
+    const problem = this.check(value.text, value.team);
     if (problem !== undefined) return {kind: 'invalid', problem};
     const {team, basedOn, author, text} = value;
     const versions = this.teams.get(team) ?? [];
--- /dev/null
+++ b/packages/core/src/metrics_text.ts
@@ -0,0 +1,125 @@
+/** Renders metrics in the text exposition format that collectors scrape. */
+
+import {
+  CounterName,
+  COUNTERS,
+  HistogramName,
+  HISTOGRAMS,
+  HistogramSpec,
+} from './metric_schema.js';
+import type {
+  CounterSeries,
+  HistogramSeries,
+  MetricRegistry,
+  SeriesKey,
+} from './metrics.js';
+
+/** Content type of the text. */
+export const METRICS_CONTENT_TYPE = 'text/plain; version=0.0.4; charset=utf-8';
+
+const PREFIX = 'radishyoke_';
+const MS_PER_SECOND = 1000;
+
+/**
+ * Renders the series that `accepts` picks. Histograms have cumulative buckets,
+ * which a collector can add up over VMs; percentiles could not be.
+ */
+export function renderMetricsText(
+  registry: MetricRegistry,
+  accepts: (key: SeriesKey) => boolean,
+): string {
+  const histograms = registry.listHistograms().filter(accepts);
+  const counters = registry.listCounters().filter(accepts);
+  const lines = [
+    ...(Object.keys(HISTOGRAMS) as HistogramName[]).flatMap(name =>
+      renderHistogram(
+        name,
+        histograms.filter(series => series.name === name),
+      ),
+    ),
+    ...(Object.keys(COUNTERS) as CounterName[]).flatMap(name =>
+      renderCounter(
+        name,
+        counters.filter(series => series.name === name),
+      ),
+    ),
+  ];
+  return lines.map(line => `${line}\n`).join('');
+}
+
+function renderHistogram(
+  name: HistogramName,
+  series: readonly HistogramSeries[],
+): readonly string[] {
+  if (series.length === 0) return [];
+  const spec: HistogramSpec = HISTOGRAMS[name];
+  const scale = spec.unit === 'ms' ? MS_PER_SECOND : 1;
+  const unit = spec.unit === 'ms' ? 'seconds' : spec.unit;
+  const metric = `${PREFIX}${name}_${unit}`;
+  const lines = [`# HELP ${metric} ${spec.help}`, `# TYPE ${metric} histogram`];
+  for (const one of series) {
+    const {totalCount, mean} = one.histogram;
+    const counts = countUpTo(one, spec.bounds);
+    spec.bounds.forEach((bound, i) => {
+      const le = String(bound / scale);
+      lines.push(`${metric}_bucket${renderLabels(one, {le})} ${counts[i]}`);
+    });
+    const sum = totalCount === 0 ? 0 : (mean * totalCount) / scale;
+    lines.push(
+      `${metric}_bucket${renderLabels(one, {le: '+Inf'})} ${totalCount}`,
+      `${metric}_sum${renderLabels(one)} ${sum}`,
+      `${metric}_count${renderLabels(one)} ${totalCount}`,
+    );
+  }
+  return lines;
+}
+
+/** Values at or under each bound, in one pass. */
+function countUpTo(
+  {histogram}: HistogramSeries,
+  bounds: readonly number[],
+): readonly number[] {
+  const counts = bounds.map(() => 0);
+  const iterator = histogram.recordedValuesIterator;
+  iterator.reset();
+  while (iterator.hasNext()) {
+    const {valueIteratedTo, countAddedInThisIterationStep} = iterator.next();
+    const value = histogram.lowestEquivalentValue(valueIteratedTo);
+    bounds.forEach((bound, i) => {
+      if (value <= bound) counts[i] += countAddedInThisIterationStep;
+    });
+  }
+  return counts;
+}
+
+function renderCounter(
+  name: CounterName,
+  series: readonly CounterSeries[],
+): readonly string[] {
+  if (series.length === 0) return [];
+  const {help, label} = COUNTERS[name];
+  const metric = `${PREFIX}${name}_total`;
+  return [
+    `# HELP ${metric} ${help}`,
+    `# TYPE ${metric} counter`,
+    ...series.map(
+      one => `${metric}${renderLabels(one, {[label]: one.label})} ${one.value}`,
+    ),
+  ];
+}
+
+function renderLabels(
+  {tenant, workClass}: SeriesKey,
+  more: Readonly<Record<string, string>> = {},
+): string {
+  const labels = Object.entries({tenant, class: workClass, ...more});
+  const pairs = labels.map(([name, value]) => `${name}="${escapeText(value)}"`);
+  return `{${pairs.join(',')}}`;
+}
+
+function escapeText(value: string): string {
+  return value
+    .replaceAll('\\', '\\\\')
+    .replaceAll('"', '\\"')
+    .replaceAll('\n', '\\n');
+}
--- /dev/null
+++ b/packages/core/src/recorded_request.ts
@@ -0,0 +1,69 @@
+/**
+ * Keeps what rules look at of recent requests, so that an operator sees what a
+ * new rule set would have decided before publishing it.
+ */
+
+import type {TenantId} from '@radishyoke/shared/ids';
+import type {RuleFacts} from './rule.js';
+
+/** One request as the rules saw it. */
+export interface RecordedRequest {
+  readonly facts: RuleFacts;
+  readonly atMs: number;
+}
+
+/** Most requests kept for one tenant; newer ones push out older ones. */
+export const REQUESTS_KEPT_PER_TENANT = 256;
+/** Most tenants that requests are kept for. */
+const TENANTS_KEPT = 64;
+const MAX_PATH_CHARS = 512;
+const MAX_HEADER_CHARS = 256;
+const MAX_HEADERS = 24;
+
+// Headers that commonly carry credentials: a record of requests must not become
+// a second place to steal them from.
+const SECRET_HEADER = /auth|cookie|token|secret|key|session|password/;
+
+/** Requests by tenant, a bounded number of each. */
+export class RequestRecorder {
+  private readonly byTenant = new Map<TenantId, RecordedRequest[]>();
+  private readonly turns = new Map<TenantId, number>();
+
+  record(facts: RuleFacts, nowMs: number): void {
+    const kept = this.byTenant.get(facts.tenant);
+    if (!kept) {
+      if (this.byTenant.size >= TENANTS_KEPT) return;
+      this.byTenant.set(facts.tenant, [trim(facts, nowMs)]);
+      return;
+    }
+    const turn = this.turns.get(facts.tenant) ?? 1;
+    kept[turn % REQUESTS_KEPT_PER_TENANT] = trim(facts, nowMs);
+    this.turns.set(facts.tenant, turn + 1);
+  }
+
+  /** Requests of `tenants`, in no order. */
+  list(tenants: ReadonlySet<TenantId>): readonly RecordedRequest[] {
+    return [...this.byTenant]
+      .filter(([tenant]) => tenants.has(tenant))
+      .flatMap(([, requests]) => requests);
+  }
+}
+
+function trim(facts: RuleFacts, atMs: number): RecordedRequest {
+  const headers = Object.entries(facts.headers)
+    .filter(([name, value]) => isSafeHeader(name, value))
+    .slice(0, MAX_HEADERS);
+  const path = facts.path.split('?', 1)[0].slice(0, MAX_PATH_CHARS);
+  return {
+    facts: {...facts, path, headers: Object.fromEntries(headers)},
+    atMs,
+  };
+}
+
+function isSafeHeader(
+  name: string,
+  value: RuleFacts['headers'][string],
+): boolean {
+  if (SECRET_HEADER.test(name)) return false;
+  return typeof value === 'string' && value.length <= MAX_HEADER_CHARS;
+}
--- /dev/null
+++ b/packages/core/src/rule_comparison.ts
@@ -0,0 +1,73 @@
+/** What another rule set would have decided for recorded requests. */
+
+import type {RecordedRequest} from './recorded_request.js';
+import type {RuleDecision, RuleFacts, RuleSet} from './rule.js';
+import {compileRules, resolveRule} from './rule_matcher.js';
+
+/** Requests that another rule would decide, or the same with another outcome. */
+export interface ChangedDecision {
+  readonly tenant: string;
+  readonly method: string;
+  /** Path of one of the requests. */
+  readonly path: string;
+  /** Rule in force now; empty for none. */
+  readonly before: string;
+  readonly after: string;
+  readonly requests: number;
+}
+
+export interface RuleComparison {
+  readonly requests: number;
+  readonly unchanged: number;
+  /** Most requests first. */
+  readonly changed: readonly ChangedDecision[];
+}
+
+/** Decides each request by both rule sets; without one no rule matches. */
+export function compareRuleSets(
+  before: RuleSet | undefined,
+  after: RuleSet,
+  requests: readonly RecordedRequest[],
+): RuleComparison {
+  const decideBefore = createDecider(before);
+  const decideAfter = createDecider(after);
+  const changed = new Map<string, ChangedDecision>();
+  let unchanged = 0;
+  for (const {facts} of requests) {
+    const old = decideBefore(facts);
+    const next = decideAfter(facts);
+    if (isSame(old, next)) unchanged++;
+    else addChange(changed, facts, old?.rule ?? '', next?.rule ?? '');
+  }
+  const sorted = [...changed.values()].sort((a, b) => b.requests - a.requests);
+  return {requests: requests.length, unchanged, changed: sorted};
+}
+
+function createDecider(
+  ruleSet: RuleSet | undefined,
+): (facts: RuleFacts) => RuleDecision | undefined {
+  if (!ruleSet) return () => undefined;
+  const compiled = compileRules(ruleSet);
+  return facts => resolveRule(compiled, facts);
+}
+
+function isSame(
+  old: RuleDecision | undefined,
+  next: RuleDecision | undefined,
+): boolean {
+  return (
+    old?.rule === next?.rule &&
+    JSON.stringify(old?.then) === JSON.stringify(next?.then)
+  );
+}
+
+function addChange(
+  changed: Map<string, ChangedDecision>,
+  {tenant, method, path}: RuleFacts,
+  before: string,
+  after: string,
+): void {
+  const key = JSON.stringify([tenant, method, before, after]);
+  const requests = (changed.get(key)?.requests ?? 0) + 1;
+  changed.set(key, {tenant, method, path, before, after, requests});
+}
--- a/packages/core/src/rule_text.ts
+++ b/packages/core/src/rule_text.ts
@@ -3,9 +3,9 @@
  * same check, so a text is accepted everywhere or nowhere.
  */
 
-import {toEndpointId, toTeamId} from '@radishyoke/shared/ids';
+import {TeamId, toEndpointId, toTeamId} from '@radishyoke/shared/ids';
 import {fail, Result, succeed} from '@radishyoke/shared/result';
-import type {ConfigProblem} from './config_problem.js';
+import {ConfigProblem, formatProblem} from './config_problem.js';
 import {IniSection, readIni} from './ini_text.js';
 import {readSection, SectionValues} from './key_spec.js';
 import type {Rule, RuleGroup, RuleSet, RuleThen, RuleWhen} from './rule.js';
@@ -204,3 +204,14 @@
     idempotent: values['then.idempotent'],
   };
 }
+
+/**
+ * Checks a publication by `team`; the problem for a person, or undefined.
+ * A text that names another team would put that team's rules in force.
+ */
+export function checkRuleText(text: string, team: TeamId): string | undefined {
+  const parsed = parseRuleText(text, 'rules');
+  if (!parsed.ok) return parsed.error.map(formatProblem).join('\n');
+  if (parsed.value.team === team) return undefined;
+  return `rules: [config] team: expected ${team}, found ${parsed.value.team}`;
+}
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -82,6 +82,7 @@
     readonly sessionRenewalMs: number;
   };
   readonly config: {readonly notReadyAfterMs: number};
+  readonly admin: {readonly platformTeam?: TeamId};
   readonly shutdown: {readonly maxDrainMs: number};
   readonly logging: {readonly level: LogLevel};
   readonly tenants: ReadonlyMap<TenantId, TeamId>;
@@ -237,7 +238,8 @@
   tenants: ReadonlyMap<TenantId, TeamId>,
   tokens: readonly TokenSettings[],
 ): Settings {
-  const {vm, platform, peers, leases, config, shutdown, logging} = values;
+  const {vm, platform, peers, leases, config, admin, shutdown, logging} =
+    values;
   return {
     vm: {
       id: toVmId(vm.id),
@@ -258,6 +260,12 @@
       sessionRenewalMs: leases.session_renewal,
     },
     config: {notReadyAfterMs: config.not_ready_after},
+    admin: {
+      platformTeam:
+        admin.platform_team === undefined
+          ? undefined
+          : toTeamId(admin.platform_team),
+    },
     shutdown: {maxDrainMs: shutdown.max_drain},
     logging,
     tenants,
--- a/packages/daemon/src/settings_schema.ts
+++ b/packages/daemon/src/settings_schema.ts
@@ -137,6 +137,12 @@
       'A VM that could not confirm for so long that its configuration is current stops being ready.',
     ),
   },
+  admin: {
+    platform_team: optional(
+      nameType(),
+      'Team that may drain VMs and endpoints, which all teams share. Without it nobody may.',
+    ),
+  },
   shutdown: {
     max_drain: withDefault(
       durationType('1s', '24h'),
@@ -168,7 +174,7 @@
   ),
   hash: required(
     patternType(
-      /^scrypt\$\d{1,2}\$[A-Za-z0-9_-]{22}\$[A-Za-z0-9_-]{43}$/,
+      /^scrypt\$1[2-6]\$[A-Za-z0-9_-]{22}\$[A-Za-z0-9_-]{43}$/,
       'a hash as printed by "radishyoke token hash"',
       'scrypt hash',
     ),
