feat(core): membership as a state machine with a bounded view

Cause: the lagging VM list alone tells of failures, and a VM whose log connection is silent never learns of a new configuration. Change: probes of a bounded set of neighbours; silence costs the connection first, then others probe, then suspicion, then failure; a VM refutes by its incarnation. Load digests, crashes, silent endpoints and config offsets ride on the same messages.

--- /dev/null
+++ b/packages/core/src/__tests__/membership.spec.ts
@@ -0,0 +1,198 @@
+import test from 'ava';
+import fc from 'fast-check';
+import type {EndpointId} from '@radishyoke/shared/ids';
+import {MembershipNetwork, Node} from './membership_fixture.js';
+
+const SEED = 20261202;
+const SETTLE_MS = 4000;
+const CONFIG_BOUND_MS = 6000;
+/** Must not grow with the number of VMs: one a second for each contact. */
+const MAX_MESSAGES_PER_SECOND = 20;
+/** Probe, suspicion and the news of it, at the worst. */
+const FAILURE_BOUND_MS = 9000;
+
+function seesAll(network: MembershipNetwork, node: Node): boolean {
+  return node.vms.length === network.nodes.filter(n => n.up).length;
+}
+
+function countMsUntil(
+  network: MembershipNetwork,
+  limitMs: number,
+  holds: () => boolean,
+): number {
+  const startMs = network.nowMs;
+  while (!holds() && network.nowMs - startMs < limitMs) network.run(50);
+  return network.nowMs - startMs;
+}
+
+/** The greatest number of messages that any VM sends in a quiet second. */
+function measureMessages(network: MembershipNetwork): number {
+  const before = network.nodes.map(node => node.sent);
+  network.run(2000);
+  return Math.max(...network.nodes.map((n, i) => (n.sent - before[i]) / 2));
+}
+
+// A VM whose log connection went silent never applies a new configuration.
+// 1. An operator publishes; one VM reads the record, all others' log readers
+//    are silent. 2. A fifth of the connections between VMs are silent as well.
+// Cause: nobody but the log told them, and an open connection looked healthy.
+for (const size of [13, 360]) {
+  test(`a config offset reaches all of ${size} VMs within its bound`, t => {
+    const dataCentres = size === 13 ? 4 : 9;
+    const network = new MembershipNetwork({vms: size, dataCentres, seed: SEED});
+    network.run(SETTLE_MS);
+    t.true(measureMessages(network) <= MAX_MESSAGES_PER_SECOND);
+    network.silenceSome(20);
+    const reader = network.nodes[5];
+    reader.configNext = 8;
+    network.give(reader, {kind: 'config_offset', next: 8});
+    const tookMs = countMsUntil(network, CONFIG_BOUND_MS, () =>
+      network.nodes.every(node => node.configNext === 8),
+    );
+    t.true(network.nodes.every(node => node.configNext === 8));
+    t.log(`${size} VMs: ${tookMs} ms`);
+    t.true(
+      network.nodes.every(node => node.machine.listNeighbours().length < 17),
+    );
+    t.true(network.nodes.every(node => seesAll(network, node)));
+  });
+}
+
+// Pauses, crashes, restarts, cuts and silent connections, in any order: once
+// they end, every VM sees exactly the VMs that live. A VM that stays "failed"
+// although it lives would get no share of the work for good; a dead one that
+// stays "alive" would keep a share for nobody.
+test('views agree with the truth some seconds after any faults', t => {
+  const fault = fc.record({
+    kind: fc.constantFrom(
+      'pause',
+      'crash',
+      'restart',
+      'cut',
+      'silence',
+      'leave',
+    ),
+    vm: fc.nat(12),
+    forMs: fc.integer({min: 200, max: 9000}),
+  });
+  const property = fc.property(
+    fc.array(fault, {minLength: 1, maxLength: 6}),
+    fc.nat(1 << 20),
+    (faults, seed) => {
+      const network = new MembershipNetwork({
+        vms: 13,
+        dataCentres: 3,
+        seed,
+        lossPercent: 2,
+      });
+      network.run(1500);
+      for (const {kind, vm, forMs} of faults) {
+        applyFault(network, network.nodes[vm], kind, forMs);
+        network.run(forMs / 2);
+      }
+      network.reachable = () => true;
+      // All pauses are over, and failed VMs are tried one in two seconds.
+      network.run(25_000);
+      const live = network.nodes.filter(node => node.up);
+      const serving = live.filter(
+        node => node.machine.listMembers()[0].state === 'alive',
+      );
+      for (const node of live) {
+        const expected = serving.map(other => other.vm.id).sort();
+        t.deepEqual(node.vms, expected);
+      }
+    },
+  );
+  fc.assert(property, {seed: SEED, numRuns: 12});
+});
+
+function applyFault(
+  network: MembershipNetwork,
+  node: Node,
+  kind: string,
+  forMs: number,
+): void {
+  switch (kind) {
+    case 'pause':
+      node.pausedUntilMs = network.nowMs + forMs;
+      return;
+    case 'crash':
+      node.up = false;
+      return;
+    case 'restart':
+      return network.restart(node);
+    case 'cut': {
+      const {dataCentre} = node.vm;
+      network.reachable = (a, b) =>
+        (a.dataCentre === dataCentre) === (b.dataCentre === dataCentre);
+      return;
+    }
+    case 'silence':
+      return network.silenceSome(30);
+    case 'leave':
+      return network.give(node, {kind: 'leave'});
+  }
+}
+
+// A dead VM keeps its share of every limit, so queues fill while it is counted.
+// 1. One of many VMs dies without a word. 2. The others go on for minutes.
+// Cause: only the lagging VM list told of it.
+test('a dead VM is failed everywhere within seconds at 360 VMs', t => {
+  const network = new MembershipNetwork({vms: 360, dataCentres: 9, seed: SEED});
+  network.run(SETTLE_MS);
+  network.nodes[77].up = false;
+  const live = network.nodes.filter(node => node.up);
+  countMsUntil(network, FAILURE_BOUND_MS, () =>
+    live.every(node => seesAll(network, node)),
+  );
+  t.deepEqual(
+    live.filter(node => !seesAll(network, node)).map(node => node.vm.id),
+    [],
+  );
+});
+
+// A silent connection must not look like a dead VM: half the connections go
+// silent for good at one moment, new ones work, and nobody may lose its share.
+test('silent connections fail nobody', t => {
+  const network = new MembershipNetwork({vms: 13, dataCentres: 3, seed: SEED});
+  network.run(SETTLE_MS);
+  network.silenceSome(50);
+  const sizes = new Set<number>();
+  for (let i = 0; i < 100; i++) {
+    network.run(100);
+    for (const node of network.nodes) sizes.add(node.vms.length);
+  }
+  t.deepEqual([...sizes], [13]);
+  t.is(network.silent.size, 0);
+});
+
+function lastLoad(node: Node, teller: Node): unknown {
+  return node.told
+    .filter(a => a.kind === 'peer_load' && a.vm === teller.vm.id)
+    .at(-1);
+}
+
+test('load, crashes and silent endpoints reach the other VMs', t => {
+  const network = new MembershipNetwork({vms: 13, dataCentres: 3, seed: SEED});
+  network.run(SETTLE_MS);
+  const [teller, ...others] = network.nodes;
+  const endpoint = 'worker-3' as EndpointId;
+  const inFlight = new Map([[endpoint, 7]]);
+  network.give(teller, {kind: 'own_load', inFlight});
+  network.give(teller, {kind: 'own_suspects', fingerprints: ['f1']});
+  network.give(teller, {kind: 'own_silent_endpoint', endpoint});
+  network.run(3000);
+  const told = (kind: string) =>
+    others.filter(node => node.told.some(action => action.kind === kind));
+  t.is(told('suspects').length, 12);
+  t.is(told('silent_endpoint').length, 12);
+  const loads = others.map(node => lastLoad(node, teller));
+  const expected = {kind: 'peer_load', vm: teller.vm.id, inFlight};
+  for (const load of loads) t.deepEqual(load as unknown, expected);
+  teller.up = false;
+  network.run(FAILURE_BOUND_MS);
+  for (const node of others) {
+    const last = lastLoad(node, teller);
+    t.deepEqual(last as unknown, {...expected, inFlight: new Map()});
+  }
+});
--- /dev/null
+++ b/packages/core/src/__tests__/membership_fixture.ts
@@ -0,0 +1,176 @@
+/** Several membership state machines over one in-memory message queue. */
+
+import type {VmInfo} from '@radishyoke/shared/endpoint';
+import {toDataCentreId, toVmId, VmId} from '@radishyoke/shared/ids';
+import type {GossipMessage} from '../gossip_message.js';
+import {Membership, MembershipAction, MembershipEvent} from '../membership.js';
+import {RandomSource} from '../random_source.js';
+
+const TICK_MS = 100;
+
+interface Delivery {
+  readonly atMs: number;
+  readonly to: VmId;
+  readonly event: MembershipEvent;
+}
+
+export interface Node {
+  readonly vm: VmInfo;
+  machine: Membership;
+  up: boolean;
+  pausedUntilMs: number;
+  /** Deliveries that wait for the end of a pause. */
+  readonly held: MembershipEvent[];
+  configNext: number;
+  vms: readonly VmId[];
+  readonly told: MembershipAction[];
+  sent: number;
+}
+
+export interface NetworkOptions {
+  readonly vms: number;
+  readonly dataCentres: number;
+  readonly seed: number;
+  /** Share of messages lost, in percent. */
+  readonly lossPercent?: number;
+}
+
+export class MembershipNetwork {
+  nowMs = 1_000_000;
+  readonly nodes: readonly Node[];
+  /** Directed pairs whose open connection went silent; a new one works. */
+  readonly silent = new Set<string>();
+  /** Whether two VMs can reach one another at all. */
+  reachable: (a: VmInfo, b: VmInfo) => boolean = () => true;
+  private readonly random: RandomSource;
+  private readonly byId: ReadonlyMap<VmId, Node>;
+  private queue: Delivery[][] = [];
+
+  constructor(private readonly options: NetworkOptions) {
+    this.random = new RandomSource(options.seed);
+    const vms = Array.from({length: options.vms}, (_, i) => this.createVm(i));
+    this.nodes = vms.map(vm => this.createNode(vm));
+    this.byId = new Map(this.nodes.map(node => [node.vm.id, node]));
+    for (const node of this.nodes) this.give(node, {kind: 'vm_list', vms});
+  }
+
+  run(durationMs: number): void {
+    const endMs = this.nowMs + durationMs;
+    for (; this.nowMs < endMs; this.nowMs++) this.runMillisecond();
+  }
+
+  give(node: Node, event: MembershipEvent): void {
+    if (!node.up) return;
+    const actions = node.machine.handle(event, this.nowMs);
+    for (const action of actions) this.perform(node, action);
+  }
+
+  restart(node: Node): void {
+    node.machine = this.createMachine(node.vm);
+    node.up = true;
+    node.configNext = 0;
+    const vms = this.nodes.map(other => other.vm);
+    this.give(node, {kind: 'vm_list', vms});
+  }
+
+  /** Makes this share of the open connections silent, one way. */
+  silenceSome(percent: number): void {
+    for (const a of this.nodes) {
+      for (const b of a.machine.listNeighbours()) {
+        if (this.random.next(100) < percent) this.silent.add(`${a.vm.id}>${b}`);
+      }
+    }
+  }
+
+  private runMillisecond(): void {
+    const due = this.queue[this.nowMs % this.queue.length];
+    if (due) {
+      this.queue[this.nowMs % this.queue.length] = [];
+      for (const {to, event} of due) this.deliver(this.byId.get(to)!, event);
+    }
+    for (let i = this.nowMs % TICK_MS; i < this.nodes.length; i += TICK_MS) {
+      this.wake(this.nodes[i]);
+      this.deliver(this.nodes[i], {kind: 'tick'});
+    }
+  }
+
+  private wake(node: Node): void {
+    if (this.nowMs < node.pausedUntilMs) return;
+    for (const event of node.held.splice(0)) this.give(node, event);
+  }
+
+  private deliver(node: Node, event: MembershipEvent): void {
+    if (this.nowMs >= node.pausedUntilMs) return this.give(node, event);
+    if (event.kind !== 'tick') node.held.push(event);
+  }
+
+  private perform(node: Node, action: MembershipAction): void {
+    switch (action.kind) {
+      case 'send':
+        return this.send(node, action.to, action.message);
+      case 'relink':
+        this.silent.delete(`${node.vm.id}>${action.vm}`);
+        this.silent.delete(`${action.vm}>${node.vm.id}`);
+        return;
+      case 'vms':
+        node.vms = action.vms;
+        return;
+      case 'serve_config': {
+        const {to} = action;
+        const next = node.configNext;
+        return this.give(node, {kind: 'config_read', to, records: [], next});
+      }
+      case 'config_records':
+        if (action.next <= node.configNext) return;
+        node.configNext = action.next;
+        return this.give(node, {kind: 'config_offset', next: action.next});
+      default:
+        node.told.push(action);
+    }
+  }
+
+  private send(from: Node, to: VmId, message: GossipMessage): void {
+    from.sent++;
+    const target = this.byId.get(to)!;
+    if (!this.reachable(from.vm, target.vm)) return;
+    if (this.silent.has(`${from.vm.id}>${to}`)) return;
+    if (this.random.next(100) < (this.options.lossPercent ?? 0)) return;
+    const far = from.vm.dataCentre !== target.vm.dataCentre;
+    const delayMs = 1 + this.random.next(far ? 40 : 3);
+    const slot = (this.nowMs + delayMs) % this.queue.length;
+    const atMs = this.nowMs + delayMs;
+    const event = {kind: 'message', from: from.vm.id, message} as const;
+    this.queue[slot].push({atMs, to, event});
+  }
+
+  private createVm(index: number): VmInfo {
+    return {
+      id: toVmId(`vm-${index}`),
+      peerAddress: `10.0.0.${index}:1`,
+      dataCentre: toDataCentreId(`dc-${index % this.options.dataCentres}`),
+      state: 'live',
+    };
+  }
+
+  private createMachine(vm: VmInfo): Membership {
+    const cfg = {self: vm, incarnation: this.nowMs, seeds: []};
+    return new Membership(cfg, this.random.next(1 << 30), this.nowMs);
+  }
+
+  private createNode(vm: VmInfo): Node {
+    if (this.queue.length === 0) {
+      this.queue = Array.from({length: 64}, () => []);
+    }
+    return {
+      vm,
+      machine: this.createMachine(vm),
+      up: true,
+      pausedUntilMs: 0,
+      held: [],
+      configNext: 0,
+      vms: [],
+      told: [],
+      sent: 0,
+    };
+  }
+}
--- /dev/null
+++ b/packages/core/src/config_exchange.ts
@@ -0,0 +1,53 @@
+/**
+ * Decides from whom a VM whose own log connection brings nothing takes the
+ * config records it lacks. It asks one VM at a time, so that records do not
+ * come many times over, and turns to another when no answer comes.
+ */
+
+import type {VmId} from '@radishyoke/shared/ids';
+import {MEMBERSHIP_TIMING} from './membership_timing.js';
+
+export class ConfigExchange {
+  private next = 0;
+  private seen = 0;
+  private askedAtMs = -Infinity;
+  private asked: VmId | undefined;
+
+  /** Offset of the first record that this VM lacks. */
+  ownNext(): number {
+    return this.next;
+  }
+
+  /** Greatest offset that any VM told of, own included. */
+  seenNext(): number {
+    return this.seen;
+  }
+
+  /** This VM folded records up to `next`; says whether that is news. */
+  advance(next: number): boolean {
+    if (next <= this.next) return false;
+    this.next = next;
+    this.seen = Math.max(this.seen, next);
+    this.askedAtMs = -Infinity;
+    return true;
+  }
+
+  /** A VM told of `next`; says whether that is the greatest so far. */
+  notice(next: number): boolean {
+    if (next <= this.seen) return false;
+    this.seen = next;
+    return true;
+  }
+
+  /** The VM to ask now, out of those that are ahead. */
+  chooseSource(ahead: readonly VmId[], nowMs: number): VmId | undefined {
+    if (this.seen <= this.next || ahead.length === 0) return undefined;
+    if (nowMs - this.askedAtMs < MEMBERSHIP_TIMING.configRetryMs) {
+      return undefined;
+    }
+    const others = ahead.filter(vm => vm !== this.asked);
+    this.asked = others[0] ?? ahead[0];
+    this.askedAtMs = nowMs;
+    return this.asked;
+  }
+}
--- /dev/null
+++ b/packages/core/src/membership.ts
@@ -0,0 +1,557 @@
+/**
+ * Which VMs of the service live, and what they tell one another.
+ *
+ * A state machine: events in, actions out, no I/O and no clock. Each VM probes
+ * a bounded set of neighbours. Silence leads to a new connection, to probes by
+ * others, to suspicion and only then to failure; the suspected VM refutes by a
+ * higher incarnation. Load digests, crashes, silent endpoints and config
+ * offsets ride on the same messages.
+ */
+
+import type {VmInfo} from '@radishyoke/shared/endpoint';
+import type {EndpointId, VmId} from '@radishyoke/shared/ids';
+import {ConfigExchange} from './config_exchange.js';
+import {Contact, ProbeStep} from './contact.js';
+import {Directory} from './directory.js';
+import type {
+  ConfigRecord,
+  GossipMessage,
+  GossipPayload,
+  Rumour,
+} from './gossip_message.js';
+import {applyLoadDelta, InFlight} from './load_digest.js';
+import {isServing, Member, supersedes} from './member.js';
+import {MEMBERSHIP_LIMITS, MEMBERSHIP_TIMING} from './membership_timing.js';
+import {selectNeighbours} from './neighbour_view.js';
+import {toRumourKey} from './outbox.js';
+import {RandomSource} from './random_source.js';
+
+export type MembershipEvent =
+  /** Sent every 100 ms or so. */
+  | {readonly kind: 'tick'}
+  | {
+      readonly kind: 'message';
+      readonly from: VmId;
+      readonly message: GossipMessage;
+    }
+  /** A connection to a VM began, whichever side opened it. */
+  | {readonly kind: 'linked'; readonly member: Member}
+  | {readonly kind: 'vm_list'; readonly vms: readonly VmInfo[]}
+  /** This VM's own works in flight. */
+  | {readonly kind: 'own_load'; readonly inFlight: InFlight}
+  | {readonly kind: 'own_suspects'; readonly fingerprints: readonly string[]}
+  | {readonly kind: 'own_silent_endpoint'; readonly endpoint: EndpointId}
+  /** This VM folded the config stream up to `next`. */
+  | {readonly kind: 'config_offset'; readonly next: number}
+  /** Records read for a VM that asked by `serve_config`. */
+  | {
+      readonly kind: 'config_read';
+      readonly to: VmId;
+      readonly records: readonly ConfigRecord[];
+      readonly next: number;
+    }
+  | {readonly kind: 'leave'};
+
+export type MembershipAction =
+  | {
+      readonly kind: 'send';
+      readonly to: VmId;
+      readonly address: string;
+      readonly message: GossipMessage;
+    }
+  /** Drop the connections to this VM; the next send opens another. */
+  | {readonly kind: 'relink'; readonly vm: VmId}
+  | {readonly kind: 'dial'; readonly address: string}
+  /** Serving VMs, this one included unless it leaves. */
+  | {readonly kind: 'vms'; readonly vms: readonly VmId[]}
+  | {
+      readonly kind: 'peer_load';
+      readonly vm: VmId;
+      readonly inFlight: InFlight;
+    }
+  | {readonly kind: 'suspects'; readonly fingerprints: readonly string[]}
+  | {readonly kind: 'silent_endpoint'; readonly endpoint: EndpointId}
+  /** Answer by the event `config_read`. */
+  | {readonly kind: 'serve_config'; readonly to: VmId; readonly from: number}
+  | {
+      readonly kind: 'config_records';
+      readonly records: readonly ConfigRecord[];
+      readonly next: number;
+    }
+  /** Greatest config offset that any VM told of. */
+  | {readonly kind: 'config_seen'; readonly next: number};
+
+export interface MembershipConfig {
+  readonly self: VmInfo;
+  /** Greater in each life of the VM: the Unix ms of its start. */
+  readonly incarnation: number;
+  /** Addresses of VMs from the settings. */
+  readonly seeds: readonly string[];
+}
+
+interface Relay {
+  readonly requester: VmId;
+  readonly untilMs: number;
+}
+
+export class Membership {
+  private self: Member;
+  private readonly directory: Directory;
+  private readonly contacts = new Map<VmId, Contact>();
+  private readonly seenRumours = new Set<string>();
+  private readonly relays = new Map<VmId, Relay>();
+  private readonly configs = new ConfigExchange();
+  private readonly random: RandomSource;
+  private inFlight: InFlight = new Map();
+  private neighbours: readonly VmId[] = [];
+  private viewStale = true;
+  private servingStale = true;
+  private servingKey = '';
+  private seq = 0;
+  private seedTurn = 0;
+  private offsetPending = false;
+  private newsPending = false;
+  private fillerTurn = 0;
+  private lastTickMs: number;
+  private lastHeardMs: number;
+  private dialAtMs: number;
+  private reviveAtMs: number;
+  private announceAtMs = 0;
+  private actions: MembershipAction[] = [];
+
+  /** `seed` is random bits; equal seeds and events give equal actions. */
+  constructor(
+    private readonly cfg: MembershipConfig,
+    seed: number,
+    nowMs: number,
+  ) {
+    const {id, peerAddress: address, dataCentre} = cfg.self;
+    const {incarnation} = cfg;
+    this.self = {id, address, dataCentre, incarnation, state: 'alive'};
+    this.directory = new Directory(id);
+    this.random = new RandomSource(seed);
+    this.lastTickMs = nowMs;
+    this.lastHeardMs = nowMs;
+    this.dialAtMs = nowMs;
+    this.reviveAtMs = nowMs + MEMBERSHIP_TIMING.reviveEveryMs;
+  }
+
+  /** Takes one event at `nowMs` (Unix ms) and returns what is to be done, in order. */
+  handle(event: MembershipEvent, nowMs: number): readonly MembershipAction[] {
+    this.actions = [];
+    this.apply(event, nowMs);
+    this.emitServing();
+    return this.actions;
+  }
+
+  /** Every VM known, this one included. */
+  listMembers(): readonly Member[] {
+    return [this.self, ...this.directory.list()];
+  }
+
+  listNeighbours(): readonly VmId[] {
+    return this.neighbours;
+  }
+
+  private apply(event: MembershipEvent, nowMs: number): void {
+    switch (event.kind) {
+      case 'tick':
+        return this.tick(nowMs);
+      case 'message':
+        return this.receive(event.from, event.message, nowMs);
+      case 'linked':
+        this.merge(event.member, nowMs);
+        return this.contacts.get(event.member.id)?.resetLink(nowMs);
+      case 'vm_list':
+        for (const member of this.directory.applyList(event.vms, nowMs)) {
+          this.noteChange(member);
+        }
+        return;
+      case 'own_load':
+        this.inFlight = event.inFlight;
+        return;
+      case 'own_suspects':
+        for (const fingerprint of event.fingerprints) {
+          this.spread({kind: 'suspect_request', fingerprint});
+        }
+        return;
+      case 'own_silent_endpoint': {
+        const {endpoint} = event;
+        this.spread({kind: 'silent_endpoint', endpoint, seenAtMs: nowMs});
+        return;
+      }
+      case 'config_offset':
+        if (this.configs.advance(event.next)) this.offsetPending = true;
+        return this.announce(nowMs);
+      case 'config_read': {
+        const {records, next} = event;
+        return this.send(event.to, {kind: 'config_records', records, next});
+      }
+      case 'leave':
+        return this.leave(nowMs);
+    }
+  }
+
+  private tick(nowMs: number): void {
+    if (nowMs - this.lastTickMs > MEMBERSHIP_TIMING.pausedAfterMs) {
+      this.resume(nowMs);
+    }
+    this.lastTickMs = nowMs;
+    this.refreshView(nowMs);
+    for (const id of this.neighbours) this.probe(id, nowMs);
+    this.failSuspects(nowMs);
+    this.revive(nowMs);
+    this.dialSeeds(nowMs);
+    this.requestConfig(nowMs);
+    this.announce(nowMs);
+  }
+
+  /**
+   * This VM was paused and holds answers that it has not read yet. Without this
+   * it would blame its neighbours for its own silence and declare live VMs
+   * failed; so every neighbour gets a whole new probe.
+   */
+  private resume(nowMs: number): void {
+    for (const contact of this.contacts.values()) {
+      contact.hear(nowMs - MEMBERSHIP_TIMING.periodMs);
+    }
+    this.directory.restartSuspicions(nowMs);
+    this.lastHeardMs = nowMs;
+  }
+
+  private refreshView(nowMs: number): void {
+    for (const [id, contact] of this.contacts) {
+      const idleMs = nowMs - contact.lastHeardMs;
+      if (idleMs < MEMBERSHIP_TIMING.contactIdleMs) continue;
+      if (!this.neighbours.includes(id)) this.contacts.delete(id);
+    }
+    if (!this.viewStale) return;
+    this.viewStale = false;
+    const live = this.directory.list().filter(m => m.state !== 'failed');
+    this.neighbours = selectNeighbours(this.self, live);
+  }
+
+  private probe(id: VmId, nowMs: number): void {
+    const contact = this.touch(id, nowMs);
+    const step = contact?.advance(nowMs);
+    if (!contact || !step) return;
+    this.takeProbeStep(id, step, nowMs);
+    if (step !== 'suspect') this.ping(id, nowMs);
+  }
+
+  private takeProbeStep(id: VmId, step: ProbeStep, nowMs: number): void {
+    switch (step) {
+      case 'ping':
+        return;
+      case 'relink':
+      case 'retry':
+        this.actions.push({kind: 'relink', vm: id});
+        return;
+      case 'indirect':
+        return this.askHelpers(id);
+      case 'suspect':
+        return this.suspect(id, nowMs);
+    }
+  }
+
+  private askHelpers(target: VmId): void {
+    const {address} = this.directory.get(target)!;
+    const others = this.neighbours.filter(id => id !== target);
+    const helpers = this.random.sample(others, MEMBERSHIP_LIMITS.helpers);
+    for (const helper of helpers) {
+      this.send(helper, {kind: 'probe_request', target, address});
+    }
+  }
+
+  private suspect(id: VmId, nowMs: number): void {
+    const member = this.directory.get(id);
+    if (!member) return;
+    // A VM that said it leaves and then falls silent has left.
+    const state = member.state === 'leaving' ? 'failed' : 'suspect';
+    this.merge({...member, state}, nowMs);
+  }
+
+  private failSuspects(nowMs: number): void {
+    const timing = MEMBERSHIP_TIMING;
+    const silentMs = nowMs - this.lastHeardMs;
+    // A VM cut off from all sees everybody silent. It shows as a VM that takes
+    // the whole service for its own and sends every endpoint the load of all.
+    const isolated = silentMs > timing.isolatedAfterMs;
+    const waitMs = isolated ? timing.failAfterIsolatedMs : timing.failAfterMs;
+    for (const member of this.directory.listSuspectedSince(nowMs - waitMs)) {
+      this.merge({...member, state: 'failed'}, nowMs);
+    }
+  }
+
+  /** Probes one failed VM now and then: a cut between regions heals unannounced. */
+  private revive(nowMs: number): void {
+    if (nowMs < this.reviveAtMs) return;
+    this.reviveAtMs = nowMs + MEMBERSHIP_TIMING.reviveEveryMs;
+    this.directory.forget(nowMs - MEMBERSHIP_TIMING.forgetAfterMs);
+    const failed = this.directory.list().filter(m => m.state === 'failed');
+    for (const {id} of this.random.sample(failed, 1)) this.ping(id, nowMs);
+  }
+
+  private dialSeeds(nowMs: number): void {
+    const {seeds} = this.cfg;
+    if (nowMs < this.dialAtMs || seeds.length === 0) return;
+    this.dialAtMs = nowMs + MEMBERSHIP_TIMING.dialEveryMs;
+    if (this.directory.list().some(m => m.incarnation > 0 && isServing(m))) {
+      return;
+    }
+    const address = seeds[this.seedTurn++ % seeds.length];
+    if (address !== this.self.address) {
+      this.actions.push({kind: 'dial', address});
+    }
+  }
+
+  private receive(from: VmId, message: GossipMessage, nowMs: number): void {
+    this.lastHeardMs = nowMs;
+    this.touch(from, nowMs)?.hear(nowMs);
+    this.answerRelay(from, nowMs);
+    switch (message.kind) {
+      case 'ping':
+        this.takePayload(from, message.payload, nowMs);
+        return this.acknowledge(from, message, nowMs);
+      case 'ack':
+        return this.takePayload(from, message.payload, nowMs);
+      case 'probe_request':
+        return this.relay(from, message.target, nowMs);
+      case 'probe_heard':
+        return this.contacts.get(message.target)?.hear(nowMs);
+      case 'members':
+        for (const member of message.members) this.merge(member, nowMs);
+        return;
+      case 'config_request': {
+        const {from: offset} = message;
+        this.actions.push({kind: 'serve_config', to: from, from: offset});
+        return;
+      }
+      case 'config_records': {
+        const {records, next} = message;
+        this.actions.push({kind: 'config_records', records, next});
+        return;
+      }
+    }
+  }
+
+  private acknowledge(
+    to: VmId,
+    message: GossipMessage & {kind: 'ping'},
+    nowMs: number,
+  ): void {
+    const payload = this.buildPayload(to, nowMs);
+    this.send(to, {kind: 'ack', seq: message.seq, payload});
+    if (!message.payload.wantsMembers) return;
+    const members = this.directory.list().filter(m => m.state !== 'failed');
+    for (let i = 0; i < members.length;) {
+      const end = i + MEMBERSHIP_LIMITS.membersPerMessage;
+      this.send(to, {kind: 'members', members: members.slice(i, end)});
+      i = end;
+    }
+  }
+
+  private takePayload(from: VmId, payload: GossipPayload, nowMs: number): void {
+    this.merge(payload.self, nowMs);
+    for (const rumour of payload.rumours) {
+      this.hearRumour(rumour, from, nowMs);
+    }
+    const contact = this.touch(from, nowMs);
+    if (!contact) return;
+    contact.configNext = payload.configNext;
+    if (payload.load) {
+      contact.received = applyLoadDelta(contact.received, payload.load);
+      const inFlight = contact.received;
+      this.actions.push({kind: 'peer_load', vm: from, inFlight});
+    }
+    if (this.configs.notice(payload.configNext)) {
+      this.actions.push({kind: 'config_seen', next: payload.configNext});
+    }
+    this.requestConfig(nowMs);
+  }
+
+  private hearRumour(rumour: Rumour, from: VmId, nowMs: number): void {
+    if (rumour.kind === 'member') {
+      this.merge(rumour.member, nowMs, from);
+      return;
+    }
+    if (!this.spread(rumour, from)) return;
+    if (rumour.kind === 'suspect_request') {
+      const fingerprints = [rumour.fingerprint];
+      this.actions.push({kind: 'suspects', fingerprints});
+      return;
+    }
+    this.actions.push({kind: 'silent_endpoint', endpoint: rumour.endpoint});
+  }
+
+  /** Passes news on that is not about a VM; false when it was known. */
+  private spread(rumour: Rumour, source?: VmId): boolean {
+    const occasion = rumour.kind === 'silent_endpoint' ? rumour.seenAtMs : '';
+    const key = `${toRumourKey(rumour)}:${occasion}`;
+    if (this.seenRumours.has(key)) return false;
+    this.seenRumours.add(key);
+    if (this.seenRumours.size > MEMBERSHIP_LIMITS.seenRumours) {
+      const [oldest] = this.seenRumours;
+      this.seenRumours.delete(oldest);
+    }
+    this.tell(rumour, source);
+    return true;
+  }
+
+  private merge(news: Member, nowMs: number, source?: VmId): void {
+    if (news.id === this.self.id) return this.refute(news);
+    const result = this.directory.merge(news, nowMs);
+    if (result === 'ignored') return;
+    if (news.incarnation > 0) this.tell({kind: 'member', member: news}, source);
+    if (result === 'changed') this.noteChange(news);
+  }
+
+  /**
+   * Others take this VM for dead, as after a pause, or hold news of an earlier
+   * life of it, as after its clock was set back. A higher incarnation overrides
+   * both, and only this VM may raise it.
+   */
+  private refute(news: Member): void {
+    if (!supersedes(news, this.self)) return;
+    this.self = {...this.self, incarnation: news.incarnation + 1};
+    this.newsPending = true;
+    this.tell({kind: 'member', member: this.self});
+  }
+
+  private noteChange(member: Member): void {
+    this.viewStale = true;
+    this.servingStale = true;
+    if (member.state !== 'alive') this.newsPending = true;
+    if (member.state !== 'failed') return;
+    const contact = this.contacts.get(member.id);
+    this.contacts.delete(member.id);
+    if (!contact || contact.received.size === 0) return;
+    const inFlight: InFlight = new Map();
+    this.actions.push({kind: 'peer_load', vm: member.id, inFlight});
+  }
+
+  private relay(requester: VmId, target: VmId, nowMs: number): void {
+    if (this.relays.size >= MEMBERSHIP_LIMITS.relays) this.relays.clear();
+    const untilMs = nowMs + MEMBERSHIP_TIMING.suspectAfterMs;
+    this.relays.set(target, {requester, untilMs});
+    this.ping(target, nowMs);
+  }
+
+  private answerRelay(target: VmId, nowMs: number): void {
+    const relay = this.relays.get(target);
+    if (!relay) return;
+    this.relays.delete(target);
+    if (nowMs > relay.untilMs) return;
+    this.send(relay.requester, {kind: 'probe_heard', target});
+  }
+
+  private requestConfig(nowMs: number): void {
+    const from = this.configs.ownNext();
+    if (this.configs.seenNext() <= from) return;
+    const ahead = [...this.contacts]
+      .filter(([, contact]) => contact.configNext > from)
+      .sort(([, a], [, b]) => b.lastHeardMs - a.lastHeardMs)
+      .map(([id]) => id);
+    const source = this.configs.chooseSource(ahead, nowMs);
+    if (source) this.send(source, {kind: 'config_request', from});
+  }
+
+  /** Does not wait for the next probe with what others must soon know. */
+  private announce(nowMs: number): void {
+    const due = this.offsetPending || this.newsPending;
+    if (!due || nowMs < this.announceAtMs) return;
+    this.announceAtMs = nowMs + MEMBERSHIP_TIMING.announceEveryMs;
+    const next = this.configs.ownNext();
+    for (const [id, contact] of this.contacts) {
+      const behind = this.offsetPending && contact.configNext < next;
+      if (this.newsPending || behind) this.ping(id, nowMs);
+    }
+    this.offsetPending = false;
+    this.newsPending = false;
+  }
+
+  private leave(nowMs: number): void {
+    if (this.self.state === 'leaving') return;
+    const incarnation = this.self.incarnation + 1;
+    this.self = {...this.self, incarnation, state: 'leaving'};
+    this.servingStale = true;
+    this.tell({kind: 'member', member: this.self});
+    this.newsPending = true;
+    this.announce(nowMs);
+  }
+
+  private ping(id: VmId, nowMs: number): void {
+    const payload = this.buildPayload(id, nowMs);
+    this.send(id, {kind: 'ping', seq: ++this.seq, payload});
+  }
+
+  private buildPayload(to: VmId, nowMs: number): GossipPayload {
+    const contact = this.touch(to, nowMs);
+    const load = contact?.encoder.encode(this.inFlight, nowMs);
+    return {
+      self: this.self,
+      rumours: this.chooseRumours(to, contact, nowMs),
+      ...(load && {load}),
+      configNext: this.configs.ownNext(),
+      wantsMembers: !this.directory.hasHeard(),
+    };
+  }
+
+  private chooseRumours(
+    to: VmId,
+    contact: Contact | undefined,
+    nowMs: number,
+  ): readonly Rumour[] {
+    const news = contact?.outbox.take(nowMs) ?? [];
+    const held = this.directory.get(to);
+    // A VM that is doubted hears of it, so that it can refute at once.
+    const doubted = held?.state === 'suspect' || held?.state === 'failed';
+    if (doubted) return [{kind: 'member', member: held}, ...news];
+    const filler = news.length === 0 ? this.chooseFiller() : undefined;
+    return filler ? [{kind: 'member', member: filler}] : news;
+  }
+
+  /** When there is no news, beliefs in turn: they mend what was ever missed. */
+  private chooseFiller(): Member | undefined {
+    const members = this.directory.list();
+    if (members.length === 0) return undefined;
+    return members[this.fillerTurn++ % members.length];
+  }
+
+  private tell(rumour: Rumour, source?: VmId): void {
+    for (const [id, contact] of this.contacts) {
+      if (id !== source) contact.outbox.add(rumour);
+    }
+  }
+
+  private touch(id: VmId, nowMs: number): Contact | undefined {
+    const held = this.contacts.get(id);
+    if (held) return held;
+    const full = this.contacts.size >= MEMBERSHIP_LIMITS.contacts;
+    if (full && !this.neighbours.includes(id)) return undefined;
+    const patienceMs = id > this.self.id ? MEMBERSHIP_TIMING.patienceMs : 0;
+    const contact = new Contact(nowMs, patienceMs);
+    this.contacts.set(id, contact);
+    return contact;
+  }
+
+  private send(to: VmId, message: GossipMessage): void {
+    const member = this.directory.get(to);
+    if (!member) return;
+    const {address} = member;
+    this.actions.push({kind: 'send', to, address, message});
+  }
+
+  private emitServing(): void {
+    if (!this.servingStale) return;
+    this.servingStale = false;
+    const vms = this.listMembers()
+      .filter(isServing)
+      .map(member => member.id)
+      .sort();
+    const key = vms.join();
+    if (key === this.servingKey) return;
+    this.servingKey = key;
+    this.actions.push({kind: 'vms', vms});
+  }
+}
