--- a/packages/core/src/__tests__/membership_fixture.ts
+++ b/packages/core/src/__tests__/membership_fixture.ts
@@ -3,8 +3,9 @@
 import type {VmInfo} from '@radishyoke/shared/endpoint';
 import {toDataCentreId, toVmId, VmId} from '@radishyoke/shared/ids';
 import type {GossipMessage} from '../gossip_message.js';
+import type {Member} from '../member.js';
 import {Membership, MembershipAction, MembershipEvent} from '../membership.js';
-import {RandomSource} from '../random_source.js';
+import {createRandomBits, drawBelow, RandomBits} from '../random_bits.js';
 
 const TICK_MS = 100;
 
@@ -42,12 +43,12 @@
   readonly silent = new Set<string>();
   /** Whether two VMs can reach one another at all. */
   reachable: (a: VmInfo, b: VmInfo) => boolean = () => true;
-  private readonly random: RandomSource;
+  private readonly random: RandomBits;
   private readonly byId: ReadonlyMap<VmId, Node>;
   private queue: Delivery[][] = [];
 
   constructor(private readonly options: NetworkOptions) {
-    this.random = new RandomSource(options.seed);
+    this.random = createRandomBits(options.seed);
     const vms = Array.from({length: options.vms}, (_, i) => this.createVm(i));
     this.nodes = vms.map(vm => this.createNode(vm));
     this.byId = new Map(this.nodes.map(node => [node.vm.id, node]));
@@ -77,7 +78,8 @@
   silenceSome(percent: number): void {
     for (const a of this.nodes) {
       for (const b of a.machine.listNeighbours()) {
-        if (this.random.next(100) < percent) this.silent.add(`${a.vm.id}>${b}`);
+        if (drawBelow(this.random, 100) < percent)
+          this.silent.add(`${a.vm.id}>${b}`);
       }
     }
   }
@@ -134,9 +136,9 @@
     const target = this.byId.get(to)!;
     if (!this.reachable(from.vm, target.vm)) return;
     if (this.silent.has(`${from.vm.id}>${to}`)) return;
-    if (this.random.next(100) < (this.options.lossPercent ?? 0)) return;
+    if (drawBelow(this.random, 100) < (this.options.lossPercent ?? 0)) return;
     const far = from.vm.dataCentre !== target.vm.dataCentre;
-    const delayMs = 1 + this.random.next(far ? 40 : 3);
+    const delayMs = 1 + drawBelow(this.random, far ? 40 : 3);
     const slot = (this.nowMs + delayMs) % this.queue.length;
     const atMs = this.nowMs + delayMs;
     const event = {kind: 'message', from: from.vm.id, message} as const;
@@ -147,14 +149,23 @@
     return {
       id: toVmId(`vm-${index}`),
       peerAddress: `10.0.0.${index}:1`,
+      callerAddress: `10.0.0.${index}:2`,
       dataCentre: toDataCentreId(`dc-${index % this.options.dataCentres}`),
       state: 'live',
     };
   }
 
   private createMachine(vm: VmInfo): Membership {
-    const cfg = {self: vm, incarnation: this.nowMs, seeds: []};
-    return new Membership(cfg, this.random.next(1 << 30), this.nowMs);
+    const {id, peerAddress, callerAddress, dataCentre} = vm;
+    const self: Member = {
+      id,
+      peerAddress,
+      callerAddress,
+      dataCentre,
+      incarnation: this.nowMs,
+      state: 'alive',
+    };
+    return new Membership({self, seeds: []}, this.random(), this.nowMs);
   }
 
   private createNode(vm: VmInfo): Node {
--- a/packages/core/src/directory.ts
+++ b/packages/core/src/directory.ts
@@ -97,10 +97,17 @@
    * and only against the incarnation known when it was seen.
    */
   private toNews(vm: VmInfo, before: VmInfo | undefined): Member {
-    const {id, peerAddress: address, dataCentre} = vm;
+    const {id, peerAddress, callerAddress, dataCentre} = vm;
     const began = vm.state === 'leaving' && before?.state === 'live';
     const incarnation = began ? (this.get(id)?.incarnation ?? 0) : 0;
     const state = vm.state === 'leaving' ? 'leaving' : 'alive';
-    return {id, address, dataCentre, incarnation, state};
+    return {
+      id,
+      peerAddress,
+      callerAddress,
+      dataCentre,
+      incarnation,
+      state,
+    };
   }
 }
--- a/packages/core/src/gossip_message.ts
+++ b/packages/core/src/gossip_message.ts
@@ -44,7 +44,7 @@
   readonly wantsMembers: boolean;
 }
 
-export type ConfigRecord = LoggedRecord<PublishedConfig>;
+export type LoggedConfig = LoggedRecord<ConfigRecord>;
 
 export type GossipMessage =
   | {
@@ -69,7 +69,7 @@
   | {readonly kind: 'config_request'; readonly from: number}
   | {
       readonly kind: 'config_records';
-      readonly records: readonly ConfigRecord[];
+      readonly records: readonly LoggedConfig[];
       /** Offset up to which the sender knows the stream. */
       readonly next: number;
     };
--- a/packages/core/src/member.ts
+++ b/packages/core/src/member.ts
@@ -23,7 +23,9 @@
 export interface Member {
   readonly id: VmId;
   /** `ip:port` of the VM's peer listener. */
-  readonly address: string;
+  readonly peerAddress: string;
+  /** `ip:port` of the VM's caller listener. */
+  readonly callerAddress: string;
   readonly dataCentre: DataCentreId;
   /** 0 when known from the VM list only. */
   readonly incarnation: number;
--- a/packages/core/src/membership.ts
+++ b/packages/core/src/membership.ts
@@ -14,9 +14,9 @@
 import {Contact, ProbeStep} from './contact.js';
 import {Directory} from './directory.js';
 import type {
-  ConfigRecord,
   GossipMessage,
   GossipPayload,
+  LoggedConfig,
   Rumour,
 } from './gossip_message.js';
 import {applyLoadDelta, InFlight} from './load_digest.js';
@@ -24,7 +24,7 @@
 import {MEMBERSHIP_LIMITS, MEMBERSHIP_TIMING} from './membership_timing.js';
 import {selectNeighbours} from './neighbour_view.js';
 import {toRumourKey} from './outbox.js';
-import {RandomSource} from './random_source.js';
+import {createRandomBits, drawSome, RandomBits} from './random_bits.js';
 
 export type MembershipEvent =
   /** Sent every 100 ms or so. */
@@ -47,7 +47,7 @@
   | {
       readonly kind: 'config_read';
       readonly to: VmId;
-      readonly records: readonly ConfigRecord[];
+      readonly records: readonly LoggedConfig[];
       readonly next: number;
     }
   | {readonly kind: 'leave'};
@@ -75,16 +75,15 @@
   | {readonly kind: 'serve_config'; readonly to: VmId; readonly from: number}
   | {
       readonly kind: 'config_records';
-      readonly records: readonly ConfigRecord[];
+      readonly records: readonly LoggedConfig[];
       readonly next: number;
     }
   /** Greatest config offset that any VM told of. */
   | {readonly kind: 'config_seen'; readonly next: number};
 
 export interface MembershipConfig {
-  readonly self: VmInfo;
-  /** Greater in each life of the VM: the Unix ms of its start. */
-  readonly incarnation: number;
+  /** This VM; its incarnation, the Unix ms of its start, grows with each life. */
+  readonly self: Member;
   /** Addresses of VMs from the settings. */
   readonly seeds: readonly string[];
 }
@@ -101,7 +100,7 @@
   private readonly seenRumours = new Set<string>();
   private readonly relays = new Map<VmId, Relay>();
   private readonly configs = new ConfigExchange();
-  private readonly random: RandomSource;
+  private readonly random: RandomBits;
   private inFlight: InFlight = new Map();
   private neighbours: readonly VmId[] = [];
   private viewStale = true;
@@ -125,11 +124,9 @@
     seed: number,
     nowMs: number,
   ) {
-    const {id, peerAddress: address, dataCentre} = cfg.self;
-    const {incarnation} = cfg;
-    this.self = {id, address, dataCentre, incarnation, state: 'alive'};
-    this.directory = new Directory(id);
-    this.random = new RandomSource(seed);
+    this.self = cfg.self;
+    this.directory = new Directory(cfg.self.id);
+    this.random = createRandomBits(seed);
     this.lastTickMs = nowMs;
     this.lastHeardMs = nowMs;
     this.dialAtMs = nowMs;
@@ -255,9 +252,9 @@
   }
 
   private askHelpers(target: VmId): void {
-    const {address} = this.directory.get(target)!;
+    const address = this.directory.get(target)!.peerAddress;
     const others = this.neighbours.filter(id => id !== target);
-    const helpers = this.random.sample(others, MEMBERSHIP_LIMITS.helpers);
+    const helpers = drawSome(this.random, others, MEMBERSHIP_LIMITS.helpers);
     for (const helper of helpers) {
       this.send(helper, {kind: 'probe_request', target, address});
     }
@@ -289,7 +286,7 @@
     this.reviveAtMs = nowMs + MEMBERSHIP_TIMING.reviveEveryMs;
     this.directory.forget(nowMs - MEMBERSHIP_TIMING.forgetAfterMs);
     const failed = this.directory.list().filter(m => m.state === 'failed');
-    for (const {id} of this.random.sample(failed, 1)) this.ping(id, nowMs);
+    for (const {id} of drawSome(this.random, failed, 1)) this.ping(id, nowMs);
   }
 
   private dialSeeds(nowMs: number): void {
@@ -300,7 +297,7 @@
       return;
     }
     const address = seeds[this.seedTurn++ % seeds.length];
-    if (address !== this.self.address) {
+    if (address !== this.self.peerAddress) {
       this.actions.push({kind: 'dial', address});
     }
   }
@@ -538,7 +535,7 @@
   private send(to: VmId, message: GossipMessage): void {
     const member = this.directory.get(to);
     if (!member) return;
-    const {address} = member;
+    const address = member.peerAddress;
     this.actions.push({kind: 'send', to, address, message});
   }
 
--- a/packages/core/src/random_bits.ts
+++ b/packages/core/src/random_bits.ts
@@ -20,3 +20,17 @@
 export function drawBelow(random: RandomBits, bound: number): number {
   return Math.floor((random() / 2 ** 32) * bound);
 }
+
+/** Up to `count` different items, in random order. */
+export function drawSome<T>(
+  random: RandomBits,
+  items: readonly T[],
+  count: number,
+): readonly T[] {
+  const rest = [...items];
+  const drawn: T[] = [];
+  while (drawn.length < count && rest.length > 0) {
+    drawn.push(...rest.splice(drawBelow(random, rest.length), 1));
+  }
+  return drawn;
+}
