--- a/packages/core/src/gossip_message.ts
+++ b/packages/core/src/gossip_message.ts
@@ -1,10 +1,7 @@
 /** What VMs tell one another. The codec in `wire` fixes the bytes. */
 
 import type {EndpointId, VmId} from '@radishyoke/shared/ids';
-import type {
-  LoggedRecord,
-  PublishedConfig,
-} from '@radishyoke/shared/log_record';
+import type {LoggedRecord, ConfigRecord} from '@radishyoke/shared/log_record';
 import type {Member} from './member.js';
 
 /** News that travels from VM to VM until all have it. */
