feat(core,daemon): audit chains with offline check, and currency of the configuration

Cause: an auditor must see which rule was in force and what it caused, and that nothing was changed since; a VM that can not know whether its configuration is current must say so. Change: AuditChain (blocks bound by hash to the writer's block before and to other writers' heads, which VMs anchor in the stream state), AuditExporter and verifyExport (plain JSON lines), AuditTask (bounded buffer, a gap entry for what it drops, a third of the VM's append share), CurrencyTracker.

--- /dev/null
+++ b/packages/core/src/__tests__/currency.spec.ts
@@ -0,0 +1,75 @@
+import {toVmId} from '@radishyoke/shared/ids';
+import test from 'ava';
+import {CurrencyTracker, DEFAULT_CURRENCY_TIMING} from '../currency.js';
+
+const {confirmEveryMs, logDownMs, cutOffMs} = DEFAULT_CURRENCY_TIMING;
+const [PEER, OTHER] = [toVmId('b'), toVmId('c')];
+
+interface CurrencyCase {
+  readonly name: string;
+  /** Age of this VM's own last read to the end; undefined for none. */
+  readonly ownReadAgeMs?: number;
+  /** What the other VM says of itself now; undefined when it is not heard. */
+  readonly peer?: {readonly next: number; readonly ageMs: number};
+  readonly expected: string;
+}
+
+const CASES: readonly CurrencyCase[] = [
+  {name: 'reads the log', ownReadAgeMs: 0, expected: 'current'},
+  {
+    name: 'has a silent log connection and a peer that reads',
+    ownReadAgeMs: logDownMs * 2,
+    peer: {next: 5, ageMs: 100},
+    expected: 'current',
+  },
+  {
+    name: 'has a silent log connection and a peer that is ahead',
+    ownReadAgeMs: confirmEveryMs + 1,
+    peer: {next: 6, ageMs: 100},
+    expected: 'uncertain behind',
+  },
+  {
+    name: 'sees the log down for everybody',
+    ownReadAgeMs: logDownMs,
+    peer: {next: 5, ageMs: logDownMs},
+    expected: 'uncertain log_down',
+  },
+  {
+    name: 'sees the log down for too long',
+    ownReadAgeMs: logDownMs + 1,
+    peer: {next: 5, ageMs: logDownMs + 1},
+    expected: 'not_current log_down',
+  },
+  {
+    name: 'is cut off from log and peers for a moment',
+    ownReadAgeMs: cutOffMs,
+    expected: 'uncertain cut_off',
+  },
+  {
+    name: 'is cut off from log and peers for long',
+    ownReadAgeMs: cutOffMs + 1,
+    expected: 'not_current cut_off',
+  },
+  {name: 'has just started and heard nothing', expected: 'not_current cut_off'},
+  {
+    name: 'has just started in an outage and took a peer configuration',
+    peer: {next: 5, ageMs: 60_000},
+    expected: 'uncertain log_down',
+  },
+];
+
+// A VM goes on serving under rules that an operator replaced minutes ago, or a
+// whole deployment stops being ready because the log is down and nothing changed.
+for (const {name, ownReadAgeMs, peer, expected} of CASES) {
+  test(`a VM that ${name} is ${expected}`, t => {
+    const nowMs = 10_000_000;
+    const tracker = new CurrencyTracker(DEFAULT_CURRENCY_TIMING, 0);
+    tracker.noteFolded(5);
+    if (ownReadAgeMs !== undefined) tracker.noteRead(5, nowMs - ownReadAgeMs);
+    if (peer) tracker.notePeer(PEER, peer.next, peer.ageMs, nowMs);
+    tracker.notePeer(OTHER, 4, 0, 0);
+    const currency = tracker.assess(2, nowMs);
+    const reason = 'reason' in currency ? ` ${currency.reason}` : '';
+    t.is(currency.kind + reason, expected);
+  });
+}
--- /dev/null
+++ b/packages/core/src/audit_chain.ts
@@ -0,0 +1,82 @@
+/** Chains of audit blocks, one a writer, each block bound to the one before. */
+
+import type {Stamp} from '@radishyoke/shared/log_record';
+import type {AuditEntry} from './audit_entry.js';
+import {canonicalizeJson} from './canonical_json.js';
+import {computeDigest} from './digest.js';
+
+/** Where a writer's chain stands. */
+export interface ChainHead {
+  /** `vm/incarnation`. */
+  readonly writer: string;
+  /** Number of its last block; 0 for none. */
+  readonly number: number;
+  /** Hash of that block; empty for none. */
+  readonly hash: string;
+}
+
+/** A head with the offset at which the log took its block. */
+export interface PlacedHead extends ChainHead {
+  readonly offset: number;
+}
+
+/** Many entries in one record of the stream `audit`. */
+export interface AuditBlock {
+  readonly kind: 'audit_block';
+  readonly stamp: Stamp;
+  readonly writer: string;
+  /** Counts from 1 in the writer's chain. */
+  readonly number: number;
+  /** Hash of the writer's block before; empty for the first. */
+  readonly previous: string;
+  readonly entries: readonly AuditEntry[];
+  /**
+   * Heads of other writers' chains that this writer had learned. They bind the
+   * chains to one another: whoever rewrites the end of one has to rewrite every
+   * later block that names it too.
+   */
+  readonly witnessed: readonly PlacedHead[];
+  readonly hash: string;
+}
+
+/** A block without the stamp that the log's writer adds. */
+export type UnstampedBlock = Omit<AuditBlock, 'stamp'>;
+
+/** Hash over all of a block but its stamp and the hash itself. */
+export function hashBlock(block: Partial<AuditBlock>): string {
+  const body: Record<string, unknown> = {...block};
+  delete body['hash'];
+  delete body['stamp'];
+  return computeDigest(canonicalizeJson(body));
+}
+
+/** Chains the blocks of one writer. */
+export class AuditChain {
+  private last: ChainHead;
+
+  constructor(readonly writer: string) {
+    this.last = {writer, number: 0, hash: ''};
+  }
+
+  get head(): ChainHead {
+    return this.last;
+  }
+
+  /** Builds the next block. */
+  seal(
+    entries: readonly AuditEntry[],
+    witnessed: readonly PlacedHead[],
+  ): UnstampedBlock {
+    const body = {
+      kind: 'audit_block' as const,
+      writer: this.writer,
+      number: this.last.number + 1,
+      previous: this.last.hash,
+      entries,
+      witnessed,
+    };
+    const hash = hashBlock(body);
+    this.last = {writer: this.writer, number: body.number, hash};
+    return {...body, hash};
+  }
+}
--- /dev/null
+++ b/packages/core/src/audit_entry.ts
@@ -0,0 +1,91 @@
+/** What the audit keeps of a request, a rollout and a configuration. */
+
+import type {ErrorKind} from '@radishyoke/shared/error_kind';
+import type {
+  EndpointId,
+  RequestId,
+  StepId,
+  TeamId,
+  TenantId,
+} from '@radishyoke/shared/ids';
+import type {TokenSpan} from '@radishyoke/shared/rollout';
+import type {FailureKind} from './failure.js';
+
+/** One attempt and its end. */
+export interface AuditAttempt {
+  readonly attempt: number;
+  readonly endpoint: EndpointId;
+  readonly startedAtMs: number;
+  readonly endedAtMs: number;
+  readonly end: 'finished' | 'stopped' | FailureKind;
+  /** Weight versions that made its output, in order; empty for plain services. */
+  readonly spans: readonly TokenSpan[];
+}
+
+/** The rule in force for a piece of work, and what it caused. */
+interface AuditedWork {
+  /** Unix ms at the VM when the work ended. */
+  readonly atMs: number;
+  readonly team: TeamId;
+  readonly tenant: TenantId;
+  readonly rule: string;
+  /** Version (offset) of the team's configuration. */
+  readonly configVersion: number;
+  readonly attempts: readonly AuditAttempt[];
+}
+
+export type AuditEntry =
+  | (AuditedWork & {
+      readonly kind: 'request';
+      readonly request: RequestId;
+      readonly outcome: 'answered' | ErrorKind;
+    })
+  | (AuditedWork & {
+      readonly kind: 'rollout';
+      readonly step: StepId;
+      readonly group: number;
+      readonly sample: number;
+      readonly cursor: number;
+      /** Fencing number of the owner that handed it over. */
+      readonly fencing: number;
+      readonly outcome: 'handed_over' | ErrorKind;
+      /** SHA-256 of the text, hex; empty for a shortfall. */
+      readonly digest: string;
+    })
+  | {
+      /** This VM put a version into force. */
+      readonly kind: 'config';
+      readonly atMs: number;
+      readonly team: TeamId;
+      readonly version: number;
+      readonly basedOn: number;
+      readonly author: string;
+      /** SHA-256 of the text, hex. */
+      readonly digest: string;
+    }
+  | {
+      /** Entries were dropped because the log took none and the buffer was full. */
+      readonly kind: 'gap';
+      readonly fromMs: number;
+      readonly toMs: number;
+      readonly dropped: number;
+    }
+  | {
+      /** The last entry of a VM that shut down in order. */
+      readonly kind: 'closed';
+      readonly atMs: number;
+    };
+
+/** Whether an entry tells of a request, a step or a rollout by this name. */
+export function concernsSubject(entry: AuditEntry, subject: string): boolean {
+  switch (entry.kind) {
+    case 'request':
+      return entry.request === subject;
+    case 'rollout': {
+      const rollout = `${entry.step}/${entry.group}/${entry.sample}`;
+      return entry.step === subject || rollout === subject;
+    }
+    default:
+      return false;
+  }
+}
--- /dev/null
+++ b/packages/core/src/audit_export.ts
@@ -0,0 +1,295 @@
+/**
+ * The plain form in which the audit is kept past the log's retention, and its
+ * check, which needs nothing but the export. One JSON value a line: a header,
+ * each record of the stream in order, and a trailer.
+ */
+
+import type {LoggedRecord} from '@radishyoke/shared/log_record';
+import {
+  type AuditBlock,
+  type ChainHead,
+  hashBlock,
+  type PlacedHead,
+} from './audit_chain.js';
+import {computeDigest} from './digest.js';
+
+export type AuditRecord = LoggedRecord<AuditBlock>;
+
+interface ExportHeader {
+  readonly kind: 'audit_export';
+  readonly format: 1;
+  /** Offset of the first record. */
+  readonly from: number;
+}
+
+interface ExportTrailer {
+  readonly kind: 'audit_export_end';
+  readonly records: number;
+  /** Last head of each writer. */
+  readonly heads: readonly ChainHead[];
+  /** Digest over the digests of all lines before. */
+  readonly digest: string;
+}
+
+function extendDigest(digest: string, line: string): string {
+  return computeDigest(`${digest}\n${line}`);
+}
+
+/** Writes an export line by line. */
+export class AuditExporter {
+  private digest = '';
+  private records = 0;
+  private readonly heads = new Map<string, ChainHead>();
+
+  /** The first line; `from` is the offset of the first record to come. */
+  begin(from: number): string {
+    const header: ExportHeader = {kind: 'audit_export', format: 1, from};
+    return this.emit(header);
+  }
+
+  add(record: AuditRecord): string {
+    this.records++;
+    const {writer, number, hash} = record.value;
+    const known = this.heads.get(writer)?.number ?? 0;
+    if (number > known) this.heads.set(writer, {writer, number, hash});
+    return this.emit(record);
+  }
+
+  end(): string {
+    const trailer: ExportTrailer = {
+      kind: 'audit_export_end',
+      records: this.records,
+      heads: [...this.heads.values()],
+      digest: this.digest,
+    };
+    return JSON.stringify(trailer);
+  }
+
+  private emit(value: object): string {
+    const line = JSON.stringify(value);
+    this.digest = extendDigest(this.digest, line);
+    return line;
+  }
+}
+
+/** What is wrong at one line of an export. */
+export interface AuditFault {
+  /** Counts from 1. */
+  readonly line: number;
+  readonly problem: string;
+}
+
+/** What the check of an export came to. */
+export interface AuditReport {
+  /** Empty when nothing is wrong. */
+  readonly faults: readonly AuditFault[];
+  readonly blocks: number;
+  readonly entries: number;
+  /** Last head of each writer, to be kept for the check of other exports. */
+  readonly heads: readonly PlacedHead[];
+  /** Entries that the service itself says it dropped. */
+  readonly dropped: number;
+  /** Writers whose first block is not in the export and in no given head. */
+  readonly unanchored: readonly string[];
+  /**
+   * Writers whose chain ends without an orderly shutdown: still running, or
+   * dead with up to one flush interval of entries unwritten.
+   */
+  readonly unclosed: readonly string[];
+}
+
+interface WriterState {
+  readonly head: PlacedHead;
+  readonly closed: boolean;
+}
+
+/**
+ * Checks an export. Found offline and without any secret: a block that was
+ * changed, dropped, moved or put in, also when the trailer was made to fit,
+ * because blocks are bound to those before and to other writers' blocks. Not to
+ * be found from an export alone: one whose every chain was rewritten from some
+ * block on. For that, give heads that were kept elsewhere (`anchors`).
+ */
+export function verifyExport(
+  lines: Iterable<string>,
+  anchors: readonly PlacedHead[] = [],
+): AuditReport {
+  const check = new ExportCheck(anchors);
+  for (const line of lines) check.take(line);
+  return check.finish();
+}
+
+class ExportCheck {
+  private readonly faults: AuditFault[] = [];
+  private readonly writers = new Map<string, WriterState>();
+  private readonly hashes = new Map<string, string>();
+  private readonly hashAtOffset = new Map<number, string>();
+  private readonly witnessed: Array<{line: number; head: PlacedHead}> = [];
+  private readonly unanchored = new Set<string>();
+  private line = 0;
+  private digest = '';
+  private from = 0;
+  private nextOffset = 0;
+  private records = 0;
+  private blocks = 0;
+  private entries = 0;
+  private dropped = 0;
+  private ended = false;
+
+  constructor(private readonly anchors: readonly PlacedHead[]) {}
+
+  take(text: string): void {
+    this.line++;
+    if (this.ended) return this.report('a line after the end');
+    const value = parseLine(text);
+    if (value === undefined) return this.report('not a JSON object');
+    if (this.line === 1) this.takeHeader(value as Partial<ExportHeader>);
+    else if (value['kind'] === 'audit_export_end') {
+      return this.takeTrailer(value as Partial<ExportTrailer>);
+    } else this.takeRecord(value as Partial<AuditRecord>);
+    this.digest = extendDigest(this.digest, text);
+  }
+
+  finish(): AuditReport {
+    if (!this.ended) this.report('the end is missing');
+    this.checkWitnessed();
+    this.checkAnchors();
+    const states = [...this.writers.values()];
+    return {
+      faults: this.faults,
+      blocks: this.blocks,
+      entries: this.entries,
+      heads: states.map(state => state.head),
+      dropped: this.dropped,
+      unanchored: [...this.unanchored],
+      unclosed: states.filter(s => !s.closed).map(s => s.head.writer),
+    };
+  }
+
+  private report(problem: string, line = this.line): void {
+    this.faults.push({line, problem});
+  }
+
+  private takeHeader(header: Partial<ExportHeader>): void {
+    if (header.kind !== 'audit_export' || header.format !== 1) {
+      this.report('not the header of an audit export');
+    }
+    this.from = header.from ?? 0;
+    this.nextOffset = this.from;
+  }
+
+  private takeTrailer(trailer: Partial<ExportTrailer>): void {
+    this.ended = true;
+    if (trailer.records !== this.records) {
+      this.report('the number of records is not the one written');
+    }
+    if (trailer.digest !== this.digest) {
+      this.report('the lines are not the ones written');
+    }
+    const heads = [...this.writers.values()].map(state => state.head);
+    if (!sameHeads(heads, trailer.heads ?? [])) {
+      this.report('the chains do not end where they ended');
+    }
+  }
+
+  private takeRecord(record: Partial<AuditRecord>): void {
+    this.records++;
+    const {value: block} = record;
+    const offset = this.nextOffset++;
+    if (record.offset !== offset) this.report('offsets are not consecutive');
+    if (block?.kind !== 'audit_block') return this.report('not an audit block');
+    if (hashBlock(block) !== block.hash) {
+      return this.report('the block was changed: its hash does not fit');
+    }
+    this.hashAtOffset.set(offset, block.hash);
+    this.chain(block, offset);
+  }
+
+  private chain(block: AuditBlock, offset: number): void {
+    const {writer, number, hash} = block;
+    const name = `${writer}#${number}`;
+    const known = this.hashes.get(name);
+    if (known !== undefined) {
+      // A copy, from an append whose answer was lost.
+      if (known !== hash) this.report('two blocks under one number');
+      return;
+    }
+    this.hashes.set(name, hash);
+    const before = this.writers.get(writer)?.head ?? this.findStart(block);
+    if (number !== before.number + 1) {
+      this.report(`block ${before.number + 1} of ${writer} is missing`);
+    } else if (block.previous !== before.hash) {
+      this.report(`the chain of ${writer} is broken`);
+    }
+    if (this.writers.get(writer)?.closed) {
+      this.report(`${writer} wrote after its end`);
+    }
+    this.count(block, offset);
+  }
+
+  private count(block: AuditBlock, offset: number): void {
+    const {writer, number, hash} = block;
+    this.blocks++;
+    this.entries += block.entries.length;
+    for (const entry of block.entries) {
+      if (entry.kind === 'gap') this.dropped += entry.dropped;
+    }
+    for (const head of block.witnessed) {
+      this.witnessed.push({line: this.line, head});
+    }
+    const closed = block.entries.at(-1)?.kind === 'closed';
+    const head = {writer, number, hash, offset};
+    this.writers.set(writer, {head, closed});
+  }
+
+  /** The head before the first block of a writer in this export. */
+  private findStart(block: AuditBlock): ChainHead {
+    const {writer, number, previous} = block;
+    if (number === 1) return {writer, number: 0, hash: ''};
+    const anchor = this.anchors.find(
+      head => head.writer === writer && head.number === number - 1,
+    );
+    if (anchor !== undefined) return anchor;
+    this.unanchored.add(writer);
+    return {writer, number: number - 1, hash: previous};
+  }
+
+  private checkWitnessed(): void {
+    for (const {line, head} of this.witnessed) {
+      this.checkHead(head, `a block at line ${line}`, line);
+    }
+  }
+
+  private checkAnchors(): void {
+    for (const head of this.anchors) this.checkHead(head, 'a kept head');
+  }
+
+  /** Compares a head known from elsewhere with what stands at its offset. */
+  private checkHead(head: PlacedHead, source: string, line?: number): void {
+    const isCovered = head.offset >= this.from && head.offset < this.nextOffset;
+    if (!isCovered) return;
+    if (this.hashAtOffset.get(head.offset) === head.hash) return;
+    const name = `block ${head.number} of ${head.writer}`;
+    this.report(`${name} is not where ${source} saw it`, line);
+  }
+}
+
+function parseLine(text: string): Record<string, unknown> | undefined {
+  try {
+    const value: unknown = JSON.parse(text);
+    const isObject =
+      typeof value === 'object' && value !== null && !Array.isArray(value);
+    return isObject ? (value as Record<string, unknown>) : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
+function sameHeads(a: readonly ChainHead[], b: readonly ChainHead[]): boolean {
+  const names = (heads: readonly ChainHead[]) =>
+    heads
+      .map(head => `${head.writer}#${head.number}#${head.hash}`)
+      .sort()
+      .join();
+  return names(a) === names(b);
+}
--- a/packages/core/src/state_fold.ts
+++ b/packages/core/src/state_fold.ts
@@ -225,6 +225,7 @@
         this.suspectTable.add(value.endpoint, value.fingerprints, nowMs);
         return ACCEPTED;
       case 'checkpoint_part':
+      case 'audit_anchored':
         return ACCEPTED;
       default:
         return this.judgeOwner(value, nowMs);
--- /dev/null
+++ b/packages/daemon/src/audit_task.ts
@@ -0,0 +1,176 @@
+/**
+ * The task that writes this VM's audit chain: it gathers entries into blocks,
+ * and ties the chains of all VMs to one another.
+ */
+
+import {
+  AuditChain,
+  type AuditBlock,
+  type PlacedHead,
+} from '@radishyoke/core/audit_chain';
+import type {AuditEntry} from '@radishyoke/core/audit_entry';
+import {nameWriter} from '@radishyoke/core/writer_table';
+import type {LogClient} from '@radishyoke/platform/log_client';
+import {LOG_WRITER_DEFAULTS, LogWriter} from '@radishyoke/platform/log_writer';
+import type {IncarnationId, VmId} from '@radishyoke/shared/ids';
+import type {LogChange, LogTask} from './log_task.js';
+
+export interface AuditTaskConfig {
+  readonly vm: VmId;
+  readonly incarnation: IncarnationId;
+  /** Entries that wait for the log at most; those that come later are dropped. */
+  readonly maxWaiting: number;
+}
+
+/** Some 5 MB of entries: at ten a second, more than half an hour of outage. */
+export const DEFAULT_MAX_WAITING = 20_000;
+const MAX_ENTRIES_PER_BLOCK = 500;
+/** Blocks handed to the writer and not yet on the log. */
+const MAX_BLOCKS_IN_FLIGHT = 2;
+const MIN_FLUSH_MS = 1000;
+/** Appends of this VM's share between two of the audit's: it takes a third. */
+const SHARES_PER_FLUSH = 3;
+const ANCHOR_EVERY_MS = 60_000;
+/** Foreign heads named in one block. */
+const MAX_WITNESSED = 8;
+
+interface Gap {
+  readonly fromMs: number;
+  toMs: number;
+  dropped: number;
+}
+
+/** One instance a VM, beside its log task. */
+export class AuditTask {
+  private readonly chain: AuditChain;
+  private readonly writer: LogWriter<AuditBlock, number>;
+  private readonly waiting: AuditEntry[] = [];
+  private readonly foreignHeads = new Map<string, PlacedHead>();
+  private blocksInFlight = 0;
+  private gap: Gap | undefined;
+  private anchoredAtMs = -Infinity;
+  private anchoredNumber = 0;
+  private timer: NodeJS.Timeout | undefined;
+  private stopped = false;
+
+  constructor(
+    client: LogClient,
+    private readonly log: LogTask,
+    private readonly cfg: AuditTaskConfig,
+  ) {
+    this.chain = new AuditChain(nameWriter(cfg));
+    this.writer = new LogWriter<AuditBlock, number>(
+      client,
+      log.budget,
+      {...LOG_WRITER_DEFAULTS, ...cfg, stream: 'audit'},
+      (_block, offset) => offset,
+    );
+  }
+
+  /** Entries that wait for the log, and those dropped since it took one. */
+  get status(): {readonly waiting: number; readonly dropped: number} {
+    return {waiting: this.waiting.length, dropped: this.gap?.dropped ?? 0};
+  }
+
+  start(): void {
+    void this.log.changes.observe(change => this.witness(change));
+    this.schedule();
+  }
+
+  /** Takes an entry; with a full buffer it is dropped, and the gap is told. */
+  record(entry: AuditEntry): void {
+    if (this.waiting.length < this.cfg.maxWaiting) {
+      this.waiting.push(entry);
+      return;
+    }
+    const nowMs = Date.now();
+    this.gap ??= {fromMs: nowMs, toMs: nowMs, dropped: 0};
+    this.gap.toMs = nowMs;
+    this.gap.dropped++;
+  }
+
+  /** Writes what waits and closes the chain; resolves when the log has it. */
+  async leave(): Promise<void> {
+    clearTimeout(this.timer);
+    this.stopped = true;
+    this.reportGap();
+    this.waiting.push({kind: 'closed', atMs: Date.now()});
+    const blocks: Array<Promise<unknown>> = [];
+    while (this.waiting.length > 0) blocks.push(this.writeBlock());
+    await Promise.all(blocks);
+  }
+
+  /** Stops at once; what waits is lost, and the chain shows no end. */
+  stop(): void {
+    this.stopped = true;
+    clearTimeout(this.timer);
+    this.writer.close();
+  }
+
+  private schedule(): void {
+    if (this.stopped) return;
+    const shareMs = SHARES_PER_FLUSH * this.log.budget.intervalMs;
+    const delayMs = Math.max(MIN_FLUSH_MS, shareMs);
+    this.timer = setTimeout(() => {
+      this.flush();
+      this.schedule();
+    }, delayMs);
+  }
+
+  private flush(): void {
+    while (
+      this.waiting.length > 0 &&
+      this.blocksInFlight < MAX_BLOCKS_IN_FLIGHT
+    ) {
+      void this.writeBlock();
+    }
+  }
+
+  private async writeBlock(): Promise<void> {
+    this.blocksInFlight++;
+    const entries = this.waiting.splice(0, MAX_ENTRIES_PER_BLOCK);
+    this.reportGap();
+    const block = this.chain.seal(entries, this.takeWitnessed());
+    const offset = await this.writer.append(block);
+    this.blocksInFlight--;
+    if (offset.ok) this.anchor({...block, offset: offset.value});
+  }
+
+  /**
+   * Entries are dropped when the log is down for longer than the buffer lasts.
+   * Unsaid, the audit would look whole; so the gap takes the place of the first
+   * entries that can be written again, inside the chain.
+   */
+  private reportGap(): void {
+    if (this.gap === undefined) return;
+    this.waiting.push({kind: 'gap', ...this.gap});
+    this.gap = undefined;
+  }
+
+  private takeWitnessed(): readonly PlacedHead[] {
+    const heads = [...this.foreignHeads.values()].slice(0, MAX_WITNESSED);
+    for (const head of heads) this.foreignHeads.delete(head.writer);
+    return heads;
+  }
+
+  /** Tells the other VMs of this chain's head once in a while. */
+  private anchor({number, hash, offset}: PlacedHead): void {
+    const nowMs = performance.now();
+    if (nowMs - this.anchoredAtMs < ANCHOR_EVERY_MS && !this.stopped) return;
+    if (number <= this.anchoredNumber) return;
+    this.anchoredAtMs = nowMs;
+    this.anchoredNumber = number;
+    void this.log.append({kind: 'audit_anchored', number, hash, offset});
+  }
+
+  private witness(change: LogChange): void {
+    if (change.kind !== 'state') return;
+    const {value} = change.judged.record;
+    if (value.kind !== 'audit_anchored') return;
+    if (change.judged.verdict.kind === 'void') return;
+    const writer = nameWriter(value.stamp);
+    if (writer === this.chain.writer) return;
+    const {number, hash, offset} = value;
+    this.foreignHeads.set(writer, {writer, number, hash, offset});
+  }
+}
--- a/packages/daemon/src/log_task.ts
+++ b/packages/daemon/src/log_task.ts
@@ -96,7 +96,8 @@
 
 /** One instance a VM. */
 export class LogTask {
-  private readonly budget: AppendBudget;
+  /** This VM's share of appends, over all of its streams. */
+  readonly budget: AppendBudget;
   private readonly stateWriter: StateWriter;
   private readonly configWriter: ConfigWriter;
   private readonly stateFollower: StreamFollower<StateRecord>;
--- a/packages/platform/src/append_budget.ts
+++ b/packages/platform/src/append_budget.ts
@@ -21,6 +21,11 @@
     this.appendsPerSecond = appendsPerSecond;
   }
 
+  /** Ms from one append to the next when all of the share is used. */
+  get intervalMs(): number {
+    return MS_PER_SECOND / this.appendsPerSecond;
+  }
+
   /** Ms until an append may be made; 0 for now. */
   waitMs(nowMs: number): number {
     this.refill(nowMs);
--- a/packages/platform/src/log_writer.ts
+++ b/packages/platform/src/log_writer.ts
@@ -24,6 +24,12 @@
   readonly appendTimeoutMs: number;
 }
 
+/**
+ * Makes the outcome of a record out of the log's answer, for streams that this
+ * VM does not read. Without it, records settle when they are read back.
+ */
+export type SettleByAnswer<T, R> = (value: T, offset: number) => R;
+
 /** Bounds that do for every stream. */
 export const LOG_WRITER_DEFAULTS = {
   maxPending: 4096,
@@ -55,12 +61,14 @@
   private lastSeq = 0;
   private looping = false;
   private closed = false;
+  private failures = 0;
   private wake: (() => void) | undefined;
 
   constructor(
     private readonly client: LogClient,
     private readonly budget: AppendBudget,
     private readonly cfg: LogWriterConfig,
+    private readonly settleByAnswer?: SettleByAnswer<T, R>,
   ) {}
 
   /** Records neither read back nor refused. */
@@ -156,8 +164,6 @@
     this.looping = false;
   }
 
-  private failures = 0;
-
   /** Sends one append; returns how long to wait before the next. */
   private async appendBatch(lastBackoffMs: number): Promise<number> {
     const batch = this.takeBatch();
@@ -168,7 +174,7 @@
       {timeoutMs: this.cfg.appendTimeoutMs},
     );
     if (result.kind === 'appended') {
-      for (const entry of batch) entry.standing = true;
+      this.takeAnswer(batch, result.first);
       this.failures = 0;
       return 0;
     }
@@ -178,6 +184,15 @@
     return Math.max(lastBackoffMs, backoffMs, result.error.retryAfterMs ?? 0);
   }
 
+  private takeAnswer(batch: ReadonlyArray<Pending<T, R>>, first: number): void {
+    batch.forEach((entry, i) => {
+      entry.standing = true;
+      if (this.settleByAnswer === undefined) return;
+      const {value} = entry;
+      this.settle(value.stamp, this.settleByAnswer(value, first + i));
+    });
+  }
+
   private hasUnsent(): boolean {
     for (const entry of this.pending.values()) if (!entry.standing) return true;
     return false;
--- a/packages/shared/src/log_record.ts
+++ b/packages/shared/src/log_record.ts
@@ -93,6 +93,17 @@
 /** What the stream `state` holds. `fencing` is the offset of the owner's claim. */
 export type StateRecord = {readonly stamp: Stamp} & (
   | Omit<CheckpointPart, 'stamp'>
+  | {
+      /**
+       * Tells all VMs where the writer's audit chain stands, for them to name it
+       * in theirs.
+       */
+      readonly kind: 'audit_anchored';
+      readonly number: number;
+      readonly hash: string;
+      /** Offset of the block in the stream `audit`. */
+      readonly offset: number;
+    }
   | {
       /** Opens or renews the VM's session; its leases last as long as it. */
       readonly kind: 'session';
