feat(wire,daemon): peer link, its codec and admission, and the peer task

Cause: VMs had no way to tell one another anything. Change: ws and msgpackr between VMs, admission by HMAC over both sides' random numbers, size limits, counted refusals, silence found by pings and replaced by a new connection; one task owns the sockets and the membership state.

--- /dev/null
+++ b/packages/daemon/src/__tests__/peer_task.spec.ts
@@ -0,0 +1,119 @@
+import test from 'ava';
+import type {LoggedConfig} from '@radishyoke/core/gossip_message';
+import {
+  toDataCentreId,
+  toEndpointId,
+  toIncarnationId,
+  toTeamId,
+  toVmId,
+} from '@radishyoke/shared/ids';
+import {PeerEvent, PeerTask, PeerTaskConfig} from '../peer_task.js';
+
+const RECORD: LoggedConfig = {
+  offset: 0,
+  timeMs: 1,
+  value: {
+    kind: 'config_published',
+    stamp: {vm: toVmId('vm-0'), incarnation: toIncarnationId('i'), seq: 1},
+    team: toTeamId('team'),
+    basedOn: -1,
+    author: 'operator',
+    text: '[rules]',
+  },
+};
+
+interface TaskFixture {
+  readonly task: PeerTask;
+  readonly events: PeerEvent[];
+  /** Resolves once an event, past or to come, passes `test`. */
+  readonly until: (test: (event: PeerEvent) => boolean) => Promise<void>;
+}
+
+async function createTask(
+  index: number,
+  fields: Partial<PeerTaskConfig> = {},
+): Promise<TaskFixture & {readonly address: string}> {
+  const task = new PeerTask({
+    vm: toVmId(`vm-${index}`),
+    dataCentre: toDataCentreId('dc'),
+    peerAddress: '127.0.0.1:0',
+    callerAddress: '127.0.0.1:1',
+    seeds: [],
+    sharedKey: 'a key of some length',
+    maxMessageBytes: 1 << 20,
+    seed: index,
+    readConfig: () => ({records: [], next: 0}),
+    ...fields,
+  });
+  const events: PeerEvent[] = [];
+  const waiting = new Set<() => void>();
+  void task.events.forEach(event => {
+    events.push(event);
+    for (const look of [...waiting]) look();
+  });
+  const until = (holds: (event: PeerEvent) => boolean) =>
+    new Promise<void>(resolve => {
+      const look = () => {
+        if (!events.some(holds)) return;
+        waiting.delete(look);
+        resolve();
+      };
+      waiting.add(look);
+      look();
+    });
+  const address = await task.start();
+  return {task, events, until, address};
+}
+
+const countsVms = (count: number) => (event: PeerEvent) =>
+  event.kind === 'vms' && event.vms.length === count;
+
+test('VMs that know one seed find one another and share news', async t => {
+  const page = {records: [RECORD], next: 1};
+  const first = await createTask(0, {readConfig: () => page});
+  const seeds = [first.address];
+  const others = await Promise.all([
+    createTask(1, {seeds}),
+    createTask(2, {seeds}),
+  ]);
+  const all = [first, ...others];
+  await Promise.all(all.map(({until}) => until(countsVms(3))));
+
+  const endpoint = toEndpointId('worker');
+  first.task.tell({kind: 'own_load', inFlight: new Map([[endpoint, 4]])});
+  first.task.tell({kind: 'own_suspects', fingerprints: ['f']});
+  first.task.tell({kind: 'config_offset', next: 1});
+  for (const {until} of others) {
+    await until(e => e.kind === 'peer_load' && e.inFlight.get(endpoint) === 4);
+    await until(e => e.kind === 'suspects' && e.fingerprints[0] === 'f');
+    await until(e => e.kind === 'config_seen' && e.next === 1);
+    await until(e => e.kind === 'config_records' && e.records[0].offset === 0);
+  }
+
+  first.task.tell({kind: 'leave'});
+  const without = (e: PeerEvent) =>
+    e.kind === 'vms' && !e.vms.includes(toVmId('vm-0'));
+  await Promise.all(others.map(({until}) => until(without)));
+  await Promise.all(all.map(({task}) => task.stop()));
+  t.is(first.task.counters.malformed, 0);
+});
+
+// A VM dies without a word and another takes its name and address list place.
+// The others must drop its load, or its endpoints look busy for good.
+test('a VM that stops is failed and its restart is welcomed', async t => {
+  const first = await createTask(0);
+  const second = await createTask(1, {seeds: [first.address]});
+  await first.until(countsVms(2));
+  second.task.tell({
+    kind: 'own_load',
+    inFlight: new Map([[toEndpointId('worker'), 4]]),
+  });
+  await first.until(e => e.kind === 'peer_load' && e.inFlight.size === 1);
+  await second.task.stop();
+  first.events.length = 0;
+  const third = await createTask(1, {seeds: [first.address]});
+  await first.until(e => e.kind === 'peer_load' && e.inFlight.size === 0);
+  await third.until(countsVms(2));
+  t.is(first.task.listMembers().length, 2);
+  await Promise.all([first.task.stop(), third.task.stop()]);
+});
--- /dev/null
+++ b/packages/daemon/src/peer_task.ts
@@ -0,0 +1,173 @@
+/**
+ * The task that owns the connections to other VMs and the membership state.
+ * The rest of the daemon tells it what others should know, and hears on
+ * `events` what others told.
+ */
+
+import type {LoggedConfig} from '@radishyoke/core/gossip_message';
+import type {InFlight} from '@radishyoke/core/load_digest';
+import type {Member} from '@radishyoke/core/member';
+import {
+  Membership,
+  MembershipAction,
+  MembershipEvent,
+} from '@radishyoke/core/membership';
+import type {DataCentreId, EndpointId, VmId} from '@radishyoke/shared/ids';
+import {PeerCounters} from '@radishyoke/wire/peer_counters';
+import type {PeerLinkOptions} from '@radishyoke/wire/peer_link';
+import {PeerServer} from '@radishyoke/wire/peer_server';
+import type {Stream} from 'most';
+import {createMailbox, Mailbox} from './mailbox.js';
+import {PeerLinks} from './peer_links.js';
+
+/** What the rest of the daemon hears. */
+export type PeerEvent =
+  /** Serving VMs, this one included unless it leaves. */
+  | {readonly kind: 'vms'; readonly vms: readonly VmId[]}
+  | {
+      readonly kind: 'peer_load';
+      readonly vm: VmId;
+      readonly inFlight: InFlight;
+    }
+  | {readonly kind: 'suspects'; readonly fingerprints: readonly string[]}
+  | {readonly kind: 'silent_endpoint'; readonly endpoint: EndpointId}
+  | {
+      readonly kind: 'config_records';
+      readonly records: readonly LoggedConfig[];
+      /** Offset up to which the peer knows the stream. */
+      readonly next: number;
+    }
+  /** Greatest config offset that any VM told of. */
+  | {readonly kind: 'config_seen'; readonly next: number};
+
+/** What the rest of the daemon may tell the other VMs. */
+export type PeerNews = Extract<
+  MembershipEvent,
+  {
+    readonly kind:
+      | 'vm_list'
+      | 'own_load'
+      | 'own_suspects'
+      | 'own_silent_endpoint'
+      | 'config_offset'
+      | 'leave';
+  }
+>;
+
+/** Records of the config stream for a peer that lacks those from an offset on. */
+export interface ConfigPage {
+  readonly records: readonly LoggedConfig[];
+  /** Offset up to which this VM knows the stream. */
+  readonly next: number;
+}
+
+export interface PeerTaskConfig {
+  readonly vm: VmId;
+  readonly dataCentre: DataCentreId;
+  /** Where to listen, `ip:port`; port 0 takes a free one. */
+  readonly peerAddress: string;
+  readonly callerAddress: string;
+  readonly seeds: readonly string[];
+  readonly sharedKey: string;
+  readonly maxMessageBytes: number;
+  /** Random bits. */
+  readonly seed: number;
+  readonly readConfig: (from: number) => ConfigPage;
+}
+
+const TICK_MS = 100;
+
+/** One instance a VM. */
+export class PeerTask {
+  readonly counters = new PeerCounters();
+  private readonly mailbox: Mailbox<PeerEvent> = createMailbox();
+  private readonly links: PeerLinks;
+  private readonly server: PeerServer;
+  private membership: Membership | undefined;
+  private self: Member;
+  private timer: NodeJS.Timeout | undefined;
+
+  constructor(private readonly cfg: PeerTaskConfig) {
+    const {vm: id, peerAddress, callerAddress, dataCentre} = cfg;
+    const incarnation = Date.now();
+    const state = 'alive';
+    this.self = {
+      id,
+      peerAddress,
+      callerAddress,
+      dataCentre,
+      incarnation,
+      state,
+    };
+    const options: PeerLinkOptions = {
+      sharedKey: cfg.sharedKey,
+      maxMessageBytes: cfg.maxMessageBytes,
+      describeSelf: () => this.membership?.listMembers()[0] ?? this.self,
+      counters: this.counters,
+    };
+    this.links = new PeerLinks(options, {
+      linked: member => this.give({kind: 'linked', member}),
+      received: (from, message) => this.give({kind: 'message', from, message}),
+    });
+    this.server = new PeerServer(options, this.links);
+  }
+
+  get events(): Stream<PeerEvent> {
+    return this.mailbox.messages;
+  }
+
+  /** Listens and begins to look for others; resolves to the address taken. */
+  async start(): Promise<string> {
+    const peerAddress = await this.server.listen(this.cfg.peerAddress);
+    this.self = {...this.self, peerAddress};
+    const {seeds, seed} = this.cfg;
+    this.membership = new Membership(
+      {self: this.self, seeds},
+      seed,
+      Date.now(),
+    );
+    this.timer = setInterval(() => this.give({kind: 'tick'}), TICK_MS);
+    this.give({kind: 'tick'});
+    return peerAddress;
+  }
+
+  tell(news: PeerNews): void {
+    this.give(news);
+  }
+
+  /** Every VM known, this one first. */
+  listMembers(): readonly Member[] {
+    return this.membership?.listMembers() ?? [this.self];
+  }
+
+  /** Ends all connections. Tell `leave` some time before. */
+  async stop(): Promise<void> {
+    clearInterval(this.timer);
+    this.membership = undefined;
+    this.links.closeAll();
+    await this.server.close();
+  }
+
+  private give(event: MembershipEvent): void {
+    const actions = this.membership?.handle(event, Date.now()) ?? [];
+    for (const action of actions) this.perform(action);
+  }
+
+  private perform(action: MembershipAction): void {
+    switch (action.kind) {
+      case 'send':
+        return this.links.send(action.to, action.address, action.message);
+      case 'relink':
+        return this.links.drop(action.vm);
+      case 'dial':
+        return this.links.dial(action.address);
+      case 'serve_config': {
+        const {to, from} = action;
+        const page = this.cfg.readConfig(from);
+        return this.give({kind: 'config_read', to, ...page});
+      }
+      default:
+        this.mailbox.post(action);
+    }
+  }
+}
--- /dev/null
+++ b/packages/wire/src/peer_link.ts
@@ -0,0 +1,232 @@
+/**
+ * One connection to another VM: handshake, messages, and the watch for silence.
+ * Whoever owns the link learns how it ended and opens another.
+ */
+
+import {randomBytes} from 'node:crypto';
+import type {GossipMessage} from '@radishyoke/core/gossip_message';
+import type {Member} from '@radishyoke/core/member';
+import {WebSocket} from 'ws';
+import {PeerCounters} from './peer_counters.js';
+import {
+  computeProof,
+  decodeChallenge,
+  decodeProof,
+  encodeChallenge,
+  encodeProof,
+  isValidProof,
+  NONCE_BYTES,
+  Nonces,
+  PeerRole,
+  Proof,
+} from './peer_handshake.js';
+import {decodePeerMessage, encodePeerMessage} from './peer_message.js';
+
+export const PEER_LINK_LIMITS = {
+  /** From the connection to the end of the handshake. */
+  handshakeMs: 2000,
+  /** Nothing received for so long: ask for a sign of life. */
+  pingAfterMs: 2000,
+  /** Nothing received for so long: the connection counts as silent. */
+  silentAfterMs: 4000,
+  watchEveryMs: 500,
+  /** A peer that leaves more than this unread is cut off. */
+  maxUnsentBytes: 8 * 1024 * 1024,
+} as const;
+
+/** Why a link ended. */
+export type LinkEnd =
+  | 'closed'
+  | 'unauthorized'
+  | 'malformed'
+  | 'silent'
+  | 'slow'
+  | 'handshake_timeout';
+
+export interface PeerLinkOptions {
+  readonly sharedKey: string;
+  readonly maxMessageBytes: number;
+  /** How this VM describes itself now. */
+  readonly describeSelf: () => Member;
+  readonly counters: PeerCounters;
+}
+
+/** What the owner of a link is told. */
+export interface PeerLinkHandler {
+  opened(link: PeerLink, peer: Member): void;
+  received(link: PeerLink, message: GossipMessage): void;
+  /** Called once, last. */
+  ended(link: PeerLink, end: LinkEnd): void;
+}
+
+export class PeerLink {
+  /** The VM at the other end, once the handshake is over. */
+  peer: Member | undefined;
+  private readonly nonce = randomBytes(NONCE_BYTES);
+  private challenge: Buffer | undefined;
+  private readonly watch: NodeJS.Timeout;
+  private readonly deadline: NodeJS.Timeout;
+  private receivedAtMs = Date.now();
+  private watchedAtMs = Date.now();
+  private done = false;
+
+  constructor(
+    private readonly socket: WebSocket,
+    private readonly role: PeerRole,
+    private readonly options: PeerLinkOptions,
+    private readonly handler: PeerLinkHandler,
+  ) {
+    socket.binaryType = 'nodebuffer';
+    socket.on('message', data => this.receive(data as Buffer));
+    socket.on('pong', () => this.hear());
+    socket.on('ping', () => this.hear());
+    socket.on('error', err => this.fail(err));
+    socket.on('close', () => this.end('closed'));
+    const {watchEveryMs, handshakeMs} = PEER_LINK_LIMITS;
+    this.watch = setInterval(() => this.look(), watchEveryMs);
+    this.deadline = setTimeout(
+      () => this.end('handshake_timeout'),
+      handshakeMs,
+    );
+    if (role === 'server') this.write(encodeChallenge({nonce: this.nonce}));
+  }
+
+  isOpen(): boolean {
+    return this.peer !== undefined && !this.done;
+  }
+
+  /** Sends, or drops the message when the link is not open. */
+  send(message: GossipMessage): void {
+    if (!this.isOpen()) return;
+    // A paused peer leaves everything unread. It shows as this VM's memory
+    // growing; a peer that is cut off opens another link when it comes back.
+    if (this.socket.bufferedAmount > PEER_LINK_LIMITS.maxUnsentBytes) {
+      this.options.counters.slow++;
+      return this.end('slow');
+    }
+    this.options.counters.messagesSent++;
+    this.write(encodePeerMessage(message));
+  }
+
+  close(): void {
+    this.end('closed');
+  }
+
+  private receive(data: Buffer): void {
+    if (this.done) return;
+    this.hear();
+    const {counters} = this.options;
+    counters.bytesReceived += data.length;
+    if (!this.peer) return this.receiveHandshake(data);
+    const message = decodePeerMessage(data);
+    if (!message.ok) return this.refuse('malformed');
+    counters.messagesReceived++;
+    this.handler.received(this, message.value);
+  }
+
+  private receiveHandshake(data: Buffer): void {
+    if (this.role === 'client' && !this.challenge) {
+      const challenge = decodeChallenge(data);
+      if (!challenge.ok) return this.refuse('malformed');
+      this.challenge = challenge.value.nonce;
+      return this.writeProof(this.toNonces(this.nonce, this.challenge));
+    }
+    const proof = decodeProof(data);
+    if (!proof.ok) return this.refuse('malformed');
+    this.admit(proof.value);
+  }
+
+  private admit(received: Proof): void {
+    const nonces =
+      this.role === 'server'
+        ? this.toNonces(received.nonce, this.nonce)
+        : this.toNonces(this.nonce, this.challenge!);
+    const other: PeerRole = this.role === 'server' ? 'client' : 'server';
+    const {sharedKey, counters} = this.options;
+    const expected = computeProof(sharedKey, other, nonces, received.member);
+    if (!isValidProof(expected, received.proof)) {
+      return this.refuse('unauthorized');
+    }
+    if (this.role === 'server') this.writeProof(nonces);
+    clearTimeout(this.deadline);
+    this.peer = received.member;
+    counters.opened++;
+    this.handler.opened(this, received.member);
+  }
+
+  private toNonces(client: Buffer, server: Buffer): Nonces {
+    return {client, server};
+  }
+
+  private writeProof(nonces: Nonces): void {
+    const member = this.options.describeSelf();
+    const {sharedKey} = this.options;
+    const proof = computeProof(sharedKey, this.role, nonces, member);
+    this.write(encodeProof({nonce: this.nonce, member, proof}));
+  }
+
+  private write(data: Buffer): void {
+    if (this.socket.readyState !== WebSocket.OPEN) return;
+    this.options.counters.bytesSent += data.length;
+    this.socket.send(data);
+  }
+
+  private hear(): void {
+    this.receivedAtMs = Date.now();
+  }
+
+  /**
+   * An open connection can go silent for good with no error at either end, as
+   * when something between them forgot it. It shows as messages that vanish. A
+   * live peer answers a ping, so silence after one means the connection.
+   */
+  private look(): void {
+    const nowMs = Date.now();
+    const limits = PEER_LINK_LIMITS;
+    const gapMs = nowMs - this.watchedAtMs;
+    this.watchedAtMs = nowMs;
+    // This VM itself was paused: what came meanwhile is not read yet.
+    if (gapMs > 2 * limits.watchEveryMs) return this.hear();
+    const silentMs = nowMs - this.receivedAtMs;
+    if (silentMs > limits.silentAfterMs) {
+      this.options.counters.silent++;
+      return this.end('silent');
+    }
+    if (silentMs <= limits.pingAfterMs) return;
+    if (this.socket.readyState === WebSocket.OPEN) this.socket.ping();
+  }
+
+  private fail(err: Error & {readonly code?: string}): void {
+    // `ws` names so what breaks the framing or the size limit.
+    if (err.code?.startsWith('WS_ERR')) this.refuse('malformed');
+    else this.end('closed');
+  }
+
+  private refuse(end: 'malformed' | 'unauthorized'): void {
+    this.options.counters[end]++;
+    this.end(end);
+  }
+
+  private end(end: LinkEnd): void {
+    if (this.done) return;
+    this.done = true;
+    clearInterval(this.watch);
+    clearTimeout(this.deadline);
+    this.socket.terminate();
+    this.handler.ended(this, end);
+  }
+}
+
+/** Opens a connection to the peer listener at `address`. */
+export function openPeerLink(
+  address: string,
+  options: PeerLinkOptions,
+  handler: PeerLinkHandler,
+): PeerLink {
+  const socket = new WebSocket(`ws://${address}`, {
+    maxPayload: options.maxMessageBytes,
+    perMessageDeflate: false,
+    handshakeTimeout: PEER_LINK_LIMITS.handshakeMs,
+  });
+  return new PeerLink(socket, 'client', options, handler);
+}
--- /dev/null
+++ b/packages/wire/src/peer_message.ts
@@ -0,0 +1,307 @@
+/**
+ * Bytes of the messages between VMs. Arrays stand for the objects, so that a
+ * name costs nothing on the wire; the schemas here check each and build the
+ * typed message. What does not fit is refused as a whole.
+ */
+
+import type {
+  GossipMessage,
+  GossipPayload,
+  LoadDelta,
+  LoggedConfig,
+  Rumour,
+} from '@radishyoke/core/gossip_message';
+import {Member, MEMBER_STATES} from '@radishyoke/core/member';
+import {createError} from '@radishyoke/shared/error_kind';
+import {
+  toDataCentreId,
+  toEndpointId,
+  toIncarnationId,
+  toTeamId,
+  toVmId,
+} from '@radishyoke/shared/ids';
+import type {ConfigRecord} from '@radishyoke/shared/log_record';
+import {fail, Result, succeed} from '@radishyoke/shared/result';
+import {Packr} from 'msgpackr';
+import {z} from 'zod';
+
+const MESSAGE_CODES = {
+  ping: 1,
+  ack: 2,
+  probe_request: 3,
+  probe_heard: 4,
+  members: 5,
+  config_request: 6,
+  config_records: 7,
+} as const satisfies Record<GossipMessage['kind'], number>;
+
+const RUMOUR_CODES = {
+  member: 0,
+  suspect_request: 1,
+  silent_endpoint: 2,
+} as const satisfies Record<Rumour['kind'], number>;
+
+/** Bounds beyond which a message is malformed, whatever its size in bytes. */
+const MAX_NAME_CHARS = 200;
+const MAX_RUMOURS = 64;
+const MAX_LOAD_ENTRIES = 256;
+const MAX_MEMBERS = 1024;
+const MAX_RECORDS = 4096;
+
+// Records would carry state from message to message: one lost definition would
+// make all later messages unreadable.
+const packr = new Packr({useRecords: false});
+
+const name = z.string().min(1).max(MAX_NAME_CHARS);
+const count = z.number().int().min(0).max(Number.MAX_SAFE_INTEGER);
+
+const memberSchema = z
+  .tuple([
+    name,
+    z.string().max(MAX_NAME_CHARS),
+    z.string().max(MAX_NAME_CHARS),
+    name,
+    count,
+    z
+      .number()
+      .int()
+      .min(0)
+      .max(MEMBER_STATES.length - 1),
+  ])
+  .transform(
+    ([
+      id,
+      peerAddress,
+      callerAddress,
+      dataCentre,
+      incarnation,
+      state,
+    ]): Member => ({
+      id: toVmId(id),
+      peerAddress,
+      callerAddress,
+      dataCentre: toDataCentreId(dataCentre),
+      incarnation,
+      state: MEMBER_STATES[state],
+    }),
+  );
+
+const rumourSchema = z.union([
+  z
+    .tuple([z.literal(RUMOUR_CODES.member), memberSchema])
+    .transform(([, member]): Rumour => ({kind: 'member', member})),
+  z
+    .tuple([z.literal(RUMOUR_CODES.suspect_request), name])
+    .transform(([, fingerprint]): Rumour => ({
+      kind: 'suspect_request',
+      fingerprint,
+    })),
+  z
+    .tuple([z.literal(RUMOUR_CODES.silent_endpoint), name, count])
+    .transform(([, endpoint, seenAtMs]): Rumour => ({
+      kind: 'silent_endpoint',
+      endpoint: toEndpointId(endpoint),
+      seenAtMs,
+    })),
+]);
+
+const loadSchema = z
+  .tuple([z.boolean(), z.array(z.tuple([name, count])).max(MAX_LOAD_ENTRIES)])
+  .transform(([full, entries]): LoadDelta => ({
+    full,
+    entries: entries.map(([endpoint, inFlight]) => ({
+      endpoint: toEndpointId(endpoint),
+      inFlight,
+    })),
+  }));
+
+const payloadSchema = z
+  .tuple([
+    memberSchema,
+    z.array(rumourSchema).max(MAX_RUMOURS),
+    loadSchema.nullable(),
+    count,
+    z.boolean(),
+  ])
+  .transform(
+    ([self, rumours, load, configNext, wantsMembers]): GossipPayload => ({
+      self,
+      rumours,
+      ...(load && {load}),
+      configNext,
+      wantsMembers,
+    }),
+  );
+
+const stampSchema = z
+  .strictObject({vm: name, incarnation: name, seq: count})
+  .transform(({vm, incarnation, seq}) => ({
+    vm: toVmId(vm),
+    incarnation: toIncarnationId(incarnation),
+    seq,
+  }));
+
+const configRecordSchema = z.discriminatedUnion('kind', [
+  z
+    .strictObject({
+      kind: z.literal('config_published'),
+      stamp: stampSchema,
+      team: name,
+      basedOn: z.number().int().min(-1),
+      author: z.string(),
+      text: z.string(),
+    })
+    .transform((value): ConfigRecord => ({
+      ...value,
+      team: toTeamId(value.team),
+    })),
+  z.strictObject({
+    kind: z.literal('checkpoint_part'),
+    stamp: stampSchema,
+    asOf: count,
+    part: count,
+    parts: count,
+    digest: name,
+    text: z.string(),
+  }),
+]);
+
+const loggedSchema = z
+  .tuple([count, z.number(), configRecordSchema])
+  .transform(([offset, timeMs, value]): LoggedConfig => ({
+    offset,
+    timeMs,
+    value,
+  }));
+
+const messageSchema = z.union([
+  z
+    .tuple([z.literal(MESSAGE_CODES.ping), count, payloadSchema])
+    .transform(([, seq, payload]): GossipMessage => ({
+      kind: 'ping',
+      seq,
+      payload,
+    })),
+  z
+    .tuple([z.literal(MESSAGE_CODES.ack), count, payloadSchema])
+    .transform(([, seq, payload]): GossipMessage => ({
+      kind: 'ack',
+      seq,
+      payload,
+    })),
+  z
+    .tuple([z.literal(MESSAGE_CODES.probe_request), name, name])
+    .transform(([, target, address]): GossipMessage => ({
+      kind: 'probe_request',
+      target: toVmId(target),
+      address,
+    })),
+  z
+    .tuple([z.literal(MESSAGE_CODES.probe_heard), name])
+    .transform(([, target]): GossipMessage => ({
+      kind: 'probe_heard',
+      target: toVmId(target),
+    })),
+  z
+    .tuple([
+      z.literal(MESSAGE_CODES.members),
+      z.array(memberSchema).max(MAX_MEMBERS),
+    ])
+    .transform(([, members]): GossipMessage => ({kind: 'members', members})),
+  z
+    .tuple([z.literal(MESSAGE_CODES.config_request), count])
+    .transform(([, from]): GossipMessage => ({kind: 'config_request', from})),
+  z
+    .tuple([
+      z.literal(MESSAGE_CODES.config_records),
+      count,
+      z.array(loggedSchema).max(MAX_RECORDS),
+    ])
+    .transform(([, next, records]): GossipMessage => ({
+      kind: 'config_records',
+      next,
+      records,
+    })),
+]);
+
+/** Encodes one message. */
+export function encodePeerMessage(message: GossipMessage): Buffer {
+  return packr.pack(toWire(message));
+}
+
+/** Decodes one message; `bad_request` for anything that is none. */
+export function decodePeerMessage(bytes: Buffer): Result<GossipMessage> {
+  return decodeBy(messageSchema, bytes);
+}
+
+/** Unpacks and checks bytes that nobody vouches for. */
+export function decodeBy<T>(schema: z.ZodType<T>, bytes: Buffer): Result<T> {
+  try {
+    const parsed = schema.safeParse(packr.unpack(bytes));
+    if (parsed.success) return succeed(parsed.data);
+    return fail(createError('bad_request', parsed.error.message));
+  } catch (err) {
+    const detail = err instanceof Error ? err.message : String(err);
+    return fail(createError('bad_request', detail));
+  }
+}
+
+function toWire(message: GossipMessage): readonly unknown[] {
+  const code = MESSAGE_CODES[message.kind];
+  switch (message.kind) {
+    case 'ping':
+    case 'ack':
+      return [code, message.seq, toPayloadWire(message.payload)];
+    case 'probe_request':
+      return [code, message.target, message.address];
+    case 'probe_heard':
+      return [code, message.target];
+    case 'members':
+      return [code, message.members.map(toMemberWire)];
+    case 'config_request':
+      return [code, message.from];
+    case 'config_records':
+      return [
+        code,
+        message.next,
+        message.records.map(r => [r.offset, r.timeMs, r.value]),
+      ];
+  }
+}
+
+function toPayloadWire(payload: GossipPayload): readonly unknown[] {
+  const {self, rumours, load, configNext, wantsMembers} = payload;
+  return [
+    toMemberWire(self),
+    rumours.map(toRumourWire),
+    load ? [load.full, load.entries.map(e => [e.endpoint, e.inFlight])] : null,
+    configNext,
+    wantsMembers,
+  ];
+}
+
+function toMemberWire(member: Member): readonly unknown[] {
+  return [
+    member.id,
+    member.peerAddress,
+    member.callerAddress,
+    member.dataCentre,
+    member.incarnation,
+    MEMBER_STATES.indexOf(member.state),
+  ];
+}
+
+function toRumourWire(rumour: Rumour): readonly unknown[] {
+  const code = RUMOUR_CODES[rumour.kind];
+  switch (rumour.kind) {
+    case 'member':
+      return [code, toMemberWire(rumour.member)];
+    case 'suspect_request':
+      return [code, rumour.fingerprint];
+    case 'silent_endpoint':
+      return [code, rumour.endpoint, rumour.seenAtMs];
+  }
+}
+
+/** The schema of a VM's description, for the handshake. */
+export {memberSchema, packr, toMemberWire};
