fix(platform): take no old connection after a call went silent

Contract tests of log, VM list and weight store, with fault cases in tables, showed that a client whose connections had all gone silent ran into a timeout once for each idle connection of its pool. After one timeout the calls now go over new connections only. The VM list's lag fault, applied only on the next read, is applied when set.

--- a/packages/fakes/src/fake_vm_list.ts
+++ b/packages/fakes/src/fake_vm_list.ts
@@ -37,11 +37,11 @@
   const ownLagMs = options.lagMs ?? 0;
   const model = new VmListModel(options.list, ownLagMs);
   const faults = new FaultPlan<VmListFault>();
+  faults.onChange(() => model.setLag(faults.find('lag')?.lagMs ?? ownLagMs));
   const server = await FaultyHttpServer.start(
     (req, res, url) => {
       if (req.method !== 'GET' || url.pathname !== '/vms')
         throw createNotFound();
-      model.setLag(faults.find('lag')?.lagMs ?? ownLagMs);
       sendJson(res, 200, model.read(Date.now()));
     },
     faults.asTransport(),
--- a/packages/platform/src/__tests__/http_log_client.spec.ts
+++ b/packages/platform/src/__tests__/http_log_client.spec.ts
@@ -1,27 +1,67 @@
 import {startFakeLog} from '@radishyoke/fakes/fake_log';
 import test from 'ava';
-import {HttpLogClient} from '../http_log_client.js';
+import {
+  decodeAppendAnswer,
+  decodeReadAnswer,
+  HttpLogClient,
+} from '../http_log_client.js';
+import type {AppendResult} from '../log_client.js';
+import {testLogClient} from './log_client_contract.js';
+import {PATIENT} from './transport_fault_cases.js';
 
-const OPTIONS = {timeoutMs: 2000};
+testLogClient('HttpLogClient', async () => {
+  const log = await startFakeLog();
+  const client = new HttpLogClient(log.address);
+  const close = async () => {
+    await client.close();
+    await log.close();
+  };
+  return {client, model: log.model, faults: log.faults, close};
+});
 
-// An append takes effect and its answer is lost.
-// 1. The log takes the record, then the connection breaks.
-// 2. The writer can not tell whether the record stands.
-// Taking that for a refusal would append it a second time.
-test('a lost answer is neither appended nor refused', async t => {
+test('an append that found no log at all was refused', async t => {
   const log = await startFakeLog();
+  await log.close();
   const client = new HttpLogClient(log.address);
-  log.faults.set({kind: 'lose_answers', next: 1});
-  const lost = await client.append('state', [{n: 1}], OPTIONS);
-  t.is(lost.kind, 'unknown');
-  const read = await client.read(
-    'state',
-    {from: 0, max: 10, waitMs: 0},
-    OPTIONS,
-  );
-  t.true(read.ok && read.value.kind === 'page' && read.value.next === 1);
-  const again = await client.append('state', [{n: 2}], OPTIONS);
-  t.like(again, {kind: 'appended', first: 1, next: 2});
+  t.is((await client.append('state', [1], PATIENT)).kind, 'refused');
   await client.close();
-  await log.close();
 });
+
+const record = (offset: number) => ({offset, timeMs: 1, value: null});
+
+const BROKEN_PAGES: ReadonlyArray<readonly [name: string, body: unknown]> = [
+  ['no JSON', undefined],
+  ['no records', {oldest: 0, next: 6}],
+  ['a hole', {oldest: 0, next: 8, records: [record(5), record(7)]}],
+  ['a record twice', {oldest: 0, next: 7, records: [record(5), record(5)]}],
+  ['not what was asked for', {oldest: 0, next: 5, records: [record(4)]}],
+  ['next skips a record', {oldest: 0, next: 7, records: [record(5)]}],
+  ['a negative offset', {oldest: -1, next: 5, records: []}],
+];
+
+for (const [name, body] of BROKEN_PAGES)
+  test(`a page is refused as a whole: ${name}`, t => {
+    const result = decodeReadAnswer({kind: 'answered', status: 200, body}, 5);
+    t.false(result.ok);
+  });
+
+const APPEND_ANSWERS: ReadonlyArray<
+  readonly [status: number, body: unknown, kind: AppendResult['kind']]
+> = [
+  [200, {first: 4, next: 6}, 'appended'],
+  [200, {first: 4, next: 5}, 'unknown'],
+  [200, undefined, 'unknown'],
+  [204, undefined, 'unknown'],
+  [400, {}, 'refused'],
+  [429, {}, 'refused'],
+  [500, {}, 'unknown'],
+  [502, {}, 'unknown'],
+  [503, {}, 'refused'],
+  [504, {}, 'unknown'],
+];
+
+for (const [status, body, kind] of APPEND_ANSWERS)
+  test(`an append answered ${status} ${JSON.stringify(body)} is ${kind}`, t => {
+    const answer = {kind: 'answered' as const, status, body};
+    t.is(decodeAppendAnswer(answer, 2).kind, kind);
+  });
--- a/packages/platform/src/http_json.ts
+++ b/packages/platform/src/http_json.ts
@@ -45,35 +45,29 @@
 
 /** Calls one address. Holds its connections until closed. */
 export class JsonCaller {
-  private readonly agent: Agent;
   private readonly origin: string;
+  private agent = createAgent();
+  /** Agents that take no new calls and wait for theirs to end. */
+  private readonly retired = new Set<Agent>();
 
   /** `address` is `ip:port`. */
   constructor(address: string) {
     this.origin = `http://${address}`;
-    this.agent = new Agent({
-      connect: {timeout: CONNECT_TIMEOUT_MS},
-      pipelining: 1,
-      // Timeouts are set per call, over the whole of it.
-      headersTimeout: 0,
-      bodyTimeout: 0,
-    });
   }
 
   async call(call: JsonCall, options: CallOptions): Promise<JsonAnswer> {
-    // A connection that went silent looks like a slow answer for ever. Aborting
-    // closes its socket, so that the next call takes a new connection.
+    const {agent} = this;
     const abort = new AbortController();
     const timeoutMs = options.timeoutMs + (call.waitMs ?? 0);
-    const timer = setTimeout(
-      () => abort.abort(new Error(`no answer in ${timeoutMs} ms`)),
-      timeoutMs,
-    );
+    const timer = setTimeout(() => {
+      this.retire(agent);
+      abort.abort(new Error(`no answer in ${timeoutMs} ms`));
+    }, timeoutMs);
     const relay = () => abort.abort(new Error('the call was aborted'));
     if (options.signal?.aborted) relay();
     options.signal?.addEventListener('abort', relay);
     try {
-      return await this.send(call, abort.signal);
+      return await this.send(agent, call, abort.signal);
     } catch (err) {
       return describeFailure(err);
     } finally {
@@ -84,11 +78,28 @@
 
   /** Breaks what is in flight and closes all connections. */
   async close(): Promise<void> {
-    await this.agent.destroy();
+    const agents = [this.agent, ...this.retired];
+    await Promise.all(agents.map(agent => agent.destroy()));
+  }
+
+  // Something between the two ends can lose track of connections: they go silent
+  // for good while new ones work. It shows as calls that time out one after
+  // another, each on the next idle connection. After one timeout no connection
+  // made before it is used again, so that the next call takes a new one.
+  private retire(agent: Agent): void {
+    if (this.agent !== agent) return;
+    this.agent = createAgent();
+    this.retired.add(agent);
+    const forget = () => this.retired.delete(agent);
+    agent.close().then(forget, forget);
   }
 
-  private async send(call: JsonCall, signal: AbortSignal): Promise<JsonAnswer> {
-    const res = await this.agent.request({
+  private async send(
+    agent: Agent,
+    call: JsonCall,
+    signal: AbortSignal,
+  ): Promise<JsonAnswer> {
+    const res = await agent.request({
       origin: this.origin,
       path: call.path,
       method: call.method,
@@ -112,6 +123,16 @@
   }
 }
 
+function createAgent(): Agent {
+  return new Agent({
+    connect: {timeout: CONNECT_TIMEOUT_MS},
+    pipelining: 1,
+    // Timeouts are set per call, over the whole of it.
+    headersTimeout: 0,
+    bodyTimeout: 0,
+  });
+}
+
 async function readText(
   body: Dispatcher.ResponseData['body'],
 ): Promise<string> {
