feat(bench): steps under faults on a virtual clock, with the physical bound

Cause: decisions need a measure: idle time, staleness, app latency, waste. Change: `npm run measure -- steps` drives the schedulers over the engine stand-in; a case table, a closed-loop bound, one JSON line a case.

--- /dev/null
+++ b/packages/bench/src/app_model.ts
@@ -0,0 +1,49 @@
+/** A plain service that runs a fixed number of requests at once. */
+
+import type {EndpointId} from '@radishyoke/shared/ids';
+import type {LoadReport} from '@radishyoke/shared/endpoint';
+import type {VirtualClock} from './virtual_clock.js';
+
+interface Waiting {
+  readonly serviceMs: number;
+  readonly onEnd: () => void;
+}
+
+export class AppModel {
+  private running = 0;
+  private readonly waiting: Waiting[] = [];
+
+  constructor(
+    private readonly clock: VirtualClock,
+    private readonly parallel: number,
+  ) {}
+
+  run(serviceMs: number, onEnd: () => void): void {
+    if (this.running >= this.parallel) {
+      this.waiting.push({serviceMs, onEnd});
+      return;
+    }
+    this.running++;
+    this.clock.after(serviceMs, () => this.end(onEnd));
+  }
+
+  reportLoad(endpoint: EndpointId): LoadReport {
+    return {
+      endpoint,
+      running: this.running,
+      waiting: this.waiting.length,
+      waitingPromptTokens: 0,
+      tokensPerSecond: 0,
+      weightVersion: 0,
+      leaving: false,
+      measuredAtMs: this.clock.nowMs,
+    };
+  }
+
+  private end(onEnd: () => void): void {
+    this.running--;
+    const next = this.waiting.shift();
+    if (next) this.run(next.serviceMs, next.onEnd);
+    onEnd();
+  }
+}
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,6 +1,7 @@
 /** `npm run measure -- <experiment> [--json]`: prints one JSON line a case. */
 
 import cac from 'cac';
+import type {StepsOptions} from './steps.js';
 
 const cli = cac('measure');
 cli.option('--json', 'Print JSON lines (the only format there is)');
@@ -12,6 +13,16 @@
     for (const line of runDecide()) print(line);
   });
 
+cli
+  .command('steps', 'Idle time, staleness and waste of steps under faults')
+  .option('--seeds <n>', 'How many of the seeds')
+  .option('--case <name>', 'Only this case')
+  .option('--deployment <name>', 'Only this deployment')
+  .action(async (options: StepsOptions) => {
+    const {runSteps} = await import('./steps.js');
+    for (const line of runSteps(options)) print(line);
+  });
+
 function print(line: unknown): void {
   process.stdout.write(`${JSON.stringify(line)}\n`);
 }
--- /dev/null
+++ b/packages/bench/src/steps.ts
@@ -0,0 +1,177 @@
+/**
+ * The experiment on steps: idle time, staleness, app latency, waste and broken
+ * promises for each scheduler, in calm and under each fault.
+ */
+
+import {NaiveScheduler} from '@radishyoke/core/naive_scheduler';
+import {DEFAULT_POLICY, PolicyOptions} from '@radishyoke/core/policy_options';
+import {PolicyScheduler} from '@radishyoke/core/policy_scheduler';
+import {createRandomBits} from '@radishyoke/core/random_bits';
+import {DEFAULT_ENGINE_OPTIONS} from '@radishyoke/fakes/engine_options';
+import {toDataCentreId} from '@radishyoke/shared/ids';
+import {computeBound} from './physical_bound.js';
+import {Deployment, DEPLOYMENTS, FAULT_CASES, FaultCase} from './steps_case.js';
+import type {CreateScheduler} from './steps_vms.js';
+import {createPlans, StepsWorld, WorldResult} from './steps_world.js';
+
+const SEEDS = [1, 2, 3, 4, 5, 6, 7, 8, 9, 10] as const;
+const VMS = 4;
+
+/** One way of deciding, under the name it has in the output. */
+export interface Contender {
+  readonly name: string;
+  readonly create: (deployment: Deployment) => CreateScheduler;
+}
+
+export interface StepsOptions {
+  readonly seeds?: number;
+  readonly case?: string;
+  readonly deployment?: string;
+}
+
+/** A contender that is the policy with some parts changed. */
+export function createPolicyContender(
+  name: string,
+  changes: Partial<PolicyOptions>,
+): Contender {
+  return {
+    name,
+    create: deployment => (vm, index) => {
+      const dataCentres = deployment.dataCentres;
+      const dataCentre = toDataCentreId(
+        dataCentres[index % dataCentres.length],
+      );
+      return new PolicyScheduler(
+        {vm, dataCentre},
+        createRandomBits(index + 1),
+        {...DEFAULT_POLICY, ...changes},
+      );
+    },
+  };
+}
+
+export const NAIVE: Contender = {
+  name: 'naive',
+  create: () => () => new NaiveScheduler(),
+};
+
+const CONTENDERS: readonly Contender[] = [
+  NAIVE,
+  createPolicyContender('present', {}),
+];
+
+/** Runs the chosen cases and yields one line a case and contender. */
+export function* runSteps(
+  options: StepsOptions,
+  contenders: readonly Contender[] = CONTENDERS,
+): Generator<object> {
+  const seeds = SEEDS.slice(0, options.seeds ?? SEEDS.length);
+  for (const deployment of DEPLOYMENTS) {
+    if (options.deployment && options.deployment !== deployment.name) continue;
+    const boundMs = measureBound(deployment, seeds);
+    for (const fault of FAULT_CASES) {
+      if (options.case && options.case !== fault.name) continue;
+      yield* runCase(deployment, fault, seeds, contenders, boundMs);
+    }
+  }
+}
+
+function* runCase(
+  deployment: Deployment,
+  fault: FaultCase,
+  seeds: readonly number[],
+  contenders: readonly Contender[],
+  boundMs: number,
+): Generator<object> {
+  let naive: Summary | undefined;
+  for (const contender of contenders) {
+    const createScheduler = contender.create(deployment);
+    const base = {deployment, fault, vms: VMS, createScheduler};
+    const results = seeds.map(seed =>
+      new StepsWorld({...base, seed, withRollouts: true}).run(),
+    );
+    const alone = new StepsWorld({
+      ...base,
+      seed: seeds[0],
+      withRollouts: false,
+    }).run();
+    const summary = summarize(results, alone);
+    naive ??= summary;
+    yield {
+      deployment: deployment.name,
+      case: fault.name,
+      scheduler: contender.name,
+      idleToNaive: round(summary.idleMs / naive.idleMs),
+      idleToBound: round(summary.idleMs / boundMs),
+      stalenessMeanToNaive: round(summary.stalenessMean / naive.stalenessMean),
+      ...summary,
+    };
+  }
+}
+
+type Summary = ReturnType<typeof summarize>;
+
+function summarize(results: readonly WorldResult[], alone: WorldResult) {
+  const sum = (pick: (result: WorldResult) => number) =>
+    results.reduce((total, result) => total + pick(result), 0);
+  const staleness = results.flatMap(result => result.staleness).sort(ascending);
+  const apps = results.flatMap(result => result.appMs).sort(ascending);
+  const hints = results.flatMap(result => result.hintMs).sort(ascending);
+  const delivered = sum(r => r.deliveredTokens);
+  return {
+    idleMs: Math.round(sum(r => r.idleMs) / results.length),
+    stalenessP50: quantile(staleness, 0.5),
+    stalenessP99: quantile(staleness, 0.99),
+    stalenessMax: staleness.at(-1) ?? 0,
+    stalenessMean: round(
+      staleness.reduce((a, b) => a + b, 0) / staleness.length,
+    ),
+    appP99ToAlone: round(
+      quantile(apps, 0.99) / quantile([...alone.appMs].sort(ascending), 0.99),
+    ),
+    hintP99ToAlone: round(
+      quantile(hints, 0.99) / quantile([...alone.hintMs].sort(ascending), 0.99),
+    ),
+    wastedTokens: round(sum(r => r.generatedTokens) / delivered - 1),
+    brokenPromises: sum(r => r.overBound + r.lost),
+    gaveUp: addCounts(results.map(result => result.gaveUp)),
+    poisonCrashes: sum(r => r.crashes),
+  };
+}
+
+function addCounts(
+  all: ReadonlyArray<Readonly<Record<string, number>>>,
+): Readonly<Record<string, number>> {
+  const total: Record<string, number> = {};
+  for (const counts of all) {
+    for (const [kind, count] of Object.entries(counts)) {
+      total[kind] = (total[kind] ?? 0) + count;
+    }
+  }
+  return total;
+}
+
+function measureBound(
+  deployment: Deployment,
+  seeds: readonly number[],
+): number {
+  const {maxBatch, decodeBaseMs, decodeSlopeMs} = DEFAULT_ENGINE_OPTIONS;
+  const perEngine = maxBatch / (decodeBaseMs + decodeSlopeMs * maxBatch);
+  const bounds = seeds.map(seed =>
+    computeBound(createPlans(seed), perEngine * deployment.engines),
+  );
+  return bounds.reduce((a, b) => a + b, 0) / bounds.length;
+}
+
+function quantile(sorted: readonly number[], share: number): number {
+  const index = Math.ceil(sorted.length * share) - 1;
+  return sorted[Math.max(0, index)] ?? 0;
+}
+
+function ascending(a: number, b: number): number {
+  return a - b;
+}
+
+function round(value: number): number {
+  return Number(value.toFixed(3));
+}
--- /dev/null
+++ b/packages/bench/src/steps_engines.ts
@@ -0,0 +1,173 @@
+/** The engines of the experiment on the virtual clock, and the streams from them. */
+
+import {EngineModel} from '@radishyoke/fakes/engine_model';
+import type {EngineEvent, EngineRequest} from '@radishyoke/fakes/engine_event';
+import type {EndpointId} from '@radishyoke/shared/ids';
+import type {LoadReport} from '@radishyoke/shared/endpoint';
+import type {TokenSpan} from '@radishyoke/shared/rollout';
+import type {AttemptOutcome, FailureKind} from '@radishyoke/core/failure';
+import type {VirtualClock} from './virtual_clock.js';
+
+/** Where one attempt's news go. */
+export interface StreamListener {
+  onProgress(tokens: number, weightVersion: number): void;
+  onEnd(outcome: AttemptOutcome): void;
+}
+
+/** How soon a VM gives up on a connection that shows nothing. */
+const SILENT_TIMEOUT_MS = 5000;
+
+interface OpenStream {
+  readonly listener: StreamListener;
+  readonly spans: Array<{weightVersion: number; tokens: number}>;
+  /** Tokens that the request brought. */
+  readonly resumed: number;
+  tokens: number;
+  /** From when on the connection carries nothing, though it stays open. */
+  silentFromMs: number;
+}
+
+export class StepsEngine {
+  private readonly streams = new Map<string, OpenStream>();
+  private wakeAtMs = Infinity;
+
+  constructor(
+    readonly id: EndpointId,
+    readonly model: EngineModel,
+    private readonly clock: VirtualClock,
+    private readonly delayMs: number,
+  ) {}
+
+  /** Sends a request; `earlier` are the spans of the output it goes on from. */
+  submit(
+    req: EngineRequest,
+    earlier: readonly TokenSpan[],
+    silentFromMs: number,
+    listener: StreamListener,
+  ): void {
+    this.clock.after(this.delayMs, () => {
+      const {kind} = this.model.submit(req, this.clock.nowMs);
+      if (kind !== 'accepted') {
+        const failure = kind === 'down' ? 'connect_failed' : 'rejected';
+        this.settle(listener, failure, false, 0);
+      } else {
+        const spans = earlier.map(span => ({...span}));
+        const resumed = req.resumeTokens;
+        this.streams.set(req.id, {
+          listener,
+          spans,
+          resumed,
+          tokens: 0,
+          silentFromMs,
+        });
+      }
+      this.wake();
+    });
+  }
+
+  cancel(id: string): void {
+    this.streams.delete(id);
+    this.clock.after(this.delayMs, () => {
+      this.model.cancel(id, this.clock.nowMs);
+      this.wake();
+    });
+  }
+
+  spansOf(id: string): readonly TokenSpan[] {
+    return this.streams.get(id)?.spans ?? [];
+  }
+
+  order(version: number): void {
+    const order = {kind: 'load_version', fencing: version, version} as const;
+    this.model.order(order, this.clock.nowMs);
+    this.wake();
+  }
+
+  crash(): void {
+    this.model.crash(this.clock.nowMs);
+    this.wake();
+  }
+
+  reportLoad(): LoadReport {
+    const load = this.model.reportLoad(this.clock.nowMs);
+    this.wake();
+    return {endpoint: this.id, ...load};
+  }
+
+  /** Takes what happened and comes back when the model has more. */
+  wake(): void {
+    for (const event of this.model.advance(this.clock.nowMs)) this.take(event);
+    const atMs = this.model.nextEventAtMs();
+    if (atMs === Infinity || atMs === this.wakeAtMs) return;
+    this.wakeAtMs = atMs;
+    this.clock.at(atMs, () => {
+      if (this.wakeAtMs !== atMs) return;
+      this.wakeAtMs = Infinity;
+      this.wake();
+    });
+  }
+
+  private take(event: EngineEvent): void {
+    if (event.kind === 'chunk') return this.takeChunk(event);
+    if (event.kind !== 'crashed') return;
+    for (const id of event.lostIds) {
+      const stream = this.streams.get(id);
+      if (!stream) continue;
+      this.streams.delete(id);
+      this.settle(stream.listener, 'crashed', true, stream.tokens);
+    }
+  }
+
+  private takeChunk(event: EngineEvent & {kind: 'chunk'}): void {
+    const stream = this.streams.get(event.id);
+    if (!stream) return;
+    if (event.atMs >= stream.silentFromMs) {
+      this.streams.delete(event.id);
+      this.clock.after(SILENT_TIMEOUT_MS, () =>
+        stream.listener.onEnd(createFailure('silent', true, stream.tokens)),
+      );
+      return;
+    }
+    addSpan(stream.spans, event.weightVersion, event.tokens);
+    stream.tokens += event.tokens;
+    if (event.finishReason !== null) this.streams.delete(event.id);
+    this.clock.after(this.delayMs, () => {
+      if (event.finishReason === null) {
+        stream.listener.onProgress(stream.tokens, event.weightVersion);
+        return;
+      }
+      const tokens = stream.resumed + stream.tokens;
+      stream.listener.onEnd({kind: 'finished', tokens, spans: stream.spans});
+    });
+  }
+
+  private settle(
+    listener: StreamListener,
+    failure: FailureKind,
+    sent: boolean,
+    tokens: number,
+  ): void {
+    this.clock.after(this.delayMs, () =>
+      listener.onEnd(createFailure(failure, sent, tokens)),
+    );
+  }
+}
+
+function createFailure(
+  failure: FailureKind,
+  sent: boolean,
+  tokensReceived: number,
+): AttemptOutcome {
+  return {kind: 'failed', failure, sent, tokensReceived};
+}
+
+function addSpan(
+  spans: Array<{weightVersion: number; tokens: number}>,
+  weightVersion: number,
+  tokens: number,
+): void {
+  if (tokens === 0) return;
+  const last = spans.at(-1);
+  if (last?.weightVersion === weightVersion) last.tokens += tokens;
+  else spans.push({weightVersion, tokens});
+}
