--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -23,6 +23,23 @@
     for (const line of runSteps(options)) print(line);
   });
 
+cli
+  .command(
+    'log-outage',
+    'Idle time by what an owner does while the log is down',
+  )
+  .action(async () => {
+    const {measureLogOutage, OUTAGE_CASES} = await import('./log_outage.js');
+    for (const line of await measureLogOutage(OUTAGE_CASES)) print(line);
+  });
+
+cli
+  .command('slopes-log', 'Bytes, time and memory of the log-derived state')
+  .action(async () => {
+    const {measureLogSlopes} = await import('./slopes_log.js');
+    for (const line of measureLogSlopes()) print(line);
+  });
+
 function print(line: unknown): void {
   process.stdout.write(`${JSON.stringify(line)}\n`);
 }
--- /dev/null
+++ b/packages/bench/src/slopes_log.ts
@@ -0,0 +1,424 @@
+/**
+ * Slopes of the log-derived state: bytes a record, processor time to fold one,
+ * memory of what is folded, and the appends and bytes a second that follow at
+ * today's size and at the one to come.
+ */
+
+import {setFlagsFromString} from 'node:v8';
+import {runInNewContext} from 'node:vm';
+import {AuditChain} from '@radishyoke/core/audit_chain';
+import {ConfigHistory, NO_VERSION} from '@radishyoke/core/config_history';
+import {StateFold} from '@radishyoke/core/state_fold';
+import {
+  toEndpointId,
+  toIncarnationId,
+  toRequestId,
+  toStepId,
+  toTeamId,
+  toTenantId,
+  toVmId,
+} from '@radishyoke/shared/ids';
+import type {
+  ConfigRecord,
+  LoggedRecord,
+  SampleCommit,
+  StateRecord,
+} from '@radishyoke/shared/log_record';
+
+/** What the letter says of a deployment, as far as the log carries it. */
+export interface LogLoad {
+  readonly vms: number;
+  readonly trainers: number;
+  readonly samplesPerStep: number;
+  readonly stepMs: number;
+  readonly groupsPerStep: number;
+  readonly promptChars: number;
+  readonly configChangesPerDay: number;
+  readonly configChars: number;
+  readonly requestsPerSecond: number;
+  /** Share of requests that are marked non-idempotent with a caller's id. */
+  readonly claimedShare: number;
+  /** Appends a second that the deployment may make. */
+  readonly appendsPerSecond: number;
+}
+
+/** Today's and the letter's size; shares that neither gives are assumptions. */
+export const LOG_LOADS: readonly LogLoad[] = [
+  {
+    vms: 13,
+    trainers: 3,
+    samplesPerStep: 512,
+    stepMs: 300_000,
+    groupsPerStep: 64,
+    promptChars: 1000,
+    configChangesPerDay: 100,
+    configChars: 4000,
+    requestsPerSecond: 100,
+    claimedShare: 0.01,
+    appendsPerSecond: 300,
+  },
+  {
+    vms: 360,
+    trainers: 8,
+    samplesPerStep: 512,
+    stepMs: 300_000,
+    groupsPerStep: 64,
+    promptChars: 1000,
+    configChangesPerDay: 4100,
+    configChars: 4000,
+    requestsPerSecond: 3300,
+    claimedShare: 0.001,
+    appendsPerSecond: 300,
+  },
+];
+
+/** One figure: what was measured, in which unit. */
+export interface LogSlope {
+  readonly name: string;
+  readonly unit: 'bytes' | 'us' | 'ms' | 'per_s' | 'bytes_per_s';
+  readonly value: number;
+}
+
+const TENANT = toTenantId('tutor');
+const TEAM = toTeamId('kodkutu');
+const OWNER_VM = toVmId('gebze-a-01');
+const INCARNATION = toIncarnationId('0193a1b2-c3d4');
+const SESSION_RENEWAL_S = 2;
+const ANCHOR_S = 60;
+const MIN_AUDIT_FLUSH_S = 1;
+const AUDIT_SHARES_PER_FLUSH = 3;
+const DIGEST = 'd'.repeat(64);
+const FOLDED_STEPS = 40;
+const FOLDED_CLAIMS = 50_000;
+const FOLDED_VERSIONS = 2000;
+const MS_PER_S = 1000;
+const S_PER_DAY = 86_400;
+
+type Unstamped<T> = T extends unknown ? Omit<T, 'stamp'> : never;
+type StateBody = Unstamped<StateRecord>;
+
+/** Measures all slopes; takes a few seconds. */
+export function measureLogSlopes(): readonly LogSlope[] {
+  const sizes = measureRecordBytes();
+  return [
+    ...sizes,
+    ...measureFold(),
+    ...measureMemory(),
+    ...LOG_LOADS.flatMap(load => deriveRates(load, sizes)),
+  ];
+}
+
+function measureRecordBytes(): readonly LogSlope[] {
+  const bodies = createStepBodies(toStepId('step-000001'), 0);
+  const named = new Map(bodies.map(body => [body.kind, body]));
+  const claim: StateBody = {
+    kind: 'request_claimed',
+    tenant: TENANT,
+    req: toRequestId('0193a1b2-c3d4-7e5f-8a9b-0c1d2e3f4a5b'),
+  };
+  const session: StateBody = {kind: 'session', ttlMs: 6000};
+  const records = [...named.values(), claim, session].map(body => ({
+    name: `record ${body.kind}`,
+    unit: 'bytes' as const,
+    value: countBytes(toLogged(body, 1)),
+  }));
+  return [
+    ...records,
+    ...measureFurtherSamples(named),
+    {
+      name: 'record config_published',
+      unit: 'bytes',
+      value: countBytes(publish(0, NO_VERSION)),
+    },
+    {name: 'audit entry', unit: 'bytes', value: measureAuditEntry()},
+  ];
+}
+
+/** Bytes that each further sample adds to a record that holds several. */
+function measureFurtherSamples(
+  named: ReadonlyMap<string, StateBody>,
+): readonly LogSlope[] {
+  const started = named.get('attempts_started');
+  const committed = named.get('samples_committed');
+  if (started?.kind !== 'attempts_started') return [];
+  if (committed?.kind !== 'samples_committed') return [];
+  return [
+    {
+      name: 'further sample in attempts_started',
+      unit: 'bytes',
+      value: countBytes(started.attempts),
+    },
+    {
+      name: 'further sample in samples_committed',
+      unit: 'bytes',
+      value: countBytes(committed.samples),
+    },
+  ];
+}
+
+function measureAuditEntry(): number {
+  const entry = {
+    kind: 'request' as const,
+    atMs: 1_700_000_000_000,
+    team: TEAM,
+    tenant: TENANT,
+    request: toRequestId('0193a1b2-c3d4-7e5f-8a9b-0c1d2e3f4a5b'),
+    rule: 'app-default',
+    configVersion: 12_345,
+    attempts: [
+      {
+        attempt: 1,
+        endpoint: toEndpointId('gebze-a-app-1'),
+        startedAtMs: 1_700_000_000_000,
+        endedAtMs: 1_700_000_000_400,
+        end: 'finished' as const,
+        spans: [],
+      },
+    ],
+    outcome: 'answered' as const,
+  };
+  const chain = new AuditChain('vm/incarnation');
+  const [one, many] = [1, 101].map(count =>
+    countBytes(
+      chain.seal(
+        Array.from({length: count}, () => entry),
+        [],
+      ),
+    ),
+  );
+  return Math.round((many! - one!) / 100);
+}
+
+/** The records of one step's life, commits and acknowledgements one by one. */
+function createStepBodies(step: StateStep, fencing: number): StateBody[] {
+  const owner = {tenant: TENANT, step, fencing};
+  const [{groupsPerStep, samplesPerStep, promptChars}] = LOG_LOADS as [LogLoad];
+  const perGroup = samplesPerStep / groupsPerStep;
+  const bodies: StateBody[] = [
+    {
+      kind: 'step_opened',
+      tenant: TENANT,
+      step,
+      digest: DIGEST,
+      req: {
+        model: 'tutor-7b',
+        weightVersion: 1,
+        maxStaleness: 2,
+        timeoutMs: 600_000,
+        groups: Array.from({length: groupsPerStep}, (_, i) => ({
+          prompt: String(i).padEnd(promptChars, 'p'),
+          samples: perGroup,
+          maxTokens: 2048,
+        })),
+      },
+      rule: 'rollouts',
+      configVersion: 12_345,
+    },
+    {kind: 'lease_claimed', lease: `step:${TENANT}/${step}`},
+  ];
+  for (let i = 0; i < samplesPerStep; i++) {
+    const at = {group: Math.floor(i / perGroup), sample: i % perGroup};
+    bodies.push(
+      {
+        kind: 'attempts_started',
+        ...owner,
+        attempts: [
+          {...at, attempt: 1, endpoint: toEndpointId('gebze-a-engine-1')},
+        ],
+      },
+      {kind: 'samples_committed', ...owner, samples: [commit(at)]},
+      {
+        kind: 'cursor_acknowledged',
+        ...owner,
+        cursor: i + 1,
+        weightVersion: 12,
+      },
+    );
+  }
+  return bodies;
+}
+
+type StateStep = ReturnType<typeof toStepId>;
+
+function commit(at: {group: number; sample: number}): SampleCommit {
+  return {
+    ...at,
+    attempt: 1,
+    endpoint: toEndpointId('gebze-a-engine-1'),
+    spans: [{weightVersion: 12, tokens: 400}],
+    digest: DIGEST,
+  };
+}
+
+function toLogged(body: StateBody, seq: number): LoggedRecord<StateRecord> {
+  const stamp = {vm: OWNER_VM, incarnation: INCARNATION, seq};
+  const value = {...body, stamp} as StateRecord;
+  return {offset: seq - 1, timeMs: 1_700_000_000_000 + seq, value};
+}
+
+function publish(offset: number, basedOn: number): LoggedRecord<ConfigRecord> {
+  const [{configChars}] = LOG_LOADS as [LogLoad];
+  const stamp = {vm: OWNER_VM, incarnation: INCARNATION, seq: offset + 1};
+  return {
+    offset,
+    timeMs: 1_700_000_000_000 + offset,
+    value: {
+      kind: 'config_published',
+      stamp,
+      team: toTeamId(`team-${offset % 20}`),
+      basedOn,
+      author: 'operator',
+      text: String(offset).padEnd(configChars, 'x'),
+    },
+  };
+}
+
+/** Time to parse and fold, as a reader has to. */
+function measureFold(): readonly LogSlope[] {
+  const lines = createStream().map(record => JSON.stringify(record));
+  // The first pass warms the compiler up.
+  foldLines(lines);
+  const before = process.cpuUsage();
+  foldLines(lines);
+  const {user, system} = process.cpuUsage(before);
+  const value = round((user + system) / lines.length);
+  return [{name: 'parse and fold one state record', unit: 'us', value}];
+}
+
+function createStream(): Array<LoggedRecord<StateRecord>> {
+  const records: Array<LoggedRecord<StateRecord>> = [];
+  const add = (body: StateBody) =>
+    records.push(toLogged(body, records.length + 1));
+  for (let i = 0; i < FOLDED_STEPS; i++) {
+    add({kind: 'session', ttlMs: 3_600_000});
+    // The claim stands after the opening, and its offset is the fencing number.
+    const fencing = records.length + 1;
+    createStepBodies(toStepId(`step-${i}`), fencing).forEach(add);
+  }
+  return records;
+}
+
+function foldLines(lines: readonly string[]): StateFold {
+  const fold = new StateFold();
+  for (const line of lines) fold.apply(JSON.parse(line));
+  return fold;
+}
+
+function measureMemory(): readonly LogSlope[] {
+  const stream = createStream().map(record => JSON.stringify(record));
+  const step = measureHeap(() => foldLines(stream)) / FOLDED_STEPS;
+  const claims = measureHeap(foldClaims) / FOLDED_CLAIMS;
+  const versions = measureHeap(foldVersions);
+  return [
+    {name: 'memory of an open step', unit: 'bytes', value: round(step)},
+    {name: 'memory of a request claim', unit: 'bytes', value: round(claims)},
+    {
+      name: 'memory of 20 teams with all kept versions',
+      unit: 'bytes',
+      value: round(versions),
+    },
+  ];
+}
+
+function foldClaims(): StateFold {
+  const fold = new StateFold();
+  for (let i = 0; i < FOLDED_CLAIMS; i++) {
+    const req = toRequestId(`0193a1b2-c3d4-7e5f-8a9b-${i}`);
+    const body: StateBody = {kind: 'request_claimed', tenant: TENANT, req};
+    fold.apply(JSON.parse(JSON.stringify(toLogged(body, i + 1))));
+  }
+  return fold;
+}
+
+function foldVersions(): ConfigHistory {
+  const history = new ConfigHistory(() => undefined);
+  for (let i = 0; i < FOLDED_VERSIONS; i++) {
+    const basedOn = i < 20 ? NO_VERSION : i - 20;
+    history.apply(JSON.parse(JSON.stringify(publish(i, basedOn))));
+  }
+  return history;
+}
+
+/** Bytes of heap that what `build` returns holds. */
+function measureHeap(build: () => unknown): number {
+  setFlagsFromString('--expose-gc');
+  const collect = runInNewContext('gc') as () => void;
+  collect();
+  const before = process.memoryUsage().heapUsed;
+  const held = build();
+  collect();
+  const after = process.memoryUsage().heapUsed;
+  return held === undefined ? 0 : after - before;
+}
+
+/** What follows for a deployment, records batched as the writer batches them. */
+function deriveRates(
+  load: LogLoad,
+  sizes: readonly LogSlope[],
+): readonly LogSlope[] {
+  const bytesOf = (name: string) =>
+    sizes.find(size => size.name === name)?.value ?? 0;
+  const stepsPerS = (load.trainers * MS_PER_S) / load.stepMs;
+  const samplesPerS = stepsPerS * load.samplesPerStep;
+  const claimsPerS = load.requestsPerSecond * load.claimedShare;
+  const shareS = load.vms / load.appendsPerSecond;
+  const owners = Math.min(load.trainers, load.vms);
+  const perSampleRecords = 3;
+  // An owner's records queue for its share; those that queue together go in one.
+  const ownerAppends = Math.min(
+    1 / shareS,
+    (samplesPerS * perSampleRecords) / owners + 1 / SESSION_RENEWAL_S,
+  );
+  const auditFlushS = Math.max(
+    MIN_AUDIT_FLUSH_S,
+    shareS * AUDIT_SHARES_PER_FLUSH,
+  );
+  const stateAppends = owners * ownerAppends + claimsPerS + load.vms / ANCHOR_S;
+  const appends = stateAppends + load.vms / auditFlushS;
+  // What gathers while an owner waits for its share goes into one record a kind.
+  const batchesPerS = Math.min(owners / shareS, samplesPerS);
+  const further = samplesPerS - batchesPerS;
+  const stateBytes =
+    stepsPerS * bytesOf('record step_opened') +
+    batchesPerS *
+      (bytesOf('record attempts_started') +
+        bytesOf('record samples_committed') +
+        bytesOf('record cursor_acknowledged')) +
+    further *
+      (bytesOf('further sample in attempts_started') +
+        bytesOf('further sample in samples_committed')) +
+    claimsPerS * bytesOf('record request_claimed') +
+    (owners / SESSION_RENEWAL_S + load.vms / ANCHOR_S) *
+      bytesOf('record session');
+  const configBytes =
+    (load.configChangesPerDay / S_PER_DAY) * bytesOf('record config_published');
+  const audited = load.requestsPerSecond + samplesPerS;
+  const auditBytes = (audited / load.vms) * bytesOf('audit entry');
+  const suffix = `at ${load.vms} VMs`;
+  return [
+    {name: `appends ${suffix}`, unit: 'per_s', value: round(appends)},
+    {
+      name: `longest wait of a record for its append ${suffix}`,
+      unit: 'ms',
+      value: round(shareS * MS_PER_S),
+    },
+    {
+      name: `state and config read by each VM ${suffix}`,
+      unit: 'bytes_per_s',
+      value: round(stateBytes + configBytes),
+    },
+    {
+      name: `audit written by each VM ${suffix}`,
+      unit: 'bytes_per_s',
+      value: round(auditBytes),
+    },
+  ];
+}
+
+function countBytes(value: unknown): number {
+  return Buffer.byteLength(JSON.stringify(value));
+}
+
+function round(value: number): number {
+  return Math.round(value * 10) / 10;
+}
--- /dev/null
+++ b/packages/core/src/__tests__/naive_state_fold.spec.ts
@@ -0,0 +1,145 @@
+import {isDeepStrictEqual} from 'node:util';
+import type {StateRecord} from '@radishyoke/shared/log_record';
+import {toRequestId} from '@radishyoke/shared/ids';
+import test from 'ava';
+import fc from 'fast-check';
+import {CheckpointAssembler, splitCheckpoint} from '../checkpoint.js';
+import {StateFold} from '../state_fold.js';
+import type {Verdict} from '../verdict.js';
+import {
+  commitSample,
+  createStamp,
+  openStep,
+  RecordFixture,
+  type StateBody,
+  STEP,
+  TENANT,
+} from './log_fixtures.js';
+import {judgeNaively, type NaiveVerdict} from './naive_state_fold.js';
+
+const CLAIM_HORIZON_MS = 4000;
+const TTL_MS = 3000;
+const VMS = ['a', 'b', 'c'] as const;
+const LEASE = `step:${TENANT}/${STEP}`;
+
+/** One record to come: kind, writer, a number for the rest, and time passing. */
+const choice = fc.tuple(
+  fc.nat(9),
+  fc.nat(VMS.length - 1),
+  fc.nat(40),
+  fc.integer({min: -3000, max: 3000}),
+);
+
+function createBody(kind: number, detail: number): StateBody {
+  const owner = {tenant: TENANT, step: STEP, fencing: detail};
+  switch (kind) {
+    case 0:
+      return openStep(4);
+    case 1:
+    case 2:
+      return {kind: 'session', ttlMs: TTL_MS};
+    case 3:
+      return detail % 4 === 0
+        ? {kind: 'session_closed'}
+        : {kind: 'lease_claimed', lease: LEASE};
+    case 4:
+      return {kind: 'lease_claimed', lease: LEASE};
+    case 5:
+      return {kind: 'lease_released', lease: LEASE, fencing: detail};
+    case 6:
+      return {
+        kind: 'request_claimed',
+        tenant: TENANT,
+        req: toRequestId(`r${detail % 2}`),
+      };
+    case 7:
+      return {kind: 'step_closed', ...owner, reason: 'complete'};
+    default: {
+      const samples = [detail % 4, (detail + 1) % 4];
+      return {
+        kind: 'samples_committed',
+        ...owner,
+        samples: samples.map(sample => commitSample(sample)),
+      };
+    }
+  }
+}
+
+type Choice = readonly [number, number, number, number];
+
+/** Some records twice, as after a lost answer; owners mostly know their number. */
+function createStream(choices: readonly Choice[]): RecordFixture<StateRecord> {
+  const stream = new RecordFixture<StateRecord>();
+  const fold = new StateFold({claimHorizonMs: CLAIM_HORIZON_MS});
+  let timeMs = 100_000;
+  for (const [kind, writer, detail, passingMs] of choices) {
+    timeMs += passingMs;
+    const body = createBody(kind, detail);
+    const fencing = fold.leases.find(LEASE)?.fencing;
+    const known =
+      'fencing' in body && detail % 4 !== 0 && fencing !== undefined;
+    const record = stream.add(
+      VMS[writer]!,
+      known ? {...body, fencing} : body,
+      timeMs,
+    );
+    fold.apply(record);
+    if (detail % 8 !== 1) continue;
+    const copied = stream.records[Math.max(0, record.offset - (detail % 3))]!;
+    fold.apply(stream.append(copied.value, timeMs));
+  }
+  return stream;
+}
+
+function simplify(verdict: Verdict): NaiveVerdict {
+  if (verdict.kind === 'void') return {accepted: false, gains: []};
+  const {fencing, committed = []} = verdict;
+  const gains = committed.map(sample => sample.cursor);
+  return {accepted: true, gains: fencing === undefined ? gains : [fencing]};
+}
+
+test('the fold judges every record as the naive model does', t => {
+  const details = fc.check(
+    fc.property(fc.array(choice, {maxLength: 60, size: 'max'}), choices => {
+      const {records} = createStream(choices);
+      const fold = new StateFold({claimHorizonMs: CLAIM_HORIZON_MS});
+      const verdicts = records.map(record => simplify(fold.apply(record)));
+      return isDeepStrictEqual(
+        verdicts,
+        judgeNaively(records, CLAIM_HORIZON_MS),
+      );
+    }),
+    {seed: 3, numRuns: 500},
+  );
+  t.deepEqual(details.counterexample, null);
+});
+
+// A VM that starts from a checkpoint becomes an owner beside the real one.
+test('a checkpoint at any offset folds on to the same state', t => {
+  fc.assert(
+    fc.property(
+      fc.array(choice, {maxLength: 60, size: 'max'}),
+      fc.nat(60),
+      (choices, cut) => {
+        const {records} = createStream(choices);
+        const cfg = {claimHorizonMs: CLAIM_HORIZON_MS};
+        const whole = new StateFold(cfg);
+        const prefix = records.slice(0, cut);
+        for (const record of prefix) whole.apply(record);
+        const assembler = new CheckpointAssembler();
+        const [checkpoint] = splitCheckpoint(whole.next, whole.toSnapshot())
+          .map((part, offset) => {
+            const value = {...part, stamp: createStamp('a', part.part + 1)};
+            return assembler.add({offset, timeMs: 0, value});
+          })
+          .filter(found => found !== undefined);
+        const late = new StateFold(cfg, JSON.parse(checkpoint!.text));
+        for (const record of records.slice(cut)) {
+          t.deepEqual(late.apply(record), whole.apply(record));
+        }
+        t.deepEqual(late.toSnapshot(), whole.toSnapshot());
+      },
+    ),
+    {seed: 4, numRuns: 300},
+  );
+});
--- /dev/null
+++ b/packages/core/src/__tests__/naive_state_fold.ts
@@ -0,0 +1,183 @@
+/**
+ * The shortest obviously right reading of the stream `state`: for each record it
+ * looks through all records before it. Nothing is ever forgotten.
+ */
+
+import type {LoggedRecord, StateRecord} from '@radishyoke/shared/log_record';
+
+type Logged = LoggedRecord<StateRecord>;
+
+/** What became of one record, in a form that both models can give. */
+export interface NaiveVerdict {
+  readonly accepted: boolean;
+  /** Fencing number won, or cursors given to samples. */
+  readonly gains: readonly number[];
+}
+
+const VOID: NaiveVerdict = {accepted: false, gains: []};
+const PLAIN: NaiveVerdict = {accepted: true, gains: []};
+
+/** Judges every record of a stream. */
+export function judgeNaively(
+  records: readonly Logged[],
+  claimHorizonMs: number,
+): readonly NaiveVerdict[] {
+  const verdicts: NaiveVerdict[] = [];
+  for (const record of records) {
+    verdicts.push(new Judge(records, verdicts, claimHorizonMs).judge(record));
+  }
+  return verdicts;
+}
+
+class Judge {
+  constructor(
+    private readonly records: readonly Logged[],
+    private readonly verdicts: readonly NaiveVerdict[],
+    private readonly claimHorizonMs: number,
+  ) {}
+
+  judge(record: Logged): NaiveVerdict {
+    const {value, offset} = record;
+    if (this.before(offset).some(r => isCopy(r, record))) return VOID;
+    switch (value.kind) {
+      case 'lease_claimed':
+        return this.judgeClaim(record, value.lease);
+      case 'lease_released':
+        return this.owner(value.lease, offset)?.offset === value.fencing
+          ? PLAIN
+          : VOID;
+      case 'step_opened':
+        return this.accepted(offset, 'step_opened').some(
+          r => r.value.step === value.step,
+        )
+          ? VOID
+          : PLAIN;
+      case 'request_claimed':
+        return this.first(offset, 'request_claimed').some(
+          r =>
+            r.value.req === value.req &&
+            this.timeOf(r.offset) + this.claimHorizonMs > this.timeOf(offset),
+        )
+          ? VOID
+          : PLAIN;
+      case 'samples_committed':
+        return this.judgeCommit(offset, value);
+      case 'step_closed':
+        return this.isOwner(offset, value) ? PLAIN : VOID;
+      default:
+        return PLAIN;
+    }
+  }
+
+  private judgeClaim(record: Logged, lease: string): NaiveVerdict {
+    const {offset} = record;
+    if (!this.isLive(record, offset)) return VOID;
+    const owner = this.owner(lease, offset);
+    if (owner === undefined || !this.isLive(owner, offset)) {
+      return {accepted: true, gains: [offset]};
+    }
+    if (!isSameWriter(owner, record)) return VOID;
+    return {accepted: true, gains: [owner.offset]};
+  }
+
+  private judgeCommit(
+    offset: number,
+    value: Extract<StateRecord, {kind: 'samples_committed'}>,
+  ): NaiveVerdict {
+    if (!this.isOwner(offset, value)) return VOID;
+    const commits = this.accepted(offset, 'samples_committed');
+    const won = new Set<number>();
+    for (const commit of commits) {
+      for (const {sample} of commit.value.samples) won.add(sample);
+    }
+    const fresh = new Set(
+      value.samples.map(s => s.sample).filter(sample => !won.has(sample)),
+    );
+    const gains = [...fresh].map((_, i) => won.size + i + 1);
+    return gains.length === 0 ? VOID : {accepted: true, gains};
+  }
+
+  private isOwner(
+    offset: number,
+    value: {readonly tenant: string; readonly step: string; fencing: number},
+  ): boolean {
+    const opened = this.accepted(offset, 'step_opened').length > 0;
+    const closed = this.accepted(offset, 'step_closed').length > 0;
+    const lease = `step:${value.tenant}/${value.step}`;
+    return (
+      opened && !closed && this.owner(lease, offset)?.offset === value.fencing
+    );
+  }
+
+  /** The claim that holds the lease before `offset`, lapsed or not. */
+  private owner(lease: string, offset: number): Logged | undefined {
+    let owner: Logged | undefined;
+    for (const r of this.before(offset)) {
+      if (!this.verdicts[r.offset]!.accepted) continue;
+      const {value} = r;
+      if (value.kind === 'lease_claimed' && value.lease === lease) {
+        owner = this.records[this.verdicts[r.offset]!.gains[0]!]!;
+      }
+      if (value.kind === 'lease_released' && value.lease === lease) {
+        owner = undefined;
+      }
+      // Whoever closes a step gives its lease back with it.
+      if (
+        value.kind === 'step_closed' &&
+        `step:${value.tenant}/${value.step}` === lease
+      ) {
+        owner = undefined;
+      }
+    }
+    return owner;
+  }
+
+  /** Whether the session of a record's writer is live at `offset`. */
+  private isLive(record: Logged, offset: number): boolean {
+    const last = this.before(offset)
+      .filter((r, _, all) => isSameWriter(r, record) && !hasEarlier(r, all))
+      .filter(r => r.value.kind.startsWith('session'))
+      .at(-1);
+    if (last?.value.kind !== 'session') return false;
+    return this.timeOf(last.offset) + last.value.ttlMs > this.timeOf(offset);
+  }
+
+  /** Log time with steps back counted as no time. */
+  private timeOf(offset: number): number {
+    let timeMs = 0;
+    for (let i = 0; i <= offset; i++) {
+      const previousMs = this.records[i - 1]?.timeMs ?? 0;
+      timeMs += Math.max(0, this.records[i]!.timeMs - previousMs);
+    }
+    return timeMs;
+  }
+
+  private before(offset: number): readonly Logged[] {
+    return this.records.slice(0, offset);
+  }
+
+  /** Records of a kind before `offset`, copies left out. */
+  private first<K extends StateRecord['kind']>(offset: number, kind: K) {
+    return this.before(offset).filter(
+      (r, _, all) => r.value.kind === kind && !hasEarlier(r, all),
+    ) as Array<LoggedRecord<Extract<StateRecord, {kind: K}>>>;
+  }
+
+  private accepted<K extends StateRecord['kind']>(offset: number, kind: K) {
+    return this.first(offset, kind).filter(
+      r => this.verdicts[r.offset]!.accepted,
+    );
+  }
+}
+
+function isSameWriter(a: Logged, b: Logged): boolean {
+  return a.value.stamp.vm === b.value.stamp.vm;
+}
+
+function isCopy(a: Logged, b: Logged): boolean {
+  return isSameWriter(a, b) && a.value.stamp.seq === b.value.stamp.seq;
+}
+
+function hasEarlier(record: Logged, all: readonly Logged[]): boolean {
+  return all.some(r => r.offset < record.offset && isCopy(r, record));
+}
--- a/packages/core/src/lease_table.ts
+++ b/packages/core/src/lease_table.ts
@@ -65,8 +65,8 @@
 
   /** Gives the lease back, if `fencing` is the current holder's. */
   release(name: string, fencing: number, nowMs: number): boolean {
-    const current = this.leases.get(name);
-    if (current === undefined || current.fencing !== fencing) return false;
+    if (!this.isCurrent(name, fencing)) return false;
+    const current = this.leases.get(name)!;
     this.leases.set(name, {...current, released: true, changedAtMs: nowMs});
     return true;
   }
--- a/packages/daemon/src/log_task.ts
+++ b/packages/daemon/src/log_task.ts
@@ -192,6 +192,7 @@
 
   /** Appends a record; resolves when it is read back and judged. */
   append(body: StateBody): Promise<Result<JudgedRecord<StateRecord>>> {
+    this.stateFollower.hurry();
     return this.stateWriter.append(body);
   }
 
@@ -202,6 +203,7 @@
     readonly author: string;
     readonly text: string;
   }): Promise<Result<ConfigOutcome>> {
+    this.configFollower.hurry();
     return this.configWriter.append({kind: 'config_published', ...publication});
   }
 
@@ -297,6 +299,7 @@
       this.source.emit({kind: 'reset'});
     };
     return {
+      isAwaited: () => this.stateWriter.pendingCount > 0,
       next: () => this.stateFold.next,
       nowMs: () => this.stateFold.nowMs,
       apply: record => this.applyState(record),
@@ -311,6 +314,7 @@
 
   private createConfigPort(): FoldPort<ConfigRecord> {
     return {
+      isAwaited: () => this.configWriter.pendingCount > 0,
       next: () => this.configHistory.next,
       nowMs: () => this.configHistory.nowMs,
       apply: record => this.applyConfig(record),
--- a/packages/daemon/src/stream_follower.ts
+++ b/packages/daemon/src/stream_follower.ts
@@ -31,6 +31,8 @@
    * can have left is outdated after `windowMs`; returns whether it did.
    */
   startEmpty(oldest: number, windowMs: number): boolean;
+  /** Whether somebody waits for a record of this stream to be read back. */
+  isAwaited(): boolean;
 }
 
 /** How a follower stands with its stream. */
@@ -76,6 +78,7 @@
           this.take(records, caughtUp, oldest),
         expired: oldest => this.seekFrom(oldest),
         failed: () => this.markFailed(),
+        isAwaited: () => this.fold.isAwaited(),
       },
     );
   }
@@ -88,6 +91,11 @@
     this.reader.stop();
   }
 
+  /** Somebody waits for a record to be read back. */
+  hurry(): void {
+    this.reader.hurry();
+  }
+
   /** The fold was moved on by other means: reads go on from where it is. */
   catchUpWithFold(): void {
     this.seeking = false;
--- a/packages/platform/src/log_reader.ts
+++ b/packages/platform/src/log_reader.ts
@@ -20,6 +20,8 @@
   expired(oldest: number): number;
   /** A read failed; the reader goes on trying. */
   failed(error: RadishyokeError): void;
+  /** Whether somebody waits for a record to be read back. */
+  isAwaited(): boolean;
 }
 
 export interface LogReaderConfig {
@@ -30,6 +32,12 @@
   readonly pollWaitMs: number;
   /** On top of the wait: a connection silent for longer counts as lost. */
   readonly timeoutMs: number;
+  /**
+   * Pause after a read that brought records, for more to gather. Each answer
+   * costs some hundred bytes of headers; read at once after each append, they
+   * would outweigh the records.
+   */
+  readonly gatherMs: number;
 }
 
 /**
@@ -42,6 +50,7 @@
   maxRecords: 1000,
   pollWaitMs: 2000,
   timeoutMs: 1500,
+  gatherMs: 200,
 } as const;
 
 const FIRST_BACKOFF_MS = 50;
@@ -52,6 +61,8 @@
   private readonly abort = new AbortController();
   private next = 0;
   private wake: (() => void) | undefined;
+  private gathering = false;
+  private lastBrought = 0;
 
   constructor(
     private readonly client: LogClient,
@@ -70,6 +81,11 @@
     this.wake?.();
   }
 
+  /** Ends a pause in which records gather: somebody now waits for one. */
+  hurry(): void {
+    if (this.gathering) this.wake?.();
+  }
+
   /** Goes on from another offset; what a read in flight brings is dropped. */
   moveTo(offset: number): void {
     this.next = offset;
@@ -80,6 +96,9 @@
     while (!this.abort.signal.aborted) {
       if (await this.readOnce()) {
         backoffMs = FIRST_BACKOFF_MS;
+        const isTail =
+          this.lastBrought > 0 && this.lastBrought < this.cfg.maxRecords;
+        if (isTail) await this.gather();
         continue;
       }
       await this.sleep(backoffMs);
@@ -87,9 +106,18 @@
     }
   }
 
+  /** Lets records gather, unless somebody waits for one. */
+  private async gather(): Promise<void> {
+    if (this.handler.isAwaited()) return;
+    this.gathering = true;
+    await this.sleep(this.cfg.gatherMs);
+    this.gathering = false;
+  }
+
   private async readOnce(): Promise<boolean> {
     const {stream, maxRecords, pollWaitMs, timeoutMs} = this.cfg;
     const from = this.next;
+    this.lastBrought = 0;
     const result = await this.client.read(
       stream,
       {from, max: maxRecords, waitMs: pollWaitMs},
@@ -110,6 +138,7 @@
       return;
     }
     this.next = page.next;
+    this.lastBrought = page.records.length;
     const elsewhere = this.handler.read(
       page.records as ReadonlyArray<LoggedRecord<T>>,
       page.records.length < this.cfg.maxRecords,
