feat(daemon): administration API with tokens per team and role

Many teams share the service, so every answer is cut to the tenants of the asker's team in one place and held against a strict schema.

--- /dev/null
+++ b/packages/daemon/src/admin_server.ts
@@ -0,0 +1,232 @@
+/**
+ * The listener of the administration API. Each request is first tied to a team
+ * by its token; without one nothing is told, not even which paths exist.
+ */
+
+import {createServer, IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {z} from 'zod';
+import {
+  METRICS_CONTENT_TYPE,
+  renderMetricsText,
+} from '@radishyoke/core/metrics_text';
+import {createError, ErrorKind} from '@radishyoke/shared/error_kind';
+import type {TeamId, TenantId} from '@radishyoke/shared/ids';
+import {fail, Result, succeed} from '@radishyoke/shared/result';
+import {sendError, sendJson} from '@radishyoke/wire/error_answer';
+import {readJson} from '@radishyoke/wire/request_body';
+import {Authenticator, Principal} from './admin_auth.js';
+import type {AdminBackend} from './admin_backend.js';
+import {
+  ADMIN_ROUTES,
+  AdminCall,
+  AdminRoute,
+  matchesAnswer,
+  mayShowSeries,
+} from './admin_route.js';
+import {ADMIN_ANSWERS, AdminAnswerName} from './admin_schema.js';
+import type {Settings} from './settings.js';
+
+/** One request, for the log of accesses. Holds no part of any token. */
+export interface AdminAccess {
+  /** Only a name that the settings know. */
+  readonly tokenName: string | undefined;
+  readonly team: TeamId | undefined;
+  readonly method: string;
+  /** Without its query. */
+  readonly path: string;
+  readonly remoteAddress: string;
+  /** `granted`, or why not. */
+  readonly outcome: 'granted' | ErrorKind;
+}
+
+export type AdminSettings = Pick<Settings, 'tenants' | 'tokens' | 'admin'>;
+
+/** Longest body: a rule set with some room for JSON's escapes. */
+const MAX_BODY_BYTES = 524_288;
+const MAX_HEADER_BYTES = 8192;
+const MAX_CONNECTIONS = 128;
+const HEADERS_TIMEOUT_MS = 5000;
+const REQUEST_TIMEOUT_MS = 15_000;
+const MAX_LOGGED_PATH_CHARS = 200;
+
+const METRICS_PATH = '/metrics';
+const SCHEMA_PATH = '/admin/v1/schemas/';
+
+/** Serves one backend. */
+export class AdminServer {
+  private readonly server: Server;
+  private readonly authenticator: Authenticator;
+
+  constructor(
+    private readonly backend: AdminBackend,
+    private readonly settings: AdminSettings,
+    private readonly logAccess: (access: AdminAccess) => void,
+  ) {
+    this.authenticator = new Authenticator(settings.tokens);
+    this.server = createServer(
+      {
+        maxHeaderSize: MAX_HEADER_BYTES,
+        headersTimeout: HEADERS_TIMEOUT_MS,
+        requestTimeout: REQUEST_TIMEOUT_MS,
+      },
+      (req, res) => void this.handle(req, res).catch(() => res.destroy()),
+    );
+    this.server.maxConnections = MAX_CONNECTIONS;
+  }
+
+  /** Opens the listener at `address` (`ip:port`); resolves to the real one. */
+  listen(address: string): Promise<string> {
+    const colon = address.lastIndexOf(':');
+    const host = address.slice(0, colon).replace(/^\[|\]$/g, '');
+    const port = Number(address.slice(colon + 1));
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, host, () => {
+        const bound = this.server.address() as AddressInfo;
+        resolve(`${address.slice(0, colon)}:${bound.port}`);
+      });
+    });
+  }
+
+  async close(): Promise<void> {
+    await new Promise<void>(resolve => {
+      this.server.close(() => resolve());
+      this.server.closeAllConnections();
+    });
+  }
+
+  private async handle(
+    req: IncomingMessage,
+    res: ServerResponse,
+  ): Promise<void> {
+    const url = readUrl(req);
+    const {authorization} = req.headers;
+    const principal = await this.authenticator.authenticate(
+      authorization,
+      Date.now(),
+    );
+    const result = principal.ok
+      ? await this.answer(req, res, url, principal.value)
+      : principal;
+    this.logAccess({
+      tokenName: this.authenticator.nameOf(authorization),
+      team: principal.ok ? principal.value.team : undefined,
+      method: req.method ?? '',
+      path: url.pathname.slice(0, MAX_LOGGED_PATH_CHARS),
+      remoteAddress: req.socket.remoteAddress ?? '',
+      outcome: result.ok ? 'granted' : result.error.kind,
+    });
+    if (!result.ok) sendError(res, result.error, createChallenge(result.error));
+  }
+
+  private async answer(
+    req: IncomingMessage,
+    res: ServerResponse,
+    url: URL,
+    principal: Principal,
+  ): Promise<Result<void>> {
+    const call = this.createCall(principal, url);
+    if (req.method === 'GET' && url.pathname === METRICS_PATH) {
+      return this.answerMetrics(res, call);
+    }
+    if (req.method === 'GET' && url.pathname.startsWith(SCHEMA_PATH)) {
+      return answerSchema(res, url.pathname.slice(SCHEMA_PATH.length));
+    }
+    const route = ADMIN_ROUTES.find(
+      one => one.method === req.method && one.path === url.pathname,
+    );
+    if (!route) return fail(createError('not_found'));
+    const allowed = checkAllowed(route, call);
+    if (!allowed.ok) return allowed;
+    const body = await readCallBody(req);
+    if (!body.ok) return body;
+    return this.run(res, route, {...call, body: body.value});
+  }
+
+  private async run(
+    res: ServerResponse,
+    route: AdminRoute,
+    call: AdminCall,
+  ): Promise<Result<void>> {
+    const result = await route.run(this.backend, call);
+    if (!result.ok) return result;
+    // A backend that answers with a field too many could show another team's
+    // data; every answer is held against its schema, which knows no extra keys.
+    if (!matchesAnswer(route.answer, result.value)) {
+      const detail = `the answer ${route.answer} is not what its schema says`;
+      return fail(createError('internal', detail));
+    }
+    sendJson(res, 200, result.value);
+    return succeed(undefined);
+  }
+
+  private answerMetrics(res: ServerResponse, call: AdminCall): Result<void> {
+    const allowed = checkRole(call, 'read');
+    if (!allowed.ok) return allowed;
+    const text = renderMetricsText(this.backend.metrics, key =>
+      mayShowSeries(call, key),
+    );
+    res.writeHead(200, {'content-type': METRICS_CONTENT_TYPE});
+    res.end(text);
+    return succeed(undefined);
+  }
+
+  private createCall(principal: Principal, url: URL): AdminCall {
+    const {tenants, admin} = this.settings;
+    const own = [...tenants].filter(([, team]) => team === principal.team);
+    return {
+      principal,
+      isPlatformTeam: admin.platformTeam === principal.team,
+      tenants: new Set<TenantId>(own.map(([tenant]) => tenant)),
+      query: url.searchParams,
+      body: undefined,
+    };
+  }
+}
+
+/** The target as a URL; one that is none is as good as an unknown path. */
+function readUrl(req: IncomingMessage): URL {
+  const base = 'http://admin';
+  const target = req.url ?? '/';
+  return new URL(URL.canParse(target, base) ? target : '/', base);
+}
+
+function checkAllowed(route: AdminRoute, call: AdminCall): Result<void> {
+  if (route.platformOnly && !call.isPlatformTeam) {
+    return fail(createError('forbidden', 'only the platform team may'));
+  }
+  return checkRole(call, route.role);
+}
+
+function checkRole(
+  {principal}: AdminCall,
+  role: AdminRoute['role'],
+): Result<void> {
+  return principal.roles.includes(role)
+    ? succeed(undefined)
+    : fail(createError('forbidden', `the token lacks the role ${role}`));
+}
+
+async function readCallBody(req: IncomingMessage): Promise<Result<unknown>> {
+  if (req.method !== 'POST') return succeed(undefined);
+  if (Number(req.headers['content-length'] ?? 0) > MAX_BODY_BYTES) {
+    return fail(createError('too_large', `body over ${MAX_BODY_BYTES} bytes`));
+  }
+  return readJson(req, MAX_BODY_BYTES);
+}
+
+function answerSchema(res: ServerResponse, name: string): Result<void> {
+  if (!Object.hasOwn(ADMIN_ANSWERS, name)) {
+    return fail(createError('not_found', 'no such schema'));
+  }
+  const schema = ADMIN_ANSWERS[name as AdminAnswerName];
+  sendJson(res, 200, z.toJSONSchema(schema, {io: 'input'}));
+  return succeed(undefined);
+}
+
+function createChallenge(err: {
+  readonly kind: ErrorKind;
+}): Readonly<Record<string, string>> {
+  return err.kind === 'unauthorized' ? {'www-authenticate': 'Bearer'} : {};
+}
