--- /dev/null
+++ b/packages/bench/src/delivery_audit.ts
@@ -0,0 +1,109 @@
+/**
+ * Counts lost, doubled, over-stale and mislabelled rollouts from what trainers
+ * received and what engines say they ran, without the service's own books.
+ */
+
+import type {FakeEngine} from '@radishyoke/fakes/fake_engine';
+import type {EngineRun} from '@radishyoke/fakes/engine_books';
+import type {Rollout, TokenSpan} from '@radishyoke/shared/rollout';
+
+/** One rollout as a trainer took it. */
+export interface Delivery {
+  readonly tenant: string;
+  readonly rollout: Rollout;
+  /** The trainer's weight version when it came. */
+  readonly trainerVersion: number;
+  readonly maxStaleness: number;
+}
+
+export interface DeliveryFigures {
+  readonly requested: number;
+  readonly delivered: number;
+  readonly lost: number;
+  readonly doubled: number;
+  readonly overStale: number;
+  /** Rollouts whose spans differ from what their engine ran. */
+  readonly mislabelled: number;
+  readonly weightVersions: readonly number[];
+  readonly stalenessMax: number;
+}
+
+export function auditDeliveries(
+  requested: number,
+  deliveries: readonly Delivery[],
+  engines: ReadonlyMap<string, FakeEngine>,
+): DeliveryFigures {
+  const runs = indexRuns(engines);
+  const ids = new Set<string>();
+  const versions = new Set<number>();
+  let overStale = 0;
+  let mislabelled = 0;
+  let stalenessMax = 0;
+  for (const delivery of deliveries) {
+    const {rollout, trainerVersion, maxStaleness} = delivery;
+    ids.add(`${delivery.tenant}/${rollout.id}`);
+    const ran = findRun(runs, delivery);
+    if (!ran || !isSuffix(ran.spans, rollout.spans)) mislabelled++;
+    const made = [...rollout.spans, ...(ran?.spans ?? [])];
+    for (const span of made) versions.add(span.weightVersion);
+    const oldest = Math.min(...made.map(span => span.weightVersion));
+    const staleness = Math.max(0, trainerVersion - oldest);
+    stalenessMax = Math.max(stalenessMax, staleness);
+    if (staleness > maxStaleness) overStale++;
+  }
+  return {
+    requested,
+    delivered: ids.size,
+    lost: requested - ids.size,
+    doubled: deliveries.length - ids.size,
+    overStale,
+    mislabelled,
+    weightVersions: [...versions].sort((a, b) => a - b),
+    stalenessMax,
+  };
+}
+
+/** Runs by engine and by request id without the owner's fencing number. */
+function indexRuns(
+  engines: ReadonlyMap<string, FakeEngine>,
+): ReadonlyMap<string, readonly EngineRun[]> {
+  const index = new Map<string, EngineRun[]>();
+  for (const [id, engine] of engines) {
+    for (const run of engine.listRuns()) {
+      const parts = run.requestId.split('.');
+      const attempt = parts.at(-1);
+      const sample = parts.slice(0, -2).join('.');
+      const key = `${id} ${sample} ${attempt}`;
+      index.set(key, [...(index.get(key) ?? []), run]);
+    }
+  }
+  return index;
+}
+
+function findRun(
+  runs: ReadonlyMap<string, readonly EngineRun[]>,
+  {tenant, rollout}: Delivery,
+): EngineRun | undefined {
+  const {step, group, sample, attempt, endpoint} = rollout;
+  const key = `${endpoint} ${tenant}/${step}/${group}.${sample} ${attempt}`;
+  const found = runs.get(key) ?? [];
+  return found.find(run => run.end === 'finished') ?? found[0];
+}
+
+/** Whether `whole` ends with the tokens and versions of `part`. */
+function isSuffix(
+  part: readonly TokenSpan[],
+  whole: readonly TokenSpan[],
+): boolean {
+  const expand = (spans: readonly TokenSpan[]) =>
+    spans.flatMap(span =>
+      new Array<number>(span.tokens).fill(span.weightVersion),
+    );
+  const ran = expand(part);
+  const told = expand(whole);
+  const tail = told.slice(told.length - ran.length);
+  return (
+    ran.length <= told.length &&
+    tail.every((version, index) => version === ran[index])
+  );
+}
--- /dev/null
+++ b/packages/bench/src/stand_ins.ts
@@ -0,0 +1,127 @@
+/** The stand-ins of one deployment on loopback, for demonstrations and drills. */
+
+import {FakeEngine, startFakeEngine} from '@radishyoke/fakes/fake_engine';
+import {FakeLog, startFakeLog} from '@radishyoke/fakes/fake_log';
+import {FakeService, startFakeService} from '@radishyoke/fakes/fake_service';
+import {FakeVmList, startFakeVmList} from '@radishyoke/fakes/fake_vm_list';
+import {
+  FakeWeightStore,
+  startFakeWeightStore,
+} from '@radishyoke/fakes/fake_weight_store';
+import type {EngineOptions} from '@radishyoke/fakes/engine_options';
+import {HEADERS} from '@radishyoke/shared/header';
+import type {VmInfo} from '@radishyoke/shared/endpoint';
+import {
+  DataCentreId,
+  toDataCentreId,
+  toEndpointId,
+  toIncarnationId,
+  toTeamId,
+  toVmId,
+} from '@radishyoke/shared/ids';
+import type {ConfigRecord} from '@radishyoke/shared/log_record';
+
+export interface StandInOptions {
+  readonly model: string;
+  readonly engineGroup: string;
+  readonly serviceGroup: string;
+  readonly engines: number;
+  readonly services: number;
+  readonly dataCentres: readonly string[];
+  readonly engine?: Partial<EngineOptions>;
+  readonly serviceTimeMs?: number;
+}
+
+/** Everything outside the service, running. */
+export interface StandIns {
+  readonly log: FakeLog;
+  readonly vmList: FakeVmList;
+  readonly weightStore: FakeWeightStore;
+  readonly engines: ReadonlyMap<string, FakeEngine>;
+  readonly services: ReadonlyMap<string, FakeService>;
+  /** Puts an entry VM on the list, as the platform would. */
+  putVm(vm: VmInfo): void;
+  close(): Promise<void>;
+}
+
+/** Starts them all on free ports and fills the VM list with the endpoints. */
+export async function startStandIns(
+  options: StandInOptions,
+): Promise<StandIns> {
+  const log = await startFakeLog();
+  const vmList = await startFakeVmList();
+  const weightStore = await startFakeWeightStore();
+  const engines = new Map<string, FakeEngine>();
+  const services = new Map<string, FakeService>();
+  const place = (index: number): DataCentreId =>
+    toDataCentreId(options.dataCentres[index % options.dataCentres.length]);
+  for (let i = 0; i < options.engines; i++) {
+    const engine = await startFakeEngine({
+      ...options.engine,
+      model: options.model,
+      weightStoreAddress: weightStore.address,
+    });
+    const id = toEndpointId(`${options.engineGroup}-${i + 1}`);
+    engines.set(id, engine);
+    vmList.putEndpoint({
+      id,
+      kind: 'engine',
+      address: engine.address,
+      dataCentre: place(i),
+      group: options.engineGroup,
+      model: options.model,
+      state: 'live',
+      checksFencing: options.engine?.checksFencing ?? true,
+    });
+  }
+  for (let i = 0; i < options.services; i++) {
+    const service = await startFakeService({
+      serviceTimeMs: options.serviceTimeMs,
+      requestIdHeader: HEADERS.requestId,
+    });
+    const id = toEndpointId(`${options.serviceGroup}-${i + 1}`);
+    services.set(id, service);
+    vmList.putEndpoint({
+      id,
+      kind: 'service',
+      address: service.address,
+      dataCentre: place(i),
+      group: options.serviceGroup,
+      state: 'live',
+      checksFencing: false,
+    });
+  }
+  const all = [log, vmList, weightStore, ...engines.values()];
+  return {
+    log,
+    vmList,
+    weightStore,
+    engines,
+    services,
+    putVm: vm => vmList.putVm(vm),
+    close: async () => {
+      await Promise.all([...all, ...services.values()].map(s => s.close()));
+    },
+  };
+}
+
+/** Publishes a team's first configuration straight to the log. */
+export function publishFirstRules(
+  standIns: StandIns,
+  team: string,
+  text: string,
+): void {
+  const record: ConfigRecord = {
+    kind: 'config_published',
+    stamp: {
+      vm: toVmId('setup'),
+      incarnation: toIncarnationId('setup'),
+      seq: 1,
+    },
+    team: toTeamId(team),
+    basedOn: -1,
+    author: 'setup',
+    text,
+  };
+  standIns.log.model.append('config', [record], Date.now());
+}
--- a/packages/client/src/trainer_client.ts
+++ b/packages/client/src/trainer_client.ts
@@ -3,7 +3,7 @@
  * many connections as it takes, and acknowledges what it has read.
  */
 
-import {createInterface} from 'node:readline';
+import type {Readable} from 'node:stream';
 import {Agent, Dispatcher} from 'undici';
 import type {RadishyokeError} from '@radishyoke/shared/error_kind';
 import {createError, ErrorKind} from '@radishyoke/shared/error_kind';
@@ -139,10 +139,12 @@
       return res.error.kind === 'not_found' ? 'step_unknown' : res.error;
     }
     try {
-      const lines = createInterface({input: res.value.body});
-      for await (const line of lines) {
+      for await (const line of readLines(res.value.body)) {
         if (options.signal?.aborted) return 'cut';
         const event = JSON.parse(line) as StepEvent;
+        // The trainer moved on while this was on its way. It is left unread;
+        // the new connection tells the version and the service runs it again.
+        if (follower.isStale(event)) return 'cut';
         if (follower.take(event)) return 'complete';
       }
     } catch {
@@ -197,6 +199,17 @@
     readonly progress: StepProgress,
   ) {}
 
+  /** Whether `event` brings output over the trainer's bound at this moment. */
+  isStale(event: StepEvent): boolean {
+    if (event.kind !== 'rollout') return false;
+    const {req, readWeightVersion} = this.options;
+    const staleness = measureStaleness(
+      event.rollout.spans,
+      readWeightVersion(),
+    );
+    return staleness > req.maxStaleness;
+  }
+
   /** Returns whether the step is complete. */
   take(event: StepEvent): boolean {
     switch (event.kind) {
@@ -259,6 +272,20 @@
   }
 }
 
+/** Splits a stream into its lines; an unfinished last line is dropped. */
+async function* readLines(body: Readable): AsyncGenerator<string> {
+  // Leaving the loop early destroys the body, which then reports the abort.
+  body.on('error', () => undefined);
+  const decoder = new TextDecoder();
+  let rest = '';
+  for await (const chunk of body) {
+    const text = decoder.decode(chunk as Buffer, {stream: true});
+    const lines = (rest + text).split('\n');
+    rest = lines.pop() ?? '';
+    yield* lines;
+  }
+}
+
 /** Refusals after which the same call can succeed elsewhere or later. */
 const passingKinds: ReadonlySet<ErrorKind> = new Set<ErrorKind>([
   'endpoint_unreachable',
--- a/packages/daemon/src/logger.ts
+++ b/packages/daemon/src/logger.ts
@@ -1,5 +1,6 @@
 /** Structured logs: JSON lines on standard output by `roarr`. */
 
+import './enable_roarr.js';
 import {ROARR, Roarr} from 'roarr';
 
 export type LogLevel = 'debug' | 'info' | 'warn' | 'error';
--- a/packages/wire/src/engine_stream.ts
+++ b/packages/wire/src/engine_stream.ts
@@ -194,8 +194,10 @@
         finishReason = this.takeChunk(event.data) ?? finishReason;
       },
     });
-    body.setEncoding('utf8');
-    for await (const text of body) parser.feed(text as string);
+    const decoder = new TextDecoder();
+    for await (const chunk of body) {
+      parser.feed(decoder.decode(chunk as Buffer, {stream: true}));
+    }
     // Without the closing marker the stream was cut: taking it for whole would
     // show as a truncated rollout.
     if (!done || finishReason === undefined) return {kind: 'broken'};
