--- a/packages/bench/src/demo.ts
+++ b/packages/bench/src/demo.ts
@@ -28,6 +28,7 @@
 const trainingMs = 400;
 const appPauseMs = 10;
 const progressMs = 1000;
+const readyPollMs = 50;
 const firstVersion = 1;
 
 /** One line per tenant of the closing table. */
@@ -103,7 +104,7 @@
     for (const [index, dataCentre] of ['gebze-a', 'kartal'].entries()) {
       await this.startVm(text, `entry-${index + 1}`, dataCentre);
     }
-    await sleep(progressMs / 4);
+    await Promise.all(this.origins.map(waitUntilReady));
     console.log(`two VMs serve callers at ${this.origins.join(' and ')}`);
   }
 
@@ -291,6 +292,16 @@
   return buildHistogram({numberOfSignificantValueDigits: 3});
 }
 
+/** Waits as a balancer does before it sends callers to a VM. */
+async function waitUntilReady(origin: string): Promise<void> {
+  for (;;) {
+    const res = await request(`${origin}/readyz`);
+    await res.body.dump();
+    if (res.statusCode === 200) return;
+    await sleep(readyPollMs);
+  }
+}
+
 async function readExample(name: string): Promise<string> {
   const url = new URL(`../../../examples/${name}`, import.meta.url);
   return readFile(fileURLToPath(url), 'utf8');
--- a/packages/client/src/trainer_client.ts
+++ b/packages/client/src/trainer_client.ts
@@ -10,7 +10,12 @@
 import {HEADERS} from '@radishyoke/shared/header';
 import type {RolloutId, StepId, TenantId} from '@radishyoke/shared/ids';
 import {fail, Result, succeed} from '@radishyoke/shared/result';
-import type {Rollout, StepEvent, StepRequest} from '@radishyoke/shared/rollout';
+import {
+  measureStaleness,
+  Rollout,
+  StepEvent,
+  StepRequest,
+} from '@radishyoke/shared/rollout';
 import {StepProgress} from './step_progress.js';
 
 export interface TrainerClientOptions {
--- a/packages/daemon/src/vm.ts
+++ b/packages/daemon/src/vm.ts
@@ -63,6 +63,8 @@
   private readonly apps: AppApi;
   private readonly server: CallerServer;
   private draining = false;
+  /** Whether the log was read to its end since the start. */
+  private wasCurrent = false;
 
   constructor(private readonly options: VmOptions) {
     const {settings, logger} = options;
@@ -250,8 +252,8 @@
     if (this.draining) {
       return createError('draining', undefined, {retryAfterMs: 0});
     }
-    if (!this.log.health().caughtUp) return createError('not_current');
-    return undefined;
+    this.wasCurrent ||= this.log.health().caughtUp;
+    return this.wasCurrent ? undefined : createError('not_current');
   }
 }
 
