perf(core): limits that hold, moves in place of hedges, suspects apart

Change: saturation needs two reports with the same batch; stragglers move with their output when the learned speed says so, hedging is off; suspects run one per endpoint, and a crash in its first 3 s there convicts; unsent attempts of rollouts don't count.

--- a/packages/bench/src/decide.ts
+++ b/packages/bench/src/decide.ts
@@ -25,6 +25,8 @@
 const SLICES = 5;
 /** Decisions between two looks at the clock. */
 const BATCH = 500;
+/** At 3,300 requests a second a tick of 100 ms comes this often or less. */
+const DECISIONS_PER_TICK = 100;
 /** Works in flight for each endpoint. */
 const LOAD_PER_ENDPOINT = 4;
 const PEERS = 10;
@@ -105,6 +107,9 @@
     if (decision?.then.kind !== 'route') throw new Error('no rule matched');
     const work = createWork(index, tenant, decision.then.group);
     this.note(this.scheduler.handle({kind: 'enqueue', work}, index / 10));
+    if (index % DECISIONS_PER_TICK === 0) {
+      this.note(this.scheduler.handle({kind: 'tick'}, index / 10));
+    }
     if (this.running.length - this.oldest <= this.endpoints * LOAD_PER_ENDPOINT)
       return;
     this.endOldest(index / 10);
--- a/packages/bench/src/steps.ts
+++ b/packages/bench/src/steps.ts
@@ -4,7 +4,11 @@
  */
 
 import {NaiveScheduler} from '@radishyoke/core/naive_scheduler';
-import {DEFAULT_POLICY, PolicyOptions} from '@radishyoke/core/policy_options';
+import {
+  DEFAULT_POLICY,
+  PolicyOptions,
+  ROUND_START_POLICY,
+} from '@radishyoke/core/policy_options';
 import {PolicyScheduler} from '@radishyoke/core/policy_scheduler';
 import {createRandomBits} from '@radishyoke/core/random_bits';
 import {DEFAULT_ENGINE_OPTIONS} from '@radishyoke/fakes/engine_options';
@@ -57,6 +61,7 @@
 
 const CONTENDERS: readonly Contender[] = [
   NAIVE,
+  createPolicyContender('round_start', ROUND_START_POLICY),
   createPolicyContender('present', {}),
 ];
 
--- a/packages/bench/src/steps_engines.ts
+++ b/packages/bench/src/steps_engines.ts
@@ -88,10 +88,11 @@
     this.wake();
   }
 
-  reportLoad(): LoadReport {
+  /** The report, unless the engine is down and doesn't answer. */
+  reportLoad(): readonly LoadReport[] {
     const load = this.model.reportLoad(this.clock.nowMs);
     this.wake();
-    return {endpoint: this.id, ...load};
+    return this.model.isDown ? [] : [{endpoint: this.id, ...load}];
   }
 
   /** Takes what happened and comes back when the model has more. */
--- a/packages/bench/src/steps_world.ts
+++ b/packages/bench/src/steps_world.ts
@@ -133,7 +133,7 @@
       this.apps.set(`app-${i}`, model);
     }
     this.vms.start(this.listEndpoints(), () => [
-      ...[...this.engines.values()].map(engine => engine.reportLoad()),
+      ...[...this.engines.values()].flatMap(engine => engine.reportLoad()),
       ...[...this.apps].map(([id, app]) => app.reportLoad(toEndpointId(id))),
     ]);
     this.clock.every(deployment.weightIntervalMs, () => this.publish());
--- a/packages/core/src/concurrency_limit.ts
+++ b/packages/core/src/concurrency_limit.ts
@@ -13,30 +13,50 @@
 const GROW_FROM_USE = 0.8;
 const GROWTH = 1.15;
 const REJECTION_CUT = 0.7;
+/** Part by which a batch may differ between two reports and count as the same. */
+const SAME_BATCH_PART = 0.05;
+/** How long a limit that was found is believed before more is tried. */
+const CEILING_KEPT_MS = 10_000;
+/** How much more is tried then. */
+const CEILING_RAISE = 1.1;
 
 /**
  * Adapts one endpoint's limit. Engines admit all that comes: what they can't run
  * waits inside, where no priority holds. So the limit follows what runs as soon
- * as anything waits there, and grows while the endpoint keeps up.
+ * as anything stays waiting there, and grows while the endpoint keeps up.
  */
 export class ConcurrencyLimit {
   private value = INITIAL_LIMIT;
   private rejectedAtMs = -Infinity;
+  /** What the endpoint was seen to run while more waited. */
+  private ceiling = MAX_LIMIT;
+  private ceilingAtMs = 0;
+  private last?: LoadReport;
 
   get limit(): number {
     return Math.max(MIN_LIMIT, Math.floor(this.value));
   }
 
   noteReport(report: LoadReport): void {
-    const {running, waiting} = report;
-    if (waiting > 0 && running > 0) {
+    const {running, measuredAtMs} = report;
+    const before = this.last;
+    this.last = report;
+    if (before && isSaturated(before, report)) {
+      // Growing past this again and again would make interactive requests wait
+      // inside the endpoint each time.
+      this.ceiling = running;
+      this.ceilingAtMs = measuredAtMs;
       this.value = clamp(Math.min(this.value, running));
       return;
     }
+    if (measuredAtMs - this.ceilingAtMs > CEILING_KEPT_MS) {
+      this.ceiling = clamp(Math.ceil(this.ceiling * CEILING_RAISE));
+      this.ceilingAtMs = measuredAtMs;
+    }
     // A report from before the endpoint refused work knows nothing of it.
-    if (report.measuredAtMs <= this.rejectedAtMs) return;
+    if (measuredAtMs <= this.rejectedAtMs) return;
     if (running >= this.value * GROW_FROM_USE) {
-      this.value = clamp(this.value * GROWTH + 1);
+      this.value = Math.min(this.ceiling, clamp(this.value * GROWTH + 1));
     }
   }
 
@@ -46,6 +66,20 @@
   }
 }
 
+/**
+ * Whether the endpoint runs all it can. Engines form their batch anew every so
+ * often, and what has just come waits until then; a limit that took this for
+ * saturation would fall to whatever runs. So something has to wait in two
+ * reports, with the batch no larger in the later one.
+ */
+function isSaturated(before: LoadReport, now: LoadReport): boolean {
+  const isWaiting = before.waiting > 0 && now.waiting > 0;
+  const change = Math.abs(now.running - before.running);
+  return (
+    isWaiting && now.running > 0 && change <= now.running * SAME_BATCH_PART
+  );
+}
+
 function clamp(limit: number): number {
   return Math.min(MAX_LIMIT, Math.max(MIN_LIMIT, limit));
 }
--- a/packages/core/src/endpoint_directory.ts
+++ b/packages/core/src/endpoint_directory.ts
@@ -11,11 +11,13 @@
 import {FairQueue} from './fair_queue.js';
 import type {RandomBits} from './random_bits.js';
 import type {NamedGroup, WorkClass} from './scheduler.js';
+import {SpeedModel} from './speed_model.js';
 import type {WorkState} from './work_state.js';
 
 /** One group's endpoints and what waits for them. */
 export class EndpointGroup {
   readonly pool: EndpointPool;
+  readonly speed = new SpeedModel();
   readonly queues: Readonly<Record<WorkClass, FairQueue<WorkState>>> = {
     interactive: new FairQueue<WorkState>(),
     rollout: new FairQueue<WorkState>(),
@@ -28,7 +30,9 @@
   parked: WorkState[] = [];
   /** Works under suspicion that wait for their turn to run alone. */
   quarantined: WorkState[] = [];
-  quarantineRunning?: WorkState;
+  readonly quarantineRunning = new Set<WorkState>();
+  /** Whether rollouts wait for the next tick before they start. */
+  isGathering = false;
 
   constructor(random: RandomBits) {
     this.pool = new EndpointPool(random);
--- a/packages/core/src/endpoint_pool.ts
+++ b/packages/core/src/endpoint_pool.ts
@@ -25,6 +25,8 @@
   readonly minWeightVersion: number;
   /** Empty for none. */
   readonly prefixKey: string;
+  /** Whether it must not meet another suspect. */
+  readonly isSuspect: boolean;
   /** Endpoint to stay away from if there is another. */
   readonly avoid?: EndpointId;
 }
@@ -63,6 +65,10 @@
     return this.usable.size > 0;
   }
 
+  get usableCount(): number {
+    return this.usable.size;
+  }
+
   get hasOpen(): boolean {
     return this.open.size > 0;
   }
@@ -118,6 +124,7 @@
   choice: Choice,
   vms: VmView,
 ): boolean {
+  if (choice.isSuspect && endpoint.suspect) return false;
   return (
     endpoint.weightVersion >= choice.minWeightVersion &&
     endpoint.hasRoomFor(choice.workClass, vms)
--- a/packages/core/src/endpoint_score.ts
+++ b/packages/core/src/endpoint_score.ts
@@ -5,6 +5,7 @@
 
 import type {DataCentreId} from '@radishyoke/shared/ids';
 import type {EndpointState} from './endpoint_state.js';
+import type {SpeedModel} from './speed_model.js';
 
 /** Prompt tokens a second that an engine is assumed to prefill. */
 const PREFILL_TOKENS_PER_SECOND = 8000;
@@ -31,6 +32,8 @@
   readonly dataCentre: DataCentreId;
   readonly newestVersion: number;
   readonly nowMs: number;
+  /** Absent where each endpoint's own speed is used alone. */
+  readonly speed?: SpeedModel;
 }
 
 /** Expected ms until completion; lower is better. */
@@ -47,22 +50,33 @@
     isPrefixCached ? 0 : work.promptTokens,
     view.nowMs,
   );
-  const use = measureUse(endpoint, view.nowMs);
-  const speed = endpoint.streamSpeed || ASSUMED_STREAM_SPEED;
-  // The speed was measured at about the present load; beyond the limit the
-  // endpoint queues.
-  const decodeMs =
-    (Math.max(1, work.expectedTokens) / speed) *
-    1e3 *
-    (1 + LOAD_SLOWDOWN * use);
+  const tokens = Math.max(1, work.expectedTokens);
+  const decodeMs = tokens * estimateTokenMs(endpoint, view);
   const lag = work.isRollout
     ? Math.max(0, view.newestVersion - endpoint.weightVersion)
     : 0;
   return distanceMs + firstTokenMs + decodeMs + lag * VERSION_LAG_COST_MS;
 }
 
-/** Part of the limit in use: own and peers' work, and what a report adds. */
-function measureUse(endpoint: EndpointState, nowMs: number): number {
+/** Expected ms for one token of a stream that joins at the endpoint. */
+export function estimateTokenMs(
+  endpoint: EndpointState,
+  view: Pick<ScoreView, 'speed' | 'nowMs'>,
+): number {
+  const inFlight = estimateInFlight(endpoint, view.nowMs);
+  const {limit} = endpoint.limit;
+  // Beyond its limit the endpoint queues, and the batch grows no further.
+  const queueing = Math.max(1, (inFlight + 1) / limit);
+  if (view.speed) {
+    const streams = Math.min(limit, inFlight + 1);
+    return view.speed.predictMs(streams) * endpoint.slowness * queueing;
+  }
+  const speed = endpoint.streamSpeed || ASSUMED_STREAM_SPEED;
+  return (1e3 / speed) * (1 + (LOAD_SLOWDOWN * inFlight) / limit);
+}
+
+/** Own and peers' work, and what a report adds. */
+function estimateInFlight(endpoint: EndpointState, nowMs: number): number {
   const known = endpoint.totalInFlight;
   const {report} = endpoint;
   let inFlight = known;
@@ -74,7 +88,7 @@
     const surplus = report.running + report.waiting - known;
     inFlight += Math.max(0, surplus) * trust;
   }
-  return inFlight / endpoint.limit.limit;
+  return inFlight;
 }
 
 function estimatePrefillMs(
--- a/packages/core/src/endpoint_state.ts
+++ b/packages/core/src/endpoint_state.ts
@@ -5,7 +5,7 @@
 import {ConcurrencyLimit, divideLimit} from './concurrency_limit.js';
 import {EndpointHealth} from './endpoint_health.js';
 import type {WorkClass} from './scheduler.js';
-import type {Attempt} from './work_state.js';
+import type {Attempt, WorkState} from './work_state.js';
 
 /** Part of an endpoint's limit that rollouts leave to interactive requests. */
 const INTERACTIVE_RESERVE = 0.1;
@@ -31,12 +31,15 @@
   readonly running: Record<WorkClass, number> = {interactive: 0, rollout: 0};
   /** Prompt tokens of own attempts that have shown no output yet. */
   pendingPromptTokens = 0;
-  /** Set while a suspect request runs here: nothing else goes there. */
+  /** The suspect that runs here; no other suspect goes there. */
+  suspect?: WorkState;
+  /** Whether nothing at all goes there, as the suspect has yet to show output. */
   quarantined = false;
   private readonly peers = new Map<VmId, number>();
   private peerTotal = 0;
   private epoch = 0;
   private versionSeenAtMs = 0;
+  private slownessMean = 1;
   private streamMs = 0;
   private streamTokens = 0;
   private allowance = 0;
@@ -60,6 +63,16 @@
     return this.streamMs > 0 ? (this.streamTokens / this.streamMs) * 1e3 : 0;
   }
 
+  /** How many times slower than an ordinary endpoint at the same load. */
+  get slowness(): number {
+    return this.slownessMean;
+  }
+
+  noteSlowness(ratio: number, elapsedMs: number): void {
+    const weight = 1 - Math.exp(-elapsedMs / SPEED_MEMORY_STREAM_MS);
+    this.slownessMean += weight * (ratio - this.slownessMean);
+  }
+
   noteSpeed(tokens: number, elapsedMs: number): void {
     const keep = Math.exp(-elapsedMs / SPEED_MEMORY_STREAM_MS);
     this.streamTokens = this.streamTokens * keep + tokens;
--- a/packages/core/src/policy_scheduler.ts
+++ b/packages/core/src/policy_scheduler.ts
@@ -13,7 +13,7 @@
 import {BinaryHeap} from './binary_heap.js';
 import {EndpointDirectory, EndpointGroup} from './endpoint_directory.js';
 import type {Choice} from './endpoint_pool.js';
-import type {ScoreView} from './endpoint_score.js';
+import {estimateTokenMs, ScoreView} from './endpoint_score.js';
 import {EndpointState} from './endpoint_state.js';
 import type {AttemptOutcome, FailureKind} from './failure.js';
 import {Freshness} from './freshness.js';
@@ -32,7 +32,8 @@
 } from './scheduler.js';
 import {judgeStraggler, StragglerPolicy} from './straggler.js';
 import {SuspectList} from './suspect_list.js';
-import {TenantCap} from './tenant_cap.js';
+import {RunCap} from './run_cap.js';
+import {StepPace} from './step_pace.js';
 import {Attempt, WorkState} from './work_state.js';
 
 /** Works of one tenant that may wait in one group, by class. */
@@ -52,6 +53,13 @@
 /** Stragglers are looked for this often. */
 const STRAGGLER_SCAN_MS = 250;
 
+/** An endpoint this many times slower than others is not taken as ordinary. */
+const ODD_SLOWNESS = 1.5;
+/** A suspect has its endpoint to itself for this long. */
+const QUARANTINE_MS = 3000;
+/** Time that an engine is assumed to take to read one token again. */
+const REREAD_MS_PER_TOKEN = 0.1;
+
 /** Timers kept before those of ended works are dropped. */
 const MIN_PRUNED_TIMERS = 1000;
 
@@ -63,14 +71,15 @@
 export class PolicyScheduler extends Scheduler {
   private readonly directory: EndpointDirectory;
   private readonly works = new Map<string, WorkState>();
-  private readonly stepWorks = new Map<string, Set<WorkState>>();
   private readonly deadlines = createTimers();
   private readonly delayed = createTimers();
   private readonly freshness = new Freshness();
   private readonly suspects = new SuspectList();
   private readonly retries = new RetryBudget();
   private readonly stragglers = new StragglerPolicy();
-  private readonly caps = new TenantCap();
+  private readonly tenantCap = new RunCap();
+  private readonly stepCap = new RunCap();
+  private readonly pace: StepPace;
   private readonly lengths = new LengthEstimate();
   private readonly dirty = new Set<EndpointGroup>();
   private actions: SchedulerAction[] = [];
@@ -85,6 +94,7 @@
   ) {
     super();
     this.directory = new EndpointDirectory(config.vm, random);
+    this.pace = new StepPace(this.lengths, options.pacing);
   }
 
   handle(event: SchedulerEvent, nowMs: number): readonly SchedulerAction[] {
@@ -136,7 +146,7 @@
           event.cached,
         );
       case 'suspects':
-        return this.suspects.noteCrash(event.fingerprints, this.nowMs);
+        return this.suspects.noteReported(event.fingerprints, this.nowMs);
       case 'min_version':
         return this.raiseMinVersion(event.stepKey, event.minWeightVersion);
       case 'enqueue':
@@ -172,6 +182,9 @@
     }
     this.addWork(work);
     this.queue(work);
+    // The samples of a step come one by one; were the first to start at once,
+    // the longest would find the endpoints taken.
+    if (this.options.gathering && item.stepKey !== '') group.isGathering = true;
   }
 
   /** Why the work is refused without being run, if it is. */
@@ -255,10 +268,7 @@
     this.works.set(id, work);
     this.deadlines.push({atMs: deadlineAtMs, work});
     this.pruneDeadlines();
-    if (stepKey === '') return;
-    const works = this.stepWorks.get(stepKey);
-    if (works) works.add(work);
-    else this.stepWorks.set(stepKey, new Set([work]));
+    if (stepKey !== '') this.pace.add(stepKey, work);
   }
 
   /** Works end long before their deadlines, and their timers stay behind. */
@@ -286,7 +296,7 @@
   private dispatch(group: EndpointGroup): void {
     this.dispatchQuarantined(group);
     this.dispatchClass(group, 'interactive');
-    this.dispatchClass(group, 'rollout');
+    if (!group.isGathering) this.dispatchClass(group, 'rollout');
   }
 
   private dispatchClass(group: EndpointGroup, workClass: WorkClass): void {
@@ -297,10 +307,8 @@
     while (workClass === 'rollout' ? pool.hasOpen : pool.hasUsable) {
       const work = queue.peek();
       if (!work) break;
-      if (this.caps.isFull(work)) {
+      if (this.holdBack(work)) {
         queue.pop();
-        work.phase = 'held';
-        this.caps.hold(work);
         continue;
       }
       const endpoint = this.chooseEndpoint(group, work);
@@ -320,23 +328,64 @@
     group.drains[workClass].note(this.nowMs, drained, queue.size > 0);
   }
 
+  /** Holds a work back if enough of its tenant or its step run. */
+  private holdBack(work: WorkState): boolean {
+    const {maxInFlight, stepKey} = work.item;
+    const ofTenant = this.tenantCap.countRunning(work.tenant);
+    if (maxInFlight !== undefined && ofTenant >= maxInFlight) {
+      work.phase = 'held_by_tenant';
+      this.tenantCap.hold(work.tenant, work);
+      return true;
+    }
+    const ofStep = this.stepCap.countRunning(stepKey);
+    if (stepKey === '' || ofStep < this.pace.targetOf(stepKey)) return false;
+    work.phase = 'held_by_step';
+    this.stepCap.hold(stepKey, work);
+    return true;
+  }
+
+  /** Queues what a step may now run more of. */
+  private releaseStep(stepKey: string): void {
+    let room = this.pace.targetOf(stepKey) - this.stepCap.countRunning(stepKey);
+    for (; room > 0; room--) {
+      const work = this.stepCap.release(stepKey);
+      if (!work) return;
+      this.queue(work);
+    }
+  }
+
   /**
-   * Runs one suspect at a time, on an endpoint that gets nothing else until it
-   * ends, so that a crash there has only one suspect.
+   * Runs suspects with at most one on an endpoint, which gets nothing else until
+   * the suspect shows output, so that a crash there has only one suspect.
    */
   private dispatchQuarantined(group: EndpointGroup): void {
-    if (group.quarantineRunning || group.quarantined.length === 0) return;
-    const work = group.quarantined[0];
-    if (this.suspects.classify(work.item.fingerprint) === 'convicted') {
-      group.quarantined.shift();
-      this.giveUp(work, createError('suspect_request', undefined, ranOf(work)));
-      return this.dispatchQuarantined(group);
-    }
-    const endpoint = this.chooseEndpoint(group, work);
-    if (!endpoint) return;
-    group.quarantined.shift();
-    group.quarantineRunning = work;
+    const waiting = group.quarantined;
+    group.quarantined = [];
+    waiting.forEach((work, index) => {
+      if (this.suspects.classify(work.item.fingerprint) === 'convicted') {
+        return this.giveUp(
+          work,
+          createError('suspect_request', undefined, ranOf(work)),
+        );
+      }
+      const isAnotherRunning =
+        !this.options.parallelQuarantine && group.quarantineRunning.size > 0;
+      const endpoint = isAnotherRunning
+        ? undefined
+        : this.chooseEndpoint(group, work);
+      if (endpoint) this.startSuspect(group, work, endpoint);
+      else group.quarantined.push(waiting[index]);
+    });
+  }
+
+  private startSuspect(
+    group: EndpointGroup,
+    work: WorkState,
+    endpoint: EndpointState,
+  ): void {
+    group.quarantineRunning.add(work);
     this.start(work, endpoint);
+    endpoint.suspect = work;
     endpoint.quarantined = true;
     this.directory.refresh(endpoint, this.nowMs);
   }
@@ -357,6 +406,7 @@
       promptTokens: item.promptTokens + (work.partial?.tokens ?? 0),
       expectedTokens: work.expectedTokens - (work.partial?.tokens ?? 0),
       prefixKey: this.options.prefixAffinity ? item.prefixKey : '',
+      isSuspect: work.phase === 'quarantined',
       avoid,
     };
     return group.pool.choose(choice, this.directory.view, this.getView(group));
@@ -408,7 +458,8 @@
     work.phase = 'running';
     work.running.push(attempt);
     work.lastEndpoint = undefined;
-    this.caps.noteStart(work.tenant);
+    this.tenantCap.noteStart(work.tenant);
+    if (item.stepKey !== '') this.stepCap.noteStart(item.stepKey);
     endpoint.attempts.add(attempt);
     endpoint.running[item.workClass]++;
     endpoint.pendingPromptTokens += item.promptTokens;
@@ -432,9 +483,9 @@
     const {endpoint} = attempt;
     this.settlePrompt(attempt);
     if (attempt.tokens > 0 && tokens > attempt.tokens) {
-      const elapsedMs = this.nowMs - attempt.progressAtMs;
-      if (elapsedMs > 0) endpoint.noteSpeed(tokens - attempt.tokens, elapsedMs);
+      this.noteSpeed(attempt, tokens - attempt.tokens);
     }
+    this.endQuarantine(attempt);
     attempt.tokens = Math.max(attempt.tokens, tokens);
     attempt.progressAtMs = this.nowMs;
     if (weightVersion > 0) {
@@ -446,6 +497,28 @@
     if (wasSuspected) this.noteChanged(endpoint);
   }
 
+  private noteSpeed(attempt: Attempt, tokens: number): void {
+    const {endpoint, work} = attempt;
+    const elapsedMs = this.nowMs - attempt.progressAtMs;
+    if (elapsedMs <= 0) return;
+    endpoint.noteSpeed(tokens, elapsedMs);
+    const {speed} = this.groupOf(work);
+    const tokenMs = elapsedMs / tokens;
+    const streams = endpoint.totalInFlight;
+    endpoint.noteSlowness(tokenMs / speed.predictMs(streams), elapsedMs);
+    // Endpoints that are out of the ordinary say nothing of the others.
+    if (endpoint.slowness < ODD_SLOWNESS) speed.note(streams, tokenMs);
+  }
+
+  /** A suspect that shows output doesn't crash at once: others may join it. */
+  private endQuarantine(attempt: Attempt): void {
+    const {endpoint, work} = attempt;
+    if (endpoint.suspect !== work || !endpoint.quarantined) return;
+    if (this.nowMs - attempt.startedAtMs < QUARANTINE_MS) return;
+    endpoint.quarantined = false;
+    this.noteChanged(endpoint);
+  }
+
   private settlePrompt(attempt: Attempt): void {
     if (!attempt.isPromptPending) return;
     attempt.isPromptPending = false;
@@ -459,17 +532,27 @@
     if (endpoint.attempts.delete(attempt)) {
       endpoint.running[work.item.workClass]--;
     }
-    const released = this.caps.noteEnd(work.tenant);
-    if (released) this.queue(released);
+    this.releaseCaps(work);
     const group = this.groupOf(work);
-    if (group.quarantineRunning === work) {
-      group.quarantineRunning = undefined;
+    if (group.quarantineRunning.delete(work)) {
+      endpoint.suspect = undefined;
       endpoint.quarantined = false;
     }
     this.noteChanged(endpoint);
     this.dirty.add(group);
   }
 
+  private releaseCaps(work: WorkState): void {
+    const {tenant, stepKey} = work.item;
+    this.tenantCap.noteEnd(tenant);
+    const ofTenant = this.tenantCap.release(tenant);
+    if (ofTenant) this.queue(ofTenant);
+    if (stepKey === '') return;
+    this.stepCap.noteEnd(stepKey);
+    const ofStep = this.stepCap.release(stepKey);
+    if (ofStep) this.queue(ofStep);
+  }
+
   private stopAttempt(attempt: Attempt): void {
     this.closeAttempt(attempt);
     this.actions.push({
@@ -519,7 +602,7 @@
     this.lengths.noteFinished(item.groupKey, whole, item.maxTokens);
     this.closeAttempt(attempt);
     for (const loser of [...work.running]) this.stopAttempt(loser);
-    this.removeWork(work);
+    this.removeWork(work, whole);
     this.actions.push({
       kind: 'done',
       workId: item.id,
@@ -568,7 +651,7 @@
     failure: FailureKind,
   ): void {
     const error = this.createFinalError(work, rule.error);
-    const isSpent = work.attempts >= work.item.maxAttempts;
+    const isSpent = this.countAttempts(work) >= work.item.maxAttempts;
     if (rule.action === 'give_up' || isSpent) return this.giveUp(work, error);
     if (this.isRefusedAsSuspect(work.item)) {
       return this.giveUp(
@@ -587,6 +670,17 @@
     this.delay(work, Math.max(budgetMs, waitMs));
   }
 
+  /**
+   * Attempts that count against the most. An endpoint that is down turns away
+   * one after the other; a rollout that never reached it has lost nothing and
+   * waits on, bounded by its deadline.
+   */
+  private countAttempts(work: WorkState): number {
+    const forgives =
+      this.options.forgiveUnsent && work.item.workClass === 'rollout';
+    return forgives ? work.sentAttempts : work.attempts;
+  }
+
   private delay(work: WorkState, waitMs: number): void {
     if (waitMs <= 0) return this.queue(work);
     work.phase = 'delayed';
@@ -625,14 +719,18 @@
   private noteCrash(attempt: Attempt): void {
     if (attempt.isCrashCounted) return;
     const {endpoint} = attempt;
-    const fingerprints: string[] = [];
+    const running: string[] = [];
     for (const other of endpoint.attempts) {
       if (other.isCrashCounted) continue;
       other.isCrashCounted = true;
-      fingerprints.push(other.work.item.fingerprint);
+      running.push(other.work.item.fingerprint);
     }
+    const accused = endpoint.quarantined
+      ? endpoint.suspect?.item.fingerprint
+      : undefined;
+    const fingerprints = accused ? [accused] : running;
     endpoint.forgetCache();
-    this.suspects.noteCrash(fingerprints, this.nowMs);
+    this.suspects.noteCrash(fingerprints, this.nowMs, accused);
     this.actions.push({
       kind: 'report_crash',
       endpoint: endpoint.id,
@@ -658,7 +756,12 @@
   private unqueue(work: WorkState): void {
     const group = this.groupOf(work);
     if (work.phase === 'queued') group.queues[work.item.workClass].remove(work);
-    if (work.phase === 'held') this.caps.remove(work);
+    if (work.phase === 'held_by_tenant') {
+      this.tenantCap.remove(work.tenant, work);
+    }
+    if (work.phase === 'held_by_step') {
+      this.stepCap.remove(work.item.stepKey, work);
+    }
     if (work.phase === 'parked') {
       group.parked = group.parked.filter(other => other !== work);
     }
@@ -667,20 +770,18 @@
     }
   }
 
-  private removeWork(work: WorkState): void {
+  private removeWork(work: WorkState, finishedTokens = 0): void {
     work.phase = 'over';
     const {id, stepKey} = work.item;
     this.works.delete(id);
-    const works = this.stepWorks.get(stepKey);
-    works?.delete(work);
-    if (works?.size === 0) this.stepWorks.delete(stepKey);
+    if (stepKey !== '') this.pace.remove(stepKey, work, finishedTokens);
   }
 
   // Time and freshness
 
   private raiseMinVersion(stepKey: string, min: number): void {
     if (!this.freshness.raise(stepKey, min, this.nowMs)) return;
-    for (const work of [...(this.stepWorks.get(stepKey) ?? [])]) {
+    for (const work of this.pace.listWorks(stepKey)) {
       if (this.isPartialStale(work)) work.partial = undefined;
       for (const attempt of [...work.running]) {
         if (this.isStale(attempt)) this.restartStale(attempt);
@@ -701,18 +802,37 @@
 
   private tick(): void {
     this.releaseDelayed();
+    this.endGathering();
     this.expire();
     for (const endpoint of this.directory.refreshSuspected(this.nowMs)) {
       this.noteChanged(endpoint);
     }
     if (this.nowMs - this.scannedAtMs < STRAGGLER_SCAN_MS) return;
     this.scannedAtMs = this.nowMs;
+    this.updatePace();
     for (const group of this.directory.groups.values()) {
       this.releaseParked(group);
       this.treatStragglers(group);
     }
   }
 
+  private endGathering(): void {
+    for (const group of this.directory.groups.values()) {
+      if (!group.isGathering) continue;
+      group.isGathering = false;
+      this.updatePace();
+      this.dirty.add(group);
+    }
+  }
+
+  private updatePace(): void {
+    for (const stepKey of this.pace.stepKeys) {
+      const [work] = this.pace.listWorks(stepKey);
+      this.pace.update(stepKey, this.groupOf(work).pool.usableCount);
+      this.releaseStep(stepKey);
+    }
+  }
+
   private releaseDelayed(): void {
     for (const work of takeDue(this.delayed, this.nowMs)) {
       if (work.phase === 'delayed' && work.notBeforeMs <= this.nowMs) {
@@ -756,15 +876,21 @@
     const {item} = work;
     const isAlone = work.running.length === 1;
     // One attempt is left for failures.
-    const hasSpare = work.attempts + 1 < item.maxAttempts;
+    const hasSpare = this.countAttempts(work) + 2 < item.maxAttempts;
     if (!isAlone || !hasSpare || !item.idempotent) return;
     if (item.workClass !== 'rollout') return;
-    if (group.quarantineRunning === work) return;
+    if (group.quarantineRunning.has(work)) return;
     const target = this.chooseEndpoint(group, work, attempt.endpoint.id);
     if (!target || target === attempt.endpoint) return;
     const tokens = attempt.resumedTokens + attempt.tokens;
     const remaining = this.estimateLength(item, tokens) - tokens;
-    const action = judgeStraggler(attempt, target, remaining, this.nowMs);
+    const view = this.getView(group);
+    const times = {
+      hereMs: this.estimateHere(group, attempt),
+      thereMs: estimateTokenMs(target, view),
+      moveMs: (item.promptTokens + tokens) * REREAD_MS_PER_TOKEN,
+    };
+    const action = judgeStraggler(attempt, remaining, times, this.nowMs);
     if (action === 'leave') return;
     const mayHedge = this.options.hedging && item.hedge !== false;
     if (action === 'hedge' && !mayHedge) return;
@@ -776,6 +902,15 @@
     this.start(work, target);
   }
 
+  /** Ms for one token where the attempt runs now. */
+  private estimateHere(group: EndpointGroup, attempt: Attempt): number {
+    const {endpoint} = attempt;
+    if (!this.options.speedModel) return 1e3 / (endpoint.streamSpeed || 50);
+    const {limit} = endpoint.limit;
+    const streams = Math.min(limit, endpoint.totalInFlight);
+    return group.speed.predictMs(streams) * endpoint.slowness;
+  }
+
   // Helpers
 
   private noteChanged(endpoint: EndpointState | undefined): void {
@@ -811,6 +946,7 @@
       dataCentre: this.config.dataCentre,
       newestVersion: group.pool.newestVersion,
       nowMs: this.nowMs,
+      speed: this.options.speedModel ? group.speed : undefined,
     };
   }
 }
--- a/packages/core/src/straggler.ts
+++ b/packages/core/src/straggler.ts
@@ -4,7 +4,6 @@
  */
 
 import type {TenantId} from '@radishyoke/shared/ids';
-import type {EndpointState} from './endpoint_state.js';
 import {TokenBucket} from './token_bucket.js';
 import type {Attempt} from './work_state.js';
 
@@ -49,19 +48,24 @@
   }
 }
 
-/** Compares staying with going on at `target`. */
+/** Expected ms for one token where the attempt is and where it could go. */
+export interface TokenTimes {
+  readonly hereMs: number;
+  readonly thereMs: number;
+  /** What it costs to go on there: reading prompt and output again. */
+  readonly moveMs: number;
+}
+
+/** Compares staying with going on elsewhere. */
 export function judgeStraggler(
   attempt: Attempt,
-  target: EndpointState,
   remainingTokens: number,
+  times: TokenTimes,
   nowMs: number,
 ): StragglerAction {
   if (nowMs - attempt.progressAtMs > QUIET_BEFORE_HEDGE_MS) return 'hedge';
-  const speed = attempt.endpoint.streamSpeed;
-  const targetSpeed = target.streamSpeed;
-  if (speed <= 0 || targetSpeed <= 0) return 'leave';
-  const stayMs = (remainingTokens / speed) * 1e3;
-  const goMs = (remainingTokens / targetSpeed) * 1e3;
+  const stayMs = remainingTokens * times.hereMs;
+  const goMs = remainingTokens * times.thereMs + times.moveMs;
   const isWorthIt = stayMs > goMs * MIN_GAIN && stayMs - goMs > MIN_SAVED_MS;
   return isWorthIt ? 'move' : 'leave';
 }
--- a/packages/core/src/suspect_list.ts
+++ b/packages/core/src/suspect_list.ts
@@ -9,11 +9,13 @@
   | 'none'
   /** Was beside two crashes: runs only with no other suspect on its endpoint. */
   | 'suspect'
-  /** Crashed an endpoint as its only suspect: refused. */
+  /** Crashed an endpoint that it had to itself as the newcomer: refused. */
   | 'convicted';
 
 /** Crashes after which a request is under suspicion. */
 const CRASHES_TO_SUSPECT = 2;
+/** Crashes that no bystander is likely to have been beside. */
+const CRASHES_TO_CONVICT = 5;
 /** A fingerprint is forgotten after this long without a crash. */
 const FORGET_AFTER_MS = 30 * 60_000;
 const MAX_FINGERPRINTS = 10_000;
@@ -27,34 +29,37 @@
 /**
  * A request that crashes endpoints is sent again by its caller or by retries
  * and takes down one endpoint after the other; it shows as crashes that follow
- * one fingerprint. Two crashes put a fingerprint under suspicion. A suspect then
- * runs with no other suspect beside it, so that a further crash names exactly
- * one. Where a suspect took part in a crash, those beside it are not counted.
+ * one fingerprint. Two crashes put a fingerprint under suspicion. A suspect is
+ * then the only newcomer at its endpoint for a while; a crash in that time is
+ * its own, and those beside it, who had been running there, are not blamed.
  */
 export class SuspectList {
   private readonly histories = new Map<string, CrashHistory>();
 
-  /** Notes one crash and what ran on the endpoint then. */
-  noteCrash(fingerprints: readonly string[], nowMs: number): void {
-    const blamed = this.selectBlamed(fingerprints);
+  /**
+   * Notes a crash here and what ran on the endpoint then. `accused` is the
+   * suspect that was the only newcomer there, if there was one.
+   */
+  noteCrash(
+    fingerprints: readonly string[],
+    nowMs: number,
+    accused?: string,
+  ): void {
+    const blamed = accused ? [accused] : [...new Set(fingerprints)];
     for (const fingerprint of blamed) {
-      const history = this.histories.get(fingerprint);
-      const crashes = (history?.crashes ?? 0) + 1;
-      // The only one that was beside two earlier crashes as well ran alone
-      // among suspects: the third crash is its own.
-      const convicted =
-        history?.convicted ||
-        (crashes > CRASHES_TO_SUSPECT && blamed.length === 1);
-      this.histories.delete(fingerprint);
-      this.histories.set(fingerprint, {
-        crashes,
-        convicted,
-        lastCrashAtMs: nowMs,
-      });
+      this.count(fingerprint, fingerprint === accused, nowMs);
     }
     this.prune(nowMs);
   }
 
+  /** Notes what another VM tells of a crash: the accused alone, or all. */
+  noteReported(fingerprints: readonly string[], nowMs: number): void {
+    const [first] = fingerprints;
+    const isAccused =
+      fingerprints.length === 1 && this.classify(first) === 'suspect';
+    this.noteCrash(fingerprints, nowMs, isAccused ? first : undefined);
+  }
+
   /** A request that ran to its end is not what crashes endpoints. */
   noteFinished(fingerprint: string): void {
     if (this.histories.size > 0) this.histories.delete(fingerprint);
@@ -67,10 +72,17 @@
     return history.crashes >= CRASHES_TO_SUSPECT ? 'suspect' : 'none';
   }
 
-  private selectBlamed(fingerprints: readonly string[]): readonly string[] {
-    const unique = [...new Set(fingerprints)];
-    const suspects = unique.filter(f => this.classify(f) !== 'none');
-    return suspects.length > 0 ? suspects : unique;
+  private count(fingerprint: string, accused: boolean, nowMs: number): void {
+    const history = this.histories.get(fingerprint);
+    const crashes = (history?.crashes ?? 0) + 1;
+    const convicted =
+      history?.convicted || accused || crashes >= CRASHES_TO_CONVICT;
+    this.histories.delete(fingerprint);
+    this.histories.set(fingerprint, {
+      crashes,
+      convicted,
+      lastCrashAtMs: nowMs,
+    });
   }
 
   private prune(nowMs: number): void {
--- a/packages/core/src/work_state.ts
+++ b/packages/core/src/work_state.ts
@@ -37,8 +37,10 @@
   | 'queued'
   /** No endpoint has the weights it needs. */
   | 'parked'
-  /** Its tenant runs as many as its rule allows. */
-  | 'held'
+  /** As many of its tenant run as its rule allows. */
+  | 'held_by_tenant'
+  /** As many of its step run as are to its good. */
+  | 'held_by_step'
   /** Under suspicion: waits to run with no other suspect. */
   | 'quarantined'
   /** Waits for its retry. */
@@ -69,6 +71,15 @@
     this.cost = measureCost(item, expectedTokens);
   }
 
+  /** Tokens of its output so far, by the attempt that is furthest. */
+  get tokens(): number {
+    let most = this.partial?.tokens ?? 0;
+    for (const attempt of this.running) {
+      most = Math.max(most, attempt.resumedTokens + attempt.tokens);
+    }
+    return most;
+  }
+
   get tenant(): TenantId {
     return this.item.tenant;
   }
