feat(core): weight orders in waves at the store's pace, with failed swaps tried again

Cause: all engines ordered at once stop together and overrun the store. Checked by a property over lost, refused and failing orders.

--- a/packages/bench/src/steps_engines.ts
+++ b/packages/bench/src/steps_engines.ts
@@ -6,6 +6,7 @@
 import type {LoadReport} from '@radishyoke/shared/endpoint';
 import type {TokenSpan} from '@radishyoke/shared/rollout';
 import type {AttemptOutcome, FailureKind} from '@radishyoke/core/failure';
+import type {LoadOrder, ReportedEngine} from '@radishyoke/core/weight_rollout';
 import type {VirtualClock} from './virtual_clock.js';
 
 /** Where one attempt's news go. */
@@ -77,8 +78,14 @@
     return this.streams.get(id)?.spans ?? [];
   }
 
-  order(version: number): void {
-    const order = {kind: 'load_version', fencing: version, version} as const;
+  /** What the engine last reported to run. */
+  readVersion(): ReportedEngine {
+    const {weightVersion} = this.model.reportLoad(this.clock.nowMs);
+    return {id: this.id, weightVersion};
+  }
+
+  order({fencing, version}: LoadOrder): void {
+    const order = {kind: 'load_version', fencing, version} as const;
     this.model.order(order, this.clock.nowMs);
     this.wake();
   }
--- a/packages/bench/src/steps_world.ts
+++ b/packages/bench/src/steps_world.ts
@@ -10,6 +10,7 @@
 import {createRandomBits, drawBelow} from '@radishyoke/core/random_bits';
 import type {AttemptOutcome} from '@radishyoke/core/failure';
 import type {SchedulerAction, WorkItem} from '@radishyoke/core/scheduler';
+import {WeightRollout} from '@radishyoke/core/weight_rollout';
 import type {EndpointInfo} from '@radishyoke/shared/endpoint';
 import {toDataCentreId, toEndpointId, toTenantId} from '@radishyoke/shared/ids';
 import {measureStaleness, TokenSpan} from '@radishyoke/shared/rollout';
@@ -23,8 +24,7 @@
 const END_MS = 3_600_000;
 const FLOOD_TENANT = 'flooder';
 const FLOOD_MAX_TOKENS = 3000;
-const ORDER_SPACING_MS = 1000;
-const SWAP_RETRY_MS = 10_000;
+const ORDER_EVERY_MS = 500;
 const TOKENS_PER_CHUNK = 32;
 
 export interface WorldOptions {
@@ -74,6 +74,7 @@
   private readonly staleness: number[] = [];
   private readonly appMs: number[] = [];
   private readonly hintMs: number[] = [];
+  private readonly rollout = new WeightRollout(1);
   private version = 1;
   private nextId = 0;
   private idleMs = 0;
@@ -137,6 +138,7 @@
       ...[...this.apps].map(([id, app]) => app.reportLoad(toEndpointId(id))),
     ]);
     this.clock.every(deployment.weightIntervalMs, () => this.publish());
+    this.clock.every(ORDER_EVERY_MS, () => this.orderWeights());
     this.clock.every(1e3 / WORKLOAD.appRequestsPerSecond, () => this.sendApp());
     this.clock.every(1e3 / WORKLOAD.hintsPerSecond, () => this.sendHint());
     this.setUpFaults(fault);
@@ -195,11 +197,6 @@
   private publish(): void {
     this.version++;
     const {version} = this;
-    [...this.engines.values()].forEach((engine, i) =>
-      this.clock.after(i * ORDER_SPACING_MS, () =>
-        this.orderUntilLoaded(engine, version),
-      ),
-    );
     const min = version - this.options.deployment.maxStaleness;
     const open = new Set(
       [...this.samples.values()].map(sample => sample.work.stepKey),
@@ -210,14 +207,16 @@
     }
   }
 
-  private orderUntilLoaded(engine: StepsEngine, version: number): void {
-    if (version < this.version) return;
-    const {weightVersion} = engine.model.describeOrders(this.clock.nowMs);
-    if (weightVersion >= version) return;
-    engine.order(version);
-    this.clock.after(SWAP_RETRY_MS, () =>
-      this.orderUntilLoaded(engine, version),
-    );
+  private orderWeights(): void {
+    const engines = [...this.engines.values()];
+    const reported = engines.map(engine => engine.readVersion());
+    for (const order of this.rollout.plan(
+      reported,
+      this.version,
+      this.clock.nowMs,
+    )) {
+      this.engines.get(order.engine)!.order(order);
+    }
   }
 
   // Work
--- /dev/null
+++ b/packages/core/src/__tests__/weight_rollout.spec.ts
@@ -0,0 +1,99 @@
+import test from 'ava';
+import fc from 'fast-check';
+import {toEndpointId} from '@radishyoke/shared/ids';
+import {
+  DEFAULT_ROLLOUT_OPTIONS,
+  LoadOrder,
+  WeightRollout,
+} from '../weight_rollout.js';
+
+const ENGINES = ['a', 'b', 'c', 'd', 'e', 'f'].map(toEndpointId);
+const WAVE = 2;
+const STEP_MS = 250;
+
+type Fate = 'loads' | 'fails' | 'fails_later' | 'lost' | 'answer_lost';
+
+/** Engines that treat each order as the case says. */
+class Fleet {
+  nowMs = 0;
+  readonly versions = new Map(ENGINES.map(id => [id, 1]));
+  readonly loading = new Map<LoadOrder['engine'], number>();
+  readonly sentAtMs: number[] = [];
+  most = 0;
+
+  constructor(
+    readonly rollout: WeightRollout,
+    private readonly fates: readonly Fate[],
+  ) {}
+
+  run(newest: number): void {
+    const reported = ENGINES.map(id => ({
+      id,
+      weightVersion: this.versions.get(id)!,
+    }));
+    for (const order of this.rollout.plan(reported, newest, this.nowMs)) {
+      this.take(order);
+    }
+    this.most = Math.max(this.most, this.loading.size);
+    this.nowMs += STEP_MS;
+    for (const [id, version] of this.loading) this.versions.set(id, version);
+    this.loading.clear();
+  }
+
+  private take(order: LoadOrder): void {
+    const fate = this.fates[this.sentAtMs.length] ?? 'loads';
+    this.sentAtMs.push(this.nowMs);
+    if (fate === 'loads' || fate === 'answer_lost') {
+      this.loading.set(order.engine, order.version);
+    }
+    const outcome =
+      fate === 'fails'
+        ? 'failed'
+        : fate === 'loads' || fate === 'fails_later'
+          ? 'begun'
+          : 'unknown';
+    this.rollout.noteOutcome(order, outcome, this.nowMs);
+  }
+}
+
+// Engines stay on old weights, or all stop at once to load new ones.
+// 1. Orders are lost, refused, or fail after they were taken.
+// 2. New versions come meanwhile.
+// Cause: what was ordered is taken for what runs, or all are ordered together.
+test('all engines reach the newest weights, a wave at a time', t => {
+  const fate = fc.constantFrom<Fate>(
+    'loads',
+    'fails',
+    'fails_later',
+    'lost',
+    'answer_lost',
+  );
+  fc.assert(
+    fc.property(fc.array(fate, {maxLength: 30}), fates => {
+      const fleet = new Fleet(new WeightRollout(7), fates);
+      for (let i = 0; i < 4000; i++) fleet.run(i < 40 ? 2 : 3);
+      const isDone = [...fleet.versions.values()].every(v => v === 3);
+      const {fetchesPerSecond} = DEFAULT_ROLLOUT_OPTIONS;
+      const isPaced = fleet.sentAtMs.every((atMs, i) => {
+        const later = fleet.sentAtMs[i + 2 * fetchesPerSecond];
+        return later === undefined || later - atMs >= 1000;
+      });
+      return isDone && isPaced && fleet.most <= WAVE;
+    }),
+    {seed: 5, numRuns: 50},
+  );
+  t.pass();
+});
+
+// Two VMs order weights, and engines go back and forth between versions.
+// 1. A holder is paused; its lease lapses and another VM orders newer weights.
+// 2. It wakes and goes on; an engine that checks fencing numbers refuses it.
+// Cause: a holder can't see by itself that it no longer is one.
+test('a holder that an engine calls superseded orders no more', t => {
+  const rollout = new WeightRollout(7);
+  const reported = ENGINES.map(id => ({id, weightVersion: 1}));
+  const [order] = rollout.plan(reported, 2, 0);
+  rollout.noteOutcome(order, 'stale_fencing', 10);
+  t.true(rollout.isSuperseded);
+  t.deepEqual(rollout.plan(reported, 3, 60_000), []);
+});
