--- a/packages/fakes/src/__tests__/engine_fixtures.ts
+++ b/packages/fakes/src/__tests__/engine_fixtures.ts
@@ -47,7 +47,7 @@
 export async function receive(
   url: string,
   init: RequestInit = {},
-  onChunk: (tokens: number) => void = () => {},
+  onChunk: (tokens: number, weightVersion: number) => void = () => {},
 ): Promise<Received> {
   const res = await fetch(url, init);
   let text = '';
@@ -72,7 +72,7 @@
         text += chunk.choices[0].text;
         finishReason = chunk.choices[0].finish_reason;
         tokens += chunk.tokens;
-        onChunk(tokens);
+        onChunk(tokens, chunk.weight_version);
       }
     }
   } catch {
--- a/packages/fakes/src/__tests__/fake_engine.spec.ts
+++ b/packages/fakes/src/__tests__/fake_engine.spec.ts
@@ -1,8 +1,13 @@
 import test from 'ava';
+import type {OrderStatus} from '../engine_event.js';
 import {FakeEngineOptions, startFakeEngine} from '../fake_engine.js';
+import {startFakeWeightStore, WeightStoreFault} from '../fake_weight_store.js';
 import {readTokens} from '../token_text.js';
+import {testEngine} from './engine_contract.js';
 import {createBody, receive} from './engine_fixtures.js';
 
+testEngine('FakeEngine', startFakeEngine);
+
 const SEED = 7;
 const TOKENS = 60;
 
@@ -60,27 +65,6 @@
   await engine.close();
 });
 
-// An engine's process dies with a request.
-// 1. Its connections break and new ones are refused.
-// 2. It comes back on its address and knows nothing of the request.
-test('a crash breaks the stream, and a restart forgets it', async t => {
-  const {engine, url, complete} = await startEngine({restartAfterMs: 100});
-  engine.faults.set({kind: 'crash_after_tokens', tokens: 10});
-  const received = await complete('a');
-  t.false(received.done);
-  await t.throwsAsync(fetch(`${url}/health`));
-  t.like(engine.listRuns()[0], {end: 'crashed'});
-  for (;;) {
-    const res = await fetch(`${url}/v1/streams/a`).catch(() => undefined);
-    if (res) {
-      t.is(res.status, 404);
-      break;
-    }
-  }
-  t.true((await complete('a')).done);
-  await engine.close();
-});
-
 const BAD_BODIES: ReadonlyArray<readonly [name: string, body: string]> = [
   ['no JSON', '{'],
   ['no object', '[]'],
@@ -99,3 +83,37 @@
     t.is(engine.listRuns().length, 0);
     await engine.close();
   });
+
+// Weights come from a store that can fail.
+// 1. The engine is ordered to a version and has answered that it began.
+// 2. The store is down, limits fetches, or does not know the version.
+// The engine goes on with the version it has and tells the error.
+const STORE_CASES: ReadonlyArray<
+  readonly [fault: WeightStoreFault | undefined, version: number, ok: boolean]
+> = [
+  [undefined, 2, true],
+  [undefined, 9, false],
+  [{kind: 'outage'}, 2, false],
+  [{kind: 'unreachable'}, 2, false],
+  [{kind: 'rate_limit', fetchesPerSecond: 0}, 2, false],
+];
+
+for (const [fault, version, ok] of STORE_CASES)
+  test(`version ${version} is fetched, store ${fault?.kind ?? 'calm'}`, async t => {
+    const store = await startFakeWeightStore();
+    store.publish('tutor', 2, 100_000);
+    if (fault) store.faults.set(fault);
+    const weightStoreAddress = store.address;
+    const {engine, url, post} = await startEngine({weightStoreAddress});
+    const order = {fencing: 1, kind: 'load_version', version};
+    t.is((await post('/orders', JSON.stringify(order))).status, 202);
+    let status: OrderStatus;
+    do {
+      const res = await fetch(`${url}/orders`);
+      status = (await res.json()) as OrderStatus;
+    } while (status.loading !== null);
+    t.is(status.weightVersion, ok ? version : 1);
+    t.is(status.lastError === null, ok);
+    await engine.close();
+    await store.close();
+  });
--- a/packages/fakes/src/fake_log.ts
+++ b/packages/fakes/src/fake_log.ts
@@ -12,14 +12,23 @@
   sendJson,
   splitPath,
 } from './http_server.js';
-import {LogModel, LogOptions} from './log_model.js';
+import {DEFAULT_LOG_OPTIONS, LogModel, LogOptions} from './log_model.js';
 
 const MAX_RECORDS_PER_READ = 10_000;
 const MAX_RECORDS_PER_APPEND = 10_000;
 const MAX_WAIT_MS = 60_000;
 const STREAM_NAMES: readonly string[] = ['config', 'state', 'audit'];
 
-export type LogFault = TransportFault;
+export type LogFault =
+  | TransportFault
+  /** Replaces the limit on appends. */
+  | {readonly kind: 'append_limit'; readonly appendsPerSecond: number}
+  /** Replaces what is kept of each stream; what is dropped stays dropped. */
+  | {
+      readonly kind: 'retention';
+      readonly retainMs?: number;
+      readonly retainRecords?: number;
+    };
 
 /** A running log. */
 export interface FakeLog extends HttpStandIn {
@@ -38,6 +47,7 @@
 ): Promise<FakeLog> {
   const model = new LogModel(options);
   const faults = new FaultPlan<LogFault>();
+  faults.onChange(() => model.configure(chooseOptions(options, faults)));
   const waiters = new Waiters();
   const server = await FaultyHttpServer.start(
     async (req, res, url) => {
@@ -62,6 +72,21 @@
   };
 }
 
+/** The log's own options, with those that a fault replaces. */
+function chooseOptions(
+  options: FakeLogOptions,
+  faults: FaultPlan<LogFault>,
+): LogOptions {
+  const own = {...DEFAULT_LOG_OPTIONS, ...options};
+  const limit = faults.find('append_limit');
+  const retention = faults.find('retention');
+  return {
+    appendsPerSecond: limit?.appendsPerSecond ?? own.appendsPerSecond,
+    retainMs: retention?.retainMs ?? own.retainMs,
+    retainRecords: retention?.retainRecords ?? own.retainRecords,
+  };
+}
+
 async function append(
   model: LogModel,
   waiters: Waiters,
--- a/packages/platform/src/__tests__/http_log_client.spec.ts
+++ b/packages/platform/src/__tests__/http_log_client.spec.ts
@@ -16,7 +16,7 @@
     await client.close();
     await log.close();
   };
-  return {client, model: log.model, faults: log.faults, close};
+  return {client, faults: log.faults, close};
 });
 
 test('an append that found no log at all was refused', async t => {
--- a/packages/platform/src/__tests__/log_client_contract.ts
+++ b/packages/platform/src/__tests__/log_client_contract.ts
@@ -2,7 +2,6 @@
 
 import type {LogFault} from '@radishyoke/fakes/fake_log';
 import type {FaultPlan} from '@radishyoke/fakes/fault_plan';
-import type {LogModel} from '@radishyoke/fakes/log_model';
 import test, {ExecutionContext} from 'ava';
 import type {
   AppendResult,
@@ -20,7 +19,6 @@
 /** A client, and the log behind it. */
 export interface LogHarness {
   readonly client: LogClient;
-  readonly model: LogModel;
   readonly faults: FaultPlan<LogFault>;
   close(): Promise<void>;
 }
@@ -48,7 +46,7 @@
   },
   {
     name: 'over the append limit',
-    apply: ({model}) => model.configure({appendsPerSecond: 0.001}),
+    apply: setFault({kind: 'append_limit', appendsPerSecond: 0.001}),
     expected: 'refused',
     records: 0,
   },
@@ -98,7 +96,7 @@
     test(
       `${label}: append, ${c.name}`,
       withHarness(async (t, harness) => {
-        const {client, faults, model} = harness;
+        const {client, faults} = harness;
         // Opens a connection for those faults that need one.
         await client.read('state', FIRST_PAGE, PATIENT);
         await turnLoop();
@@ -107,7 +105,6 @@
         const result = await client.append('state', [{n: 1}], options);
         t.is(result.kind, c.expected);
         faults.clear();
-        model.configure({appendsPerSecond: 1000});
         const before = await readValues(client, FIRST_PAGE);
         if (c.records !== undefined) t.is(before.length, c.records);
         const again = await appendWhenAllowed(client);
@@ -133,8 +130,8 @@
 
   test(
     `${label}: a refusal over the limit tells when to come back`,
-    withHarness(async (t, {client, model}) => {
-      model.configure({appendsPerSecond: 0.1});
+    withHarness(async (t, {client, faults}) => {
+      faults.set({kind: 'append_limit', appendsPerSecond: 0.1});
       const result = await client.append('audit', [1], PATIENT);
       t.is(result.kind === 'refused' && result.error.retryAfterMs, 9_000);
     }),
@@ -187,8 +184,8 @@
 
   test(
     `${label}: a read below what retention has left tells the oldest offset`,
-    withHarness(async (t, {client, model}) => {
-      model.configure({retainRecords: 2});
+    withHarness(async (t, {client, faults}) => {
+      faults.set({kind: 'retention', retainRecords: 2});
       await client.append('state', ['a', 'b', 'c'], PATIENT);
       const expired = await client.read('state', FIRST_PAGE, PATIENT);
       const value: LogRead = {kind: 'expired', oldest: 1};
