fix(core): every pair exchanges payloads each period, and a new VM asks for all members

Cause: any message postponed the next payload, and two VMs that joined at once never heard of each other (found by two processes' worth of real sockets).

--- a/packages/core/src/contact.ts
+++ b/packages/core/src/contact.ts
@@ -14,6 +14,8 @@
 
 export class Contact {
   lastHeardMs: number;
+  /** Last payload received, or sent unasked. */
+  private exchangedAtMs: number;
   /** Offset of the first config record that the VM was last known to lack. */
   configNext = 0;
   received: InFlight = new Map();
@@ -30,6 +32,7 @@
   ) {
     // A contact made by the VM list alone is probed at once.
     this.lastHeardMs = nowMs - MEMBERSHIP_TIMING.periodMs;
+    this.exchangedAtMs = this.lastHeardMs;
   }
 
   hear(nowMs: number): void {
@@ -37,6 +40,11 @@
     this.stage = 'none';
   }
 
+  /** A payload came: the next one is due after a period. */
+  exchange(nowMs: number): void {
+    this.exchangedAtMs = nowMs;
+  }
+
   /** Forgets what the last connection was told, for a new one has begun. */
   resetLink(nowMs: number): void {
     this.encoder = new LoadDeltaEncoder();
@@ -54,7 +62,7 @@
     const waitedMs = nowMs - this.startedMs;
     switch (this.stage) {
       case 'none':
-        if (nowMs - this.lastHeardMs < timing.periodMs + this.patienceMs) {
+        if (nowMs - this.exchangedAtMs < timing.periodMs + this.patienceMs) {
           return undefined;
         }
         this.startedMs = nowMs;
@@ -77,6 +85,7 @@
   private enter(stage: ProbeStage, step: ProbeStep, nowMs: number): ProbeStep {
     this.stage = stage;
     this.lastPingMs = nowMs;
+    this.exchangedAtMs = nowMs;
     return step;
   }
 }
--- a/packages/core/src/directory.ts
+++ b/packages/core/src/directory.ts
@@ -32,10 +32,10 @@
     return [...this.entries.values()].map(entry => entry.member);
   }
 
-  /** Whether any VM is known otherwise than from the VM list. */
+  /** Whether any VM not failed is known otherwise than from the VM list. */
   hasHeard(): boolean {
     for (const {member} of this.entries.values()) {
-      if (member.incarnation > 0) return true;
+      if (member.incarnation > 0 && member.state !== 'failed') return true;
     }
     return false;
   }
--- a/packages/core/src/membership.ts
+++ b/packages/core/src/membership.ts
@@ -24,7 +24,12 @@
 import {MEMBERSHIP_LIMITS, MEMBERSHIP_TIMING} from './membership_timing.js';
 import {selectNeighbours} from './neighbour_view.js';
 import {toRumourKey} from './outbox.js';
-import {createRandomBits, drawSome, RandomBits} from './random_bits.js';
+import {
+  createRandomBits,
+  drawBelow,
+  drawSome,
+  RandomBits,
+} from './random_bits.js';
 
 export type MembershipEvent =
   /** Sent every 100 ms or so. */
@@ -110,7 +115,7 @@
   private seedTurn = 0;
   private offsetPending = false;
   private newsPending = false;
-  private fillerTurn = 0;
+  private wantsMembers = true;
   private lastTickMs: number;
   private lastHeardMs: number;
   private dialAtMs: number;
@@ -293,9 +298,7 @@
     const {seeds} = this.cfg;
     if (nowMs < this.dialAtMs || seeds.length === 0) return;
     this.dialAtMs = nowMs + MEMBERSHIP_TIMING.dialEveryMs;
-    if (this.directory.list().some(m => m.incarnation > 0 && isServing(m))) {
-      return;
-    }
+    if (this.directory.hasHeard()) return;
     const address = seeds[this.seedTurn++ % seeds.length];
     if (address !== this.self.peerAddress) {
       this.actions.push({kind: 'dial', address});
@@ -317,6 +320,7 @@
       case 'probe_heard':
         return this.contacts.get(message.target)?.hear(nowMs);
       case 'members':
+        this.wantsMembers = false;
         for (const member of message.members) this.merge(member, nowMs);
         return;
       case 'config_request': {
@@ -355,6 +359,7 @@
     }
     const contact = this.touch(from, nowMs);
     if (!contact) return;
+    contact.exchange(nowMs);
     contact.configNext = payload.configNext;
     if (payload.load) {
       contact.received = applyLoadDelta(contact.received, payload.load);
@@ -391,6 +396,8 @@
       const [oldest] = this.seenRumours;
       this.seenRumours.delete(oldest);
     }
+    // A resent request that crashes endpoints must not outrun the warning.
+    this.newsPending = true;
     this.tell(rumour, source);
     return true;
   }
@@ -490,7 +497,7 @@
       rumours: this.chooseRumours(to, contact, nowMs),
       ...(load && {load}),
       configNext: this.configs.ownNext(),
-      wantsMembers: !this.directory.hasHeard(),
+      wantsMembers: this.wantsMembers,
     };
   }
 
@@ -504,15 +511,15 @@
     // A VM that is doubted hears of it, so that it can refute at once.
     const doubted = held?.state === 'suspect' || held?.state === 'failed';
     if (doubted) return [{kind: 'member', member: held}, ...news];
-    const filler = news.length === 0 ? this.chooseFiller() : undefined;
+    const filler = news.length === 0 ? this.chooseFiller(to) : undefined;
     return filler ? [{kind: 'member', member: filler}] : news;
   }
 
-  /** When there is no news, beliefs in turn: they mend what was ever missed. */
-  private chooseFiller(): Member | undefined {
+  /** When there is no news, any belief: it mends what was ever missed. */
+  private chooseFiller(to: VmId): Member | undefined {
     const members = this.directory.list();
-    if (members.length === 0) return undefined;
-    return members[this.fillerTurn++ % members.length];
+    const member = members[drawBelow(this.random, members.length)];
+    return member?.id === to ? undefined : member;
   }
 
   private tell(rumour: Rumour, source?: VmId): void {
