feat(daemon): VMs share load, crashes and configuration over the peer task

Cause: a VM counted as live whatever the lagging VM list said, knew nothing of what others have in flight, and took configuration from the log alone.

--- a/packages/core/src/__tests__/membership_fixture.ts
+++ b/packages/core/src/__tests__/membership_fixture.ts
@@ -2,6 +2,7 @@
 
 import type {VmInfo} from '@radishyoke/shared/endpoint';
 import {toDataCentreId, toVmId, VmId} from '@radishyoke/shared/ids';
+import type {ConfigTransfer} from '../config_history.js';
 import type {GossipMessage} from '../gossip_message.js';
 import type {Member} from '../member.js';
 import {Membership, MembershipAction, MembershipEvent} from '../membership.js';
@@ -9,6 +10,16 @@
 
 const TICK_MS = 100;
 
+/** Stands for all records before `next`. */
+function createTransfer(next: number): ConfigTransfer {
+  const clock = {nowMs: 0, lastRawMs: 0};
+  return {kind: 'snapshot', snapshot: {next, clock, writers: [], teams: []}};
+}
+
+function readTransfer(transfer: ConfigTransfer): number {
+  return transfer.kind === 'snapshot' ? transfer.snapshot.next : 0;
+}
+
 interface Delivery {
   readonly atMs: number;
   readonly to: VmId;
@@ -119,13 +130,15 @@
         return;
       case 'serve_config': {
         const {to} = action;
-        const next = node.configNext;
-        return this.give(node, {kind: 'config_read', to, records: [], next});
+        const transfer = createTransfer(node.configNext);
+        return this.give(node, {kind: 'config_read', to, transfer});
+      }
+      case 'config_transfer': {
+        const next = readTransfer(action.transfer);
+        if (next <= node.configNext) return;
+        node.configNext = next;
+        return this.give(node, {kind: 'config_offset', next});
       }
-      case 'config_records':
-        if (action.next <= node.configNext) return;
-        node.configNext = action.next;
-        return this.give(node, {kind: 'config_offset', next: action.next});
       default:
         node.told.push(action);
     }
--- a/packages/core/src/gossip_message.ts
+++ b/packages/core/src/gossip_message.ts
@@ -1,7 +1,7 @@
 /** What VMs tell one another. The codec in `wire` fixes the bytes. */
 
 import type {EndpointId, VmId} from '@radishyoke/shared/ids';
-import type {LoggedRecord, ConfigRecord} from '@radishyoke/shared/log_record';
+import type {ConfigTransfer} from './config_history.js';
 import type {Member} from './member.js';
 
 /** News that travels from VM to VM until all have it. */
@@ -41,8 +41,6 @@
   readonly wantsMembers: boolean;
 }
 
-export type LoggedConfig = LoggedRecord<ConfigRecord>;
-
 export type GossipMessage =
   | {
       readonly kind: 'ping';
@@ -65,8 +63,6 @@
   | {readonly kind: 'members'; readonly members: readonly Member[]}
   | {readonly kind: 'config_request'; readonly from: number}
   | {
-      readonly kind: 'config_records';
-      readonly records: readonly LoggedConfig[];
-      /** Offset up to which the sender knows the stream. */
-      readonly next: number;
+      readonly kind: 'config_transfer';
+      readonly transfer: ConfigTransfer;
     };
--- a/packages/core/src/membership.ts
+++ b/packages/core/src/membership.ts
@@ -11,14 +11,10 @@
 import type {VmInfo} from '@radishyoke/shared/endpoint';
 import type {EndpointId, VmId} from '@radishyoke/shared/ids';
 import {ConfigExchange} from './config_exchange.js';
+import type {ConfigTransfer} from './config_history.js';
 import {Contact, ProbeStep} from './contact.js';
 import {Directory} from './directory.js';
-import type {
-  GossipMessage,
-  GossipPayload,
-  LoggedConfig,
-  Rumour,
-} from './gossip_message.js';
+import type {GossipMessage, GossipPayload, Rumour} from './gossip_message.js';
 import {applyLoadDelta, InFlight} from './load_digest.js';
 import {isServing, Member, supersedes} from './member.js';
 import {MEMBERSHIP_LIMITS, MEMBERSHIP_TIMING} from './membership_timing.js';
@@ -52,8 +48,7 @@
   | {
       readonly kind: 'config_read';
       readonly to: VmId;
-      readonly records: readonly LoggedConfig[];
-      readonly next: number;
+      readonly transfer: ConfigTransfer;
     }
   | {readonly kind: 'leave'};
 
@@ -79,9 +74,8 @@
   /** Answer by the event `config_read`. */
   | {readonly kind: 'serve_config'; readonly to: VmId; readonly from: number}
   | {
-      readonly kind: 'config_records';
-      readonly records: readonly LoggedConfig[];
-      readonly next: number;
+      readonly kind: 'config_transfer';
+      readonly transfer: ConfigTransfer;
     }
   /** Greatest config offset that any VM told of. */
   | {readonly kind: 'config_seen'; readonly next: number};
@@ -186,8 +180,8 @@
         if (this.configs.advance(event.next)) this.offsetPending = true;
         return this.announce(nowMs);
       case 'config_read': {
-        const {records, next} = event;
-        return this.send(event.to, {kind: 'config_records', records, next});
+        const {to, transfer} = event;
+        return this.send(to, {kind: 'config_transfer', transfer});
       }
       case 'leave':
         return this.leave(nowMs);
@@ -328,11 +322,9 @@
         this.actions.push({kind: 'serve_config', to: from, from: offset});
         return;
       }
-      case 'config_records': {
-        const {records, next} = message;
-        this.actions.push({kind: 'config_records', records, next});
+      case 'config_transfer':
+        this.actions.push(message);
         return;
-      }
     }
   }
 
--- a/packages/daemon/src/__tests__/peer_task.spec.ts
+++ b/packages/daemon/src/__tests__/peer_task.spec.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
-import type {LoggedConfig} from '@radishyoke/core/gossip_message';
+import type {ConfigTransfer} from '@radishyoke/core/config_history';
+import type {ConfigRecord, LoggedRecord} from '@radishyoke/shared/log_record';
 import {
   toDataCentreId,
   toEndpointId,
@@ -9,7 +10,7 @@
 } from '@radishyoke/shared/ids';
 import {PeerEvent, PeerTask, PeerTaskConfig} from '../peer_task.js';
 
-const RECORD: LoggedConfig = {
+const RECORD: LoggedRecord<ConfigRecord> = {
   offset: 0,
   timeMs: 1,
   value: {
@@ -42,7 +43,7 @@
     sharedKey: 'a key of some length',
     maxMessageBytes: 1 << 20,
     seed: index,
-    readConfig: () => ({records: [], next: 0}),
+    exportConfig: () => ({kind: 'records', records: []}),
     ...fields,
   });
   const events: PeerEvent[] = [];
@@ -69,8 +70,8 @@
   event.kind === 'vms' && event.vms.length === count;
 
 test('VMs that know one seed find one another and share news', async t => {
-  const page = {records: [RECORD], next: 1};
-  const first = await createTask(0, {readConfig: () => page});
+  const transfer: ConfigTransfer = {kind: 'records', records: [RECORD]};
+  const first = await createTask(0, {exportConfig: () => transfer});
   const seeds = [first.address];
   const others = await Promise.all([
     createTask(1, {seeds}),
@@ -83,11 +84,13 @@
   first.task.tell({kind: 'own_load', inFlight: new Map([[endpoint, 4]])});
   first.task.tell({kind: 'own_suspects', fingerprints: ['f']});
   first.task.tell({kind: 'config_offset', next: 1});
-  for (const {until} of others) {
+  for (const {until, events} of others) {
     await until(e => e.kind === 'peer_load' && e.inFlight.get(endpoint) === 4);
     await until(e => e.kind === 'suspects' && e.fingerprints[0] === 'f');
     await until(e => e.kind === 'config_seen' && e.next === 1);
-    await until(e => e.kind === 'config_records' && e.records[0].offset === 0);
+    await until(e => e.kind === 'config_transfer');
+    const passed = events.find(e => e.kind === 'config_transfer');
+    t.deepEqual(passed, {kind: 'config_transfer', transfer});
   }
 
   first.task.tell({kind: 'leave'});
--- a/packages/daemon/src/peer_task.ts
+++ b/packages/daemon/src/peer_task.ts
@@ -4,7 +4,7 @@
  * `events` what others told.
  */
 
-import type {LoggedConfig} from '@radishyoke/core/gossip_message';
+import type {ConfigTransfer} from '@radishyoke/core/config_history';
 import type {InFlight} from '@radishyoke/core/load_digest';
 import type {Member} from '@radishyoke/core/member';
 import {
@@ -31,12 +31,7 @@
     }
   | {readonly kind: 'suspects'; readonly fingerprints: readonly string[]}
   | {readonly kind: 'silent_endpoint'; readonly endpoint: EndpointId}
-  | {
-      readonly kind: 'config_records';
-      readonly records: readonly LoggedConfig[];
-      /** Offset up to which the peer knows the stream. */
-      readonly next: number;
-    }
+  | {readonly kind: 'config_transfer'; readonly transfer: ConfigTransfer}
   /** Greatest config offset that any VM told of. */
   | {readonly kind: 'config_seen'; readonly next: number};
 
@@ -54,13 +49,6 @@
   }
 >;
 
-/** Records of the config stream for a peer that lacks those from an offset on. */
-export interface ConfigPage {
-  readonly records: readonly LoggedConfig[];
-  /** Offset up to which this VM knows the stream. */
-  readonly next: number;
-}
-
 export interface PeerTaskConfig {
   readonly vm: VmId;
   readonly dataCentre: DataCentreId;
@@ -72,7 +60,8 @@
   readonly maxMessageBytes: number;
   /** Random bits. */
   readonly seed: number;
-  readonly readConfig: (from: number) => ConfigPage;
+  /** What a VM needs that lacks the config records from an offset on. */
+  readonly exportConfig: (from: number) => ConfigTransfer;
 }
 
 const TICK_MS = 100;
@@ -163,8 +152,8 @@
         return this.links.dial(action.address);
       case 'serve_config': {
         const {to, from} = action;
-        const page = this.cfg.readConfig(from);
-        return this.give({kind: 'config_read', to, ...page});
+        const transfer = this.cfg.exportConfig(from);
+        return this.give({kind: 'config_read', to, transfer});
       }
       default:
         this.mailbox.post(action);
--- a/packages/daemon/src/vm.ts
+++ b/packages/daemon/src/vm.ts
@@ -18,6 +18,7 @@
 import {LogTask} from './log_task.js';
 import type {Logger} from './logger.js';
 import {OrderTask} from './order_task.js';
+import {PeerEvent, PeerTask} from './peer_task.js';
 import {checkRuleText, RuleBook} from './rule_book.js';
 import type {Settings} from './settings.js';
 import {StepApi} from './step_api.js';
@@ -28,6 +29,8 @@
 const claimHorizonMs = 3_600_000;
 /** How long the platform's log keeps a record, at the least. */
 const logRetentionMs = 86_400_000;
+/** How often other VMs' share of the endpoints' load is brought up to date, ms. */
+const ownLoadMs = 500;
 /** Most connections to one endpoint. */
 const connectionsPerEndpoint = 512;
 const connectTimeoutMs = 1000;
@@ -60,6 +63,8 @@
   private readonly vmListClient: HttpVmListClient;
   private readonly weightStoreClient: HttpWeightStoreClient;
   private readonly orders: OrderTask;
+  readonly peers: PeerTask;
+  private loadTimer: NodeJS.Timeout | undefined;
   private readonly apps: AppApi;
   private readonly server: CallerServer;
   private draining = false;
@@ -109,6 +114,7 @@
       http: this.http,
       logger,
     });
+    this.peers = this.createPeers();
     this.directory = this.createDirectory();
     this.apps = new AppApi({
       dataCentre: vm.dataCentre,
@@ -139,12 +145,10 @@
 
   /** Starts all tasks; resolves with the address callers connect to. */
   async start(): Promise<string> {
-    void this.endpoints.vmLists.observe(vms => {
-      const live = vms.filter(entry => entry.state === 'live');
-      this.setLiveVms(live.map(entry => entry.id));
-    });
+    this.connectPeers();
     void this.dispatcher.notices.observe(notice => {
       const {endpoint, fingerprints} = notice;
+      this.peers.tell({kind: 'own_suspects', fingerprints});
       void this.log.append({kind: 'crash_seen', endpoint, fingerprints});
     });
     void this.log.changes.observe(change => {
@@ -156,6 +160,7 @@
       this.dispatcher.post({kind: 'suspects', fingerprints});
     });
     this.log.start();
+    await this.peers.start();
     await this.endpoints.start();
     this.orders.start();
     const address = await this.server.listen();
@@ -169,6 +174,7 @@
    */
   async drain(maxDrainMs: number): Promise<DrainReport> {
     this.draining = true;
+    this.peers.tell({kind: 'leave'});
     const deadlineAtMs = Date.now() + maxDrainMs;
     await sleep(drainNoticeMs);
     const stepsHandedOver = this.directory.listTasks().size;
@@ -185,12 +191,14 @@
   /** Stops at once, as a crash would, but for closed sockets. */
   async stop(): Promise<void> {
     this.orders.stop();
+    clearInterval(this.loadTimer);
     this.endpoints.stop();
     this.directory.stop();
     this.dispatcher.close();
     this.log.stop();
     this.server.destroy();
     await Promise.allSettled([
+      this.peers.stop(),
       this.logClient.close(),
       this.vmListClient.close(),
       this.weightStoreClient.close(),
@@ -198,6 +206,55 @@
     ]);
   }
 
+  private createPeers(): PeerTask {
+    const {settings, seed} = this.options;
+    const {vm, peers, limits} = settings;
+    return new PeerTask({
+      vm: vm.id,
+      dataCentre: vm.dataCentre,
+      peerAddress: vm.peerAddress,
+      callerAddress: vm.callerAddress,
+      seeds: peers.seeds,
+      sharedKey: peers.sharedKey,
+      maxMessageBytes: limits.maxPeerMessageBytes,
+      seed,
+      exportConfig: from => this.log.exportConfig(from),
+    });
+  }
+
+  /** Tells the other VMs what this one knows, and passes on what they tell. */
+  private connectPeers(): void {
+    void this.endpoints.vmLists.observe(vms => {
+      this.peers.tell({kind: 'vm_list', vms});
+    });
+    void this.log.changes.observe(change => {
+      if (change.kind === 'state' || change.kind === 'health') return;
+      const {next} = this.log.config;
+      this.peers.tell({kind: 'config_offset', next});
+    });
+    this.loadTimer = setInterval(() => {
+      const inFlight = new Map(this.dispatcher.countInFlight());
+      this.peers.tell({kind: 'own_load', inFlight});
+    }, ownLoadMs);
+    void this.peers.events.observe(event => this.hearPeer(event));
+  }
+
+  private hearPeer(event: PeerEvent): void {
+    switch (event.kind) {
+      case 'vms':
+        return this.setLiveVms(event.vms);
+      case 'peer_load':
+      case 'suspects':
+        return this.dispatcher.post(event);
+      case 'config_transfer':
+        this.log.importConfig(event.transfer);
+        return;
+      case 'silent_endpoint':
+      case 'config_seen':
+        return;
+    }
+  }
+
   private createDirectory(): StepDirectory {
     const {settings, logger} = this.options;
     const {vm, limits} = settings;
@@ -243,7 +300,10 @@
 
   private findCallerAddress(id: VmId): string | undefined {
     const entry = this.endpoints.listVms().find(vm => vm.id === id);
-    return entry?.callerAddress;
+    if (entry) return entry.callerAddress;
+    // The VM list lags: a VM that owns a step already may not be on it yet.
+    const member = this.peers.listMembers().find(vm => vm.id === id);
+    return member?.callerAddress;
   }
 
   private findObstacle(): RadishyokeError | undefined {
--- a/packages/wire/src/__tests__/peer_fixture.ts
+++ b/packages/wire/src/__tests__/peer_fixture.ts
@@ -75,6 +75,26 @@
   }),
 });
 
+const snapshot = fc.record({
+  next: count,
+  clock: fc.record({nowMs: count, lastRawMs: count}),
+  writers: fc.array(fc.tuple(name, count, count), {maxLength: 3}),
+  teams: fc.array(
+    fc.array(
+      fc.record({
+        team: name.map(toTeamId),
+        version: count,
+        basedOn: fc.integer({min: -1}),
+        author: fc.string(),
+        text: fc.string(),
+        publishedAtMs: count,
+      }),
+      {maxLength: 2},
+    ),
+    {maxLength: 2},
+  ),
+});
+
 /** Any message that a VM may send. */
 export const anyMessage: fc.Arbitrary<GossipMessage> = fc.oneof(
   fc.record({kind: fc.constant('ping' as const), seq: count, payload}),
@@ -94,8 +114,13 @@
   }),
   fc.record({kind: fc.constant('config_request' as const), from: count}),
   fc.record({
-    kind: fc.constant('config_records' as const),
-    next: count,
-    records: fc.array(record, {maxLength: 4}),
+    kind: fc.constant('config_transfer' as const),
+    transfer: fc.oneof(
+      fc.record({
+        kind: fc.constant('records' as const),
+        records: fc.array(record, {maxLength: 4}),
+      }),
+      fc.record({kind: fc.constant('snapshot' as const), snapshot}),
+    ),
   }),
 );
--- a/packages/wire/src/peer_counters.ts
+++ b/packages/wire/src/peer_counters.ts
@@ -6,6 +6,8 @@
   unauthorized = 0;
   /** Bytes that are no message. */
   malformed = 0;
+  /** Own messages over the size limit, not sent. */
+  oversized = 0;
   /** Open connections that went silent. */
   silent = 0;
   /** Peers that read too slowly. */
--- a/packages/wire/src/peer_link.ts
+++ b/packages/wire/src/peer_link.ts
@@ -104,8 +104,15 @@
       this.options.counters.slow++;
       return this.end('slow');
     }
-    this.options.counters.messagesSent++;
-    this.write(encodePeerMessage(message));
+    const {counters, maxMessageBytes} = this.options;
+    const data = encodePeerMessage(message);
+    // The peer would drop the connection, and with it all later messages.
+    if (data.length > maxMessageBytes) {
+      counters.oversized++;
+      return;
+    }
+    counters.messagesSent++;
+    this.write(data);
   }
 
   close(): void {
--- a/packages/wire/src/peer_message.ts
+++ b/packages/wire/src/peer_message.ts
@@ -4,11 +4,14 @@
  * typed message. What does not fit is refused as a whole.
  */
 
+import type {
+  ConfigTransfer,
+  ConfigVersion,
+} from '@radishyoke/core/config_history';
 import type {
   GossipMessage,
   GossipPayload,
   LoadDelta,
-  LoggedConfig,
   Rumour,
 } from '@radishyoke/core/gossip_message';
 import {Member, MEMBER_STATES} from '@radishyoke/core/member';
@@ -32,7 +35,7 @@
   probe_heard: 4,
   members: 5,
   config_request: 6,
-  config_records: 7,
+  config_transfer: 7,
 } as const satisfies Record<GossipMessage['kind'], number>;
 
 const RUMOUR_CODES = {
@@ -166,14 +169,44 @@
   }),
 ]);
 
-const loggedSchema = z
-  .tuple([count, z.number(), configRecordSchema])
-  .transform(([offset, timeMs, value]): LoggedConfig => ({
-    offset,
-    timeMs,
-    value,
+const versionSchema = z
+  .strictObject({
+    team: name,
+    version: count,
+    basedOn: z.number().int().min(-1),
+    author: z.string(),
+    text: z.string(),
+    publishedAtMs: z.number(),
+  })
+  .transform((value): ConfigVersion => ({
+    ...value,
+    team: toTeamId(value.team),
   }));
 
+const transferSchema: z.ZodType<ConfigTransfer> = z.discriminatedUnion('kind', [
+  z.strictObject({
+    kind: z.literal('records'),
+    records: z
+      .array(
+        z.strictObject({
+          offset: count,
+          timeMs: z.number(),
+          value: configRecordSchema,
+        }),
+      )
+      .max(MAX_RECORDS),
+  }),
+  z.strictObject({
+    kind: z.literal('snapshot'),
+    snapshot: z.strictObject({
+      next: count,
+      clock: z.strictObject({nowMs: z.number(), lastRawMs: z.number()}),
+      writers: z.array(z.tuple([z.string(), count, z.number()])),
+      teams: z.array(z.array(versionSchema)),
+    }),
+  }),
+]);
+
 const messageSchema = z.union([
   z
     .tuple([z.literal(MESSAGE_CODES.ping), count, payloadSchema])
@@ -212,15 +245,10 @@
     .tuple([z.literal(MESSAGE_CODES.config_request), count])
     .transform(([, from]): GossipMessage => ({kind: 'config_request', from})),
   z
-    .tuple([
-      z.literal(MESSAGE_CODES.config_records),
-      count,
-      z.array(loggedSchema).max(MAX_RECORDS),
-    ])
-    .transform(([, next, records]): GossipMessage => ({
-      kind: 'config_records',
-      next,
-      records,
+    .tuple([z.literal(MESSAGE_CODES.config_transfer), transferSchema])
+    .transform(([, transfer]): GossipMessage => ({
+      kind: 'config_transfer',
+      transfer,
     })),
 ]);
 
@@ -260,12 +288,8 @@
       return [code, message.members.map(toMemberWire)];
     case 'config_request':
       return [code, message.from];
-    case 'config_records':
-      return [
-        code,
-        message.next,
-        message.records.map(r => [r.offset, r.timeMs, r.value]),
-      ];
+    case 'config_transfer':
+      return [code, message.transfer];
   }
 }
 
--- a/packages/wire/src/peer_server.ts
+++ b/packages/wire/src/peer_server.ts
@@ -33,13 +33,14 @@
   /** Resolves to the address taken, `ip:port`. */
   listen(address: string): Promise<string> {
     const at = address.lastIndexOf(':');
-    const host = address.slice(0, at);
+    // Node wants IPv6 numbers without the brackets.
+    const host = address.slice(0, at).replace(/^\[|\]$/g, '');
     const port = Number(address.slice(at + 1));
     return new Promise((resolve, reject) => {
       this.http.once('error', reject);
       this.http.listen(port, host, () => {
         const {port: taken} = this.http.address() as AddressInfo;
-        resolve(`${host}:${taken}`);
+        resolve(`${address.slice(0, at)}:${taken}`);
       });
     });
   }
