--- a/packages/core/src/membership.ts
+++ b/packages/core/src/membership.ts
@@ -11,20 +11,21 @@
 import type {VmInfo} from '@radishyoke/shared/endpoint';
 import type {EndpointId, VmId} from '@radishyoke/shared/ids';
 import {ConfigExchange} from './config_exchange.js';
+import type {ConfigTransfer} from './config_history.js';
 import {Contact, ProbeStep} from './contact.js';
 import {Directory} from './directory.js';
-import type {
-  GossipMessage,
-  GossipPayload,
-  LoggedConfig,
-  Rumour,
-} from './gossip_message.js';
+import type {GossipMessage, GossipPayload, Rumour} from './gossip_message.js';
 import {applyLoadDelta, InFlight} from './load_digest.js';
 import {isServing, Member, supersedes} from './member.js';
 import {MEMBERSHIP_LIMITS, MEMBERSHIP_TIMING} from './membership_timing.js';
 import {selectNeighbours} from './neighbour_view.js';
 import {toRumourKey} from './outbox.js';
-import {createRandomBits, drawSome, RandomBits} from './random_bits.js';
+import {
+  createRandomBits,
+  drawBelow,
+  drawSome,
+  RandomBits,
+} from './random_bits.js';
 
 export type MembershipEvent =
   /** Sent every 100 ms or so. */
@@ -47,8 +48,7 @@
   | {
       readonly kind: 'config_read';
       readonly to: VmId;
-      readonly records: readonly LoggedConfig[];
-      readonly next: number;
+      readonly transfer: ConfigTransfer;
     }
   | {readonly kind: 'leave'};
 
@@ -74,9 +74,8 @@
   /** Answer by the event `config_read`. */
   | {readonly kind: 'serve_config'; readonly to: VmId; readonly from: number}
   | {
-      readonly kind: 'config_records';
-      readonly records: readonly LoggedConfig[];
-      readonly next: number;
+      readonly kind: 'config_transfer';
+      readonly transfer: ConfigTransfer;
     }
   /** Greatest config offset that any VM told of. */
   | {readonly kind: 'config_seen'; readonly next: number};
@@ -110,7 +109,7 @@
   private seedTurn = 0;
   private offsetPending = false;
   private newsPending = false;
-  private fillerTurn = 0;
+  private wantsMembers = true;
   private lastTickMs: number;
   private lastHeardMs: number;
   private dialAtMs: number;
@@ -181,8 +180,8 @@
         if (this.configs.advance(event.next)) this.offsetPending = true;
         return this.announce(nowMs);
       case 'config_read': {
-        const {records, next} = event;
-        return this.send(event.to, {kind: 'config_records', records, next});
+        const {to, transfer} = event;
+        return this.send(to, {kind: 'config_transfer', transfer});
       }
       case 'leave':
         return this.leave(nowMs);
@@ -293,9 +292,7 @@
     const {seeds} = this.cfg;
     if (nowMs < this.dialAtMs || seeds.length === 0) return;
     this.dialAtMs = nowMs + MEMBERSHIP_TIMING.dialEveryMs;
-    if (this.directory.list().some(m => m.incarnation > 0 && isServing(m))) {
-      return;
-    }
+    if (this.directory.hasHeard()) return;
     const address = seeds[this.seedTurn++ % seeds.length];
     if (address !== this.self.peerAddress) {
       this.actions.push({kind: 'dial', address});
@@ -317,6 +314,7 @@
       case 'probe_heard':
         return this.contacts.get(message.target)?.hear(nowMs);
       case 'members':
+        this.wantsMembers = false;
         for (const member of message.members) this.merge(member, nowMs);
         return;
       case 'config_request': {
@@ -324,11 +322,9 @@
         this.actions.push({kind: 'serve_config', to: from, from: offset});
         return;
       }
-      case 'config_records': {
-        const {records, next} = message;
-        this.actions.push({kind: 'config_records', records, next});
+      case 'config_transfer':
+        this.actions.push(message);
         return;
-      }
     }
   }
 
@@ -355,6 +351,7 @@
     }
     const contact = this.touch(from, nowMs);
     if (!contact) return;
+    contact.exchange(nowMs);
     contact.configNext = payload.configNext;
     if (payload.load) {
       contact.received = applyLoadDelta(contact.received, payload.load);
@@ -391,6 +388,8 @@
       const [oldest] = this.seenRumours;
       this.seenRumours.delete(oldest);
     }
+    // A resent request that crashes endpoints must not outrun the warning.
+    this.newsPending = true;
     this.tell(rumour, source);
     return true;
   }
@@ -490,7 +489,7 @@
       rumours: this.chooseRumours(to, contact, nowMs),
       ...(load && {load}),
       configNext: this.configs.ownNext(),
-      wantsMembers: !this.directory.hasHeard(),
+      wantsMembers: this.wantsMembers,
     };
   }
 
@@ -504,15 +503,15 @@
     // A VM that is doubted hears of it, so that it can refute at once.
     const doubted = held?.state === 'suspect' || held?.state === 'failed';
     if (doubted) return [{kind: 'member', member: held}, ...news];
-    const filler = news.length === 0 ? this.chooseFiller() : undefined;
+    const filler = news.length === 0 ? this.chooseFiller(to) : undefined;
     return filler ? [{kind: 'member', member: filler}] : news;
   }
 
-  /** When there is no news, beliefs in turn: they mend what was ever missed. */
-  private chooseFiller(): Member | undefined {
+  /** When there is no news, any belief: it mends what was ever missed. */
+  private chooseFiller(to: VmId): Member | undefined {
     const members = this.directory.list();
-    if (members.length === 0) return undefined;
-    return members[this.fillerTurn++ % members.length];
+    const member = members[drawBelow(this.random, members.length)];
+    return member?.id === to ? undefined : member;
   }
 
   private tell(rumour: Rumour, source?: VmId): void {
