feat(daemon): leases stay with their holders through an outage; readiness by currency

Cause: after an outage of the log every session has lapsed by its time, and any record that lands before the owners' renewals let the other VMs claim steps from owners that are well. A VM that was current once stayed ready for ever. Change: a VM's estimate of log time stands still while its reads fail and for one ttl after, and the fold keeps lapsed sessions for an hour to be judged by it; readiness asks CurrencyTracker, with the VMs that are heard as the sign of an outage rather than a cut. Request claims share their writers' names.

--- a/packages/core/src/currency.ts
+++ b/packages/core/src/currency.ts
@@ -76,7 +76,20 @@
   /** This VM read to the end of the stream. */
   noteRead(next: number, nowMs: number): void {
     this.noteFolded(next);
-    this.ownConfirmedAtMs = nowMs;
+    this.ownConfirmedAtMs = Math.max(this.ownConfirmedAtMs, nowMs);
+  }
+
+  /**
+   * This VM took its configuration from another one that trusts it. A VM that
+   * starts while the log is down serves by what the others serve by.
+   */
+  noteTaken(next: number, nowMs: number): void {
+    this.noteRead(next, nowMs);
+  }
+
+  /** A VM is heard that tells of `next` and not of any confirmation. */
+  noteHeard(vm: VmId, next: number, nowMs: number): void {
+    this.notePeer(vm, next, Infinity, nowMs);
   }
 
   /** Another VM had its configuration, up to `next`, confirmed `ageMs` ago. */
--- a/packages/core/src/request_claims.ts
+++ b/packages/core/src/request_claims.ts
@@ -8,8 +8,8 @@
   readonly lastClaimAtMs: number;
 }
 
-/** Claims kept at most, some 20 MB; over it new ids are refused. */
-export const MAX_REQUEST_CLAIMS = 100_000;
+/** Claims kept at most, some 14 MB; over it new ids are refused. */
+export const MAX_REQUEST_CLAIMS = 60_000;
 
 /** What a claim came to; `full` means that none can be kept now. */
 export type ClaimOutcome = 'won' | 'lost' | 'full';
@@ -23,13 +23,15 @@
 export class RequestClaims {
   /** In the order of the last claim, because each claim is put in anew. */
   private readonly claims = new Map<string, Claim>();
+  /** One string a writer, for all of its claims. */
+  private readonly writerNames = new Map<string, string>();
 
   constructor(
     private readonly horizonMs: number,
     entries: readonly ClaimEntry[] = [],
   ) {
     for (const [key, winner, lastClaimAtMs] of entries) {
-      this.claims.set(key, {winner, lastClaimAtMs});
+      this.claims.set(key, {winner: this.shareName(winner), lastClaimAtMs});
     }
   }
 
@@ -44,7 +46,7 @@
     }
     this.claims.delete(key);
     this.claims.set(key, {
-      winner: known?.winner ?? writer,
+      winner: known?.winner ?? this.shareName(writer),
       lastClaimAtMs: nowMs,
     });
     return known === undefined ? 'won' : 'lost';
@@ -67,10 +69,18 @@
     ]);
   }
 
+  private shareName(writer: string): string {
+    const known = this.writerNames.get(writer);
+    if (known !== undefined) return known;
+    this.writerNames.set(writer, writer);
+    return writer;
+  }
+
   private dropExpired(nowMs: number): void {
     for (const [key, {lastClaimAtMs}] of this.claims) {
       if (lastClaimAtMs + this.horizonMs > nowMs) return;
       this.claims.delete(key);
     }
+    this.writerNames.clear();
   }
 }
--- a/packages/core/src/state_fold.ts
+++ b/packages/core/src/state_fold.ts
@@ -27,6 +27,11 @@
 const CLOSED_STEP_KEPT_MS = 600_000;
 /** How long past its timeout a step that nobody closed is kept. */
 const OVERDUE_STEP_KEPT_MS = 3_600_000;
+/**
+ * After an outage of the log, VMs judge for a while by the time before it, at
+ * which sessions that have lapsed since were live.
+ */
+const LAPSED_SESSION_KEPT_MS = 3_600_000;
 const LEASE_KEPT_MS = 86_400_000;
 const WRITER_KEPT_MS = 3_600_000;
 const SUSPECT_KEPT_MS = 3_600_000;
@@ -306,7 +311,7 @@
   private sweep(nowMs: number): void {
     if (nowMs < this.sweptAtMs + SWEEP_EVERY_MS) return;
     this.sweptAtMs = nowMs;
-    this.sessionTable.dropLapsed(nowMs);
+    this.sessionTable.dropLapsed(nowMs - LAPSED_SESSION_KEPT_MS);
     this.writers.dropBefore(nowMs - WRITER_KEPT_MS);
     this.suspectTable.dropBefore(nowMs - SUSPECT_KEPT_MS);
     for (const step of this.listSteps()) {
--- a/packages/daemon/src/log_task.ts
+++ b/packages/daemon/src/log_task.ts
@@ -11,6 +11,11 @@
   type ConfigTransfer,
   type JudgedConfig,
 } from '@radishyoke/core/config_history';
+import {
+  type Currency,
+  CurrencyTracker,
+  DEFAULT_CURRENCY_TIMING,
+} from '@radishyoke/core/currency';
 import {splitCheckpoint} from '@radishyoke/core/checkpoint';
 import {
   createEmptySnapshot,
@@ -51,6 +56,8 @@
   readonly claimHorizonMs: number;
   /** How long the log keeps a record, as its operators state it. */
   readonly logRetentionMs: number;
+  /** How long this VM trusts its configuration while the log is down for all. */
+  readonly notReadyAfterMs?: number;
   /** The same check on every VM, or they would disagree on versions. */
   readonly checkConfig: CheckConfig;
 }
@@ -82,6 +89,15 @@
   readonly pending: number;
 }
 
+/** What this VM hears of the others, for judging its own configuration. */
+export interface PeerView {
+  /** Live VMs by the VM list, this one left out. */
+  readonly otherVms: number;
+  readonly heardVms: readonly VmId[];
+  /** Greatest `config` offset that any VM told of. */
+  readonly seenNext: number;
+}
+
 /** A lease that this VM holds. */
 export interface HeldLease {
   readonly lease: string;
@@ -104,6 +120,7 @@
   private readonly configFollower: StreamFollower<ConfigRecord>;
   private readonly source = new EventSource<LogChange>();
   private readonly session: SessionKeeper;
+  private readonly currency: CurrencyTracker;
   private readonly wanted = new Set<string>();
   private readonly jitter = Math.random();
   private checkpointing = false;
@@ -118,6 +135,15 @@
   ) {
     this.budget = new AppendBudget(cfg.deploymentAppendsPerSecond);
     this.session = new SessionKeeper(cfg.session);
+    const trustMs = cfg.notReadyAfterMs ?? DEFAULT_CURRENCY_TIMING.logDownMs;
+    this.currency = new CurrencyTracker(
+      {
+        ...DEFAULT_CURRENCY_TIMING,
+        logDownMs: trustMs,
+        cutOffMs: Math.min(trustMs, DEFAULT_CURRENCY_TIMING.cutOffMs),
+      },
+      performance.now(),
+    );
     this.stateFold = new StateFold({claimHorizonMs: cfg.claimHorizonMs});
     this.configHistory = new ConfigHistory(cfg.checkConfig);
     const writer = {vm: cfg.vm, incarnation: cfg.incarnation};
@@ -137,12 +163,14 @@
       client,
       'state',
       this.createStatePort(),
+      cfg.session.ttlMs,
       onHealth,
     );
     this.configFollower = new StreamFollower<ConfigRecord>(
       client,
       'config',
       this.createConfigPort(),
+      cfg.session.ttlMs,
       onHealth,
     );
   }
@@ -264,6 +292,7 @@
     const applied = this.configHistory.importRecords(transfer);
     if (this.configHistory.next === before) return false;
     this.configFollower.catchUpWithFold();
+    this.currency.noteTaken(this.configHistory.next, performance.now());
     for (const judged of applied) this.announceConfig(judged);
     if (transfer.kind === 'snapshot') {
       const own = this.configHistory.highestSeqOf(nameWriter(this.cfg));
@@ -273,6 +302,16 @@
     return true;
   }
 
+  /** Whether this VM can know that its configuration is the one in force. */
+  assessCurrency({otherVms, heardVms, seenNext}: PeerView): Currency {
+    const nowMs = performance.now();
+    const {caughtUp, next, lastReadMonotonicMs} = this.configFollower.status();
+    this.currency.noteFolded(next);
+    if (caughtUp) this.currency.noteRead(next, lastReadMonotonicMs);
+    for (const vm of heardVms) this.currency.noteHeard(vm, seenNext, nowMs);
+    return this.currency.assess(otherVms, nowMs);
+  }
+
   health(): LogHealth {
     const state = this.stateFollower.status();
     const config = this.configFollower.status();
--- a/packages/daemon/src/stream_follower.ts
+++ b/packages/daemon/src/stream_follower.ts
@@ -40,6 +40,8 @@
   readonly next: number;
   /** Unix ms of the last read that succeeded; 0 for none. */
   readonly lastReadAtMs: number;
+  /** As `lastReadAtMs`, on the monotonic clock. */
+  readonly lastReadMonotonicMs: number;
   /** Unix ms since which reads fail. */
   readonly failingSinceMs: number | undefined;
   /** Whether all records that the log had were read and folded. */
@@ -58,8 +60,12 @@
   private oldestTimeMs: number | undefined;
   private lastTimeMs = 0;
   private lastReadAtMs = 0;
+  private lastReadMonotonicMs = -Infinity;
   private lastRecordAtMs = 0;
   private failingSinceMs: number | undefined;
+  private frozenAtMs = 0;
+  /** On the monotonic clock. */
+  private graceUntilMs = -Infinity;
   private checkpointAsOf = 0;
   private checkpointTimeMs: number | undefined;
 
@@ -68,6 +74,7 @@
     client: LogClient,
     readonly stream: StreamName,
     private readonly fold: FoldPort<T>,
+    private readonly graceMs: number,
     private readonly onHealth: () => void,
   ) {
     this.reader = new LogReader(
@@ -106,15 +113,25 @@
     return {
       next: this.fold.next(),
       lastReadAtMs: this.lastReadAtMs,
+      lastReadMonotonicMs: this.lastReadMonotonicMs,
       failingSinceMs: this.failingSinceMs,
       caughtUp: this.caughtUp && !this.seeking,
       seeking: this.seeking,
     };
   }
 
-  /** Log time as far as this VM can tell: the last record's and the time since. */
+  /**
+   * Log time as far as this VM can tell: the last record's and the time since.
+   * In an outage every session lapses by the log's time. Taken at its word, the
+   * VMs would claim one another's leases as soon as the log is back, from
+   * holders that are well. So the estimate stands still while reads fail and for
+   * `graceMs` after, in which holders renew.
+   */
   estimateLogNowMs(): number {
-    return this.fold.nowMs() + Math.max(0, Date.now() - this.lastRecordAtMs);
+    const estimateMs = this.estimateMovingMs();
+    const isInGrace = performance.now() < this.graceUntilMs;
+    const isFrozen = this.failingSinceMs !== undefined || isInGrace;
+    return isFrozen ? Math.min(estimateMs, this.frozenAtMs) : estimateMs;
   }
 
   /** Whether this VM should now write a checkpoint of the stream. */
@@ -133,6 +150,10 @@
     );
   }
 
+  private estimateMovingMs(): number {
+    return this.fold.nowMs() + Math.max(0, Date.now() - this.lastRecordAtMs);
+  }
+
   private take(
     records: ReadonlyArray<LoggedRecord<T>>,
     caughtUp: boolean,
@@ -205,13 +226,16 @@
 
   private markRead(): void {
     this.lastReadAtMs = Date.now();
+    this.lastReadMonotonicMs = performance.now();
     if (this.failingSinceMs === undefined) return;
     this.failingSinceMs = undefined;
+    this.graceUntilMs = performance.now() + this.graceMs;
     this.onHealth();
   }
 
   private markFailed(): void {
     if (this.failingSinceMs !== undefined) return;
+    this.frozenAtMs = this.estimateLogNowMs();
     this.failingSinceMs = Date.now();
     this.onHealth();
   }
--- a/packages/daemon/src/vm.ts
+++ b/packages/daemon/src/vm.ts
@@ -15,7 +15,7 @@
 import {CallerServer} from './caller_server.js';
 import {Dispatcher} from './dispatcher.js';
 import {EndpointTask} from './endpoint_task.js';
-import {LogTask} from './log_task.js';
+import {LogTask, type PeerView} from './log_task.js';
 import type {Logger} from './logger.js';
 import {OrderTask} from './order_task.js';
 import {PeerEvent, PeerTask} from './peer_task.js';
@@ -69,7 +69,9 @@
   private readonly server: CallerServer;
   private draining = false;
   /** Whether the log was read to its end since the start. */
-  private wasCurrent = false;
+  private configSeen = 0;
+  /** VMs that the membership counts as live, this one left out. */
+  private livePeers: readonly VmId[] = [];
 
   constructor(private readonly options: VmOptions) {
     const {settings, logger} = options;
@@ -92,6 +94,7 @@
       deploymentAppendsPerSecond,
       claimHorizonMs,
       logRetentionMs,
+      notReadyAfterMs: settings.config.notReadyAfterMs,
       checkConfig: checkRuleText,
     });
     this.rules = new RuleBook(settings.tenants, () => this.log.config);
@@ -251,8 +254,10 @@
       case 'config_transfer':
         this.log.importConfig(event.transfer);
         return;
-      case 'silent_endpoint':
       case 'config_seen':
+        this.configSeen = event.next;
+        return;
+      case 'silent_endpoint':
         return;
     }
   }
@@ -294,6 +299,7 @@
 
   private setLiveVms(vms: readonly VmId[]): void {
     const own = this.options.settings.vm.id;
+    this.livePeers = vms.filter(id => id !== own);
     const live = vms.includes(own) ? vms : [...vms, own];
     this.dispatcher.post({kind: 'vms', vms: live});
     this.directory.setLiveVms(live);
@@ -312,8 +318,20 @@
     if (this.draining) {
       return createError('draining', undefined, {retryAfterMs: 0});
     }
-    this.wasCurrent ||= this.log.health().caughtUp;
-    return this.wasCurrent ? undefined : createError('not_current');
+    const currency = this.log.assessCurrency(this.viewPeers());
+    if (currency.kind !== 'not_current') return undefined;
+    return createError('not_current', `configuration: ${currency.reason}`);
+  }
+
+  private viewPeers(): PeerView {
+    const isOther = ({id}: {readonly id: VmId}) =>
+      id !== this.options.settings.vm.id;
+    const listed = this.endpoints.listVms().filter(vm => vm.state === 'live');
+    return {
+      otherVms: listed.filter(isOther).length,
+      heardVms: this.livePeers,
+      seenNext: this.configSeen,
+    };
   }
 }
 
