--- a/packages/core/src/__tests__/policy_scheduler.spec.ts
+++ b/packages/core/src/__tests__/policy_scheduler.spec.ts
@@ -1,68 +1,19 @@
 import test from 'ava';
 import fc from 'fast-check';
-import type {EndpointInfo} from '@radishyoke/shared/endpoint';
-import {
-  toDataCentreId,
-  toEndpointId,
-  toTenantId,
-  toVmId,
-} from '@radishyoke/shared/ids';
+import {toTenantId} from '@radishyoke/shared/ids';
 import type {FailureKind} from '../failure.js';
-import {PolicyScheduler} from '../policy_scheduler.js';
-import {createRandomBits} from '../random_bits.js';
+import type {PolicyScheduler} from '../policy_scheduler.js';
 import {RETRY_TABLE} from '../retry_policy.js';
 import type {SchedulerAction, SchedulerEvent, WorkItem} from '../scheduler.js';
+import {
+  createEndpoint,
+  createScheduler,
+  createWork,
+} from './scheduler_fixture.js';
 
 const ENGINES = ['a', 'b', 'c'] as const;
-const GROUP = 'tutors';
 const FAILURES = Object.keys(RETRY_TABLE) as FailureKind[];
 
-function createEndpoint(
-  id: string,
-  state: EndpointInfo['state'] = 'live',
-): EndpointInfo {
-  return {
-    id: toEndpointId(id),
-    kind: 'engine',
-    address: '127.0.0.1:1',
-    dataCentre: toDataCentreId('gebze-a'),
-    group: GROUP,
-    state,
-    checksFencing: true,
-  };
-}
-
-function createWork(id: string, changes: Partial<WorkItem> = {}): WorkItem {
-  return {
-    id,
-    tenant: toTenantId('trainer-1'),
-    workClass: 'rollout',
-    group: GROUP,
-    priority: 0,
-    deadlineAtMs: 600_000,
-    promptTokens: 10,
-    maxTokens: 100,
-    prefixKey: '',
-    stepKey: '',
-    groupKey: '',
-    minWeightVersion: 0,
-    idempotent: true,
-    maxAttempts: 4,
-    fingerprint: id,
-    ...changes,
-  };
-}
-
-function createScheduler(): PolicyScheduler {
-  const scheduler = new PolicyScheduler(
-    {vm: toVmId('vm-1'), dataCentre: toDataCentreId('gebze-a')},
-    createRandomBits(1),
-  );
-  const endpoints = ENGINES.map(id => createEndpoint(id));
-  scheduler.handle({kind: 'endpoints', endpoints}, 0);
-  return scheduler;
-}
-
 /** Runs a scheduler and keeps an account of each work by its actions alone. */
 class Account {
   nowMs = 0;
@@ -231,7 +182,7 @@
 test('every work ends once, and the non-idempotent are sent once', t => {
   fc.assert(
     fc.property(fc.array(opArbitrary, {maxLength: 150}), ops => {
-      const account = new Account(createScheduler());
+      const account = new Account(createScheduler(ENGINES));
       ops.forEach((op, index) => run(account, op, index));
       drain(account);
       const missing = [...account.works.keys()].filter(
