fix(core): progress counts the whole output, news of a crash count once

Cause: the daemon reports tokens with those resumed from, the scheduler added them again; a crash came to other VMs both by the log and from the peer; plain services' crashes, which show as broken then refused connections, were not counted; an interactive request under suspicion was refused rather than run apart, which would refuse a common request for good. Change: the contract says that tokens are of the whole output; copies within 5 s count once; a broken and then a refused connection make a crash; only the convicted are refused. Fault case for the plain service added.

--- a/packages/bench/src/steps_engines.ts
+++ b/packages/bench/src/steps_engines.ts
@@ -122,7 +122,8 @@
       const stream = this.streams.get(id);
       if (!stream) continue;
       this.streams.delete(id);
-      this.settle(stream.listener, 'crashed', true, stream.tokens);
+      const tokens = stream.resumed + stream.tokens;
+      this.settle(stream.listener, 'crashed', true, tokens);
     }
   }
 
@@ -132,7 +133,9 @@
     if (event.atMs >= stream.silentFromMs) {
       this.streams.delete(event.id);
       this.clock.after(SILENT_TIMEOUT_MS, () =>
-        stream.listener.onEnd(createFailure('silent', true, stream.tokens)),
+        stream.listener.onEnd(
+          createFailure('silent', true, stream.resumed + stream.tokens),
+        ),
       );
       return;
     }
@@ -140,11 +143,11 @@
     stream.tokens += event.tokens;
     if (event.finishReason !== null) this.streams.delete(event.id);
     this.clock.after(this.delayMs, () => {
+      const tokens = stream.resumed + stream.tokens;
       if (event.finishReason === null) {
-        stream.listener.onProgress(stream.tokens, event.weightVersion);
+        stream.listener.onProgress(tokens, event.weightVersion);
         return;
       }
-      const tokens = stream.resumed + stream.tokens;
       stream.listener.onEnd({kind: 'finished', tokens, spans: stream.spans});
     });
   }
--- a/packages/core/src/__tests__/scheduler_faults.spec.ts
+++ b/packages/core/src/__tests__/scheduler_faults.spec.ts
@@ -163,6 +163,35 @@
   t.is(bench.finalOf('again'), 'suspect_request');
 });
 
+// A request that kills a plain service does so again and again.
+// 1. Its connection breaks; the service refuses the next connection.
+// 2. The same happens twice more, once with the request alone on the endpoint.
+// Cause: services don't tell of a crash as engines do, so none was counted.
+test('a service that refuses connections after broken ones has crashed', t => {
+  const bench = createBench('a');
+  const create = (id: string, fingerprint = 'poison') =>
+    createWork(id, {
+      workClass: 'interactive',
+      idempotent: false,
+      maxAttempts: 1,
+      fingerprint,
+    });
+  for (const id of ['first', 'second']) {
+    bench.add(create(id));
+    bench.fail(id, 'connection_lost');
+    bench.wait(3000);
+    bench.add(create(`${id}-probe`, 'probe'));
+    bench.fail(`${id}-probe`, 'connect_failed');
+    bench.wait(20_000);
+  }
+  const crashes = bench.actions.filter(a => a.kind === 'report_crash');
+  t.is(crashes.length, 2);
+  bench.add(create('third'));
+  bench.fail('third', 'connection_lost');
+  bench.add(create('fourth'));
+  t.is(bench.finalOf('fourth'), 'suspect_request');
+});
+
 // A trainer is handed a rollout that is older than the bound.
 // 1. A sample is made under version 3; the trainer moves on meanwhile.
 // 2. The bound is 4 when the sample is complete.
--- a/packages/core/src/endpoint_state.ts
+++ b/packages/core/src/endpoint_state.ts
@@ -9,6 +9,8 @@
 
 /** Part of an endpoint's limit that rollouts leave to interactive requests. */
 const INTERACTIVE_RESERVE = 0.1;
+/** A broken and a refused connection within this time make a crash; tries are up to 10 s apart. */
+const LOST_KEPT_MS = 15_000;
 /** Weight of the newest ms of a stream in the speed estimate. */
 const SPEED_MEMORY_STREAM_MS = 5000;
 
@@ -38,6 +40,8 @@
   private readonly peers = new Map<VmId, number>();
   private peerTotal = 0;
   private epoch = 0;
+  private lost: Array<{readonly fingerprint: string; readonly atMs: number}> =
+    [];
   private versionSeenAtMs = 0;
   private slownessMean = 1;
   private streamMs = 0;
@@ -142,6 +146,21 @@
     return this.allowance;
   }
 
+  /** A connection broke while this request ran. */
+  noteLost(fingerprint: string, nowMs: number): void {
+    this.lost = this.lost.filter(l => nowMs - l.atMs < LOST_KEPT_MS);
+    this.lost.push({fingerprint, atMs: nowMs});
+  }
+
+  /** Takes out the requests whose connections broke a short while ago. */
+  takeLost(nowMs: number): readonly string[] {
+    const {lost} = this;
+    this.lost = [];
+    return lost
+      .filter(l => nowMs - l.atMs < LOST_KEPT_MS)
+      .map(l => l.fingerprint);
+  }
+
   /** The endpoint's cache is gone, after a crash or with new weights. */
   forgetCache(): void {
     this.epoch++;
--- a/packages/core/src/failure.ts
+++ b/packages/core/src/failure.ts
@@ -25,6 +25,7 @@
 export type AttemptOutcome =
   | {
       readonly kind: 'finished';
+      /** Of the whole output, as are the spans. */
       readonly tokens: number;
       readonly spans: readonly TokenSpan[];
     }
@@ -33,6 +34,7 @@
       readonly failure: FailureKind;
       /** Whether any byte of the request may have reached the endpoint. */
       readonly sent: boolean;
+      /** Tokens of the whole output, those resumed from included. */
       readonly tokensReceived: number;
     }
   | {readonly kind: 'stopped'};
--- a/packages/core/src/policy_scheduler.ts
+++ b/packages/core/src/policy_scheduler.ts
@@ -193,7 +193,9 @@
     group: EndpointGroup,
   ): RadishyokeError | undefined {
     const {item} = work;
-    if (this.isRefusedAsSuspect(item)) return createError('suspect_request');
+    if (this.suspects.classify(item.fingerprint) === 'convicted') {
+      return createError('suspect_request');
+    }
     if (group.pool.endpoints.size === 0) {
       return createError('no_endpoint', undefined, {
         retryAfterMs: DEFAULT_RETRY_AFTER_MS,
@@ -231,12 +233,6 @@
     });
   }
 
-  private isRefusedAsSuspect(item: WorkItem): boolean {
-    const suspicion = this.suspects.classify(item.fingerprint);
-    if (suspicion === 'none') return false;
-    return suspicion === 'convicted' || item.workClass === 'interactive';
-  }
-
   private adopt(item: WorkItem, number: number, id: EndpointId): void {
     if (this.works.has(item.id)) return;
     const work = new WorkState(item, this.estimateLength(item, 0));
@@ -449,7 +445,7 @@
       endpoint,
       startedAtMs: this.nowMs,
       resumedTokens,
-      tokens: 0,
+      tokens: resumedTokens,
       progressAtMs: this.nowMs,
       oldestVersion: Infinity,
       isCrashCounted: false,
@@ -482,7 +478,8 @@
     if (!attempt) return;
     const {endpoint} = attempt;
     this.settlePrompt(attempt);
-    if (attempt.tokens > 0 && tokens > attempt.tokens) {
+    const isFirst = attempt.tokens === attempt.resumedTokens;
+    if (!isFirst && tokens > attempt.tokens) {
       this.noteSpeed(attempt, tokens - attempt.tokens);
     }
     this.endQuarantine(attempt);
@@ -598,7 +595,7 @@
         tokensReceived: tokens,
       });
     }
-    const whole = Math.max(tokens, attempt.resumedTokens + attempt.tokens);
+    const whole = Math.max(tokens, attempt.tokens);
     this.lengths.noteFinished(item.groupKey, whole, item.maxTokens);
     this.closeAttempt(attempt);
     for (const loser of [...work.running]) this.stopAttempt(loser);
@@ -629,6 +626,7 @@
     const {failure, sent} = failed;
     endpoint.health.noteFailure(failure, this.nowMs);
     if (failure === 'crashed') this.noteCrash(attempt);
+    this.noteLostConnection(attempt, failure);
     if (failure === 'rejected') endpoint.limit.noteRejected(this.nowMs);
     if (sent) work.sentAttempts++;
     attempt.tokens = Math.max(attempt.tokens, failed.tokensReceived);
@@ -653,7 +651,7 @@
     const error = this.createFinalError(work, rule.error);
     const isSpent = this.countAttempts(work) >= work.item.maxAttempts;
     if (rule.action === 'give_up' || isSpent) return this.giveUp(work, error);
-    if (this.isRefusedAsSuspect(work.item)) {
+    if (this.suspects.classify(work.item.fingerprint) === 'convicted') {
       return this.giveUp(
         work,
         createError('suspect_request', undefined, ranOf(work)),
@@ -698,8 +696,8 @@
   /** Keeps the longest output that is still of use. */
   private keepPartial(attempt: Attempt, failure: FailureKind): void {
     const {work} = attempt;
-    const tokens = attempt.resumedTokens + attempt.tokens;
-    if (failure === 'stale' || attempt.tokens === 0 || this.isStale(attempt)) {
+    const {tokens} = attempt;
+    if (failure === 'stale' || tokens === 0 || this.isStale(attempt)) {
       if (work.partial && this.isPartialStale(work)) work.partial = undefined;
       return;
     }
@@ -728,7 +726,14 @@
     const accused = endpoint.quarantined
       ? endpoint.suspect?.item.fingerprint
       : undefined;
-    const fingerprints = accused ? [accused] : running;
+    this.reportCrash(endpoint, accused ? [accused] : running, accused);
+  }
+
+  private reportCrash(
+    endpoint: EndpointState,
+    fingerprints: readonly string[],
+    accused?: string,
+  ): void {
     endpoint.forgetCache();
     this.suspects.noteCrash(fingerprints, this.nowMs, accused);
     this.actions.push({
@@ -738,6 +743,24 @@
     });
   }
 
+  /**
+   * A crash of a plain service shows as broken connections, and as a refused
+   * one when it is tried again. Neither alone tells of a crash.
+   */
+  private noteLostConnection(attempt: Attempt, failure: FailureKind): void {
+    const {endpoint, work} = attempt;
+    const {fingerprint} = work.item;
+    if (failure === 'connection_lost') {
+      if (endpoint.quarantined && endpoint.suspect === work) {
+        this.noteCrash(attempt);
+      } else endpoint.noteLost(fingerprint, this.nowMs);
+      return;
+    }
+    if (failure !== 'connect_failed') return;
+    const lost = endpoint.takeLost(this.nowMs);
+    if (lost.length > 0) this.reportCrash(endpoint, lost);
+  }
+
   private cancel(workId: string): void {
     const work = this.works.get(workId);
     if (!work) return;
@@ -882,7 +905,7 @@
     if (group.quarantineRunning.has(work)) return;
     const target = this.chooseEndpoint(group, work, attempt.endpoint.id);
     if (!target || target === attempt.endpoint) return;
-    const tokens = attempt.resumedTokens + attempt.tokens;
+    const {tokens} = attempt;
     const remaining = this.estimateLength(item, tokens) - tokens;
     const view = this.getView(group);
     const times = {
--- a/packages/core/src/scheduler.ts
+++ b/packages/core/src/scheduler.ts
@@ -78,7 +78,11 @@
       readonly prefixKey: string;
       readonly cached: boolean;
     }
-  /** Another VM saw these requests run on endpoints that crashed. */
+  /**
+   * Another VM saw these requests run on an endpoint when it crashed; one event
+   * a crash. A single one is that VM's accused. News that come twice within
+   * seconds, by the log and from the peer, count once.
+   */
   | {readonly kind: 'suspects'; readonly fingerprints: readonly string[]}
   /** The trainer moved on: output older than this is of no use to the step. */
   | {
@@ -101,7 +105,7 @@
       readonly kind: 'progress';
       readonly workId: string;
       readonly attempt: number;
-      /** Tokens received so far by this attempt. */
+      /** Tokens of the whole output so far, those resumed from included. */
       readonly tokens: number;
       readonly weightVersion: number;
     }
--- a/packages/core/src/suspect_list.ts
+++ b/packages/core/src/suspect_list.ts
@@ -19,6 +19,9 @@
 /** A fingerprint is forgotten after this long without a crash. */
 const FORGET_AFTER_MS = 30 * 60_000;
 const MAX_FINGERPRINTS = 10_000;
+/** The same news from the log and from a peer come within this time. */
+const COPY_MS = 5000;
+const MAX_REPORTED = 1000;
 
 interface CrashHistory {
   crashes: number;
@@ -35,6 +38,7 @@
  */
 export class SuspectList {
   private readonly histories = new Map<string, CrashHistory>();
+  private readonly reported = new Map<string, number>();
 
   /**
    * Notes a crash here and what ran on the endpoint then. `accused` is the
@@ -54,6 +58,14 @@
 
   /** Notes what another VM tells of a crash: the accused alone, or all. */
   noteReported(fingerprints: readonly string[], nowMs: number): void {
+    const key = [...fingerprints].sort().join();
+    const isCopy = nowMs - (this.reported.get(key) ?? -Infinity) < COPY_MS;
+    this.reported.delete(key);
+    this.reported.set(key, nowMs);
+    if (this.reported.size > MAX_REPORTED) {
+      this.reported.delete(this.reported.keys().next().value!);
+    }
+    if (isCopy) return;
     const [first] = fingerprints;
     const isAccused =
       fingerprints.length === 1 && this.classify(first) === 'suspect';
--- a/packages/core/src/work_state.ts
+++ b/packages/core/src/work_state.ts
@@ -14,7 +14,7 @@
   readonly startedAtMs: number;
   /** Tokens of earlier attempts that this one goes on from. */
   readonly resumedTokens: number;
-  /** Tokens received of this attempt itself. */
+  /** Tokens of the whole output so far, the resumed ones included. */
   tokens: number;
   progressAtMs: number;
   /** Oldest version in the output, resumed parts included; Infinity for none. */
@@ -75,7 +75,7 @@
   get tokens(): number {
     let most = this.partial?.tokens ?? 0;
     for (const attempt of this.running) {
-      most = Math.max(most, attempt.resumedTokens + attempt.tokens);
+      most = Math.max(most, attempt.tokens);
     }
     return most;
   }
