perf(core): the wait of a new work is estimated without a look at each tenant

Cause: each enqueue summed the queues of all tenants to judge its wait. Change: own queue times the tenants that wait, at most the whole queue.

--- a/packages/core/src/fair_queue.ts
+++ b/packages/core/src/fair_queue.ts
@@ -52,6 +52,7 @@
   private virtualNow = 0;
   private nextOrder = 0;
   private total = 0;
+  private totalCost = 0;
 
   get size(): number {
     return this.total;
@@ -63,21 +64,18 @@
 
   /**
    * Cost that is served before a new entry of `tenant` in fair turns: its own
-   * queue, and of each other tenant at most as much.
+   * queue, and of each other tenant that waits at most as much.
    */
   measureCostAhead(tenant: TenantId): number {
     const own = this.tenants.get(tenant)?.cost ?? 0;
-    let ahead = own;
-    for (const other of this.tenants.values()) {
-      if (other.tenant !== tenant) ahead += Math.min(own, other.cost);
-    }
-    return ahead;
+    return Math.min(this.totalCost, own * Math.max(1, this.active.size));
   }
 
   push(entry: T): void {
     const queue = this.getTenant(entry.tenant);
     queue.slots.push({entry, cost: entry.cost, order: this.nextOrder++});
     queue.cost += entry.cost;
+    this.totalCost += entry.cost;
     queue.count++;
     this.total++;
     if (queue.isActive) return;
@@ -112,6 +110,7 @@
 
   private subtract(queue: TenantQueue<T>, cost: number): void {
     queue.cost -= cost;
+    this.totalCost -= cost;
     queue.count--;
     this.total--;
   }
