feat(bench): steps run in a thread for each deployment, four steps a trainer

Cause: with two or three steps weights changed too seldom to show staleness. Change: four steps a trainer, two threads.

--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -19,9 +19,10 @@
   .option('--case <name>', 'Only this case')
   .option('--deployment <name>', 'Only this deployment')
   .action(async (options: StepsOptions) => {
-    const {runSteps} = await import('./steps.js');
+    const {runStepsInThreads} = await import('./steps_threads.js');
     const {runHerding} = await import('./herding.js');
-    for (const line of runSteps(options)) print(line);
+    const {seeds, case: only, deployment} = options;
+    await runStepsInThreads({seeds, case: only, deployment}, print);
     for (const line of runHerding()) print(line);
   });
 
--- a/packages/bench/src/steps_case.ts
+++ b/packages/bench/src/steps_case.ts
@@ -64,7 +64,7 @@
 /** What trainers ask for. Long tails come from the engines' length draw. */
 export const WORKLOAD = {
   trainers: 3,
-  stepsPerTrainer: 2,
+  stepsPerTrainer: 4,
   groupsPerStep: 12,
   samplesPerGroup: 8,
   /** Taken in turn by the groups of a step. */
--- a/packages/core/src/policy_scheduler.ts
+++ b/packages/core/src/policy_scheduler.ts
@@ -803,7 +803,7 @@
   // Time and freshness
 
   private raiseMinVersion(stepKey: string, min: number): void {
-    if (!this.freshness.raise(stepKey, min, this.nowMs)) return;
+    if (!this.freshness.raise(stepKey, min)) return;
     for (const work of this.pace.listWorks(stepKey)) {
       if (this.isPartialStale(work)) work.partial = undefined;
       for (const attempt of [...work.running]) {
