test(daemon): whole VMs over real sockets, with an owner and an engine lost

Cause: the path stood only in a demonstration. Change: a deployment of stand-ins and VMs; tests for forwarding, takeover, at most once over two VMs, draining, an engine's crash and refusals.

--- a/packages/bench/src/demo.ts
+++ b/packages/bench/src/demo.ts
@@ -15,7 +15,11 @@
 import {toStepId, toTenantId, toVmId} from '@radishyoke/shared/ids';
 import type {StepRequest} from '@radishyoke/shared/rollout';
 import {auditDeliveries, Delivery} from './delivery_audit.js';
-import {publishFirstRules, StandIns, startStandIns} from './stand_ins.js';
+import {
+  publishFirstRules,
+  StandIns,
+  startStandIns,
+} from '@radishyoke/fakes/stand_ins';
 
 const model = 'hint-tutor';
 const team = 'kodkutu';
--- /dev/null
+++ b/packages/daemon/src/__tests__/vm.spec.ts
@@ -0,0 +1,205 @@
+import test from 'ava';
+import {HEADERS} from '@radishyoke/shared/header';
+import {toStepId} from '@radishyoke/shared/ids';
+import type {Rollout} from '@radishyoke/shared/rollout';
+import {
+  createStepRequest,
+  Deployment,
+  sleep,
+  startDeployment,
+} from './deployment_fixture.js';
+
+/** Runs a step to its end and returns what the trainer got, in order. */
+async function collectStep(
+  deployment: Deployment,
+  groups: number,
+  origins?: readonly string[],
+  onRollout: (count: number) => void = () => undefined,
+) {
+  const client = deployment.createClient(origins);
+  const rollouts: Rollout[] = [];
+  const result = await client.runStep({
+    step: toStepId('step-1'),
+    req: createStepRequest(groups),
+    readWeightVersion: () => 1,
+    onRollout: rollout => {
+      rollouts.push(rollout);
+      onRollout(rollouts.length);
+    },
+  });
+  await client.close();
+  return {result, rollouts};
+}
+
+function countDistinct(rollouts: readonly Rollout[]): number {
+  return new Set(rollouts.map(rollout => rollout.id)).size;
+}
+
+test('a step is delivered whole through a VM that does not own it', async t => {
+  const deployment = await startDeployment(2);
+  t.teardown(() => deployment.close());
+  const [first, second] = deployment.origins;
+  const opened = await fetch(`${first}/v1/steps/step-1`, {
+    method: 'PUT',
+    headers: {[HEADERS.tenant]: 'trainer'},
+    body: JSON.stringify(createStepRequest(3)),
+  });
+  t.is(opened.status, 200);
+  const {result, rollouts} = await collectStep(deployment, 3, [second]);
+  t.true(result.ok);
+  t.is(countDistinct(rollouts), 12);
+  t.is(rollouts.length, 12);
+});
+
+// A trainer's step would end short or with a rollout twice.
+// 1. The VM that owns the step stops without a word after four rollouts.
+// 2. The trainer connects to the other VM, which takes the step over.
+// Cause: what was committed, handed over and acknowledged lay in one process.
+test('another VM goes on with a step whose owner stopped', async t => {
+  const deployment = await startDeployment(2);
+  t.teardown(() => deployment.close());
+  let stopped = false;
+  const {result, rollouts} = await collectStep(
+    deployment,
+    8,
+    undefined,
+    count => {
+      if (count < 4 || stopped) return;
+      stopped = true;
+      const owner = deployment.vms.find(vm => vm.directory.listTasks().size);
+      void owner?.stop();
+    },
+  );
+  t.true(stopped);
+  t.true(result.ok);
+  t.is(rollouts.length, 32);
+  t.is(countDistinct(rollouts), 32);
+});
+
+// A grower's note would be filed twice.
+// 1. The app sends a note and has no answer; it sends it again to another VM.
+// Cause: each VM knew only the requests that came to itself.
+test('a non-idempotent request with an id runs once over all VMs', async t => {
+  const deployment = await startDeployment(2);
+  t.teardown(() => deployment.close());
+  const answers = await Promise.all(
+    deployment.origins.map(origin =>
+      fetch(`${origin}/notes`, {
+        method: 'POST',
+        headers: {
+          [HEADERS.tenant]: 'notebook',
+          [HEADERS.requestId]: 'note-7',
+        },
+        body: 'ryegrass, 12 cm',
+      }),
+    ),
+  );
+  t.deepEqual(answers.map(res => res.status).sort(), [200, 409]);
+  const refused = answers.find(res => res.status === 409)!;
+  t.is(refused.headers.get(HEADERS.error), 'duplicate_request');
+  let calls = 0;
+  for (const service of deployment.standIns.services.values()) {
+    calls += service.countCalls('note-7');
+  }
+  t.is(calls, 1);
+});
+
+// A teacher's request breaks off when a VM is replaced.
+// 1. A slow call is in flight; the VM is told to leave.
+// Cause: the process ended as soon as it was told to.
+test('a VM that drains finishes what is in flight', async t => {
+  const deployment = await startDeployment(1);
+  t.teardown(() => deployment.close());
+  for (const service of deployment.standIns.services.values()) {
+    service.faults.set({kind: 'slow', factor: 120});
+  }
+  const pending = fetch(`${deployment.origins[0]}/lessons/7`, {
+    headers: {[HEADERS.tenant]: 'notebook'},
+  });
+  await sleep(100);
+  const report = await deployment.vms[0].drain(30_000);
+  const res = await pending;
+  t.is(res.status, 200);
+  t.is(report.appsLeft, 0);
+});
+
+// A step stalls or loses samples when an engine's process dies.
+// 1. An engine crashes after 150 tokens, with several samples on it.
+// Cause: a broken stream was taken for a finished or a lost sample.
+test('samples of a crashed engine are finished elsewhere', async t => {
+  const deployment = await startDeployment(1);
+  t.teardown(() => deployment.close());
+  const [engine] = deployment.standIns.engines.values();
+  engine.faults.set({kind: 'crash_after_tokens', tokens: 150});
+  const {result, rollouts} = await collectStep(deployment, 6);
+  t.true(result.ok && result.value.shortfalls === 0);
+  t.is(countDistinct(rollouts), 24);
+  t.is(rollouts.length, 24);
+});
+
+interface RefusalCase {
+  readonly name: string;
+  readonly path: string;
+  readonly init: RequestInit;
+  readonly status: number;
+  readonly error: string;
+}
+
+const trainer = {[HEADERS.tenant]: 'trainer'};
+const notebook = {[HEADERS.tenant]: 'notebook'};
+
+const refusalCases: readonly RefusalCase[] = [
+  {
+    name: 'no tenant',
+    path: '/lessons',
+    init: {},
+    status: 401,
+    error: 'unauthorized',
+  },
+  {
+    name: 'no rule for the request',
+    path: '/lessons',
+    init: {headers: trainer},
+    status: 403,
+    error: 'no_rule',
+  },
+  {
+    name: 'a body that is not JSON',
+    path: '/v1/steps/a',
+    init: {method: 'PUT', headers: trainer, body: '{'},
+    status: 400,
+    error: 'bad_request',
+  },
+  {
+    name: 'a step id with a slash',
+    path: '/v1/steps/%2Fa',
+    init: {method: 'PUT', headers: trainer, body: '{}'},
+    status: 400,
+    error: 'bad_request',
+  },
+  {
+    name: 'an unknown step',
+    path: '/v1/steps/none/rollouts',
+    init: {headers: trainer},
+    status: 404,
+    error: 'not_found',
+  },
+  {
+    name: 'a mark that is neither true nor false',
+    path: '/lessons',
+    init: {headers: {...notebook, [HEADERS.nonIdempotent]: 'perhaps'}},
+    status: 400,
+    error: 'bad_request',
+  },
+];
+
+test('refuses what it can not take and says that nothing ran', async t => {
+  const deployment = await startDeployment(1);
+  t.teardown(() => deployment.close());
+  for (const {name, path, init, status, error} of refusalCases) {
+    const res = await fetch(`${deployment.origins[0]}${path}`, init);
+    t.is(res.status, status, name);
+    t.is(res.headers.get(HEADERS.error), error, name);
+    t.is(res.headers.get(HEADERS.ran), 'no', name);
+  }
+});
--- a/packages/bench/src/stand_ins.ts
+++ b/packages/fakes/src/stand_ins.ts
@@ -1,14 +1,11 @@
 /** The stand-ins of one deployment on loopback, for demonstrations and drills. */
 
-import {FakeEngine, startFakeEngine} from '@radishyoke/fakes/fake_engine';
-import {FakeLog, startFakeLog} from '@radishyoke/fakes/fake_log';
-import {FakeService, startFakeService} from '@radishyoke/fakes/fake_service';
-import {FakeVmList, startFakeVmList} from '@radishyoke/fakes/fake_vm_list';
-import {
-  FakeWeightStore,
-  startFakeWeightStore,
-} from '@radishyoke/fakes/fake_weight_store';
-import type {EngineOptions} from '@radishyoke/fakes/engine_options';
+import {FakeEngine, startFakeEngine} from './fake_engine.js';
+import {FakeLog, startFakeLog} from './fake_log.js';
+import {FakeService, startFakeService} from './fake_service.js';
+import {FakeVmList, startFakeVmList} from './fake_vm_list.js';
+import {FakeWeightStore, startFakeWeightStore} from './fake_weight_store.js';
+import type {EngineOptions} from './engine_options.js';
 import {HEADERS} from '@radishyoke/shared/header';
 import type {VmInfo} from '@radishyoke/shared/endpoint';
 import {
