perf(bench): processor time beside a bare pass-through

Cause: the service's own cost a request was not known. Change: npm run measure -- overhead forks the service and a bare http + undici pass-through, drives both with the same calls and compares processor time.

--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -23,6 +23,13 @@
     for (const line of runSteps(options)) print(line);
   });
 
+cli
+  .command('overhead', 'Processor time beside a bare pass-through')
+  .action(async () => {
+    const {measureOverhead} = await import('./overhead.js');
+    print(await measureOverhead());
+  });
+
 function print(line: unknown): void {
   process.stdout.write(`${JSON.stringify(line)}\n`);
 }
