fix(wire): one silent connection gives up all to its endpoint

A contract test of the engine client against the stand-in, with faults in a table, brought two faults to light. And after connections went silent, each try took the next idle one of the pool, so that idle connections used up the tries of a sample whose engine was well. Now one timeout lets all that follows take new connections (RenewingAgent), and a request that never arrived is sent again.

--- a/packages/daemon/src/vm.ts
+++ b/packages/daemon/src/vm.ts
@@ -1,7 +1,6 @@
 /** One entry VM: its tasks, wired together from its settings. */
 
 import {randomUUID} from 'node:crypto';
-import {Agent} from 'undici';
 import {PolicyScheduler} from '@radishyoke/core/policy_scheduler';
 import {createRandomBits} from '@radishyoke/core/random_bits';
 import type {Scheduler} from '@radishyoke/core/scheduler';
@@ -11,6 +10,7 @@
 import {HttpWeightStoreClient} from '@radishyoke/platform/http_weight_store_client';
 import {createError, RadishyokeError} from '@radishyoke/shared/error_kind';
 import {toIncarnationId, VmId} from '@radishyoke/shared/ids';
+import {RenewingAgent} from '@radishyoke/wire/renewing_agent';
 import {AppApi} from './app_api.js';
 import {CallerServer} from './caller_server.js';
 import {Dispatcher} from './dispatcher.js';
@@ -58,7 +58,7 @@
   readonly endpoints: EndpointTask;
   readonly directory: StepDirectory;
   readonly rules: RuleBook;
-  private readonly http: Agent;
+  private readonly http: RenewingAgent;
   private readonly logClient: HttpLogClient;
   private readonly vmListClient: HttpVmListClient;
   private readonly weightStoreClient: HttpWeightStoreClient;
@@ -72,7 +72,7 @@
   constructor(private readonly options: VmOptions) {
     const {settings, logger} = options;
     const {vm, platform, limits} = settings;
-    this.http = new Agent({
+    this.http = new RenewingAgent({
       connections: connectionsPerEndpoint,
       connectTimeout: connectTimeoutMs,
       pipelining: 1,
--- a/packages/fakes/src/__tests__/engine_contract.ts
+++ b/packages/fakes/src/__tests__/engine_contract.ts
@@ -9,7 +9,7 @@
   FakeEngineOptions,
 } from '../fake_engine.js';
 import {readTokens} from '../token_text.js';
-import {createBody, receive, Received} from './engine_fixtures.js';
+import {createBody, IsEnough, receive, Received} from './engine_fixtures.js';
 
 const SEED = 7;
 const TOKENS = 40;
@@ -144,12 +144,8 @@
   test(`${label}: a stream resumes on another engine with its state`, async t => {
     const from = await startFor(t, {decodeBaseMs: 5});
     const to = await startFor(t);
-    from.engine.faults.set({kind: 'crash_after_tokens', tokens: 1000});
-    const abort = new AbortController();
-    const part = await complete(from.url, 'a', {
-      signal: abort.signal,
-      onChunk: tokens => tokens >= 12 && abort.abort(),
-    });
+    const isEnough = (tokens: number) => tokens >= 12;
+    const part = await complete(from.url, 'a', {isEnough});
     const state = await fetch(`${from.url}/kv/a`);
     const body = Buffer.from(await state.arrayBuffer());
     const put = await fetch(`${to.url}/kv/a`, {method: 'PUT', body});
@@ -164,10 +160,8 @@
   test(`${label}: a swap in mid-stream gives two spans`, async t => {
     const length = {medianTokens: 1000, sigma: 0};
     const {engine, url} = await startFor(t, {length, fetchMs: 0});
-    const abort = new AbortController();
     const read = complete(url, 'a', {
-      signal: abort.signal,
-      onChunk: (_, weightVersion) => weightVersion === 2 && abort.abort(),
+      isEnough: (_, weightVersion) => weightVersion === 2,
     });
     await waitUntil(() => engine.listRuns()[0]?.spans.length === 1);
     t.is((await order(url, {fencing: 3, version: 2})).status, 202);
@@ -218,8 +212,7 @@
   readonly prompt?: string;
   readonly resume?: {readonly text: string; readonly tokens: number};
   readonly timeoutMs?: number;
-  readonly signal?: AbortSignal;
-  readonly onChunk?: (tokens: number, weightVersion: number) => void;
+  readonly isEnough?: IsEnough;
 }
 
 /** Asks for a completion; undefined when no answer begins. */
@@ -228,12 +221,12 @@
   id: string,
   options: CompleteOptions = {},
 ): Promise<Received | undefined> {
-  const {prompt = 'p', resume, timeoutMs, onChunk} = options;
-  const signal = timeoutMs ? AbortSignal.timeout(timeoutMs) : options.signal;
+  const {prompt = 'p', resume, timeoutMs, isEnough} = options;
+  const signal = timeoutMs ? AbortSignal.timeout(timeoutMs) : undefined;
   const body = createBody(id, {prompt, resume});
   try {
     const init = {method: 'POST', body, signal};
-    return await receive(`${url}/v1/completions`, init, onChunk);
+    return await receive(`${url}/v1/completions`, init, isEnough);
   } catch {
     return undefined;
   }
--- a/packages/fakes/src/__tests__/engine_fixtures.ts
+++ b/packages/fakes/src/__tests__/engine_fixtures.ts
@@ -43,40 +43,45 @@
   readonly finishReason: string | null;
 }
 
-/** Reads an event stream until it ends or breaks. */
+/** Tells from all tokens so far and the last version whether to stop reading. */
+export type IsEnough = (tokens: number, weightVersion: number) => boolean;
+
+/** Reads an event stream until it ends, breaks, or `isEnough` says so. */
 export async function receive(
   url: string,
   init: RequestInit = {},
-  onChunk: (tokens: number, weightVersion: number) => void = () => {},
+  isEnough: IsEnough = () => false,
 ): Promise<Received> {
   const res = await fetch(url, init);
   let text = '';
   let tokens = 0;
   let done = false;
   let finishReason: string | null = null;
-  let rest = '';
-  const decoder = new TextDecoder();
   try {
-    for await (const part of res.body ?? []) {
-      const events = (rest + decoder.decode(part, {stream: true})).split(
-        '\n\n',
-      );
-      rest = events.pop()!;
-      for (const event of events) {
-        const data = event.slice('data: '.length);
-        if (data === '[DONE]') {
-          done = true;
-          continue;
-        }
-        const chunk = JSON.parse(data);
-        text += chunk.choices[0].text;
-        finishReason = chunk.choices[0].finish_reason;
-        tokens += chunk.tokens;
-        onChunk(tokens, chunk.weight_version);
+    for await (const data of readEvents(res)) {
+      if (data === '[DONE]') {
+        done = true;
+        continue;
       }
+      const chunk = JSON.parse(data);
+      text += chunk.choices[0].text;
+      finishReason = chunk.choices[0].finish_reason;
+      tokens += chunk.tokens;
+      if (isEnough(tokens, chunk.weight_version)) break;
     }
   } catch {
     // The connection broke; what came before it counts.
   }
   return {status: res.status, text, tokens, done, finishReason};
 }
+
+/** The data of each event; leaving the loop closes the connection. */
+async function* readEvents(res: Response): AsyncGenerator<string> {
+  const decoder = new TextDecoder();
+  let rest = '';
+  for await (const part of res.body ?? []) {
+    const events = (rest + decoder.decode(part, {stream: true})).split('\n\n');
+    rest = events.pop()!;
+    for (const event of events) yield event.slice('data: '.length);
+  }
+}
--- a/packages/fakes/src/__tests__/fake_engine.spec.ts
+++ b/packages/fakes/src/__tests__/fake_engine.spec.ts
@@ -1,10 +1,10 @@
-import test from 'ava';
+import test, {ExecutionContext} from 'ava';
 import type {OrderStatus} from '../engine_event.js';
 import {FakeEngineOptions, startFakeEngine} from '../fake_engine.js';
 import {startFakeWeightStore, WeightStoreFault} from '../fake_weight_store.js';
 import {readTokens} from '../token_text.js';
 import {testEngine} from './engine_contract.js';
-import {createBody, receive} from './engine_fixtures.js';
+import {createBody, IsEnough, receive} from './engine_fixtures.js';
 
 testEngine('FakeEngine', startFakeEngine);
 
@@ -12,32 +12,35 @@
 const TOKENS = 60;
 
 /** An engine on which a request of `SEED` takes about 0.3 s. */
-async function startEngine(options: FakeEngineOptions = {}) {
+async function startEngine(
+  t: ExecutionContext,
+  options: FakeEngineOptions = {},
+) {
   const engine = await startFakeEngine({
     length: {medianTokens: TOKENS, sigma: 0},
     decodeBaseMs: 4,
     ...options,
   });
+  t.teardown(() => engine.close());
   const url = `http://${engine.address}`;
   const post = (path: string, body: string) =>
     fetch(url + path, {method: 'POST', body});
-  const complete = (id: string, onChunk?: (tokens: number) => void) =>
+  const complete = (id: string, isEnough?: IsEnough) =>
     receive(
       `${url}/v1/completions`,
       {method: 'POST', body: createBody(id)},
-      onChunk,
+      isEnough,
     );
   return {engine, url, post, complete};
 }
 
 test('a completion streams the whole text of its seed', async t => {
-  const {engine, complete} = await startEngine();
+  const {engine, complete} = await startEngine(t);
   const received = await complete('a');
   t.like(received, {status: 200, done: true, finishReason: 'stop'});
   const spans = [{weightVersion: 1, tokens: TOKENS}];
   t.deepEqual(readTokens(SEED, received.text), {tokens: TOKENS, spans});
   t.like(engine.listRuns()[0], {requestId: 'a', end: 'finished', spans});
-  await engine.close();
 });
 
 // A service is replaced while an engine generates for it.
@@ -45,13 +48,8 @@
 // 2. The next reader asks for the stream from the token after the last it has.
 // Together they must hold each token once, wherever the break fell.
 test('a stream goes on for another reader without loss or doubling', async t => {
-  const {engine, url, complete} = await startEngine();
-  const abort = new AbortController();
-  const first = await receive(
-    `${url}/v1/completions`,
-    {method: 'POST', body: createBody('a'), signal: abort.signal},
-    tokens => tokens >= 20 && abort.abort(),
-  );
+  const {engine, url, complete} = await startEngine(t);
+  const first = await complete('a', tokens => tokens >= 20);
   t.false(first.done);
   const from = first.tokens - 2;
   const rest = await receive(`${url}/v1/streams/a?from=${from}`);
@@ -62,7 +60,6 @@
   t.true(replayed.text.endsWith(rest.text));
   t.is(engine.listRuns().length, 1);
   t.is((await complete('b')).tokens, TOKENS);
-  await engine.close();
 });
 
 const BAD_BODIES: ReadonlyArray<readonly [name: string, body: string]> = [
@@ -78,10 +75,9 @@
 
 for (const [name, body] of BAD_BODIES)
   test(`a completion is refused: ${name}`, async t => {
-    const {engine, post} = await startEngine();
+    const {engine, post} = await startEngine(t);
     t.is((await post('/v1/completions', body)).status, 400);
     t.is(engine.listRuns().length, 0);
-    await engine.close();
   });
 
 // Weights come from a store that can fail.
@@ -101,10 +97,11 @@
 for (const [fault, version, ok] of STORE_CASES)
   test(`version ${version} is fetched, store ${fault?.kind ?? 'calm'}`, async t => {
     const store = await startFakeWeightStore();
+    t.teardown(store.close);
     store.publish('tutor', 2, 100_000);
     if (fault) store.faults.set(fault);
     const weightStoreAddress = store.address;
-    const {engine, url, post} = await startEngine({weightStoreAddress});
+    const {url, post} = await startEngine(t, {weightStoreAddress});
     const order = {fencing: 1, kind: 'load_version', version};
     t.is((await post('/orders', JSON.stringify(order))).status, 202);
     let status: OrderStatus;
@@ -114,6 +111,4 @@
     } while (status.loading !== null);
     t.is(status.weightVersion, ok ? version : 1);
     t.is(status.lastError === null, ok);
-    await engine.close();
-    await store.close();
   });
--- a/packages/fakes/src/__tests__/fake_service.spec.ts
+++ b/packages/fakes/src/__tests__/fake_service.spec.ts
@@ -1,4 +1,5 @@
 import {loadReportSchema} from '@radishyoke/shared/endpoint';
+import {HEADERS} from '@radishyoke/shared/header';
 import test from 'ava';
 import {ServiceFault, startFakeService} from '../fake_service.js';
 
@@ -37,7 +38,7 @@
       fetch(url, {
         method: 'POST',
         body: 'note',
-        headers: {'x-request-id': 'n1'},
+        headers: {[HEADERS.requestId]: 'n1'},
         signal: c.timeoutMs ? AbortSignal.timeout(c.timeoutMs) : undefined,
       });
     const res = await call().catch(() => undefined);
--- a/packages/fakes/src/fake_service.ts
+++ b/packages/fakes/src/fake_service.ts
@@ -6,6 +6,7 @@
 import {createHash} from 'node:crypto';
 import type http from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {HEADERS} from '@radishyoke/shared/header';
 import {FaultPlan, TransportFault} from './fault_plan.js';
 import {
   FaultyHttpServer,
@@ -41,7 +42,7 @@
   readonly port?: number;
   /** Time one call takes. */
   readonly serviceTimeMs?: number;
-  /** Header with the caller's request id, lower case. */
+  /** Header with the caller's request id, lower case; the service's own by default. */
   readonly requestIdHeader?: string;
 }
 
@@ -96,7 +97,7 @@
     url: URL,
   ): Promise<void> {
     const body = await readBody(req);
-    this.count(req.headers[this.options.requestIdHeader ?? 'x-request-id']);
+    this.count(req.headers[this.options.requestIdHeader ?? HEADERS.requestId]);
     const factor = this.faults.find('slow')?.factor ?? 1;
     const durationMs = (this.options.serviceTimeMs ?? 0) * factor;
     if (durationMs > 0) await sleep(durationMs);
--- /dev/null
+++ b/packages/wire/src/__tests__/engine_stream.spec.ts
@@ -0,0 +1,148 @@
+import {
+  EngineFault,
+  FakeEngineOptions,
+  startFakeEngine,
+} from '@radishyoke/fakes/fake_engine';
+import {readTokens} from '@radishyoke/fakes/token_text';
+import test, {ExecutionContext} from 'ava';
+import {EngineStream, GenerationEnd} from '../engine_stream.js';
+import {RenewingAgent} from '../renewing_agent.js';
+
+const SEED = 7;
+const TOKENS = 60;
+/** Short where a case has to run into it. */
+const HASTY_PROGRESS_MS = 150;
+const PATIENT_PROGRESS_MS = 20_000;
+
+interface FaultCase {
+  readonly name: string;
+  readonly options?: FakeEngineOptions;
+  /** Set once the first tokens have come. */
+  readonly midway?: EngineFault;
+  /** Set before the request. */
+  readonly before?: EngineFault;
+  readonly prompt?: string;
+  readonly isHasty?: boolean;
+  readonly end: GenerationEnd;
+  /** Runs that the engine's own books hold in the end. */
+  readonly runs: number;
+}
+
+const FINISHED: GenerationEnd = {kind: 'finished', finishReason: 'stop'};
+
+function fail(
+  failure: Extract<GenerationEnd, {kind: 'failed'}>['failure'],
+  sent = true,
+): GenerationEnd {
+  return {kind: 'failed', failure, sent};
+}
+
+const FAULT_CASES: readonly FaultCase[] = [
+  {name: 'calm', end: FINISHED, runs: 1},
+  {
+    name: 'the answer is lost before its first byte',
+    before: {kind: 'lose_answers', next: 1},
+    end: FINISHED,
+    runs: 1,
+  },
+  {
+    name: 'open connections go silent in mid-stream',
+    midway: {kind: 'silent', connections: 'open'},
+    isHasty: true,
+    end: FINISHED,
+    runs: 1,
+  },
+  {
+    name: 'all connections go silent in mid-stream',
+    midway: {kind: 'silent', connections: 'all'},
+    isHasty: true,
+    end: fail('silent'),
+    runs: 1,
+  },
+  {
+    name: 'the process crashes in mid-stream',
+    before: {kind: 'crash_after_tokens', tokens: 20},
+    options: {restartAfterMs: 60_000},
+    end: fail('crashed'),
+    runs: 1,
+  },
+  {
+    name: 'the request crashes the engine',
+    prompt: '[[poison]]',
+    options: {restartAfterMs: 60_000},
+    end: fail('crashed'),
+    runs: 1,
+  },
+  {
+    name: 'the engine takes no more',
+    options: {maxWaiting: 0},
+    end: fail('rejected'),
+    runs: 0,
+  },
+  {
+    name: 'the engine is out of service',
+    before: {kind: 'outage'},
+    end: fail('rejected'),
+    runs: 0,
+  },
+];
+
+async function startEngine(t: ExecutionContext, options?: FakeEngineOptions) {
+  const engine = await startFakeEngine({
+    length: {medianTokens: TOKENS, sigma: 0},
+    decodeBaseMs: 4,
+    ...options,
+  });
+  const agent = new RenewingAgent();
+  t.teardown(async () => {
+    await agent.destroy();
+    await engine.close();
+  });
+  return {engine, agent, origin: `http://${engine.address}`};
+}
+
+function createRequest(requestId: string, prompt = 'p') {
+  return {requestId, model: 'tutor', prompt, maxTokens: 1000, seed: SEED};
+}
+
+for (const c of FAULT_CASES)
+  test(`one generation: ${c.name}`, async t => {
+    const {engine, agent, origin} = await startEngine(t, c.options);
+    if (c.before) engine.faults.set(c.before);
+    let text = '';
+    let tokens = 0;
+    const stream = new EngineStream(
+      agent,
+      origin,
+      createRequest('a', c.prompt),
+      chunk => {
+        if (c.midway && tokens === 0) engine.faults.set(c.midway);
+        text += chunk.text;
+        tokens += chunk.tokens;
+      },
+      {
+        progressMs: c.isHasty ? HASTY_PROGRESS_MS : PATIENT_PROGRESS_MS,
+        maxReattaches: 3,
+      },
+    );
+    t.deepEqual(await stream.run(), c.end);
+    t.is(engine.listRuns().length, c.runs);
+    // What was handed on is whole up to where it ends, however it came.
+    t.is(readTokens(SEED, text)?.tokens, tokens);
+    if (c.end.kind === 'finished') t.is(tokens, TOKENS);
+  });
+
+// A sample is given up on though its engine is well.
+// 1. Many streams ran at once, and their connections lie idle in the pool.
+// 2. Something between loses track of all of them; the engine goes on.
+// 3. Each new try takes another idle connection, which is silent as well.
+test('idle connections that went silent do not use up the tries', async t => {
+  const {engine, agent, origin} = await startEngine(t);
+  const timeouts = {progressMs: HASTY_PROGRESS_MS, maxReattaches: 3};
+  const create = (id: string, onChunk: () => void = () => {}) =>
+    new EngineStream(agent, origin, createRequest(id), onChunk, timeouts);
+  const many = Array.from({length: 6}, (_, i) => create(`many-${i}`).run());
+  await Promise.all(many);
+  engine.faults.set({kind: 'silent', connections: 'open'});
+  t.deepEqual(await create('a').run(), FINISHED);
+});
--- a/packages/wire/src/engine_stream.ts
+++ b/packages/wire/src/engine_stream.ts
@@ -10,6 +10,7 @@
 import {z} from 'zod';
 import type {FailureKind} from '@radishyoke/core/failure';
 import {isNotConnected, isSilence} from './connection_error.js';
+import {renewConnections} from './renewing_agent.js';
 
 /** What an engine is asked to generate. */
 export interface GenerationRequest {
@@ -75,6 +76,8 @@
   private readonly abort = new AbortController();
   private tokens = 0;
   private stopped = false;
+  /** Whether the generation was started here rather than attached to. */
+  private isOwn = false;
 
   /**
    * @param dispatcher Connections to use; its pool makes new ones on demand.
@@ -90,6 +93,7 @@
 
   /** Starts the generation and resolves when it has ended; never rejects. */
   async run(): Promise<GenerationEnd> {
+    this.isOwn = true;
     return this.follow(await this.connect('POST', '/v1/completions'));
   }
 
@@ -117,6 +121,14 @@
       .catch(() => undefined);
   }
 
+  /**
+   * Whether an unknown stream means that the request did not arrive. (An engine
+   * that crashed meanwhile breaks its connections instead of falling silent.)
+   */
+  private wasNeverSeen(before: ConnectionEnd): boolean {
+    return this.isOwn && this.tokens === 0 && before.kind === 'silent';
+  }
+
   private streamPath(from: number): string {
     const id = encodeURIComponent(this.req.requestId);
     return `/v1/streams/${id}?from=${from}`;
@@ -128,7 +140,16 @@
       if (this.stopped) return {kind: 'stopped'};
       if (end.kind !== 'broken' && end.kind !== 'silent') break;
       const before = end;
+      if (end.kind === 'silent') renewConnections(this.dispatcher, this.origin);
       end = await this.connect('GET', this.streamPath(this.tokens));
+      // A request that goes into a connection that is silent already never
+      // reaches the engine. It shows as a silence from the start, then as an
+      // unknown stream. Generating it now can't double anything: the engine
+      // refuses a second request with an id that it is generating for.
+      if (end.kind === 'unknown_stream' && this.wasNeverSeen(before)) {
+        end = await this.connect('POST', '/v1/completions');
+        continue;
+      }
       // A connection refused right after one broke: the process is gone.
       if (end.kind === 'refused') return failWith('crashed');
       if (end.kind === 'unknown_stream') {
@@ -194,8 +215,10 @@
         finishReason = this.takeChunk(event.data) ?? finishReason;
       },
     });
-    body.setEncoding('utf8');
-    for await (const text of body) parser.feed(text as string);
+    const decoder = new TextDecoder();
+    for await (const chunk of body) {
+      parser.feed(decoder.decode(chunk as Buffer, {stream: true}));
+    }
     // Without the closing marker the stream was cut: taking it for whole would
     // show as a truncated rollout.
     if (!done || finishReason === undefined) return {kind: 'broken'};
--- a/packages/wire/src/forward.ts
+++ b/packages/wire/src/forward.ts
@@ -8,6 +8,7 @@
 import type {Dispatcher} from 'undici';
 import type {FailureKind} from '@radishyoke/core/failure';
 import {isNotConnected, isSilence} from './connection_error.js';
+import {renewConnections} from './renewing_agent.js';
 
 /** Headers that concern one connection only (RFC 9110, section 7.6.1). */
 const hopByHopHeaders: ReadonlySet<string> = new Set([
@@ -82,6 +83,7 @@
       return await this.answer(answer);
     } catch (err) {
       if (this.stopped) return {kind: 'stopped'};
+      if (isSilence(err)) renewConnections(this.dispatcher, req.origin);
       const sent = !isNotConnected(err);
       const failure = resolveFailure(err, sent);
       return {kind: 'failed', failure, sent, answered: res.headersSent};
