test(wire): a generation that can't end before its fault is set

Under the load of three runs at once the whole stream could arrive before the fault, in 2 of 12 runs.

--- a/packages/wire/src/__tests__/engine_stream.spec.ts
+++ b/packages/wire/src/__tests__/engine_stream.spec.ts
@@ -54,6 +54,8 @@
   },
   {
     name: 'all connections go silent in mid-stream',
+    // So long that it can't end before the fault is set.
+    options: {length: {medianTokens: 100_000, sigma: 0}},
     midway: {kind: 'silent', connections: 'all'},
     isHasty: true,
     end: fail('silent'),
@@ -102,7 +104,7 @@
 }
 
 function createRequest(requestId: string, prompt = 'p') {
-  return {requestId, model: 'tutor', prompt, maxTokens: 1000, seed: SEED};
+  return {requestId, model: 'tutor', prompt, maxTokens: 1_000_000, seed: SEED};
 }
 
 for (const c of FAULT_CASES)
