--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -26,6 +26,13 @@
     for (const line of runHerding()) print(line);
   });
 
+cli
+  .command('overhead', 'Processor time beside a bare pass-through')
+  .action(async () => {
+    const {measureOverhead} = await import('./overhead.js');
+    print(await measureOverhead());
+  });
+
 cli
   .command(
     'log-outage',
