feat(cli,daemon): a running VM's administration API and the commands over it

Operators had no way to see or drive a VM. The backend reads the log's folds, the dispatcher, the endpoints and the peers; the rule book, the dispatcher and the step tasks feed histograms and counters. Publications are checked by the one check that also sees the team, in place of a second one without it.

--- /dev/null
+++ b/packages/cli/src/admin_commands.ts
@@ -0,0 +1,181 @@
+/** Commands that show what VMs tell over their administration API. */
+
+import type {HistogramName} from '@radishyoke/core/metric_schema';
+import {HISTOGRAMS} from '@radishyoke/core/metric_schema';
+import {EncodedMetrics, MetricRegistry} from '@radishyoke/core/metrics';
+import type {Result} from '@radishyoke/shared/result';
+import {AdminClient, AdminFailure, createClients} from './admin_client.js';
+import type {CliIo} from './cli_io.js';
+import {EXIT_CODES, ExitCode} from './exit_code.js';
+import {Cell, renderItems, renderTable} from './table.js';
+import {UsageError} from './usage_error.js';
+
+/** One run of a command. */
+export interface AdminRun {
+  readonly io: CliIo;
+  readonly rawArgs: readonly string[];
+  readonly json: boolean;
+}
+
+/** What `radishyoke NAME` shows; each is a list in the answer of that name. */
+export const LIST_COMMANDS = {
+  vms: 'VMs of the service as this one sees them',
+  endpoints: 'Endpoints with what this VM has in flight on them',
+  steps: "Steps of the team's tenants",
+  queues: "Works of the team's tenants that wait or run on this VM",
+  leases: 'Leases and their holders',
+} as const;
+
+export type ListCommand = keyof typeof LIST_COMMANDS;
+
+/** Prints a failure and returns its exit code. */
+export function reportFailure(io: CliIo, failure: AdminFailure): ExitCode {
+  io.writeErr(`radishyoke: ${failure.message}`);
+  return failure.code;
+}
+
+/** Prints the answer as JSON or by `render`. */
+export function reportResult<T>(
+  {io, json}: AdminRun,
+  result: Result<T, AdminFailure>,
+  render: (value: T) => string,
+): ExitCode {
+  if (!result.ok) return reportFailure(io, result.error);
+  io.writeOut(json ? JSON.stringify(result.value) : render(result.value));
+  return EXIT_CODES.ok;
+}
+
+/** Prints the status of each VM asked. */
+export async function runStatus(run: AdminRun): Promise<ExitCode> {
+  return forEachClient(
+    run,
+    client => client.get('status', 'status'),
+    all =>
+      renderItems(
+        all.map(({vm, dataCentre, ready, draining, works, log}) => ({
+          vm,
+          dataCentre,
+          ready,
+          draining,
+          works,
+          log: log.outageSinceMs === null ? 'ok' : 'outage',
+          caughtUp: log.caughtUp,
+          configNext: log.configNext,
+          stateNext: log.stateNext,
+          pending: log.pending,
+        })),
+      ),
+  );
+}
+
+/** Prints one of the lists as the first VM asked tells it. */
+export async function runList(
+  run: AdminRun,
+  name: ListCommand,
+): Promise<ExitCode> {
+  const [client] = createClients(run.io, run.rawArgs);
+  const result = await client.get(name, name);
+  return reportResult(run, result, answer =>
+    renderItems(
+      (answer as Readonly<Record<string, unknown>>)[name] as ReadonlyArray<
+        Readonly<Record<string, Cell>>
+      >,
+    ),
+  );
+}
+
+/** Prints percentiles over all VMs asked; histograms are merged before. */
+export async function runTop(run: AdminRun): Promise<ExitCode> {
+  const merged = new MetricRegistry();
+  return forEachClient(
+    run,
+    async client => {
+      const result = await client.get('histograms', 'histograms');
+      if (result.ok) merged.merge(result.value as EncodedMetrics);
+      return result;
+    },
+    () => renderMetrics(merged),
+    () => ({histograms: summarizeAll(merged), counters: merged.listCounters()}),
+  );
+}
+
+/** Takes a VM or an endpoint out of use on every VM asked. */
+export async function runDrain(
+  run: AdminRun,
+  kind: string,
+  id: string,
+): Promise<ExitCode> {
+  if (kind !== 'vm' && kind !== 'endpoint') {
+    throw new UsageError('drain wants "vm" or "endpoint"');
+  }
+  return forEachClient(
+    run,
+    client => client.post('drained', 'drain', {kind, id}),
+    all => `${kind} ${id}: draining, on ${all.length} VM(s)`,
+  );
+}
+
+async function forEachClient<T>(
+  run: AdminRun,
+  ask: (client: AdminClient) => Promise<Result<T, AdminFailure>>,
+  render: (answers: readonly T[]) => string,
+  toJson: (answers: readonly T[]) => unknown = answers => answers,
+): Promise<ExitCode> {
+  const clients = createClients(run.io, run.rawArgs);
+  const results = await Promise.all(clients.map(ask));
+  const answers = results.flatMap(result => (result.ok ? [result.value] : []));
+  if (answers.length > 0) {
+    const text = run.json ? JSON.stringify(toJson(answers)) : render(answers);
+    run.io.writeOut(text);
+  }
+  const failures = results.flatMap(result => (result.ok ? [] : [result.error]));
+  for (const failure of failures) reportFailure(run.io, failure);
+  return failures[0]?.code ?? EXIT_CODES.ok;
+}
+
+function summarizeAll(registry: MetricRegistry) {
+  return registry.listHistograms().map(({name, tenant, workClass}) => ({
+    name,
+    tenant,
+    workClass,
+    ...registry.summarize(
+      name,
+      key => key.tenant === tenant && key.workClass === workClass,
+    ),
+  }));
+}
+
+function renderMetrics(registry: MetricRegistry): string {
+  const rows = summarizeAll(registry).map(one => [
+    one.tenant,
+    one.workClass,
+    `${one.name} (${HISTOGRAMS[one.name as HistogramName].unit})`,
+    one.count,
+    one.p50,
+    one.p90,
+    one.p99,
+    one.max,
+  ]);
+  const headings = [
+    'tenant',
+    'class',
+    'what',
+    'count',
+    'p50',
+    'p90',
+    'p99',
+    'max',
+  ];
+  const counters = registry
+    .listCounters()
+    .map(({tenant, workClass, name, label, value}) => [
+      tenant,
+      workClass,
+      `${name} ${label}`,
+      value,
+    ]);
+  return [
+    renderTable(headings, rows),
+    renderTable(['tenant', 'class', 'what', 'count'], counters),
+  ].join('\n\n');
+}
--- a/packages/cli/src/cli.ts
+++ b/packages/cli/src/cli.ts
@@ -1,6 +1,16 @@
 /** The commands of `radishyoke`. Each returns the exit code of the process. */
 
 import {cac, CAC} from 'cac';
+import {ADMIN_VARIABLE} from './admin_client.js';
+import {
+  AdminRun,
+  LIST_COMMANDS,
+  ListCommand,
+  runDrain,
+  runList,
+  runStatus,
+  runTop,
+} from './admin_commands.js';
 import {runCheck} from './check_command.js';
 import type {CliIo} from './cli_io.js';
 import {runCompletion, Subcommands} from './completion_command.js';
@@ -8,12 +18,19 @@
 import {EXIT_CODE_TEXTS, EXIT_CODES, ExitCode} from './exit_code.js';
 import {runExplain} from './explain_command.js';
 import {runKeys} from './keys_command.js';
+import {RULES_ACTIONS, runRules} from './rules_command.js';
 import {runServeCommand} from './serve_command.js';
+import {runToken} from './token_command.js';
 import {UsageError} from './usage_error.js';
 
 const VERSION = '0.1.0';
 
-const SUBCOMMANDS: Subcommands = {completion: ['bash']};
+const SUBCOMMANDS: Subcommands = {
+  completion: ['bash'],
+  rules: RULES_ACTIONS,
+  drain: ['vm', 'endpoint'],
+  token: ['hash'],
+};
 
 /** Runs the command that `args` (without node and script) names. */
 export async function runCli(
@@ -38,6 +55,7 @@
   const cli = cac('radishyoke');
   addProcessCommands(cli);
   addFileCommands(cli, args, io);
+  addAdminCommands(cli, args, io);
   cli
     .command('keys', 'Print the reference of all keys, in Markdown')
     .action(() => runKeys(io));
@@ -80,6 +98,48 @@
     .action((file, options) => runExplain(io, file, args, options));
 }
 
+function addAdminCommands(cli: CAC, args: readonly string[], io: CliIo): void {
+  const add = (usage: string, text: string) =>
+    cli
+      .command(usage, text)
+      .option('--admin <addresses>', `ip:port, or ${ADMIN_VARIABLE} is read`)
+      .option('--json', 'Print JSON');
+  const toRun = (options: {readonly json?: boolean}): AdminRun => ({
+    io,
+    rawArgs: args,
+    json: options.json ?? false,
+  });
+  add('status', 'Status of each VM asked').action(options =>
+    runStatus(toRun(options)),
+  );
+  for (const name of Object.keys(LIST_COMMANDS) as ListCommand[]) {
+    add(name, LIST_COMMANDS[name]).action(options =>
+      runList(toRun(options), name),
+    );
+  }
+  add('top', 'Percentiles and counts over all VMs asked').action(options =>
+    runTop(toRun(options)),
+  );
+  add('drain <kind> <id>', 'Take a vm or an endpoint out of use').action(
+    (kind, id, options) => runDrain(toRun(options), kind, String(id)),
+  );
+  add('rules <action> [file]', `Rules: ${RULES_ACTIONS.join(', ')}`)
+    .option(
+      '--based-on <version>',
+      'publish: the version it was made from, or none',
+    )
+    .option('--from <version>', 'diff: the older version')
+    .option('--to <version>', 'diff: the newer version')
+    .option('--version-number <version>', 'show: another than in force')
+    .action((action, file, options) => runRules(toRun(options), action, file));
+  cli
+    .command('token <action> <name>', 'token hash NAME: mint a token')
+    .option('--team <team>', 'Team that it acts for')
+    .option('--roles <roles>', 'read, publish, audit (default: read)')
+    .option('--days <days>', 'Days until it expires (default: 90)')
+    .action((action, name) => runToken(io, args, action, String(name)));
+}
+
 function reportUnknownCommand(cli: CAC): ExitCode {
   if (cli.args.length === 0) {
     cli.outputHelp();
--- a/packages/core/src/metric_schema.ts
+++ b/packages/core/src/metric_schema.ts
@@ -29,13 +29,18 @@
     unit: 'ms',
     bounds: MS_BOUNDS,
   },
+  step_duration: {
+    help: 'Time from the opening of a step to its end.',
+    unit: 'ms',
+    bounds: MS_BOUNDS,
+  },
   staleness: {
-    help: 'Weight versions by which a rollout lay behind its trainer when handed over.',
+    help: 'Weight versions by which a rollout lay behind its trainer when it was settled.',
     unit: 'versions',
     bounds: VERSION_BOUNDS,
   },
   trainer_idle: {
-    help: 'Time of a step in which its trainer had read all that was handed over and waited.',
+    help: 'Time of a step in which its trainer had taken all that was handed over, sampled.',
     unit: 'ms',
     bounds: MS_BOUNDS,
   },
--- a/packages/daemon/src/dispatcher.ts
+++ b/packages/daemon/src/dispatcher.ts
@@ -7,11 +7,12 @@
   Scheduler,
   SchedulerAction,
   SchedulerEvent,
+  WorkClass,
   WorkItem,
 } from '@radishyoke/core/scheduler';
 import type {EndpointInfo} from '@radishyoke/shared/endpoint';
 import {createError, RadishyokeError} from '@radishyoke/shared/error_kind';
-import type {EndpointId} from '@radishyoke/shared/ids';
+import type {EndpointId, TenantId} from '@radishyoke/shared/ids';
 import {createMailbox} from './mailbox.js';
 
 /** Where and how an attempt is to be made. */
@@ -32,6 +33,28 @@
   {readonly kind: 'report_crash'}
 >;
 
+/** One attempt that was begun. */
+export interface WorkStart {
+  readonly item: WorkItem;
+  readonly attempt: number;
+  /** Time since the work was submitted. */
+  readonly waitedMs: number;
+}
+
+/** Works of one tenant and class. */
+export interface WorkCount {
+  readonly tenant: TenantId;
+  readonly workClass: WorkClass;
+  readonly waiting: number;
+  readonly running: number;
+}
+
+interface SubmittedWork {
+  readonly item: WorkItem;
+  readonly submittedAtMs: number;
+  attempts: number;
+}
+
 /** Number of an adopted attempt within its work. */
 const adoptedAttempt = 1;
 
@@ -40,6 +63,8 @@
 
 export class Dispatcher {
   private readonly events = createMailbox<SchedulerEvent>();
+  private readonly startBox = createMailbox<WorkStart>();
+  private readonly submitted = new Map<string, SubmittedWork>();
   private readonly noticeBox = createMailbox<DispatcherNotice>();
   private readonly runners = new Map<string, WorkRunner>();
   private readonly endpoints = new Map<EndpointId, EndpointInfo>();
@@ -50,6 +75,9 @@
   /** Crashes to be told to the other VMs. */
   readonly notices = this.noticeBox.messages;
 
+  /** Attempts as they begin. */
+  readonly starts = this.startBox.messages;
+
   constructor(readonly scheduler: Scheduler) {
     void this.events.messages.observe(event => this.handle(event));
     this.ticker = setInterval(() => this.post({kind: 'tick'}), tickMs);
@@ -58,12 +86,14 @@
   /** Queues `work`; `runner` hears what becomes of it. */
   submit(work: WorkItem, runner: WorkRunner): void {
     this.runners.set(work.id, runner);
+    this.note(work, 0);
     this.post({kind: 'enqueue', work});
   }
 
   /** Takes work over whose first attempt already runs on `endpoint`. */
   adopt(work: WorkItem, runner: WorkRunner, endpoint: EndpointId): void {
     this.runners.set(work.id, runner);
+    this.note(work, adoptedAttempt);
     this.countStart(work.id, adoptedAttempt, endpoint);
     this.post({kind: 'adopt', work, attempt: adoptedAttempt, endpoint});
   }
@@ -75,12 +105,12 @@
   /** Ends the work; its runner is stopped where it runs and hears no more. */
   cancel(workId: string): void {
     this.post({kind: 'cancel', workId});
-    this.runners.delete(workId);
+    this.dropRunner(workId);
   }
 
   /** Drops the work without a word to its runner or its endpoint. */
   forget(workId: string): void {
-    this.runners.delete(workId);
+    this.dropRunner(workId);
     this.post({kind: 'cancel', workId});
   }
 
@@ -93,6 +123,25 @@
     return this.inFlight;
   }
 
+  /** Works by tenant and class. */
+  listWorkCounts(): readonly WorkCount[] {
+    const counts = new Map<string, WorkCount>();
+    for (const [id, {item, attempts}] of this.submitted) {
+      if (!this.runners.has(id)) continue;
+      const {tenant, workClass} = item;
+      const key = `${workClass}/${tenant}`;
+      const {waiting, running} = counts.get(key) ?? {waiting: 0, running: 0};
+      const one = attempts > 0 ? 1 : 0;
+      counts.set(key, {
+        tenant,
+        workClass,
+        waiting: waiting + 1 - one,
+        running: running + one,
+      });
+    }
+    return [...counts.values()];
+  }
+
   close(): void {
     clearInterval(this.ticker);
   }
@@ -105,6 +154,24 @@
     }
   }
 
+  private note(item: WorkItem, attempts: number): void {
+    this.submitted.set(item.id, {item, attempts, submittedAtMs: Date.now()});
+  }
+
+  /** Forgets a work's runner; it hears no more. */
+  private dropRunner(workId: string): void {
+    this.runners.delete(workId);
+    this.submitted.delete(workId);
+  }
+
+  private tellStart({workId, attempt}: StartAction): void {
+    const work = this.submitted.get(workId);
+    if (!work) return;
+    work.attempts++;
+    const waitedMs = Date.now() - work.submittedAtMs;
+    this.startBox.post({item: work.item, attempt, waitedMs});
+  }
+
   private noteEndpoints(endpoints: readonly EndpointInfo[]): void {
     this.endpoints.clear();
     for (const endpoint of endpoints) this.endpoints.set(endpoint.id, endpoint);
@@ -125,11 +192,11 @@
         runner?.stop(action.attempt);
         return;
       case 'done':
-        this.runners.delete(action.workId);
+        this.dropRunner(action.workId);
         runner?.done(action.attempt);
         return;
       case 'give_up':
-        this.runners.delete(action.workId);
+        this.dropRunner(action.workId);
         runner?.giveUp(action.error);
         return;
     }
@@ -143,6 +210,7 @@
       return;
     }
     this.countStart(action.workId, action.attempt, action.endpoint);
+    this.tellStart(action);
     runner.start(action, endpoint);
   }
 
--- a/packages/daemon/src/endpoint_task.ts
+++ b/packages/daemon/src/endpoint_task.ts
@@ -35,6 +35,7 @@
   private endpoints: readonly EndpointInfo[] = [];
   private vms: readonly VmInfo[] = [];
   private timer: NodeJS.Timeout | undefined;
+  private readonly drained = new Set<EndpointId>();
   private stopped = false;
 
   /** The service's own VMs, each time the list was read. */
@@ -60,6 +61,16 @@
     return this.vms;
   }
 
+  /** Gives `id` no more work from this VM, as if the VM list had it leaving. */
+  drain(id: EndpointId): boolean {
+    if (!this.endpoints.some(endpoint => endpoint.id === id)) return false;
+    this.drained.add(id);
+    this.endpoints = this.applyGroups(this.endpoints);
+    const {dispatcher} = this.options;
+    dispatcher.post({kind: 'endpoints', endpoints: this.endpoints});
+    return true;
+  }
+
   findReport(id: EndpointId): LoadReport | undefined {
     return this.reports.get(id);
   }
@@ -95,6 +106,7 @@
     return endpoints.map(endpoint => ({
       ...endpoint,
       group: groups.get(endpoint.id) ?? endpoint.group,
+      state: this.drained.has(endpoint.id) ? 'leaving' : endpoint.state,
     }));
   }
 
--- a/packages/daemon/src/rule_book.ts
+++ b/packages/daemon/src/rule_book.ts
@@ -32,11 +32,8 @@
 
 const fileName = 'published configuration';
 
-/** Says what is wrong with a configuration; the same on every VM. */
-export function checkRuleText(text: string): string | undefined {
-  const parsed = parseRuleText(text, fileName);
-  return parsed.ok ? undefined : JSON.stringify(parsed.error);
-}
+/** Told of each look-up of a rule. */
+export type RuleObserver = (facts: RuleFacts, route: Result<Route>) => void;
 
 export class RuleBook {
   private readonly cache = new Map<TeamId, CompiledVersion>();
@@ -44,6 +41,7 @@
   constructor(
     private readonly tenants: ReadonlyMap<TenantId, TeamId>,
     private readonly readHistory: () => ConfigHistory,
+    private readonly observe: RuleObserver = () => undefined,
   ) {}
 
   /** Team that answers for `tenant`. */
@@ -53,6 +51,12 @@
 
   /** Finds the rule for a request; a refusal by rule is an error. */
   resolve(team: TeamId, facts: RuleFacts): Result<Route> {
+    const route = this.findRoute(team, facts);
+    this.observe(facts, route);
+    return route;
+  }
+
+  private findRoute(team: TeamId, facts: RuleFacts): Result<Route> {
     const current = this.compile(team);
     if (!current) return fail(createError('not_current', 'no configuration'));
     const decision = resolveRule(current.compiled, facts);
--- a/packages/daemon/src/serve.ts
+++ b/packages/daemon/src/serve.ts
@@ -24,12 +24,14 @@
     vm: vm.id,
     dataCentre: vm.dataCentre,
   });
+  const drainAsked = createTrigger();
   const service = new Vm({
     settings: settings.value,
     logger,
     seed: randomInt(maxSeed),
+    requestDrain: () => drainAsked.pull('operator'),
   });
-  const told = waitForSignal();
+  const told = Promise.race([waitForSignal(), drainAsked.pulled]);
   await service.start();
   const signal = await told;
   logger.log('info', 'draining', {signal});
@@ -38,6 +40,12 @@
   return report.appsLeft > 0 ? exitFailure : exitOk;
 }
 
+function createTrigger() {
+  let pull: (reason: string) => void = () => undefined;
+  const pulled = new Promise<string>(resolve => (pull = resolve));
+  return {pull, pulled};
+}
+
 function waitForSignal(): Promise<string> {
   return new Promise(resolve => {
     process.once('SIGTERM', () => resolve('SIGTERM'));
--- a/packages/daemon/src/vm.ts
+++ b/packages/daemon/src/vm.ts
@@ -4,6 +4,7 @@
 import {Agent} from 'undici';
 import {PolicyScheduler} from '@radishyoke/core/policy_scheduler';
 import {createRandomBits} from '@radishyoke/core/random_bits';
+import {checkRuleText} from '@radishyoke/core/rule_text';
 import type {Scheduler} from '@radishyoke/core/scheduler';
 import type {StepLedger} from '@radishyoke/core/step_ledger';
 import {HttpLogClient} from '@radishyoke/platform/http_log_client';
@@ -11,6 +12,7 @@
 import {HttpWeightStoreClient} from '@radishyoke/platform/http_weight_store_client';
 import {createError, RadishyokeError} from '@radishyoke/shared/error_kind';
 import {toIncarnationId, VmId} from '@radishyoke/shared/ids';
+import {AdminServer} from './admin_server.js';
 import {AppApi} from './app_api.js';
 import {CallerServer} from './caller_server.js';
 import {Dispatcher} from './dispatcher.js';
@@ -19,10 +21,12 @@
 import type {Logger} from './logger.js';
 import {OrderTask} from './order_task.js';
 import {PeerEvent, PeerTask} from './peer_task.js';
-import {checkRuleText, RuleBook} from './rule_book.js';
+import {RuleBook} from './rule_book.js';
 import type {Settings} from './settings.js';
 import {StepApi} from './step_api.js';
 import {StepDirectory} from './step_directory.js';
+import {VmAdminBackend} from './vm_admin_backend.js';
+import {VmMetrics} from './vm_metrics.js';
 
 /** Appends a second that the platform's log grants to the whole deployment. */
 const deploymentAppendsPerSecond = 300;
@@ -44,6 +48,8 @@
   /** Seeds the scheduler's draws. */
   readonly seed: number;
   readonly scheduler?: Scheduler;
+  /** Called when an operator asks for this VM to be drained. */
+  readonly requestDrain?: () => void;
 }
 
 /** What was unfinished when a VM stopped. */
@@ -58,6 +64,10 @@
   readonly endpoints: EndpointTask;
   readonly directory: StepDirectory;
   readonly rules: RuleBook;
+  readonly metrics = new VmMetrics();
+  private readonly incarnation = toIncarnationId(randomUUID());
+  private readonly admin: AdminServer;
+  private adminAddressTaken = '';
   private readonly http: Agent;
   private readonly logClient: HttpLogClient;
   private readonly vmListClient: HttpVmListClient;
@@ -84,7 +94,7 @@
     this.weightStoreClient = new HttpWeightStoreClient(platform.weightStore);
     this.log = new LogTask(this.logClient, {
       vm: vm.id,
-      incarnation: toIncarnationId(randomUUID()),
+      incarnation: this.incarnation,
       session: {
         ttlMs: settings.leases.sessionTtlMs,
         renewalMs: settings.leases.sessionRenewalMs,
@@ -94,7 +104,11 @@
       logRetentionMs,
       checkConfig: checkRuleText,
     });
-    this.rules = new RuleBook(settings.tenants, () => this.log.config);
+    this.rules = new RuleBook(
+      settings.tenants,
+      () => this.log.config,
+      (facts, route) => this.metrics.recordRoute(facts, route),
+    );
     this.dispatcher = new Dispatcher(
       options.scheduler ??
         new PolicyScheduler(
@@ -125,7 +139,7 @@
       http: this.http,
       log: this.log,
       logger,
-      onEnd: () => undefined,
+      onEnd: record => this.metrics.recordApp(record),
     });
     this.server = new CallerServer({
       address: vm.callerAddress,
@@ -143,6 +157,12 @@
       logger,
       findObstacle: () => this.findObstacle(),
     });
+    this.admin = this.createAdmin();
+  }
+
+  /** Address that the administration API took; empty before the start. */
+  get adminAddress(): string {
+    return this.adminAddressTaken;
   }
 
   /** Starts all tasks; resolves with the address callers connect to. */
@@ -161,7 +181,12 @@
       const {fingerprints} = value;
       this.dispatcher.post({kind: 'suspects', fingerprints});
     });
+    void this.dispatcher.starts.observe(start =>
+      this.metrics.recordStart(start),
+    );
     this.log.start();
+    const {adminAddress} = this.options.settings.vm;
+    this.adminAddressTaken = await this.admin.listen(adminAddress);
     await this.peers.start();
     await this.endpoints.start();
     this.orders.start();
@@ -200,6 +225,7 @@
     this.log.stop();
     this.server.destroy();
     await Promise.allSettled([
+      this.admin.close(),
       this.peers.stop(),
       this.logClient.close(),
       this.vmListClient.close(),
@@ -257,6 +283,27 @@
     }
   }
 
+  private createAdmin(): AdminServer {
+    const {settings, logger, requestDrain = () => undefined} = this.options;
+    const backend = new VmAdminBackend({
+      settings,
+      incarnation: this.incarnation,
+      log: this.log,
+      logClient: this.logClient,
+      dispatcher: this.dispatcher,
+      endpoints: this.endpoints,
+      peers: this.peers,
+      metrics: this.metrics,
+      isReady: () => this.findObstacle() === undefined,
+      isDraining: () => this.draining,
+      requestDrain,
+    });
+    return new AdminServer(backend, settings, access => {
+      const level = access.outcome === 'granted' ? 'info' : 'warn';
+      logger.log(level, 'administration request', {...access});
+    });
+  }
+
   private createDirectory(): StepDirectory {
     const {settings, logger} = this.options;
     const {vm, limits} = settings;
@@ -269,8 +316,9 @@
       slowReaderTimeoutMs: limits.slowReaderTimeoutMs,
       maxOpenSteps: limits.maxOpenSteps,
       resolveRoute: ledger => this.resolveStepRoute(ledger),
-      onSettled: () => undefined,
-      onEnd: () => undefined,
+      onSettled: (ledger, output) => this.metrics.recordSettled(ledger, output),
+      onEnd: (ledger, end) =>
+        this.metrics.recordStepEnd(ledger, end, this.log.estimateLogNowMs()),
     });
   }
 
--- /dev/null
+++ b/packages/daemon/src/vm_admin_backend.ts
@@ -0,0 +1,273 @@
+/** The administration API's view of a running VM. */
+
+import {z} from 'zod';
+import type {ConfigVersion} from '@radishyoke/core/config_history';
+import type {MetricRegistry} from '@radishyoke/core/metrics';
+import type {RecordedRequest} from '@radishyoke/core/recorded_request';
+import {nameStepLease} from '@radishyoke/core/lease_table';
+import type {StepLedger} from '@radishyoke/core/step_ledger';
+import type {LogClient} from '@radishyoke/platform/log_client';
+import {createError} from '@radishyoke/shared/error_kind';
+import {
+  IncarnationId,
+  TeamId,
+  TenantId,
+  toEndpointId,
+} from '@radishyoke/shared/ids';
+import {fail, Result, succeed} from '@radishyoke/shared/result';
+import {AdminBackend, AuditQuery} from './admin_backend.js';
+import type {
+  AdminAnswer,
+  EndpointEntry,
+  LeaseEntry,
+  QueueEntry,
+  StepEntry,
+  VmEntry,
+} from './admin_schema.js';
+import type {Dispatcher} from './dispatcher.js';
+import type {EndpointTask} from './endpoint_task.js';
+import type {LogTask} from './log_task.js';
+import type {PeerTask} from './peer_task.js';
+import type {Settings} from './settings.js';
+import type {VmMetrics} from './vm_metrics.js';
+
+export interface VmAdminBackendOptions {
+  readonly settings: Settings;
+  readonly incarnation: IncarnationId;
+  readonly log: LogTask;
+  readonly logClient: LogClient;
+  readonly dispatcher: Dispatcher;
+  readonly endpoints: EndpointTask;
+  readonly peers: PeerTask;
+  readonly metrics: VmMetrics;
+  readonly isReady: () => boolean;
+  readonly isDraining: () => boolean;
+  /** Tells the process to drain and end. */
+  readonly requestDrain: () => void;
+}
+
+const AUDIT_READ_TIMEOUT_MS = 5000;
+/** Blocks looked at for one answer; the asker goes on from `next`. */
+const MAX_AUDIT_BLOCKS = 200;
+const STEP_LEASE = /^step:([^/]+)\//;
+
+const MEMBER_STATES = {
+  alive: 'live',
+  leaving: 'leaving',
+  suspect: 'suspect',
+  failed: 'suspect',
+} as const;
+
+/** What is read of a block of the stream `audit`. */
+const auditBlockSchema = z.object({entries: z.array(z.json())});
+const auditedSchema = z.looseObject({
+  team: z.string().optional(),
+  request: z.string().optional(),
+  step: z.string().optional(),
+  group: z.number().optional(),
+  sample: z.number().optional(),
+});
+
+export class VmAdminBackend extends AdminBackend {
+  private readonly startedAtMs = Date.now();
+
+  constructor(private readonly options: VmAdminBackendOptions) {
+    super();
+  }
+
+  get metrics(): MetricRegistry {
+    return this.options.metrics.registry;
+  }
+
+  readStatus(): AdminAnswer<'status'> {
+    const {settings, log, dispatcher, incarnation} = this.options;
+    const {outageSinceMs, ...health} = log.health();
+    const {lastReadAtMs, caughtUp, stateNext, configNext, pending} = health;
+    return {
+      vm: settings.vm.id,
+      incarnation,
+      dataCentre: settings.vm.dataCentre,
+      ready: this.options.isReady(),
+      draining: this.options.isDraining(),
+      startedAtMs: this.startedAtMs,
+      works: dispatcher.scheduler.countWorks(),
+      log: {
+        lastReadAtMs,
+        outageSinceMs: outageSinceMs ?? null,
+        caughtUp,
+        stateNext,
+        configNext,
+        pending,
+      },
+    };
+  }
+
+  listVms(): readonly VmEntry[] {
+    return this.options.peers.listMembers().map(member => ({
+      id: member.id,
+      dataCentre: member.dataCentre,
+      state: MEMBER_STATES[member.state],
+      peerAddress: member.peerAddress,
+      configNext: null,
+    }));
+  }
+
+  listEndpoints(): readonly EndpointEntry[] {
+    const {endpoints, dispatcher} = this.options;
+    const statuses = new Map(
+      dispatcher.scheduler.listEndpoints().map(one => [one.id, one]),
+    );
+    return endpoints.listEndpoints().map(endpoint => {
+      const status = statuses.get(endpoint.id);
+      const limit = status?.limit ?? 0;
+      return {
+        id: endpoint.id,
+        kind: endpoint.kind,
+        group: endpoint.group,
+        dataCentre: endpoint.dataCentre,
+        model: endpoint.model ?? null,
+        state: endpoint.state,
+        usable: status?.usable ?? false,
+        inFlight: status?.inFlight ?? 0,
+        limit: Number.isSafeInteger(Math.floor(limit))
+          ? Math.floor(limit)
+          : null,
+        weightVersion: status?.weightVersion ?? 0,
+      };
+    });
+  }
+
+  listSteps(): readonly StepEntry[] {
+    return this.options.log.state.listSteps().map(step => this.readStep(step));
+  }
+
+  listQueues(): readonly QueueEntry[] {
+    return this.options.dispatcher.listWorkCounts();
+  }
+
+  listLeases(): readonly LeaseEntry[] {
+    const {log} = this.options;
+    const nowMs = log.estimateLogNowMs();
+    return log.state.leases.list().map(lease => ({
+      name: lease.name,
+      tenant: STEP_LEASE.exec(lease.name)?.[1] ?? null,
+      vm: lease.vm,
+      fencing: lease.fencing,
+      held: log.state.leases.isHeld(lease, nowMs),
+    }));
+  }
+
+  listVersions(team: TeamId): readonly ConfigVersion[] {
+    return this.options.log.config.history(team);
+  }
+
+  async publish(publication: {
+    readonly team: TeamId;
+    readonly basedOn: number;
+    readonly author: string;
+    readonly text: string;
+  }): Promise<Result<number>> {
+    const decided = await this.options.log.publish(publication);
+    if (!decided.ok) return decided;
+    const outcome = decided.value;
+    switch (outcome.kind) {
+      case 'accepted':
+        return succeed(outcome.version);
+      case 'lost_race': {
+        const {basedOn, current, author = 'nobody'} = outcome;
+        const detail = `based on ${basedOn}, but ${author} published ${current}`;
+        return fail(createError('config_conflict', detail));
+      }
+      case 'invalid':
+        return fail(createError('config_invalid', outcome.problem));
+      default:
+        return fail(createError('internal', `outcome ${outcome.kind}`));
+    }
+  }
+
+  listRecorded(tenants: ReadonlySet<TenantId>): readonly RecordedRequest[] {
+    return this.options.metrics.recorder.list(tenants);
+  }
+
+  async drain(kind: 'vm' | 'endpoint', id: string): Promise<Result<void>> {
+    if (kind === 'endpoint') {
+      return this.options.endpoints.drain(toEndpointId(id))
+        ? succeed(undefined)
+        : fail(createError('not_found', `no endpoint ${id}`));
+    }
+    if (id !== this.options.settings.vm.id) {
+      const detail = 'a VM is drained through its own administration address';
+      return fail(createError('not_found', detail));
+    }
+    this.options.requestDrain();
+    return succeed(undefined);
+  }
+
+  async readAudit(
+    team: TeamId,
+    _tenants: ReadonlySet<TenantId>,
+    {from, max, subject}: AuditQuery,
+  ): Promise<Result<AdminAnswer<'audit'>>> {
+    const read = await this.options.logClient.read(
+      'audit',
+      {from, max: Math.min(max, MAX_AUDIT_BLOCKS), waitMs: 0},
+      {timeoutMs: AUDIT_READ_TIMEOUT_MS},
+    );
+    if (!read.ok) return read;
+    if (read.value.kind === 'expired') {
+      const detail = `the log keeps the audit from ${read.value.oldest} on`;
+      return fail(createError('not_found', detail));
+    }
+    const {records, next} = read.value;
+    const wanted = records.flatMap(({offset, timeMs, value}) =>
+      listEntries(value)
+        .filter(entry => isWanted(entry, team, subject))
+        .map(record => ({offset, timeMs, record})),
+    );
+    return succeed({records: wanted, next});
+  }
+
+  private readStep(step: StepLedger): StepEntry {
+    const {opening} = step;
+    const {leases} = this.options.log.state;
+    const lease = leases.find(nameStepLease(step.key));
+    const isHeld =
+      lease !== undefined &&
+      leases.isHeld(lease, this.options.log.estimateLogNowMs());
+    return {
+      tenant: opening.tenant,
+      step: opening.step,
+      model: opening.req.model,
+      state: step.closed ?? 'open',
+      owner: isHeld ? lease.vm : null,
+      fencing: isHeld ? lease.fencing : null,
+      samples: step.sampleCount,
+      committed: step.committedCount,
+      acknowledged: step.acknowledged,
+      weightVersion: step.trainerVersion,
+      rule: opening.rule,
+      configVersion: opening.configVersion,
+      openedAtMs: opening.openedAtMs,
+    };
+  }
+}
+
+function listEntries(block: unknown): ReadonlyArray<z.output<z.ZodJSONSchema>> {
+  const parsed = auditBlockSchema.safeParse(block);
+  return parsed.success ? parsed.data.entries : [];
+}
+
+/** Entries of other teams are nobody else's to read. */
+function isWanted(
+  entry: unknown,
+  team: TeamId,
+  subject: string | undefined,
+): boolean {
+  const parsed = auditedSchema.safeParse(entry);
+  if (!parsed.success || parsed.data.team !== team) return false;
+  const {request, step, group, sample} = parsed.data;
+  return (
+    subject === undefined ||
+    [request, step, `${step}/${group}/${sample}`].includes(subject)
+  );
+}
--- /dev/null
+++ b/packages/daemon/src/vm_metrics.ts
@@ -0,0 +1,65 @@
+/** Turns what happens on a VM into its histograms and counters. */
+
+import {MetricRegistry} from '@radishyoke/core/metrics';
+import {RequestRecorder} from '@radishyoke/core/recorded_request';
+import type {RuleFacts} from '@radishyoke/core/rule';
+import type {SampleOutput} from '@radishyoke/core/step_machine';
+import type {StepLedger} from '@radishyoke/core/step_ledger';
+import type {Result} from '@radishyoke/shared/result';
+import {measureStaleness} from '@radishyoke/shared/rollout';
+import type {AppRecord} from './app_api.js';
+import type {WorkStart} from './dispatcher.js';
+import type {Route} from './rule_book.js';
+import type {StepEnd} from './step_task.js';
+
+const FIRST_ATTEMPT = 1;
+
+/** One instance a VM. */
+export class VmMetrics {
+  readonly registry = new MetricRegistry();
+  readonly recorder = new RequestRecorder();
+
+  /** A rule was looked for. */
+  recordRoute(facts: RuleFacts, route: Result<Route>): void {
+    const {tenant, workClass = 'interactive'} = facts;
+    this.recorder.record(facts, Date.now());
+    if (route.ok) {
+      const {rule} = route.value;
+      this.registry.addCount('decisions', tenant, workClass, rule);
+    } else {
+      const {kind} = route.error;
+      this.registry.addCount('refusals', tenant, workClass, kind);
+    }
+  }
+
+  recordStart({item, attempt, waitedMs}: WorkStart): void {
+    const {tenant, workClass} = item;
+    if (attempt === FIRST_ATTEMPT) {
+      this.registry.recordValue('queue_wait', tenant, workClass, waitedMs);
+    } else {
+      this.registry.addCount('retries', tenant, workClass, 'attempt');
+    }
+  }
+
+  recordApp({caller, route, end, durationMs}: AppRecord): void {
+    const {tenant} = caller;
+    const workClass = route.action.workClass ?? 'interactive';
+    this.registry.recordValue('duration', tenant, workClass, durationMs);
+    if (!end.error) return;
+    this.registry.addCount('refusals', tenant, workClass, end.error.kind);
+  }
+
+  recordSettled(ledger: StepLedger, {spans}: SampleOutput): void {
+    const staleness = measureStaleness(spans, ledger.trainerVersion);
+    const {tenant} = ledger.opening;
+    this.registry.recordValue('staleness', tenant, 'rollout', staleness);
+  }
+
+  /** `nowMs` is the log's time, as the opening is. */
+  recordStepEnd(ledger: StepLedger, end: StepEnd, nowMs: number): void {
+    if (end === 'lost' || end === 'left') return;
+    const {tenant, openedAtMs} = ledger.opening;
+    const durationMs = nowMs - openedAtMs;
+    this.registry.recordValue('step_duration', tenant, 'rollout', durationMs);
+  }
+}
