--- a/packages/daemon/src/vm.ts
+++ b/packages/daemon/src/vm.ts
@@ -1,7 +1,6 @@
 /** One entry VM: its tasks, wired together from its settings. */
 
 import {randomUUID} from 'node:crypto';
-import {Agent} from 'undici';
 import {PolicyScheduler} from '@radishyoke/core/policy_scheduler';
 import {createRandomBits} from '@radishyoke/core/random_bits';
 import {checkRuleText} from '@radishyoke/core/rule_text';
@@ -12,6 +11,7 @@
 import {HttpWeightStoreClient} from '@radishyoke/platform/http_weight_store_client';
 import {createError, RadishyokeError} from '@radishyoke/shared/error_kind';
 import {toIncarnationId, VmId} from '@radishyoke/shared/ids';
+import {RenewingAgent} from '@radishyoke/wire/renewing_agent';
 import {AdminServer} from './admin_server.js';
 import {AppApi} from './app_api.js';
 import {CallerServer} from './caller_server.js';
@@ -68,7 +68,7 @@
   private readonly incarnation = toIncarnationId(randomUUID());
   private readonly admin: AdminServer;
   private adminAddressTaken = '';
-  private readonly http: Agent;
+  private readonly http: RenewingAgent;
   private readonly logClient: HttpLogClient;
   private readonly vmListClient: HttpVmListClient;
   private readonly weightStoreClient: HttpWeightStoreClient;
@@ -84,7 +84,7 @@
   constructor(private readonly options: VmOptions) {
     const {settings, logger} = options;
     const {vm, platform, limits} = settings;
-    this.http = new Agent({
+    this.http = new RenewingAgent({
       connections: connectionsPerEndpoint,
       connectTimeout: connectTimeoutMs,
       pipelining: 1,
