--- a/packages/daemon/src/order_task.ts
+++ b/packages/daemon/src/order_task.ts
@@ -5,19 +5,21 @@
 
 import type {Dispatcher as HttpDispatcher} from 'undici';
 import {nameOrdersLease} from '@radishyoke/core/lease_table';
+import {
+  LoadOrder,
+  OrderOutcome,
+  WeightRollout,
+} from '@radishyoke/core/weight_rollout';
 import type {WeightStoreClient} from '@radishyoke/platform/weight_store_client';
 import type {EndpointInfo} from '@radishyoke/shared/endpoint';
-import type {EndpointId} from '@radishyoke/shared/ids';
 import type {EndpointTask} from './endpoint_task.js';
 import type {HeldLease, LogTask} from './log_task.js';
 import type {Logger} from './logger.js';
 
 const pollMs = 500;
 const callTimeoutMs = 1000;
-/** Time an engine has for a swap before it is ordered again, ms. */
-const swapTimeoutMs = 15_000;
-/** Part of a model's engines that may load at once, so that others go on. */
-const waveShare = 1 / 3;
+const statusStaleFencing = 409;
+const statusBegun = 202;
 
 export interface OrderTaskOptions {
   readonly log: LogTask;
@@ -27,14 +29,14 @@
   readonly logger: Logger;
 }
 
-interface OpenOrder {
-  readonly version: number;
-  readonly sentAtMs: number;
+/** The orders of one model while this VM holds the lease on them. */
+interface HeldOrders {
+  readonly lease: HeldLease;
+  readonly rollout: WeightRollout;
 }
 
 export class OrderTask {
-  private readonly held = new Map<string, HeldLease>();
-  private readonly orders = new Map<EndpointId, OpenOrder>();
+  private readonly held = new Map<string, HeldOrders>();
   private timer: NodeJS.Timeout | undefined;
   private stopped = false;
 
@@ -66,25 +68,31 @@
     model: string,
     engines: readonly EndpointInfo[],
   ): Promise<void> {
-    const lease = await this.acquire(model);
-    if (!lease) return;
+    const held = await this.acquire(model);
+    if (!held) return;
     const versions = await this.options.weightStore.listVersions(model, {
       timeoutMs: callTimeoutMs,
     });
     const newest = versions.ok ? versions.value.at(-1)?.version : undefined;
     if (newest === undefined) return;
-    const room = this.countRoom(engines);
-    const behind = engines.filter(engine => this.isBehind(engine, newest));
-    for (const engine of behind.slice(0, room)) {
-      void this.order(engine, newest, lease);
+    const reported = engines.flatMap(engine => {
+      const report = this.options.endpoints.findReport(engine.id);
+      if (!report) return [];
+      return [{id: engine.id, weightVersion: report.weightVersion}];
+    });
+    for (const order of held.rollout.plan(reported, newest, Date.now())) {
+      const engine = engines.find(entry => entry.id === order.engine);
+      if (engine) void this.send(engine, order, held.rollout);
     }
   }
 
-  private async acquire(model: string): Promise<HeldLease | undefined> {
+  private async acquire(model: string): Promise<HeldOrders | undefined> {
     const {log} = this.options;
     const name = nameOrdersLease(model);
     const held = this.held.get(name);
-    if (held && log.holds(held)) return held;
+    if (held && !held.rollout.isSuperseded && log.holds(held.lease)) {
+      return held;
+    }
     this.held.delete(name);
     const current = log.state.leases.find(name);
     if (current && log.state.leases.isHeld(current, log.estimateLogNowMs())) {
@@ -92,44 +100,37 @@
     }
     const claimed = await log.claim(name);
     if (!claimed.ok) return undefined;
-    const lease = {lease: name, fencing: claimed.value};
-    this.held.set(name, lease);
-    return lease;
-  }
-
-  private countRoom(engines: readonly EndpointInfo[]): number {
-    const most = Math.max(1, Math.floor(engines.length * waveShare));
-    const loading = engines.filter(engine => this.isLoading(engine)).length;
-    return Math.max(0, most - loading);
-  }
-
-  private isLoading(engine: EndpointInfo): boolean {
-    const order = this.orders.get(engine.id);
-    if (!order) return false;
-    if (this.reportedVersion(engine) >= order.version) return false;
-    return Date.now() - order.sentAtMs < swapTimeoutMs;
+    const fencing = claimed.value;
+    const taken = {
+      lease: {lease: name, fencing},
+      rollout: new WeightRollout(fencing),
+    };
+    this.held.set(name, taken);
+    return taken;
   }
 
-  private isBehind(engine: EndpointInfo, newest: number): boolean {
-    return this.reportedVersion(engine) < newest && !this.isLoading(engine);
-  }
-
-  private reportedVersion(engine: EndpointInfo): number {
-    const report = this.options.endpoints.findReport(engine.id);
-    return report?.weightVersion ?? 0;
+  private async send(
+    engine: EndpointInfo,
+    order: LoadOrder,
+    rollout: WeightRollout,
+  ): Promise<void> {
+    const outcome = await this.post(engine, order);
+    rollout.noteOutcome(order, outcome, Date.now());
+    const {version, fencing} = order;
+    this.options.logger.log(
+      outcome === 'begun' ? 'info' : 'warn',
+      'weights ordered',
+      {endpoint: engine.id, version, fencing, outcome},
+    );
   }
 
-  private async order(
+  private async post(
     engine: EndpointInfo,
-    version: number,
-    lease: HeldLease,
-  ): Promise<void> {
-    this.orders.set(engine.id, {version, sentAtMs: Date.now()});
-    const {http, logger} = this.options;
-    const {fencing} = lease;
-    const fields = {endpoint: engine.id, version, fencing};
+    order: LoadOrder,
+  ): Promise<OrderOutcome> {
+    const {fencing, version} = order;
     try {
-      const res = await http.request({
+      const res = await this.options.http.request({
         origin: `http://${engine.address}`,
         method: 'POST',
         path: '/orders',
@@ -139,15 +140,10 @@
         bodyTimeout: callTimeoutMs,
       });
       await res.body.dump();
-      logger.log('info', 'weights ordered', {
-        ...fields,
-        status: res.statusCode,
-      });
-      if (res.statusCode !== 202) this.orders.delete(engine.id);
+      if (res.statusCode === statusBegun) return 'begun';
+      return res.statusCode === statusStaleFencing ? 'stale_fencing' : 'failed';
     } catch {
-      // The order may have arrived: the engine's own report tells, and after
-      // the swap timeout it is ordered again.
-      logger.log('warn', 'weight order unanswered', fields);
+      return 'unknown';
     }
   }
 }
