feat(daemon): the audit records requests, rollouts and configurations

Cause: the audit chain had no writer behind it; readiness no longer waited for the stream state. Change: AuditRecorder turns ended app requests, accepted commits and accepted publications into entries; the VM starts, drains and stops its AuditTask. A VM is ready once it has read both streams, or, while the log is down, with a configuration from its peers alone; a step it can not know of is then refused as log_unavailable and not as not_found. Property test of LogWriter over lost, late and refused appends. Not in the entries yet: ends and times of attempts that lost, and the weight versions behind app requests to engines.

--- a/packages/core/src/audit_entry.ts
+++ b/packages/core/src/audit_entry.ts
@@ -11,13 +11,24 @@
 import type {TokenSpan} from '@radishyoke/shared/rollout';
 import type {FailureKind} from './failure.js';
 
+/** How an attempt ended, as far as the writer knows. */
+export type AuditAttemptEnd =
+  | 'finished'
+  | 'stopped'
+  /** Another attempt won; this one failed, was stopped or lost with its VM. */
+  | 'superseded'
+  /** It failed in a way that the writer does not know more of. */
+  | 'failed'
+  | FailureKind;
+
 /** One attempt and its end. */
 export interface AuditAttempt {
   readonly attempt: number;
   readonly endpoint: EndpointId;
-  readonly startedAtMs: number;
-  readonly endedAtMs: number;
-  readonly end: 'finished' | 'stopped' | FailureKind;
+  /** Unix ms at the VM, where it is known. */
+  readonly startedAtMs?: number;
+  readonly endedAtMs?: number;
+  readonly end: AuditAttemptEnd;
   /** Weight versions that made its output, in order; empty for plain services. */
   readonly spans: readonly TokenSpan[];
 }
@@ -48,7 +59,7 @@
       readonly cursor: number;
       /** Fencing number of the owner that handed it over. */
       readonly fencing: number;
-      readonly outcome: 'handed_over' | ErrorKind;
+      readonly outcome: 'committed' | ErrorKind;
       /** SHA-256 of the text, hex; empty for a shortfall. */
       readonly digest: string;
     })
--- /dev/null
+++ b/packages/daemon/src/audit_recorder.ts
@@ -0,0 +1,140 @@
+/** Turns what happens on this VM into audit entries. */
+
+import type {AuditAttempt, AuditEntry} from '@radishyoke/core/audit_entry';
+import type {ConfigVersion} from '@radishyoke/core/config_history';
+import {computeDigest} from '@radishyoke/core/digest';
+import type {StepLedger} from '@radishyoke/core/step_ledger';
+import {toTeamId, type TeamId, type TenantId} from '@radishyoke/shared/ids';
+import type {
+  CommittedSample,
+  LoggedRecord,
+  StateRecord,
+} from '@radishyoke/shared/log_record';
+import type {AppRecord} from './app_api.js';
+import type {LogChange, LogTask} from './log_task.js';
+
+export interface AuditRecorderOptions {
+  readonly log: LogTask;
+  readonly findTeam: (tenant: TenantId) => TeamId | undefined;
+  readonly record: (entry: AuditEntry) => void;
+}
+
+type CommitRecord = Extract<StateRecord, {kind: 'samples_committed'}>;
+
+/** One instance a VM. */
+export class AuditRecorder {
+  constructor(private readonly options: AuditRecorderOptions) {}
+
+  start(): void {
+    void this.options.log.changes.observe(change => this.takeChange(change));
+  }
+
+  /** An app's request has ended. */
+  noteRequest({caller, requestId, route, end, durationMs}: AppRecord): void {
+    const atMs = Date.now();
+    const attempts: readonly AuditAttempt[] =
+      end.endpoint === undefined
+        ? []
+        : [
+            {
+              attempt: end.attempts,
+              endpoint: end.endpoint.id,
+              startedAtMs: atMs - durationMs,
+              endedAtMs: atMs,
+              end: end.error === undefined ? 'finished' : 'failed',
+              spans: [],
+            },
+          ];
+    this.options.record({
+      kind: 'request',
+      atMs,
+      team: caller.team,
+      tenant: caller.tenant,
+      request: requestId,
+      rule: route.rule,
+      configVersion: route.configVersion,
+      attempts,
+      outcome: end.error?.kind ?? 'answered',
+    });
+  }
+
+  private takeChange(change: LogChange): void {
+    if (change.kind === 'config') return this.noteConfig(change);
+    if (change.kind !== 'state') return;
+    const {record, verdict} = change.judged;
+    if (verdict.kind !== 'accepted' || verdict.committed === undefined) return;
+    if (!this.options.log.isOwn(record.value.stamp)) return;
+    if (record.value.kind !== 'samples_committed') return;
+    this.noteCommits(record as LoggedRecord<CommitRecord>, verdict.committed);
+  }
+
+  private noteConfig({outcome}: Extract<LogChange, {kind: 'config'}>): void {
+    if (outcome.kind !== 'accepted') return;
+    const version = this.findVersion(outcome.version);
+    if (version === undefined) return;
+    const {team, basedOn, author, text} = version;
+    this.options.record({
+      kind: 'config',
+      atMs: Date.now(),
+      team,
+      version: version.version,
+      basedOn,
+      author,
+      digest: computeDigest(text),
+    });
+  }
+
+  private findVersion(offset: number): ConfigVersion | undefined {
+    const {config} = this.options.log;
+    return config
+      .listTeams()
+      .map(team => config.current(team))
+      .find(current => current?.version === offset);
+  }
+
+  private noteCommits(
+    {value}: LoggedRecord<CommitRecord>,
+    committed: readonly CommittedSample[],
+  ): void {
+    const {log, findTeam, record} = this.options;
+    const ledger = log.state.findStep(value.tenant, value.step);
+    if (ledger === undefined) return;
+    const {rule, configVersion} = ledger.opening;
+    for (const winner of committed) {
+      const {group, sample, cursor, digest, shortfall} = winner;
+      record({
+        kind: 'rollout',
+        atMs: Date.now(),
+        team: findTeam(value.tenant) ?? toTeamId(''),
+        tenant: value.tenant,
+        step: value.step,
+        group,
+        sample,
+        cursor,
+        fencing: value.fencing,
+        rule,
+        configVersion,
+        attempts: listAttempts(ledger, winner),
+        outcome: shortfall ?? 'committed',
+        digest,
+      });
+    }
+  }
+}
+
+/** The attempts that the log tells of; only the winner's spans are on it. */
+function listAttempts(
+  ledger: StepLedger,
+  winner: CommittedSample,
+): readonly AuditAttempt[] {
+  const {group, sample, attempt: won, shortfall} = winner;
+  return ledger.listAttempts(group, sample).map(({attempt, endpoint}) => {
+    const isWinner = attempt === won && shortfall === undefined;
+    return {
+      attempt,
+      endpoint,
+      end: isWinner ? 'finished' : 'superseded',
+      spans: isWinner ? winner.spans : [],
+    };
+  });
+}
--- a/packages/daemon/src/log_task.ts
+++ b/packages/daemon/src/log_task.ts
@@ -37,6 +37,7 @@
 import type {
   ConfigRecord,
   LoggedRecord,
+  Stamp,
   StateRecord,
 } from '@radishyoke/shared/log_record';
 import {fail, type Result, succeed} from '@radishyoke/shared/result';
@@ -257,6 +258,11 @@
     return fail(createError('not_owner', detail));
   }
 
+  /** Whether a record is this VM life's own. */
+  isOwn(stamp: Stamp): boolean {
+    return nameWriter(stamp) === nameWriter(this.cfg);
+  }
+
   /** Gives a lease back. */
   async release(held: HeldLease): Promise<void> {
     this.wanted.delete(held.lease);
@@ -302,6 +308,14 @@
     return true;
   }
 
+  /**
+   * Whether `state` was read to its end since the start. Before that, a step
+   * that is not found may well exist.
+   */
+  get wasStateRead(): boolean {
+    return this.stateFollower.status().wasCaughtUp;
+  }
+
   /** Whether this VM can know that its configuration is the one in force. */
   assessCurrency({otherVms, heardVms, seenNext}: PeerView): Currency {
     const nowMs = performance.now();
--- a/packages/daemon/src/step_directory.ts
+++ b/packages/daemon/src/step_directory.ts
@@ -102,6 +102,8 @@
   async locate(tenant: TenantId, step: StepId): Promise<Result<StepPlace>> {
     const {log} = this.options;
     const ledger = log.state.findStep(tenant, step);
+    if (!ledger && !log.wasStateRead)
+      return fail(createError('log_unavailable'));
     if (!ledger) return fail(createError('not_found', `no step ${step}`));
     if (ledger.closed) return succeed({kind: 'closed', ledger});
     const task = this.tasks.get(ledger.key);
--- a/packages/daemon/src/stream_follower.ts
+++ b/packages/daemon/src/stream_follower.ts
@@ -46,6 +46,8 @@
   readonly failingSinceMs: number | undefined;
   /** Whether all records that the log had were read and folded. */
   readonly caughtUp: boolean;
+  /** Whether that was ever so since the start of this VM. */
+  readonly wasCaughtUp: boolean;
   /** Whether the start of the state is missing and no checkpoint was found. */
   readonly seeking: boolean;
 }
@@ -56,6 +58,7 @@
   private assembler = new CheckpointAssembler();
   private seeking = false;
   private caughtUp = false;
+  private wasCaughtUp = false;
   private oldest = 0;
   private oldestTimeMs: number | undefined;
   private lastTimeMs = 0;
@@ -116,6 +119,7 @@
       lastReadMonotonicMs: this.lastReadMonotonicMs,
       failingSinceMs: this.failingSinceMs,
       caughtUp: this.caughtUp && !this.seeking,
+      wasCaughtUp: this.wasCaughtUp && !this.seeking,
       seeking: this.seeking,
     };
   }
@@ -172,6 +176,7 @@
       }
     }
     this.caughtUp = caughtUp;
+    this.wasCaughtUp ||= caughtUp && !this.seeking;
     this.markRead();
     return this.seeking && caughtUp ? this.tryStartEmpty() : undefined;
   }
--- a/packages/daemon/src/vm.ts
+++ b/packages/daemon/src/vm.ts
@@ -17,6 +17,8 @@
 import {CallerServer} from './caller_server.js';
 import {Dispatcher} from './dispatcher.js';
 import {EndpointTask} from './endpoint_task.js';
+import {AuditRecorder} from './audit_recorder.js';
+import {AuditTask, DEFAULT_MAX_WAITING} from './audit_task.js';
 import {LogTask, type PeerView} from './log_task.js';
 import type {Logger} from './logger.js';
 import {OrderTask} from './order_task.js';
@@ -76,6 +78,8 @@
   readonly peers: PeerTask;
   private loadTimer: NodeJS.Timeout | undefined;
   private readonly apps: AppApi;
+  private readonly audit: AuditTask;
+  private readonly auditRecorder: AuditRecorder;
   private readonly server: CallerServer;
   private draining = false;
   /** Whether the log was read to its end since the start. */
@@ -112,6 +116,16 @@
       () => this.log.config,
       (facts, route) => this.metrics.recordRoute(facts, route),
     );
+    this.audit = new AuditTask(this.logClient, this.log, {
+      vm: vm.id,
+      incarnation: this.incarnation,
+      maxWaiting: DEFAULT_MAX_WAITING,
+    });
+    this.auditRecorder = new AuditRecorder({
+      log: this.log,
+      findTeam: tenant => this.rules.findTeam(tenant),
+      record: entry => this.audit.record(entry),
+    });
     this.dispatcher = new Dispatcher(
       options.scheduler ??
         new PolicyScheduler(
@@ -142,7 +156,10 @@
       http: this.http,
       log: this.log,
       logger,
-      onEnd: record => this.metrics.recordApp(record),
+      onEnd: record => {
+        this.metrics.recordApp(record);
+        this.auditRecorder.noteRequest(record);
+      },
     });
     this.server = new CallerServer({
       address: vm.callerAddress,
@@ -187,6 +204,8 @@
     void this.dispatcher.starts.observe(start =>
       this.metrics.recordStart(start),
     );
+    this.auditRecorder.start();
+    this.audit.start();
     this.log.start();
     const {adminAddress} = this.options.settings.vm;
     this.adminAddressTaken = await this.admin.listen(adminAddress);
@@ -213,6 +232,7 @@
       await sleep(drainPollMs);
     }
     const appsLeft = this.apps.countInFlight();
+    await Promise.race([this.audit.leave(), sleep(drainNoticeMs)]);
     await Promise.race([this.log.leave(), sleep(drainNoticeMs)]);
     await this.stop();
     return {appsLeft, stepsHandedOver};
@@ -225,6 +245,7 @@
     this.endpoints.stop();
     this.directory.stop();
     this.dispatcher.close();
+    this.audit.stop();
     this.log.stop();
     this.server.destroy();
     await Promise.allSettled([
@@ -367,10 +388,21 @@
       return createError('draining', undefined, {retryAfterMs: 0});
     }
     const currency = this.log.assessCurrency(this.viewPeers());
-    if (currency.kind !== 'not_current') return undefined;
+    if (currency.kind !== 'not_current') return this.findStateObstacle();
     return createError('not_current', `configuration: ${currency.reason}`);
   }
 
+  /**
+   * A VM that starts reads the steps and leases first. When the log is down it
+   * does not wait for that: app requests need no more than the configuration,
+   * and what needs the log is refused by itself.
+   */
+  private findStateObstacle(): RadishyokeError | undefined {
+    const isLogDown = this.log.health().outageSinceMs !== undefined;
+    if (this.log.wasStateRead || isLogDown) return undefined;
+    return createError('not_current', 'steps and leases are being read');
+  }
+
   private viewPeers(): PeerView {
     const isOther = ({id}: {readonly id: VmId}) =>
       id !== this.options.settings.vm.id;
--- /dev/null
+++ b/packages/platform/src/__tests__/log_writer.spec.ts
@@ -0,0 +1,162 @@
+import {createError} from '@radishyoke/shared/error_kind';
+import {toIncarnationId, toVmId} from '@radishyoke/shared/ids';
+import type {Stamp} from '@radishyoke/shared/log_record';
+import type {Result} from '@radishyoke/shared/result';
+import FakeTimers from '@sinonjs/fake-timers';
+import test from 'ava';
+import fc from 'fast-check';
+import {AppendBudget} from '../append_budget.js';
+import {type AppendResult, LogClient, type LogRead} from '../log_client.js';
+import {LOG_WRITER_DEFAULTS, LogWriter} from '../log_writer.js';
+
+interface TestRecord {
+  readonly stamp: Stamp;
+  readonly name: number;
+}
+
+type Fate = 'answered' | 'answer_lost' | 'delayed' | 'refused';
+
+const ERROR = createError('log_unavailable');
+const ANSWER_MS = 5;
+const DELAY_MS = 700;
+const SETTLE_MS = 60_000;
+
+/** A log that does with each append what its list says, then answers well. */
+class ScriptedClient extends LogClient {
+  readonly records: TestRecord[] = [];
+  appends = 0;
+  inFlight = 0;
+  mostInFlight = 0;
+
+  constructor(private readonly fates: Fate[]) {
+    super();
+  }
+
+  override async append(
+    _stream: string,
+    values: readonly unknown[],
+  ): Promise<AppendResult> {
+    this.appends++;
+    this.mostInFlight = Math.max(this.mostInFlight, ++this.inFlight);
+    const fate = this.fates.shift() ?? 'answered';
+    const first = this.records.length;
+    const take = () => this.records.push(...(values as TestRecord[]));
+    if (fate === 'delayed') setTimeout(take, DELAY_MS);
+    if (fate === 'answered' || fate === 'answer_lost') take();
+    await new Promise(resolve => setTimeout(resolve, ANSWER_MS));
+    this.inFlight--;
+    if (fate === 'refused') return {kind: 'refused', error: ERROR};
+    if (fate !== 'answered') return {kind: 'unknown', error: ERROR};
+    return {kind: 'appended', first, next: first + values.length};
+  }
+
+  override async read(): Promise<Result<LogRead>> {
+    return {ok: false, error: ERROR};
+  }
+
+  override async close(): Promise<void> {}
+}
+
+function createWriter(client: LogClient, maxPending: number) {
+  return new LogWriter<TestRecord, number>(client, new AppendBudget(20), {
+    ...LOG_WRITER_DEFAULTS,
+    stream: 'state',
+    vm: toVmId('a'),
+    incarnation: toIncarnationId('i1'),
+    maxPending,
+  });
+}
+
+/** Settles what stands, in order, as the VM's reader would. */
+function readBack(
+  writer: LogWriter<TestRecord, number>,
+  client: ScriptedClient,
+) {
+  let next = 0;
+  return setInterval(() => {
+    for (; next < client.records.length; next++) {
+      const {stamp, name} = client.records[next]!;
+      writer.settle(stamp, name);
+    }
+  }, 30);
+}
+
+// A commit is lost, or counts twice, after answers of the log got lost and
+// appends arrived late, one overtaking the other.
+test.serial('each record stands, in order and once by its number', async t => {
+  const fate = fc.constantFrom<Fate>(
+    'answered',
+    'answer_lost',
+    'delayed',
+    'refused',
+  );
+  const pauses = fc.array(fc.nat(300), {minLength: 1, maxLength: 20});
+  const details = await fc.check(
+    fc.asyncProperty(
+      fc.array(fate, {maxLength: 12}),
+      pauses,
+      async (fates, waits) => {
+        const clock = FakeTimers.install();
+        try {
+          const client = new ScriptedClient([...fates]);
+          const writer = createWriter(client, 100);
+          const reader = readBack(writer, client);
+          const results: Array<Promise<Result<number>>> = [];
+          for (const [name, waitMs] of waits.entries()) {
+            results.push(writer.append({name}));
+            await clock.tickAsync(waitMs);
+          }
+          await clock.tickAsync(SETTLE_MS);
+          clearInterval(reader);
+          const settled = await Promise.all(results);
+          const names = settled.map(result => (result.ok ? result.value : -1));
+          let highest = 0;
+          const counted = client.records.filter(({stamp}) => {
+            const isFirst = stamp.seq > highest;
+            highest = Math.max(highest, stamp.seq);
+            return isFirst;
+          });
+          const expected = waits.map((_, name) => name);
+          return (
+            names.join() === expected.join() &&
+            counted.map(record => record.name).join() === expected.join() &&
+            client.mostInFlight === 1
+          );
+        } finally {
+          clock.uninstall();
+        }
+      },
+    ),
+    {seed: 8, numRuns: 150},
+  );
+  t.deepEqual(details.counterexample, null);
+});
+
+// A VM's memory fills while the log is down, or a caller is told "not run" of
+// what was written after all.
+test.serial(
+  'a full buffer refuses truly, and appends keep to the budget',
+  async t => {
+    const clock = FakeTimers.install();
+    const client = new ScriptedClient([]);
+    const writer = createWriter(client, 8);
+    const reader = readBack(writer, client);
+    const results = Array.from({length: 10}, (_, name) =>
+      writer.append({name}),
+    );
+    const refused = await Promise.all(results.slice(8));
+    t.true(refused.every(result => !result.ok));
+    await clock.tickAsync(1000);
+    t.is(client.records.length, 8);
+    t.is(client.appends, 1, 'what waits together goes together');
+    for (let i = 0; i < 200; i++) {
+      void writer.append({name: i});
+      await clock.tickAsync(10);
+    }
+    const seconds = 3;
+    t.true(client.appends <= 1 + 4 + 20 * seconds);
+    clearInterval(reader);
+    writer.close();
+    clock.uninstall();
+  },
+);
