--- a/packages/core/src/policy_scheduler.ts
+++ b/packages/core/src/policy_scheduler.ts
@@ -10,7 +10,7 @@
   ErrorKind,
   RadishyokeError,
 } from '@radishyoke/shared/error_kind';
-import {BinaryHeap} from './binary_heap.js';
+import {DEFAULT_RETRY_AFTER_MS, findRefusal} from './admission.js';
 import {EndpointDirectory, EndpointGroup} from './endpoint_directory.js';
 import type {Choice} from './endpoint_pool.js';
 import {estimateTokenMs, ScoreView} from './endpoint_score.js';
@@ -35,19 +35,8 @@
 import {RunCap} from './run_cap.js';
 import {StepPace} from './step_pace.js';
 import {Attempt, WorkState} from './work_state.js';
+import {WorkTimers} from './work_timers.js';
 
-/** Works of one tenant that may wait in one group, by class. */
-const MAX_QUEUED: Readonly<Record<WorkClass, number>> = {
-  interactive: 2_000,
-  rollout: 20_000,
-};
-/** How far the expected wait may be off before a work is refused for it. */
-const WAIT_TRUST: Readonly<Record<WorkClass, number>> = {
-  interactive: 1,
-  rollout: 0.5,
-};
-/** When to come back where nothing was measured. */
-const DEFAULT_RETRY_AFTER_MS = 1000;
 /** Wait before work that an endpoint rejected is sent elsewhere. */
 const REJECTED_WAIT_MS = 100;
 /** Stragglers are looked for this often. */
@@ -60,19 +49,11 @@
 /** Time that an engine is assumed to take to read one token again. */
 const REREAD_MS_PER_TOKEN = 0.1;
 
-/** Timers kept before those of ended works are dropped. */
-const MIN_PRUNED_TIMERS = 1000;
-
-interface Timed {
-  readonly atMs: number;
-  readonly work: WorkState;
-}
-
 export class PolicyScheduler extends Scheduler {
   private readonly directory: EndpointDirectory;
   private readonly works = new Map<string, WorkState>();
-  private readonly deadlines = createTimers();
-  private readonly delayed = createTimers();
+  private readonly deadlines = new WorkTimers();
+  private readonly delayed = new WorkTimers();
   private readonly freshness = new Freshness();
   private readonly suspects = new SuspectList();
   private readonly retries = new RetryBudget();
@@ -187,50 +168,13 @@
     if (this.options.gathering && item.stepKey !== '') group.isGathering = true;
   }
 
-  /** Why the work is refused without being run, if it is. */
   private findRefusal(
     work: WorkState,
     group: EndpointGroup,
   ): RadishyokeError | undefined {
-    const {item} = work;
-    if (this.suspects.classify(item.fingerprint) === 'convicted') {
-      return createError('suspect_request');
-    }
-    if (group.pool.endpoints.size === 0) {
-      return createError('no_endpoint', undefined, {
-        retryAfterMs: DEFAULT_RETRY_AFTER_MS,
-      });
-    }
-    if (item.deadlineAtMs <= this.nowMs) {
-      return createError('deadline_passed', undefined, {ran: 'no'});
-    }
-    return this.findQueueRefusal(work, group);
-  }
-
-  private findQueueRefusal(
-    work: WorkState,
-    group: EndpointGroup,
-  ): RadishyokeError | undefined {
-    const {workClass, tenant, deadlineAtMs} = work.item;
-    const queue = group.queues[workClass];
-    if (queue.size === 0) return undefined;
-    const ahead = queue.measureCostAhead(tenant);
-    const waitMs = group.drains[workClass].estimateMs(ahead);
-    const maxQueue = work.item.maxQueue ?? MAX_QUEUED[workClass];
-    const isFull = queue.countOf(tenant) >= maxQueue;
-    if (isFull) {
-      // Room for one more comes with the next one that leaves.
-      const oneMs = waitMs && waitMs / queue.countOf(tenant);
-      return createError('overloaded', undefined, {
-        retryAfterMs: Math.ceil(oneMs ?? DEFAULT_RETRY_AFTER_MS),
-      });
-    }
-    if (waitMs === undefined) return undefined;
-    const leftMs = deadlineAtMs - this.nowMs;
-    if (waitMs * WAIT_TRUST[workClass] <= leftMs) return undefined;
-    return createError('deadline_unreachable', undefined, {
-      retryAfterMs: Math.ceil(waitMs - leftMs),
-    });
+    const suspicion = this.suspects.classify(work.item.fingerprint);
+    if (suspicion === 'convicted') return createError('suspect_request');
+    return findRefusal(work, group, this.nowMs);
   }
 
   private adopt(item: WorkItem, number: number, id: EndpointId): void {
@@ -262,17 +206,10 @@
   private addWork(work: WorkState): void {
     const {id, stepKey, deadlineAtMs} = work.item;
     this.works.set(id, work);
-    this.deadlines.push({atMs: deadlineAtMs, work});
-    this.pruneDeadlines();
+    this.deadlines.add(work, deadlineAtMs);
     if (stepKey !== '') this.pace.add(stepKey, work);
   }
 
-  /** Works end long before their deadlines, and their timers stay behind. */
-  private pruneDeadlines(): void {
-    if (this.deadlines.size < 2 * this.works.size + MIN_PRUNED_TIMERS) return;
-    this.deadlines.retain(timer => timer.work.phase !== 'over');
-  }
-
   // Queue and start
 
   private queue(work: WorkState): void {
@@ -683,7 +620,7 @@
     if (waitMs <= 0) return this.queue(work);
     work.phase = 'delayed';
     work.notBeforeMs = this.nowMs + waitMs;
-    this.delayed.push({atMs: work.notBeforeMs, work});
+    this.delayed.add(work, work.notBeforeMs);
   }
 
   private createFinalError(work: WorkState, kind: ErrorKind): RadishyokeError {
@@ -857,7 +794,7 @@
   }
 
   private releaseDelayed(): void {
-    for (const work of takeDue(this.delayed, this.nowMs)) {
+    for (const work of this.delayed.takeDue(this.nowMs)) {
       if (work.phase === 'delayed' && work.notBeforeMs <= this.nowMs) {
         this.queue(work);
       }
@@ -874,7 +811,7 @@
 
   /** An answer that comes after its deadline is worth nothing: it is given now. */
   private expire(): void {
-    for (const work of takeDue(this.deadlines, this.nowMs)) {
+    for (const work of this.deadlines.takeDue(this.nowMs)) {
       if (work.phase === 'over') continue;
       const kind =
         work.phase === 'parked' ? 'not_fresh_in_time' : 'deadline_passed';
@@ -978,15 +915,3 @@
 function ranOf(work: WorkState): Pick<RadishyokeError, 'ran'> {
   return work.sentAttempts === 0 ? {ran: 'no'} : {};
 }
-
-function createTimers(): BinaryHeap<Timed> {
-  return new BinaryHeap<Timed>((a, b) => a.atMs < b.atMs);
-}
-
-function takeDue(timers: BinaryHeap<Timed>, nowMs: number): WorkState[] {
-  const due: WorkState[] = [];
-  while (timers.size > 0 && timers.peek()!.atMs <= nowMs) {
-    due.push(timers.pop()!.work);
-  }
-  return due;
-}
