fix(core): two accusations convict a request, so that bystanders stay unblamed

Cause, by trace: with several poisonous requests alive, one VM's poison crashed the engine where another VM's healthy suspect was the newcomer, and one such crash convicted. Change: two accusations convict.

--- a/packages/core/src/suspect_list.ts
+++ b/packages/core/src/suspect_list.ts
@@ -9,11 +9,13 @@
   | 'none'
   /** Was beside two crashes: runs only with no other suspect on its endpoint. */
   | 'suspect'
-  /** Crashed an endpoint that it had to itself as the newcomer: refused. */
+  /** Crashed two endpoints that it had to itself as the newcomer: refused. */
   | 'convicted';
 
 /** Crashes after which a request is under suspicion. */
 const CRASHES_TO_SUSPECT = 2;
+/** Crashes as an accused; one may be another VM's doing. */
+const ACCUSATIONS_TO_CONVICT = 2;
 /** Crashes that no bystander is likely to have been beside. */
 const CRASHES_TO_CONVICT = 5;
 /** A fingerprint is forgotten after this long without a crash. */
@@ -25,6 +27,7 @@
 
 interface CrashHistory {
   crashes: number;
+  accusations: number;
   convicted: boolean;
   lastCrashAtMs: number;
 }
@@ -33,8 +36,9 @@
  * A request that crashes endpoints is sent again by its caller or by retries
  * and takes down one endpoint after the other; it shows as crashes that follow
  * one fingerprint. Two crashes put a fingerprint under suspicion. A suspect is
- * then the only newcomer at its endpoint for a while; a crash in that time is
- * its own, and those beside it, who had been running there, are not blamed.
+ * then the only newcomer from this VM at its endpoint for a while; a crash in
+ * that time accuses it, and those beside it, who had been running there, are not
+ * blamed. Two accusations convict: one may be due to another VM's newcomer.
  */
 export class SuspectList {
   private readonly histories = new Map<string, CrashHistory>();
@@ -87,11 +91,13 @@
   private count(fingerprint: string, accused: boolean, nowMs: number): void {
     const history = this.histories.get(fingerprint);
     const crashes = (history?.crashes ?? 0) + 1;
+    const accusations = (history?.accusations ?? 0) + (accused ? 1 : 0);
     const convicted =
-      history?.convicted || accused || crashes >= CRASHES_TO_CONVICT;
+      accusations >= ACCUSATIONS_TO_CONVICT || crashes >= CRASHES_TO_CONVICT;
     this.histories.delete(fingerprint);
     this.histories.set(fingerprint, {
       crashes,
+      accusations,
       convicted,
       lastCrashAtMs: nowMs,
     });
