--- a/packages/fakes/src/__tests__/engine_model.spec.ts
+++ b/packages/fakes/src/__tests__/engine_model.spec.ts
@@ -43,10 +43,20 @@
   t.is(queued, 2 * alone);
   const slowed = measureDuration(1, {}, model => model.setSlowFactor(3));
   t.is(slowed, 3 * alone);
-  const imported = measureDuration(1, {}, model =>
-    model.importKv({id: 'r0', promptTokens: 100, outputTokens: 0}),
-  );
-  t.is(imported, alone, 'an imported state counts only for a resumed request');
+});
+
+test('a resumed request prefills its output too, or nothing with its state', t => {
+  const measure = (resumeTokens: number, isImported: boolean) => {
+    const model = new EngineModel({length: {medianTokens: 100, sigma: 0}});
+    const state = {id: 'a', promptTokens: 100, outputTokens: resumeTokens};
+    if (isImported) model.importKv(state);
+    model.submit(createRequest('a', {resumeTokens}), 0);
+    return Math.max(...run(model, 1e6).map(event => event.atMs));
+  };
+  const decodeMs = 60 * 8.25;
+  t.is(measure(40, false), 140 * 0.05 + decodeMs);
+  t.is(measure(40, true), decodeMs);
+  t.is(measure(0, true), 100 * 0.05 + 100 * 8.25);
 });
 
 test('a prompt is prefilled once while its prefix is cached', t => {
