--- a/packages/daemon/src/vm.ts
+++ b/packages/daemon/src/vm.ts
@@ -3,6 +3,7 @@
 import {randomUUID} from 'node:crypto';
 import {PolicyScheduler} from '@radishyoke/core/policy_scheduler';
 import {createRandomBits} from '@radishyoke/core/random_bits';
+import {checkRuleText} from '@radishyoke/core/rule_text';
 import type {Scheduler} from '@radishyoke/core/scheduler';
 import type {StepLedger} from '@radishyoke/core/step_ledger';
 import {HttpLogClient} from '@radishyoke/platform/http_log_client';
@@ -11,18 +12,21 @@
 import {createError, RadishyokeError} from '@radishyoke/shared/error_kind';
 import {toIncarnationId, VmId} from '@radishyoke/shared/ids';
 import {RenewingAgent} from '@radishyoke/wire/renewing_agent';
+import {AdminServer} from './admin_server.js';
 import {AppApi} from './app_api.js';
 import {CallerServer} from './caller_server.js';
 import {Dispatcher} from './dispatcher.js';
 import {EndpointTask} from './endpoint_task.js';
-import {LogTask} from './log_task.js';
+import {LogTask, type PeerView} from './log_task.js';
 import type {Logger} from './logger.js';
 import {OrderTask} from './order_task.js';
 import {PeerEvent, PeerTask} from './peer_task.js';
-import {checkRuleText, RuleBook} from './rule_book.js';
+import {RuleBook} from './rule_book.js';
 import type {Settings} from './settings.js';
 import {StepApi} from './step_api.js';
 import {StepDirectory} from './step_directory.js';
+import {VmAdminBackend} from './vm_admin_backend.js';
+import {VmMetrics} from './vm_metrics.js';
 
 /** Appends a second that the platform's log grants to the whole deployment. */
 const deploymentAppendsPerSecond = 300;
@@ -44,6 +48,8 @@
   /** Seeds the scheduler's draws. */
   readonly seed: number;
   readonly scheduler?: Scheduler;
+  /** Called when an operator asks for this VM to be drained. */
+  readonly requestDrain?: () => void;
 }
 
 /** What was unfinished when a VM stopped. */
@@ -58,6 +64,10 @@
   readonly endpoints: EndpointTask;
   readonly directory: StepDirectory;
   readonly rules: RuleBook;
+  readonly metrics = new VmMetrics();
+  private readonly incarnation = toIncarnationId(randomUUID());
+  private readonly admin: AdminServer;
+  private adminAddressTaken = '';
   private readonly http: RenewingAgent;
   private readonly logClient: HttpLogClient;
   private readonly vmListClient: HttpVmListClient;
@@ -69,7 +79,9 @@
   private readonly server: CallerServer;
   private draining = false;
   /** Whether the log was read to its end since the start. */
-  private wasCurrent = false;
+  private configSeen = 0;
+  /** VMs that the membership counts as live, this one left out. */
+  private livePeers: readonly VmId[] = [];
 
   constructor(private readonly options: VmOptions) {
     const {settings, logger} = options;
@@ -84,7 +96,7 @@
     this.weightStoreClient = new HttpWeightStoreClient(platform.weightStore);
     this.log = new LogTask(this.logClient, {
       vm: vm.id,
-      incarnation: toIncarnationId(randomUUID()),
+      incarnation: this.incarnation,
       session: {
         ttlMs: settings.leases.sessionTtlMs,
         renewalMs: settings.leases.sessionRenewalMs,
@@ -92,9 +104,14 @@
       deploymentAppendsPerSecond,
       claimHorizonMs,
       logRetentionMs,
+      notReadyAfterMs: settings.config.notReadyAfterMs,
       checkConfig: checkRuleText,
     });
-    this.rules = new RuleBook(settings.tenants, () => this.log.config);
+    this.rules = new RuleBook(
+      settings.tenants,
+      () => this.log.config,
+      (facts, route) => this.metrics.recordRoute(facts, route),
+    );
     this.dispatcher = new Dispatcher(
       options.scheduler ??
         new PolicyScheduler(
@@ -125,7 +142,7 @@
       http: this.http,
       log: this.log,
       logger,
-      onEnd: () => undefined,
+      onEnd: record => this.metrics.recordApp(record),
     });
     this.server = new CallerServer({
       address: vm.callerAddress,
@@ -143,6 +160,12 @@
       logger,
       findObstacle: () => this.findObstacle(),
     });
+    this.admin = this.createAdmin();
+  }
+
+  /** Address that the administration API took; empty before the start. */
+  get adminAddress(): string {
+    return this.adminAddressTaken;
   }
 
   /** Starts all tasks; resolves with the address callers connect to. */
@@ -161,7 +184,12 @@
       const {fingerprints} = value;
       this.dispatcher.post({kind: 'suspects', fingerprints});
     });
+    void this.dispatcher.starts.observe(start =>
+      this.metrics.recordStart(start),
+    );
     this.log.start();
+    const {adminAddress} = this.options.settings.vm;
+    this.adminAddressTaken = await this.admin.listen(adminAddress);
     await this.peers.start();
     await this.endpoints.start();
     this.orders.start();
@@ -200,6 +228,7 @@
     this.log.stop();
     this.server.destroy();
     await Promise.allSettled([
+      this.admin.close(),
       this.peers.stop(),
       this.logClient.close(),
       this.vmListClient.close(),
@@ -251,12 +280,35 @@
       case 'config_transfer':
         this.log.importConfig(event.transfer);
         return;
-      case 'silent_endpoint':
       case 'config_seen':
+        this.configSeen = event.next;
+        return;
+      case 'silent_endpoint':
         return;
     }
   }
 
+  private createAdmin(): AdminServer {
+    const {settings, logger, requestDrain = () => undefined} = this.options;
+    const backend = new VmAdminBackend({
+      settings,
+      incarnation: this.incarnation,
+      log: this.log,
+      logClient: this.logClient,
+      dispatcher: this.dispatcher,
+      endpoints: this.endpoints,
+      peers: this.peers,
+      metrics: this.metrics,
+      isReady: () => this.findObstacle() === undefined,
+      isDraining: () => this.draining,
+      requestDrain,
+    });
+    return new AdminServer(backend, settings, access => {
+      const level = access.outcome === 'granted' ? 'info' : 'warn';
+      logger.log(level, 'administration request', {...access});
+    });
+  }
+
   private createDirectory(): StepDirectory {
     const {settings, logger} = this.options;
     const {vm, limits} = settings;
@@ -269,8 +321,9 @@
       slowReaderTimeoutMs: limits.slowReaderTimeoutMs,
       maxOpenSteps: limits.maxOpenSteps,
       resolveRoute: ledger => this.resolveStepRoute(ledger),
-      onSettled: () => undefined,
-      onEnd: () => undefined,
+      onSettled: (ledger, output) => this.metrics.recordSettled(ledger, output),
+      onEnd: (ledger, end) =>
+        this.metrics.recordStepEnd(ledger, end, this.log.estimateLogNowMs()),
     });
   }
 
@@ -294,6 +347,7 @@
 
   private setLiveVms(vms: readonly VmId[]): void {
     const own = this.options.settings.vm.id;
+    this.livePeers = vms.filter(id => id !== own);
     const live = vms.includes(own) ? vms : [...vms, own];
     this.dispatcher.post({kind: 'vms', vms: live});
     this.directory.setLiveVms(live);
@@ -312,8 +366,20 @@
     if (this.draining) {
       return createError('draining', undefined, {retryAfterMs: 0});
     }
-    this.wasCurrent ||= this.log.health().caughtUp;
-    return this.wasCurrent ? undefined : createError('not_current');
+    const currency = this.log.assessCurrency(this.viewPeers());
+    if (currency.kind !== 'not_current') return undefined;
+    return createError('not_current', `configuration: ${currency.reason}`);
+  }
+
+  private viewPeers(): PeerView {
+    const isOther = ({id}: {readonly id: VmId}) =>
+      id !== this.options.settings.vm.id;
+    const listed = this.endpoints.listVms().filter(vm => vm.state === 'live');
+    return {
+      otherVms: listed.filter(isOther).length,
+      heardVms: this.livePeers,
+      seenNext: this.configSeen,
+    };
   }
 }
 
