fix(fakes): a path that is no URL is answered 400

A fuzz test sends every stand-in 300 odd calls: none may be answered 500, as a test would take that for the stand-in's fault rather than the caller's.

--- a/packages/fakes/src/fake_engine.ts
+++ b/packages/fakes/src/fake_engine.ts
@@ -152,6 +152,7 @@
       case 'GET kv':
         return this.exportKv(second, res);
       case 'PUT kv':
+        if (!second) throw createNotFound();
         this.model.importKv(decodeKvState(second, await readBody(req)));
         return void res.writeHead(204).end();
       case 'POST v1':
--- a/packages/fakes/src/http_server.ts
+++ b/packages/fakes/src/http_server.ts
@@ -137,14 +137,21 @@
       if (this.faults.find('unreachable')) return void req.socket.destroy();
       if (this.faults.find('outage')) return failWith(res, 503, 'outage');
       if (takeLostAnswer(this.faults, req.method!)) breakInsteadOfAnswer(res);
-      const url = new URL(req.url!, 'http://stand-in');
-      await handler(req, res, url);
+      await handler(req, res, readUrl(req));
     } catch (err) {
       answerFailure(res, err);
     }
   }
 }
 
+function readUrl(req: http.IncomingMessage): URL {
+  try {
+    return new URL(`http://stand-in${req.url}`);
+  } catch {
+    throw new HttpFailure(400, {error: 'bad_url'});
+  }
+}
+
 /** Makes the first byte of the answer break the connection. */
 function breakInsteadOfAnswer(res: http.ServerResponse): void {
   res.write = () => {
