--- a/packages/bench/src/demo.ts
+++ b/packages/bench/src/demo.ts
@@ -33,6 +33,7 @@
 const appPauseMs = 10;
 const progressMs = 1000;
 const readyPollMs = 50;
+const heldCallerPorts = [7100, 7110];
 const firstVersion = 1;
 
 /** One line per tenant of the closing table. */
@@ -54,6 +55,17 @@
   }
 }
 
+/** Keeps the same deployment open for requests by hand, until interrupted. */
+export async function holdDemo(): Promise<void> {
+  const demo = new Demo(heldCallerPorts);
+  try {
+    await demo.start();
+    await new Promise(resolve => process.once('SIGINT', resolve));
+  } finally {
+    await demo.close();
+  }
+}
+
 class Demo {
   private standIns!: StandIns;
   private vms: Vm[] = [];
@@ -68,6 +80,9 @@
   private appCalls = 0;
   private appFailures = 0;
 
+  /** `callerPorts`: one for each VM; 0 takes a free one. */
+  constructor(private readonly callerPorts: readonly number[] = [0, 0]) {}
+
   async run(): Promise<number> {
     await this.start();
     const progress = setInterval(() => this.printProgress(), progressMs);
@@ -85,7 +100,7 @@
     await this.standIns?.close();
   }
 
-  private async start(): Promise<void> {
+  async start(): Promise<void> {
     this.standIns = await startStandIns({
       model,
       engineGroup: 'tutors',
@@ -106,7 +121,8 @@
     publishFirstRules(this.standIns, team, rules);
     const text = await readExample('settings.ini');
     for (const [index, dataCentre] of ['gebze-a', 'kartal'].entries()) {
-      await this.startVm(text, `entry-${index + 1}`, dataCentre);
+      const port = this.callerPorts[index];
+      await this.startVm(text, `entry-${index + 1}`, dataCentre, port);
     }
     await Promise.all(this.origins.map(waitUntilReady));
     console.log(`two VMs serve callers at ${this.origins.join(' and ')}`);
@@ -116,10 +132,11 @@
     text: string,
     id: string,
     dataCentre: string,
+    port: number,
   ): Promise<void> {
     const parsed = parseSettings(text, 'examples/settings.ini');
     if (!parsed.ok) throw new Error(JSON.stringify(parsed.error));
-    const settings = this.adaptSettings(parsed.value, id, dataCentre);
+    const settings = this.adaptSettings(parsed.value, id, dataCentre, port);
     const vm = new Vm({
       settings,
       logger: createDemoLogger(id),
@@ -142,6 +159,7 @@
     settings: Settings,
     id: string,
     dataCentre: string,
+    port: number,
   ): Settings {
     const {log, vmList, weightStore} = this.standIns;
     return {
@@ -149,7 +167,7 @@
       vm: {
         id: toVmId(id),
         dataCentre: dataCentre as Settings['vm']['dataCentre'],
-        callerAddress: '127.0.0.1:0',
+        callerAddress: `127.0.0.1:${port}`,
         peerAddress: '127.0.0.1:0',
         adminAddress: '127.0.0.1:0',
       },
--- a/packages/cli/src/cli.ts
+++ b/packages/cli/src/cli.ts
@@ -55,7 +55,8 @@
     .action(settings => runServeCommand(settings));
   cli
     .command('demo', 'Run three trainers and an app against stand-ins')
-    .action(() => runDemoCommand());
+    .option('--hold', 'Keep the deployment open on port 7100, without trainers')
+    .action(options => runDemoCommand(Boolean(options.hold)));
 }
 
 function addFileCommands(cli: CAC, args: readonly string[], io: CliIo): void {
