--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -19,8 +19,11 @@
   .option('--case <name>', 'Only this case')
   .option('--deployment <name>', 'Only this deployment')
   .action(async (options: StepsOptions) => {
-    const {runSteps} = await import('./steps.js');
-    for (const line of runSteps(options)) print(line);
+    const {runStepsInThreads} = await import('./steps_threads.js');
+    const {runHerding} = await import('./herding.js');
+    const {seeds, case: only, deployment} = options;
+    await runStepsInThreads({seeds, case: only, deployment}, print);
+    for (const line of runHerding()) print(line);
   });
 
 cli
