test(daemon): the drain test waits for its request to be in flight

Cause: on a busy machine the VM drained before the request had come, and its refusal (503 draining) was right. Change: the test waits until the VM counts the request instead of 100 ms.

--- a/packages/daemon/src/__tests__/vm.spec.ts
+++ b/packages/daemon/src/__tests__/vm.spec.ts
@@ -116,7 +116,7 @@
   const pending = fetch(`${deployment.origins[0]}/lessons/7`, {
     headers: {[HEADERS.tenant]: 'notebook'},
   });
-  await sleep(100);
+  while (deployment.vms[0].countRequests() === 0) await sleep(5);
   const report = await deployment.vms[0].drain(30_000);
   const res = await pending;
   t.is(res.status, 200);
--- a/packages/daemon/src/vm.ts
+++ b/packages/daemon/src/vm.ts
@@ -170,6 +170,11 @@
     return address;
   }
 
+  /** Apps' requests that have no answer yet. */
+  countRequests(): number {
+    return this.apps.countInFlight();
+  }
+
   /**
    * Leaves well: takes no new work, gives steps to other VMs and waits for
    * requests in flight, at most `maxDrainMs`.
