feat(bench,core): slopes by role, the multi-process drill, and leaner peer messages

A VM names itself once a connection, beliefs ride on every fourth idle message, load digests carry the eight greatest changes, and that a listed VM was heard of is no rumour.

--- /dev/null
+++ b/packages/bench/src/drill.ts
@@ -0,0 +1,157 @@
+/**
+ * `npm run drill -- --json`: real VM processes against stand-ins on loopback,
+ * broken in ways that the promises must survive. Prints one JSON line a case;
+ * exits 1 if a promise was broken.
+ */
+
+import cac from 'cac';
+import {CaseFigures, DRILL_CASES, DrillCase} from './drill_cases.js';
+import {AppResult, DrillApp, runTrainer, TrainerResult} from './drill_load.js';
+import {sleep} from './drill_vm.js';
+import {DrillWorld} from './drill_world.js';
+
+const TRAINERS = ['trainer-1', 'trainer-2'] as const;
+/** From the start of the steps until something breaks. */
+const UNDER_WAY_MS = 1200;
+/** Whatever is not there by then counts as lost. */
+const CASE_TIMEOUT_MS = 40_000;
+const CONFIG_BOUND_SECONDS = 6;
+
+/** One line of output. */
+interface DrillLine extends CaseFigures {
+  readonly case: string;
+  readonly lost: number;
+  readonly doubled: number;
+  readonly overStale: number;
+  readonly cutOff: number;
+  readonly falseRefusals: number;
+  readonly shortfalls: number;
+  readonly appCalls: number;
+  readonly appFailed: number;
+  readonly appFailures: readonly string[];
+  readonly reconnects: number;
+  /** The steps' time against that of the calm run. */
+  readonly idleRatio: number;
+  readonly stepSeconds: readonly number[];
+  readonly seconds: number;
+  readonly broken: readonly string[];
+  readonly errors: readonly string[];
+}
+
+let calmMs = 0;
+
+async function runCase(
+  world: DrillWorld,
+  drillCase: DrillCase,
+): Promise<DrillLine> {
+  const startMs = Date.now();
+  const signal = AbortSignal.timeout(CASE_TIMEOUT_MS);
+  const app = new DrillApp(world);
+  const steps = TRAINERS.map(tenant => runTrainer(world, tenant, signal));
+  await sleep(UNDER_WAY_MS);
+  world.publishWeights();
+  const errors: string[] = [];
+  const figures = await drillCase.run(world).catch((err: Error) => {
+    errors.push(err.message);
+    return {};
+  });
+  const trainers = await Promise.all(steps);
+  const appResult = await app.stop();
+  await restore(world);
+  errors.push(...trainers.flatMap(trainer => trainer.error ?? []));
+  const seconds = (Date.now() - startMs) / 1000;
+  return summarize(drillCase, figures, trainers, appResult, errors, seconds);
+}
+
+function summarize(
+  drillCase: DrillCase,
+  figures: CaseFigures,
+  trainers: readonly TrainerResult[],
+  app: AppResult,
+  errors: readonly string[],
+  seconds: number,
+): DrillLine {
+  const sum = (pick: (trainer: TrainerResult) => number) =>
+    trainers.reduce((total, trainer) => total + pick(trainer), 0);
+  const stepMs = sum(trainer => trainer.durationMs);
+  if (drillCase.name === 'calm') calmMs = stepMs;
+  const line = {
+    case: drillCase.name,
+    lost: sum(trainer => trainer.lost),
+    doubled: sum(trainer => trainer.doubled) + app.doubled,
+    overStale: sum(trainer => trainer.overStale),
+    cutOff: drillCase.graceful ? app.cutOff : 0,
+    falseRefusals: app.falseRefusals,
+    ...figures,
+    shortfalls: sum(trainer => trainer.shortfalls),
+    appCalls: app.calls,
+    appFailed: app.failed,
+    appFailures: app.failures,
+    reconnects: sum(trainer => trainer.reconnects),
+    idleRatio: Number((stepMs / (calmMs || stepMs)).toFixed(2)),
+    stepSeconds: trainers.map(trainer => trainer.durationMs / 1000),
+    seconds: Number(seconds.toFixed(1)),
+    errors,
+  };
+  return {...line, broken: listBroken(line)};
+}
+
+/** Names of the promises that the case broke. */
+function listBroken(line: Omit<DrillLine, 'broken'>): readonly string[] {
+  const config = line.configSecondsToAll ?? 0;
+  const checks: ReadonlyArray<readonly [string, boolean]> = [
+    ['lost', line.lost > 0],
+    ['doubled', line.doubled > 0],
+    ['overStale', line.overStale > 0],
+    ['cutOff', line.cutOff > 0],
+    ['falseRefusals', line.falseRefusals > 0],
+    ['configSecondsToAll', config > CONFIG_BOUND_SECONDS],
+    ['newWorkAfterLeaving', (line.newWorkAfterLeaving ?? 0) > 0],
+    ['oneWinner', line.oneWinner === false],
+    ['exitCodes', (line.exitCodes ?? []).some(code => code !== 0)],
+    ['case', line.errors.length > 0],
+  ];
+  return checks.filter(([, broken]) => broken).map(([name]) => name);
+}
+
+/** Whatever a case left broken must not spoil the next. */
+async function restore(world: DrillWorld): Promise<void> {
+  const {log, engines} = world.standins;
+  log.faults.clear();
+  for (const engine of engines) engine.faults.clear();
+  for (const vm of world.vms) {
+    vm.resume();
+    if (await vm.isReady()) continue;
+    await vm.kill();
+    await vm.start();
+  }
+}
+
+async function run(names: readonly string[]): Promise<boolean> {
+  const world = await DrillWorld.start();
+  let whole = true;
+  try {
+    await Promise.all(world.vms.map(vm => vm.start()));
+    for (const drillCase of DRILL_CASES) {
+      const wanted = names.length === 0 || names.includes(drillCase.name);
+      if (!wanted && drillCase.name !== 'calm') continue;
+      const line = await runCase(world, drillCase);
+      process.stdout.write(`${JSON.stringify(line)}\n`);
+      whole &&= line.broken.length === 0;
+    }
+  } finally {
+    await world.stop();
+  }
+  return whole;
+}
+
+process.setMaxListeners(50);
+const cli = cac('drill');
+cli.option('--json', 'Print JSON lines (the only format there is)');
+cli.option('--case <name>', 'Only this case, besides the calm run');
+cli.help();
+const {options} = cli.parse();
+if (!options.help) {
+  const names = [options.case ?? []].flat() as readonly string[];
+  process.exitCode = (await run(names)) ? 0 : 1;
+}
--- /dev/null
+++ b/packages/bench/src/drill_load.ts
@@ -0,0 +1,213 @@
+/** Callers of the drill: trainers with a step each, and an app. */
+
+import {randomUUID} from 'node:crypto';
+import {request} from 'undici';
+import {TrainerClient} from '@radishyoke/client/trainer_client';
+import {HEADERS} from '@radishyoke/shared/header';
+import {toStepId, toTenantId} from '@radishyoke/shared/ids';
+import {measureStaleness, StepRequest} from '@radishyoke/shared/rollout';
+import {sleep} from './drill_vm.js';
+import {DrillWorld, MODEL} from './drill_world.js';
+
+const GROUPS = 4;
+const SAMPLES_PER_GROUP = 8;
+export const SAMPLES = GROUPS * SAMPLES_PER_GROUP;
+const MAX_STALENESS = 1;
+const MAX_TOKENS = 400;
+
+/** What one trainer saw of its step. */
+export interface TrainerResult {
+  readonly step: string;
+  readonly durationMs: number;
+  readonly lost: number;
+  readonly doubled: number;
+  readonly overStale: number;
+  readonly shortfalls: number;
+  readonly reconnects: number;
+  readonly error?: string;
+}
+
+/** Runs one step to its end, or until `signal`. */
+export async function runTrainer(
+  world: DrillWorld,
+  tenant: string,
+  signal: AbortSignal,
+): Promise<TrainerResult> {
+  const step = toStepId(`step-${randomUUID()}`);
+  const origins = rotate(world.listOrigins(), tenant.length);
+  const client = new TrainerClient({origins, tenant: toTenantId(tenant)});
+  const received = new Map<string, number>();
+  const shortfalls = new Set<string>();
+  let overStale = 0;
+  const startMs = Date.now();
+  const result = await client.runStep({
+    step,
+    req: createStep(world.weightVersion),
+    readWeightVersion: () => world.weightVersion,
+    onRollout: rollout => {
+      received.set(rollout.id, (received.get(rollout.id) ?? 0) + 1);
+      const staleness = measureStaleness(rollout.spans, world.weightVersion);
+      if (staleness > MAX_STALENESS) overStale++;
+    },
+    onShortfall: id => shortfalls.add(id),
+    signal,
+  });
+  const durationMs = Date.now() - startMs;
+  await client.close();
+  return {
+    step,
+    durationMs,
+    lost: SAMPLES - received.size - shortfalls.size,
+    doubled: [...received.values()].filter(times => times > 1).length,
+    overStale,
+    shortfalls: shortfalls.size,
+    reconnects: result.ok ? result.value.reconnects : 0,
+    ...(!result.ok && {error: `${result.error.kind}: ${result.error.detail}`}),
+  };
+}
+
+function createStep(weightVersion: number): StepRequest {
+  return {
+    model: MODEL,
+    weightVersion,
+    maxStaleness: MAX_STALENESS,
+    timeoutMs: 60_000,
+    groups: Array.from({length: GROUPS}, (_, group) => ({
+      prompt: `puzzle ${group} of ${randomUUID()}`,
+      samples: SAMPLES_PER_GROUP,
+      maxTokens: MAX_TOKENS,
+    })),
+  };
+}
+
+/** What the app saw of its calls. */
+export interface AppResult {
+  readonly calls: number;
+  /** Connections broken after the request was sent. */
+  readonly cutOff: number;
+  /** Orders that ran more than once. */
+  readonly doubled: number;
+  /** Orders refused as not run that a service did run. */
+  readonly falseRefusals: number;
+  /** Calls without an answer of success after all tries. */
+  readonly failed: number;
+  /** What such calls met last, each once. */
+  readonly failures: readonly string[];
+}
+
+const CALL_EVERY_MS = 40;
+const ORDER_EVERY = 4;
+const TRIES = 40;
+const RETRY_MS = 100;
+const CALL_TIMEOUT_MS = 12_000;
+
+type CallEnd = 'done' | 'not_run' | 'cut_off' | 'unknown';
+
+/** Calls steadily through the balancer until told to stop. */
+export class DrillApp {
+  private readonly ends = new Map<string, CallEnd>();
+  private readonly open = new Set<Promise<void>>();
+  private readonly failures = new Set<string>();
+  private turn = 0;
+  private running = true;
+
+  constructor(private readonly world: DrillWorld) {
+    void this.run();
+  }
+
+  async stop(): Promise<AppResult> {
+    this.running = false;
+    await Promise.all(this.open);
+    const calls = [...this.ends];
+    const count = (end: CallEnd) =>
+      calls.filter(([, found]) => found === end).length;
+    const runs = (id: string) =>
+      this.world.standins.services
+        .map(service => service.countCalls(id))
+        .reduce((a, b) => a + b, 0);
+    const orders = calls.filter(([id]) => id.startsWith('order-'));
+    return {
+      calls: calls.length,
+      cutOff: count('cut_off'),
+      doubled: orders.filter(([id]) => runs(id) > 1).length,
+      falseRefusals: orders.filter(
+        ([id, end]) => end === 'not_run' && runs(id) > 0,
+      ).length,
+      failed: calls.length - count('done'),
+      failures: [...this.failures],
+    };
+  }
+
+  private async run(): Promise<void> {
+    for (let i = 0; this.running; i++) {
+      const call = i % ORDER_EVERY === 0 ? this.order() : this.look();
+      this.open.add(call);
+      void call.then(() => this.open.delete(call));
+      await sleep(CALL_EVERY_MS);
+    }
+  }
+
+  private order(): Promise<void> {
+    return this.call('POST', '/orders', `order-${randomUUID()}`);
+  }
+
+  private look(): Promise<void> {
+    return this.call('GET', '/lessons/1', `look-${randomUUID()}`);
+  }
+
+  /** Tries again only what was surely not run, as callers are told to do. */
+  private async call(
+    method: 'GET' | 'POST',
+    path: string,
+    id: string,
+  ): Promise<void> {
+    let end: CallEnd = 'not_run';
+    for (let i = 0; i < TRIES && end === 'not_run'; i++) {
+      if (i > 0) await sleep(RETRY_MS);
+      end = await this.callOnce(method, path, id);
+    }
+    this.ends.set(id, end);
+  }
+
+  private async callOnce(
+    method: 'GET' | 'POST',
+    path: string,
+    id: string,
+  ): Promise<CallEnd> {
+    const origin = this.chooseOrigin();
+    if (!origin) return 'not_run';
+    try {
+      const res = await request(`${origin}${path}`, {
+        method,
+        headers: {
+          [HEADERS.tenant]: 'lesson-app',
+          [HEADERS.requestId]: id,
+        },
+        headersTimeout: CALL_TIMEOUT_MS,
+        bodyTimeout: CALL_TIMEOUT_MS,
+      });
+      await res.body.dump();
+      if (res.statusCode < 300) return 'done';
+      if (res.headers[HEADERS.ran] === 'no') return 'not_run';
+      this.failures.add(
+        `${method} ${res.statusCode} ${res.headers[HEADERS.error]}`,
+      );
+      return 'unknown';
+    } catch (err) {
+      const {code, message} = err as {code?: string; message: string};
+      if (code === 'ECONNREFUSED') return 'not_run';
+      this.failures.add(`${method} ${code ?? message}`);
+      return 'cut_off';
+    }
+  }
+
+  private chooseOrigin(): string | undefined {
+    const ready = this.world.vms.filter(vm => vm.inRotation);
+    return ready[this.turn++ % Math.max(1, ready.length)]?.origin;
+  }
+}
+
+function rotate<T>(items: readonly T[], by: number): readonly T[] {
+  const start = by % items.length;
+  return [...items.slice(start), ...items.slice(0, start)];
+}
--- /dev/null
+++ b/packages/bench/src/drill_world.ts
@@ -0,0 +1,244 @@
+/** The drill's VMs and the stand-ins round them. */
+
+import {mkdtempSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {request} from 'undici';
+import {FakeEngine, startFakeEngine} from '@radishyoke/fakes/fake_engine';
+import {FakeLog, startFakeLog} from '@radishyoke/fakes/fake_log';
+import {FakeService, startFakeService} from '@radishyoke/fakes/fake_service';
+import {FakeVmList, startFakeVmList} from '@radishyoke/fakes/fake_vm_list';
+import {
+  FakeWeightStore,
+  startFakeWeightStore,
+} from '@radishyoke/fakes/fake_weight_store';
+import type {EndpointInfo} from '@radishyoke/shared/endpoint';
+import {HEADERS} from '@radishyoke/shared/header';
+import {
+  toDataCentreId,
+  toEndpointId,
+  toIncarnationId,
+  toTeamId,
+  toVmId,
+} from '@radishyoke/shared/ids';
+import type {
+  LoggedRecord,
+  PublishedConfig,
+  StateRecord,
+} from '@radishyoke/shared/log_record';
+import {DrillVm, sleep} from './drill_vm.js';
+
+export const MODEL = 'hint-tutor';
+const VMS = 4;
+const ENGINES = 3;
+const SERVICES = 2;
+const FIRST_VERSION = 1;
+const POLL_MS = 50;
+const PROBE_TIMEOUT_MS = 1000;
+
+const RULES = `[config]
+team = kodkutu
+
+[rule.place-order]
+when.tenant = lesson-app
+when.method = POST
+when.path_prefix = /orders
+then.group = app
+then.class = interactive
+then.timeout = 10s
+then.max_attempts = 1
+then.idempotent = no
+
+[rule.app]
+when.tenant = lesson-app
+then.group = app
+then.class = interactive
+then.timeout = 10s
+
+[rule.rollouts]
+when.class = rollout
+when.model = ${MODEL}
+then.group = tutors
+then.class = rollout
+then.timeout = 2m
+then.max_staleness = 4
+`;
+
+interface Standins {
+  readonly log: FakeLog;
+  readonly vmList: FakeVmList;
+  readonly weightStore: FakeWeightStore;
+  readonly engines: readonly FakeEngine[];
+  readonly services: readonly FakeService[];
+}
+
+export class DrillWorld {
+  /** The trainers' present weight version. */
+  weightVersion = FIRST_VERSION;
+  private publications = 0;
+
+  private constructor(
+    readonly standins: Standins,
+    readonly vms: readonly DrillVm[],
+    private readonly endpoints: readonly EndpointInfo[],
+  ) {}
+
+  static async start(): Promise<DrillWorld> {
+    const standins = await startStandins();
+    const endpoints = describeEndpoints(standins);
+    const directory = mkdtempSync(join(tmpdir(), 'radishyoke-drill-'));
+    const platform = {
+      log: standins.log.address,
+      vmList: standins.vmList.address,
+      weightStore: standins.weightStore.address,
+    };
+    const vms = await Promise.all(
+      Array.from({length: VMS}, (_, i) =>
+        DrillVm.create(i, directory, platform),
+      ),
+    );
+    standins.vmList.update({vms: vms.map(vm => vm.info), endpoints});
+    const world = new DrillWorld(standins, vms, endpoints);
+    world.publishConfig(-1, 'first');
+    return world;
+  }
+
+  async stop(): Promise<void> {
+    await Promise.all(this.vms.map(vm => vm.kill()));
+    const {log, vmList, weightStore, engines, services} = this.standins;
+    const all = [log, vmList, weightStore, ...engines, ...services];
+    await Promise.all(all.map(standin => standin.close()));
+  }
+
+  listOrigins(): readonly string[] {
+    return this.vms.map(vm => vm.origin);
+  }
+
+  /** Trainers have new weights. */
+  publishWeights(): void {
+    this.weightVersion++;
+    this.standins.weightStore.publish(MODEL, this.weightVersion);
+  }
+
+  /** An operator's publication; returns its offset. */
+  publishConfig(basedOn: number, author: string): number {
+    const record: PublishedConfig = {
+      kind: 'config_published',
+      stamp: {
+        vm: toVmId('operator'),
+        incarnation: toIncarnationId(`publication-${++this.publications}`),
+        seq: 1,
+      },
+      team: toTeamId('kodkutu'),
+      basedOn,
+      author,
+      text: RULES,
+    };
+    const answer = this.standins.log.model.append(
+      'config',
+      [record],
+      Date.now(),
+    );
+    if (answer.kind !== 'appended') throw new Error('the log takes no record');
+    return answer.first;
+  }
+
+  /** Configuration version by which a VM decides now. */
+  async readConfigVersion(vm: DrillVm): Promise<number> {
+    try {
+      const res = await request(`${vm.origin}/lessons/version`, {
+        headers: {[HEADERS.tenant]: 'lesson-app'},
+        headersTimeout: PROBE_TIMEOUT_MS,
+        bodyTimeout: PROBE_TIMEOUT_MS,
+      });
+      await res.body.dump();
+      return Number(res.headers[HEADERS.configVersion] ?? -1);
+    } catch {
+      return -1;
+    }
+  }
+
+  /** Time until all VMs decide by `version` or a later one. */
+  async measureConfigSeconds(version: number): Promise<number> {
+    const startMs = Date.now();
+    await Promise.all(
+      this.vms.map(async vm => {
+        while ((await this.readConfigVersion(vm)) < version) {
+          if (Date.now() - startMs > 15_000) return;
+          await sleep(POLL_MS);
+        }
+      }),
+    );
+    return (Date.now() - startMs) / 1000;
+  }
+
+  /** Claims on leases of steps, in the order of the log. */
+  listStepClaims(): ReadonlyArray<{
+    readonly lease: string;
+    readonly vm: string;
+    readonly timeMs: number;
+  }> {
+    const page = this.standins.log.model.read('state', 0, 1e6, Date.now());
+    if (page.kind !== 'records') return [];
+    const records = page.records as ReadonlyArray<LoggedRecord<StateRecord>>;
+    return records.flatMap(({timeMs, value}) =>
+      value.kind === 'lease_claimed' && value.lease.startsWith('step:')
+        ? [{lease: value.lease, vm: value.stamp.vm as string, timeMs}]
+        : [],
+    );
+  }
+
+  findVm(id: string): DrillVm | undefined {
+    return this.vms.find(vm => vm.info.id === id);
+  }
+
+  /** Shows an engine as leaving, or as live again. */
+  setEngineState(index: number, state: EndpointInfo['state']): void {
+    this.standins.vmList.putEndpoint({...this.endpoints[index], state});
+  }
+}
+
+async function startStandins(): Promise<Standins> {
+  const weightStore = await startFakeWeightStore();
+  weightStore.publish(MODEL, FIRST_VERSION);
+  const engines = Array.from({length: ENGINES}, () =>
+    startFakeEngine({
+      model: MODEL,
+      weightVersion: FIRST_VERSION,
+      weightStoreAddress: weightStore.address,
+      length: {medianTokens: 250, sigma: 0.5},
+    }),
+  );
+  const services = Array.from({length: SERVICES}, () =>
+    startFakeService({serviceTimeMs: 60, requestIdHeader: HEADERS.requestId}),
+  );
+  return {
+    log: await startFakeLog(),
+    vmList: await startFakeVmList({lagMs: 2000}),
+    weightStore,
+    engines: await Promise.all(engines),
+    services: await Promise.all(services),
+  };
+}
+
+function describeEndpoints(standins: Standins): readonly EndpointInfo[] {
+  const common = {state: 'live', checksFencing: true} as const;
+  const engines = standins.engines.map(({address}, i): EndpointInfo => ({
+    ...common,
+    id: toEndpointId(`tutor-${i}`),
+    kind: 'engine',
+    address,
+    dataCentre: toDataCentreId(i % 2 === 0 ? 'gebze-a' : 'kartal'),
+    group: 'tutors',
+    model: MODEL,
+  }));
+  const services = standins.services.map(({address}, i): EndpointInfo => ({
+    ...common,
+    id: toEndpointId(`app-${i}`),
+    kind: 'service',
+    address,
+    dataCentre: toDataCentreId('gebze-a'),
+    group: 'app',
+  }));
+  return [...engines, ...services];
+}
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -23,6 +23,13 @@
     for (const line of runSteps(options)) print(line);
   });
 
+cli
+  .command('slopes', 'Bytes, processor time and memory by size of each role')
+  .action(async () => {
+    const {runSlopes} = await import('./slopes.js');
+    for await (const line of runSlopes()) print(line);
+  });
+
 function print(line: unknown): void {
   process.stdout.write(`${JSON.stringify(line)}\n`);
 }
--- /dev/null
+++ b/packages/bench/src/slopes_peers.ts
@@ -0,0 +1,124 @@
+/** What membership and the peer messages cost a VM, by the number of VMs. */
+
+import {MembershipNetwork} from '@radishyoke/core/__tests__/membership_fixture';
+import {toEndpointId} from '@radishyoke/shared/ids';
+import {
+  decodePeerMessage,
+  encodePeerMessage,
+} from '@radishyoke/wire/peer_message';
+import {createSlope, measureCpuMs, measureHeapBytes, Slope} from './slope.js';
+
+const VM_COUNTS = [13, 120, 360] as const;
+const DATA_CENTRES = 9;
+const SEED = 7;
+const SETTLE_MS = 12_000;
+/** VM-seconds measured at the least, so that few VMs are watched for longer. */
+const MEASURED_VM_SECONDS = 1000;
+/** Headers of IP, TCP with timestamps and of the masked frame. */
+const FRAME_BYTES = 20 + 32 + 8;
+/** Endpoints that a VM has works on, and how many counts change a second. */
+const ENDPOINTS_IN_USE = 20;
+const CHANGES_PER_SECOND = 10;
+
+export function* measurePeers(): Generator<Slope> {
+  // Lets the compiler do its work before anything is timed.
+  createNetwork(VM_COUNTS[0]).run(SETTLE_MS);
+  for (const vms of VM_COUNTS) yield* measureQuiet(vms);
+  for (const vms of VM_COUNTS) yield* measureConfigSpread(vms);
+  for (const vms of VM_COUNTS) yield* measureFailure(vms);
+}
+
+/** A network at its ease: nothing fails, load changes. */
+function* measureQuiet(vms: number): Generator<Slope> {
+  let network!: MembershipNetwork;
+  const heap = measureHeapBytes(() => {
+    network = createNetwork(vms);
+    return network;
+  });
+  const seconds = Math.ceil(MEASURED_VM_SECONDS / vms);
+  const traffic = watchTraffic(network);
+  const cpuMs = measureCpuMs(() => {
+    for (let i = 0; i < seconds; i++) {
+      changeLoad(network, i);
+      network.run(1000);
+    }
+  });
+  const vmSeconds = vms * seconds;
+  const perSecond = (total: number) => total / vmSeconds;
+  yield createSlope(`peer_messages_${vms}`, perSecond(traffic.messages), '1/s');
+  // Each message is sent by one VM and received by another.
+  const bytes = 2 * (traffic.bytes + FRAME_BYTES * traffic.messages);
+  yield createSlope(`peer_bytes_${vms}`, perSecond(bytes), 'B/s');
+  yield createSlope(`peer_cpu_ms_${vms}`, perSecond(cpuMs), 'ms/s');
+  yield createSlope(`peer_heap_${vms}`, heap / vms, 'B');
+}
+
+/** From the first VM that knows a config offset to the last. */
+function* measureConfigSpread(vms: number): Generator<Slope> {
+  const network = createNetwork(vms);
+  network.silenceSome(20);
+  const traffic = watchTraffic(network);
+  const [reader] = network.nodes;
+  reader.configNext = 1;
+  network.give(reader, {kind: 'config_offset', next: 1});
+  const ms = countMsUntil(network, () =>
+    network.nodes.every(node => node.configNext === 1),
+  );
+  yield createSlope(`config_spread_ms_${vms}`, ms, 'ms');
+  const bytes = (2 * traffic.configBytes) / vms;
+  yield createSlope(`config_bytes_${vms}`, bytes, 'B');
+}
+
+/** From the death of a VM to the last VM that counts it out. */
+function* measureFailure(vms: number): Generator<Slope> {
+  const network = createNetwork(vms);
+  const dead = network.nodes[1];
+  dead.up = false;
+  const ms = countMsUntil(network, () =>
+    network.nodes.every(
+      node => node === dead || !node.vms.includes(dead.vm.id),
+    ),
+  );
+  yield createSlope(`failure_seen_ms_${vms}`, ms, 'ms');
+}
+
+function createNetwork(vms: number): MembershipNetwork {
+  const options = {vms, dataCentres: DATA_CENTRES, seed: SEED};
+  const network = new MembershipNetwork(options);
+  network.run(SETTLE_MS);
+  return network;
+}
+
+function changeLoad(network: MembershipNetwork, round: number): void {
+  for (const [i, node] of network.nodes.entries()) {
+    const inFlight = new Map(
+      Array.from({length: ENDPOINTS_IN_USE}, (_, e) => [
+        toEndpointId(`gebze-a-worker-${i + e}`),
+        e < CHANGES_PER_SECOND ? 1 + round + e : 5,
+      ]),
+    );
+    network.give(node, {kind: 'own_load', inFlight});
+  }
+}
+
+/** Runs every message through the codec and counts. */
+function watchTraffic(network: MembershipNetwork) {
+  const traffic = {messages: 0, bytes: 0, configBytes: 0};
+  network.observe = message => {
+    const data = encodePeerMessage(message);
+    if (!decodePeerMessage(data).ok) throw new Error('undecodable message');
+    traffic.messages++;
+    traffic.bytes += data.length;
+    if (message.kind.startsWith('config')) traffic.configBytes += data.length;
+  };
+  return traffic;
+}
+
+function countMsUntil(
+  network: MembershipNetwork,
+  holds: () => boolean,
+): number {
+  const startMs = network.nowMs;
+  while (!holds() && network.nowMs - startMs < 60_000) network.run(10);
+  return network.nowMs - startMs;
+}
--- a/packages/core/src/__tests__/membership_fixture.ts
+++ b/packages/core/src/__tests__/membership_fixture.ts
@@ -54,6 +54,8 @@
   readonly silent = new Set<string>();
   /** Whether two VMs can reach one another at all. */
   reachable: (a: VmInfo, b: VmInfo) => boolean = () => true;
+  /** Called with each message that is sent. */
+  observe: (message: GossipMessage) => void = () => undefined;
   private readonly random: RandomBits;
   private readonly byId: ReadonlyMap<VmId, Node>;
   private queue: Delivery[][] = [];
@@ -146,6 +148,7 @@
 
   private send(from: Node, to: VmId, message: GossipMessage): void {
     from.sent++;
+    this.observe(message);
     const target = this.byId.get(to)!;
     if (!this.reachable(from.vm, target.vm)) return;
     if (this.silent.has(`${from.vm.id}>${to}`)) return;
--- a/packages/core/src/contact.ts
+++ b/packages/core/src/contact.ts
@@ -2,6 +2,7 @@
 
 import type {InFlight} from './load_digest.js';
 import {LoadDeltaEncoder} from './load_digest.js';
+import type {Member} from './member.js';
 import {MEMBERSHIP_TIMING} from './membership_timing.js';
 import {Outbox} from './outbox.js';
 
@@ -21,6 +22,7 @@
   received: InFlight = new Map();
   encoder = new LoadDeltaEncoder();
   readonly outbox = new Outbox();
+  private toldSelf: Member | undefined;
   private stage: ProbeStage = 'none';
   private startedMs = 0;
   private lastPingMs = 0;
@@ -45,10 +47,18 @@
     this.exchangedAtMs = nowMs;
   }
 
+  /** `self`, unless this connection has carried it as it is. */
+  introduce(self: Member): Member | undefined {
+    if (this.toldSelf === self) return undefined;
+    this.toldSelf = self;
+    return self;
+  }
+
   /** Forgets what the last connection was told, for a new one has begun. */
   resetLink(nowMs: number): void {
     this.encoder = new LoadDeltaEncoder();
     this.outbox.repeat(nowMs);
+    this.toldSelf = undefined;
   }
 
   /**
--- a/packages/core/src/gossip_message.ts
+++ b/packages/core/src/gossip_message.ts
@@ -32,7 +32,8 @@
 
 /** Rides on every probe and answer. */
 export interface GossipPayload {
-  readonly self: Member;
+  /** Left out when the connection has carried it already. */
+  readonly self?: Member;
   readonly rumours: readonly Rumour[];
   readonly load?: LoadDelta;
   /** Offset of the first config record that the sender does not have. */
--- a/packages/core/src/load_digest.ts
+++ b/packages/core/src/load_digest.ts
@@ -13,7 +13,7 @@
 /** Bounds what an error in the delta coding could last. */
 const FULL_EVERY_MS = 15_000;
 /** Most entries a message; the greatest changes go first, the rest next time. */
-const MAX_ENTRIES = 24;
+const MAX_ENTRIES = 8;
 
 /** The sending side of one connection. */
 export class LoadDeltaEncoder {
--- a/packages/core/src/membership.ts
+++ b/packages/core/src/membership.ts
@@ -87,6 +87,9 @@
   readonly seeds: readonly string[];
 }
 
+/** One in so many messages without news carries a belief. */
+const FILLER_EVERY = 4;
+
 interface Relay {
   readonly requester: VmId;
   readonly untilMs: number;
@@ -345,7 +348,7 @@
   }
 
   private takePayload(from: VmId, payload: GossipPayload, nowMs: number): void {
-    this.merge(payload.self, nowMs);
+    if (payload.self) this.merge(payload.self, nowMs);
     for (const rumour of payload.rumours) {
       this.hearRumour(rumour, from, nowMs);
     }
@@ -396,9 +399,12 @@
 
   private merge(news: Member, nowMs: number, source?: VmId): void {
     if (news.id === this.self.id) return this.refute(news);
+    const known = this.directory.get(news.id);
     const result = this.directory.merge(news, nowMs);
     if (result === 'ignored') return;
-    if (news.incarnation > 0) this.tell({kind: 'member', member: news}, source);
+    // That a VM on the VM list was heard of is no news to anybody.
+    const first = known?.incarnation === 0 && result === 'refreshed';
+    if (!first) this.tell({kind: 'member', member: news}, source);
     if (result === 'changed') this.noteChange(news);
   }
 
@@ -484,8 +490,9 @@
   private buildPayload(to: VmId, nowMs: number): GossipPayload {
     const contact = this.touch(to, nowMs);
     const load = contact?.encoder.encode(this.inFlight, nowMs);
+    const self = contact ? contact.introduce(this.self) : this.self;
     return {
-      self: this.self,
+      ...(self && {self}),
       rumours: this.chooseRumours(to, contact, nowMs),
       ...(load && {load}),
       configNext: this.configs.ownNext(),
@@ -503,7 +510,8 @@
     // A VM that is doubted hears of it, so that it can refute at once.
     const doubted = held?.state === 'suspect' || held?.state === 'failed';
     if (doubted) return [{kind: 'member', member: held}, ...news];
-    const filler = news.length === 0 ? this.chooseFiller(to) : undefined;
+    const idle = news.length === 0 && this.seq % FILLER_EVERY === 0;
+    const filler = idle ? this.chooseFiller(to) : undefined;
     return filler ? [{kind: 'member', member: filler}] : news;
   }
 
--- a/packages/wire/src/peer_message.ts
+++ b/packages/wire/src/peer_message.ts
@@ -120,7 +120,7 @@
 
 const payloadSchema = z
   .tuple([
-    memberSchema,
+    memberSchema.nullable(),
     z.array(rumourSchema).max(MAX_RUMOURS),
     loadSchema.nullable(),
     count,
@@ -128,7 +128,7 @@
   ])
   .transform(
     ([self, rumours, load, configNext, wantsMembers]): GossipPayload => ({
-      self,
+      ...(self && {self}),
       rumours,
       ...(load && {load}),
       configNext,
@@ -296,7 +296,7 @@
 function toPayloadWire(payload: GossipPayload): readonly unknown[] {
   const {self, rumours, load, configNext, wantsMembers} = payload;
   return [
-    toMemberWire(self),
+    self ? toMemberWire(self) : null,
     rumours.map(toRumourWire),
     load ? [load.full, load.entries.map(e => [e.endpoint, e.inFlight])] : null,
     configNext,
