--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -24,10 +24,37 @@
   });
 
 cli
-  .command('slopes', 'Bytes, processor time and memory by size of each role')
+  .command(
+    'log-outage',
+    'Idle time by what an owner does while the log is down',
+  )
+  .action(async () => {
+    const {measureLogOutage, OUTAGE_CASES} = await import('./log_outage.js');
+    for (const line of await measureLogOutage(OUTAGE_CASES)) print(line);
+  });
+
+cli
+  .command('slopes-log', 'Bytes, time and memory of the log-derived state')
   .action(async () => {
+    const {measureLogSlopes} = await import('./slopes_log.js');
+    for (const line of measureLogSlopes()) print(line);
+  });
+
+cli
+  .command('slopes', 'Bytes, processor time and memory by size of each role')
+  .option(
+    '--record',
+    'Write docs/capacity-slopes.json, work docs/CAPACITY.md out',
+  )
+  .action(async (options: {readonly record?: boolean}) => {
     const {runSlopes} = await import('./slopes.js');
-    for await (const line of runSlopes()) print(line);
+    const {recordSlopes} = await import('./capacity_files.js');
+    const slopes = [];
+    for await (const slope of runSlopes()) {
+      print(slope);
+      slopes.push(slope);
+    }
+    if (options.record) recordSlopes(slopes);
   });
 
 function print(line: unknown): void {
--- a/packages/bench/src/slopes.ts
+++ b/packages/bench/src/slopes.ts
@@ -4,15 +4,30 @@
  * times do, and are those of the process itself whatever else runs.
  */
 
-import type {Slope} from './slope.js';
+import {runDecide} from './decide.js';
+import {createSlope, Slope} from './slope.js';
 import {measureEndpoints} from './slopes_endpoints.js';
+import {measureLogSlopes} from './slopes_log.js';
 import {measurePeers} from './slopes_peers.js';
-import {measureRecords} from './slopes_records.js';
 import {measureRules} from './slopes_rules.js';
 
 export async function* runSlopes(): AsyncGenerator<Slope> {
   yield* measureRules();
+  yield* measureDecisions();
   yield* measureRecords();
   yield* measureEndpoints();
   yield* measurePeers();
 }
+
+function* measureDecisions(): Generator<Slope> {
+  for (const {endpoints, rules, decisionsPerSecond} of runDecide()) {
+    const name = `decision_cpu_ms_${endpoints}_endpoints_${rules}_rules`;
+    yield createSlope(name, 1000 / decisionsPerSecond, 'ms');
+  }
+}
+
+function* measureRecords(): Generator<Slope> {
+  for (const {name, value, unit} of measureLogSlopes()) {
+    yield createSlope(name.replaceAll(/\W+/g, '_'), value, unit);
+  }
+}
--- a/packages/bench/src/slopes_peers.ts
+++ b/packages/bench/src/slopes_peers.ts
@@ -1,6 +1,7 @@
 /** What membership and the peer messages cost a VM, by the number of VMs. */
 
 import {MembershipNetwork} from '@radishyoke/core/__tests__/membership_fixture';
+import type {VmInfo} from '@radishyoke/shared/endpoint';
 import {toEndpointId} from '@radishyoke/shared/ids';
 import {
   decodePeerMessage,
@@ -16,16 +17,22 @@
 const MEASURED_VM_SECONDS = 1000;
 /** Headers of IP, TCP with timestamps and of the masked frame. */
 const FRAME_BYTES = 20 + 32 + 8;
+const IDLE_SECONDS = 3;
+const TIMEOUT_MS = 120_000;
 /** Endpoints that a VM has works on, and how many counts change a second. */
 const ENDPOINTS_IN_USE = 20;
 const CHANGES_PER_SECOND = 10;
 
+/** The data centres of one region. */
+const CUT_OFF: ReadonlySet<string> = new Set(['dc-0', 'dc-1', 'dc-2']);
+
 export function* measurePeers(): Generator<Slope> {
   // Lets the compiler do its work before anything is timed.
   createNetwork(VM_COUNTS[0]).run(SETTLE_MS);
   for (const vms of VM_COUNTS) yield* measureQuiet(vms);
   for (const vms of VM_COUNTS) yield* measureConfigSpread(vms);
   for (const vms of VM_COUNTS) yield* measureFailure(vms);
+  yield* measureCut(360);
 }
 
 /** A network at its ease: nothing fails, load changes. */
@@ -51,6 +58,12 @@
   yield createSlope(`peer_bytes_${vms}`, perSecond(bytes), 'B/s');
   yield createSlope(`peer_cpu_ms_${vms}`, perSecond(cpuMs), 'ms/s');
   yield createSlope(`peer_heap_${vms}`, heap / vms, 'B');
+  network.run(SETTLE_MS);
+  const idle = watchTraffic(network);
+  network.run(IDLE_SECONDS * 1000);
+  const idleBytes = 2 * (idle.bytes + FRAME_BYTES * idle.messages);
+  const idleRate = idleBytes / (vms * IDLE_SECONDS);
+  yield createSlope(`peer_idle_bytes_${vms}`, idleRate, 'B/s');
 }
 
 /** From the first VM that knows a config offset to the last. */
@@ -82,6 +95,25 @@
   yield createSlope(`failure_seen_ms_${vms}`, ms, 'ms');
 }
 
+/** One region of three loses the others for a while. */
+function* measureCut(vms: number): Generator<Slope> {
+  const network = createNetwork(vms);
+  const inside = (vm: VmInfo) => CUT_OFF.has(vm.dataCentre);
+  network.reachable = (a, b) => inside(a) === inside(b);
+  const seenMs = countMsUntil(network, () =>
+    network.nodes.every(node => {
+      const side = network.nodes.filter(n => inside(n.vm) === inside(node.vm));
+      return node.vms.length === side.length;
+    }),
+  );
+  yield createSlope(`cut_seen_ms_${vms}`, seenMs, 'ms');
+  network.reachable = () => true;
+  const healedMs = countMsUntil(network, () =>
+    network.nodes.every(node => node.vms.length === vms),
+  );
+  yield createSlope(`cut_healed_ms_${vms}`, healedMs, 'ms');
+}
+
 function createNetwork(vms: number): MembershipNetwork {
   const options = {vms, dataCentres: DATA_CENTRES, seed: SEED};
   const network = new MembershipNetwork(options);
@@ -119,6 +151,6 @@
   holds: () => boolean,
 ): number {
   const startMs = network.nowMs;
-  while (!holds() && network.nowMs - startMs < 60_000) network.run(10);
+  while (!holds() && network.nowMs - startMs < TIMEOUT_MS) network.run(10);
   return network.nowMs - startMs;
 }
--- a/packages/core/src/membership.ts
+++ b/packages/core/src/membership.ts
@@ -369,6 +369,7 @@
 
   private hearRumour(rumour: Rumour, from: VmId, nowMs: number): void {
     if (rumour.kind === 'member') {
+      this.correct(rumour.member, from);
       this.merge(rumour.member, nowMs, from);
       return;
     }
@@ -381,6 +382,18 @@
     this.actions.push({kind: 'silent_endpoint', endpoint: rumour.endpoint});
   }
 
+  /**
+   * Tells a VM that holds old news of another what is known here. Without this
+   * a VM known to some from the VM list alone is failed among these, while those
+   * who heard of it hold their newer belief and never learn of the failure.
+   */
+  private correct(news: Member, source: VmId): void {
+    const held = this.directory.get(news.id);
+    if (!held || held.incarnation <= news.incarnation) return;
+    const rumour = {kind: 'member', member: held} as const;
+    this.contacts.get(source)?.outbox.add(rumour);
+  }
+
   /** Passes news on that is not about a VM; false when it was known. */
   private spread(rumour: Rumour, source?: VmId): boolean {
     const occasion = rumour.kind === 'silent_endpoint' ? rumour.seenAtMs : '';
