--- a/packages/bench/src/capacity_files.ts
+++ b/packages/bench/src/capacity_files.ts
@@ -21,7 +21,11 @@
 
 /** Records slopes and works the page out from them. */
 export function recordSlopes(slopes: readonly Slope[]): void {
-  const lines = slopes.map(slope => `  ${JSON.stringify(slope)}`);
+  // Laid out as the formatter wants it.
+  const lines = slopes.map(
+    ({name, value, unit}) =>
+      `  {"name": "${name}", "value": ${value}, "unit": "${unit}"}`,
+  );
   writeFileSync(SLOPES, `[\n${lines.join(',\n')}\n]\n`);
   writeFileSync(PAGE, fillSheet(readCapacityPage(), readRecordedSlopes()));
 }
