--- /dev/null
+++ b/packages/bench/src/capacity_files.ts
@@ -0,0 +1,31 @@
+/** Where the capacity page and the recorded slopes lie. */
+
+import {readFileSync, writeFileSync} from 'node:fs';
+import {fileURLToPath} from 'node:url';
+import {fillSheet} from './capacity_sheet.js';
+import type {Slope} from './slope.js';
+
+const DOCS = fileURLToPath(new URL('../../../docs/', import.meta.url));
+const PAGE = `${DOCS}CAPACITY.md`;
+const SLOPES = `${DOCS}capacity-slopes.json`;
+
+export function readCapacityPage(): string {
+  return readFileSync(PAGE, 'utf8');
+}
+
+/** The recorded slopes, by name. */
+export function readRecordedSlopes(): ReadonlyMap<string, number> {
+  const slopes = JSON.parse(readFileSync(SLOPES, 'utf8')) as readonly Slope[];
+  return new Map(slopes.map(({name, value}) => [name, value]));
+}
+
+/** Records slopes and works the page out from them. */
+export function recordSlopes(slopes: readonly Slope[]): void {
+  // Laid out as the formatter wants it.
+  const lines = slopes.map(
+    ({name, value, unit}) =>
+      `  {"name": "${name}", "value": ${value}, "unit": "${unit}"}`,
+  );
+  writeFileSync(SLOPES, `[\n${lines.join(',\n')}\n]\n`);
+  writeFileSync(PAGE, fillSheet(readCapacityPage(), readRecordedSlopes()));
+}
