--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -50,6 +50,23 @@
     for (const line of measureLogSlopes()) print(line);
   });
 
+cli
+  .command('slopes', 'Bytes, processor time and memory by size of each role')
+  .option(
+    '--record',
+    'Write docs/capacity-slopes.json, work docs/CAPACITY.md out',
+  )
+  .action(async (options: {readonly record?: boolean}) => {
+    const {runSlopes} = await import('./slopes.js');
+    const {recordSlopes} = await import('./capacity_files.js');
+    const slopes = [];
+    for await (const slope of runSlopes()) {
+      print(slope);
+      slopes.push(slope);
+    }
+    if (options.record) recordSlopes(slopes);
+  });
+
 function print(line: unknown): void {
   process.stdout.write(`${JSON.stringify(line)}\n`);
 }
