--- /dev/null
+++ b/packages/bench/src/slopes.ts
@@ -0,0 +1,33 @@
+/**
+ * Measures what each role costs by the size of what it handles, for
+ * docs/CAPACITY.md. Bytes and counts do not depend on the machine; processor
+ * times do, and are those of the process itself whatever else runs.
+ */
+
+import {runDecide} from './decide.js';
+import {createSlope, Slope} from './slope.js';
+import {measureEndpoints} from './slopes_endpoints.js';
+import {measureLogSlopes} from './slopes_log.js';
+import {measurePeers} from './slopes_peers.js';
+import {measureRules} from './slopes_rules.js';
+
+export async function* runSlopes(): AsyncGenerator<Slope> {
+  yield* measureRules();
+  yield* measureDecisions();
+  yield* measureRecords();
+  yield* measureEndpoints();
+  yield* measurePeers();
+}
+
+function* measureDecisions(): Generator<Slope> {
+  for (const {endpoints, rules, decisionsPerSecond} of runDecide()) {
+    const name = `decision_cpu_ms_${endpoints}_endpoints_${rules}_rules`;
+    yield createSlope(name, 1000 / decisionsPerSecond, 'ms');
+  }
+}
+
+function* measureRecords(): Generator<Slope> {
+  for (const {name, value, unit} of measureLogSlopes()) {
+    yield createSlope(name.replaceAll(/\W+/g, '_'), value, unit);
+  }
+}
--- a/packages/cli/src/demo_command.ts
+++ b/packages/cli/src/demo_command.ts
@@ -1,10 +1,15 @@
 /** `radishyoke demo`: the whole path on loopback, with stand-ins. */
 
-import type {ExitCode} from './exit_code.js';
+import {EXIT_CODES, ExitCode} from './exit_code.js';
 
-/** Runs the demonstration to its end. */
-export async function runDemoCommand(): Promise<ExitCode> {
+/**
+ * Runs the demonstration to its end; with `hold`, keeps its deployment open for
+ * requests by hand until the process is interrupted.
+ */
+export async function runDemoCommand(hold: boolean): Promise<ExitCode> {
   // The stand-ins are loaded only when they are wanted.
-  const {runDemo} = await import('@radishyoke/bench/demo');
-  return (await runDemo()) as ExitCode;
+  const {holdDemo, runDemo} = await import('@radishyoke/bench/demo');
+  if (!hold) return (await runDemo()) as ExitCode;
+  await holdDemo();
+  return EXIT_CODES.ok;
 }
