--- a/packages/bench/src/demo.ts
+++ b/packages/bench/src/demo.ts
@@ -3,10 +3,11 @@
  * three trainers with a few steps each, an app beside them, and new weights.
  */
 
-import {readFile} from 'node:fs/promises';
+import {readFile, writeFile} from 'node:fs/promises';
 import {fileURLToPath} from 'node:url';
 import {build as buildHistogram, Histogram} from 'hdr-histogram-js';
 import {Agent, request} from 'undici';
+import {MetricRegistry} from '@radishyoke/core/metrics';
 import {TrainerClient} from '@radishyoke/client/trainer_client';
 import {createLogger, Logger, silentLogger} from '@radishyoke/daemon/logger';
 import {parseSettings, Settings} from '@radishyoke/daemon/settings';
@@ -44,9 +45,12 @@
   readonly p99Ms: number;
 }
 
-/** Runs the demonstration; the last line on stdout is one JSON object. */
-export async function runDemo(): Promise<number> {
-  const demo = new Demo();
+/**
+ * Runs the demonstration; the last line on stdout is one JSON object. With
+ * `savePath` that object goes there too, with the VMs' metrics for a report.
+ */
+export async function runDemo(savePath?: string): Promise<number> {
+  const demo = new Demo(savePath);
   try {
     return await demo.run();
   } finally {
@@ -67,6 +71,9 @@
   private readonly stepHistograms = new Map<string, Histogram>();
   private appCalls = 0;
   private appFailures = 0;
+  private summary: Readonly<Record<string, unknown>> = {};
+
+  constructor(private readonly savePath: string | undefined) {}
 
   async run(): Promise<number> {
     await this.start();
@@ -77,7 +84,16 @@
     this.training = false;
     await app;
     clearInterval(progress);
-    return this.report(tenants);
+    const code = this.report(tenants);
+    if (this.savePath) await this.save(this.savePath);
+    return code;
+  }
+
+  private async save(path: string): Promise<void> {
+    const merged = new MetricRegistry();
+    for (const vm of this.vms) merged.merge(vm.metrics.registry.encode());
+    const run = {...this.summary, metrics: merged.encode()};
+    await writeFile(path, `${JSON.stringify(run)}\n`);
   }
 
   async close(): Promise<void> {
@@ -266,21 +282,20 @@
     console.table(rows);
     const {requested, delivered, lost, doubled, overStale} = figures;
     const {weightVersions, stalenessMax, mislabelled} = figures;
-    console.log(
-      JSON.stringify({
-        requested,
-        delivered,
-        lost,
-        doubled,
-        overStale,
-        weightVersions,
-        trainerIdleMs: Math.round(this.idleMs),
-        stalenessMax,
-        appP99Ms,
-        mislabelled,
-        appFailures: this.appFailures,
-      }),
-    );
+    this.summary = {
+      requested,
+      delivered,
+      lost,
+      doubled,
+      overStale,
+      weightVersions,
+      trainerIdleMs: Math.round(this.idleMs),
+      stalenessMax,
+      appP99Ms,
+      mislabelled,
+      appFailures: this.appFailures,
+    };
+    console.log(JSON.stringify(this.summary));
     const broken = lost + doubled + overStale + mislabelled + this.appFailures;
     return broken === 0 ? 0 : 1;
   }
--- a/packages/cli/src/__tests__/admin_commands.spec.ts
+++ b/packages/cli/src/__tests__/admin_commands.spec.ts
@@ -4,10 +4,14 @@
 import test, {ExecutionContext} from 'ava';
 import {request} from 'undici';
 import {startStandIns} from '@radishyoke/bench/stand_ins';
+import {AuditChain} from '@radishyoke/core/audit_chain';
+import type {AuditEntry} from '@radishyoke/core/audit_entry';
+import {MetricRegistry} from '@radishyoke/core/metrics';
 import {silentLogger} from '@radishyoke/daemon/logger';
 import {parseSettings, Settings} from '@radishyoke/daemon/settings';
 import {Vm} from '@radishyoke/daemon/vm';
 import {HEADERS} from '@radishyoke/shared/header';
+import {toRequestId, toTeamId, toTenantId} from '@radishyoke/shared/ids';
 import {CliRun, examplePath, runInProcess} from './cli_fixture.js';
 
 const POLL_MS = 20;
@@ -29,7 +33,11 @@
     dataCentres: ['gebze-a'],
   });
   const own = await mintSection('operator', 'kodkutu', 'read,publish,audit');
-  const other = await mintSection('stranger', 'castellanos', 'read,publish');
+  const other = await mintSection(
+    'stranger',
+    'castellanos',
+    'read,publish,audit',
+  );
   const example = readFileSync(examplePath('settings.ini'), 'utf8');
   const text = [example, own.section, other.section].join('\n');
   const parsed = parseSettings(text, 'settings.ini');
@@ -50,7 +58,7 @@
     runInProcess([...args, '--admin', vm.adminAddress], {
       RADISHYOKE_TOKEN: token,
     });
-  return {run, callers, strangerToken: other.token, drains};
+  return {run, callers, strangerToken: other.token, drains, log: standIns.log};
 }
 
 function adaptSettings(
@@ -144,6 +152,69 @@
   t.is(drains.length, 1);
 });
 
+function createEntry(team: string, id: string): AuditEntry {
+  return {
+    kind: 'request',
+    atMs: 1,
+    team: toTeamId(team),
+    tenant: toTenantId(`${team}-app`),
+    request: toRequestId(id),
+    rule: 'app',
+    configVersion: 0,
+    attempts: [],
+    outcome: 'answered',
+  };
+}
+
+// An auditor asks what became of one request.
+// 1. Two teams' requests stand in one chain of blocks.
+// 2. Each team may read its own; the platform team keeps the whole and checks it.
+// 3. Later somebody changes one entry in the copy that was kept.
+test('the audit is shown by team, exported whole and checked offline', async t => {
+  const {run, log, strangerToken} = await createFixture(t);
+  const chain = new AuditChain('entry-1/a');
+  const blocks = [
+    chain.seal([createEntry('kodkutu', 'r1')], []),
+    chain.seal([createEntry('castellanos', 'r2')], []),
+  ];
+  await request(`http://${log.address}/streams/audit/records`, {
+    method: 'POST',
+    body: JSON.stringify({records: blocks}),
+  });
+  t.like(JSON.parse((await run(['audit', 'show'])).out), {request: 'r1'});
+  t.is((await run(['audit', 'show', '--subject', 'r2'])).out, '');
+  const theirs = await run(['audit', 'show'], strangerToken);
+  t.like(JSON.parse(theirs.out), {request: 'r2'});
+  const kept = writeRules('audit.jsonl', '');
+  const refused = await run(['audit', 'export', '--out', kept], strangerToken);
+  t.is(refused.code, 5);
+  t.is((await run(['audit', 'export', '--out', kept])).code, 0);
+  const verified = await runInProcess(['audit', 'verify', kept]);
+  t.is(verified.code, 0, verified.out);
+  t.regex(verified.out, /2 blocks, 2 entries, 0 faults/);
+  const forged = readFileSync(kept, 'utf8').replace(
+    '"rule":"app"',
+    '"rule":"x"',
+  );
+  writeFileSync(kept, forged);
+  t.is((await runInProcess(['audit', 'verify', kept])).code, 8);
+});
+
+test('a report is one page with its plots and no way out of its script', async t => {
+  const registry = new MetricRegistry();
+  registry.recordValue('duration', '</script><b>', 'interactive', 40);
+  const line = {delivered: 7, note: '<i>', metrics: registry.encode()};
+  const file = writeRules('run.jsonl', `text\n${JSON.stringify(line)}\n`);
+  const page = `${file}.html`;
+  const run = await runInProcess(['report', file, '--out', page]);
+  t.is(run.code, 0, run.err);
+  const html = readFileSync(page, 'utf8');
+  t.true(html.includes('<td>delivered</td><td>7</td>'));
+  t.true(html.includes('"data":[[0,1,2,3,4,5,6,7,8,9],[40,40,40'));
+  t.false(html.includes('</script><b>') || html.includes('<i>'));
+  t.notRegex(html, /(src|href)=/);
+});
+
 test('a VM that can not be reached is told by its exit code', async t => {
   const run = await runInProcess(['status', '--admin', '127.0.0.1:1'], {
     RADISHYOKE_TOKEN: 'a.b',
--- a/packages/cli/src/cli.ts
+++ b/packages/cli/src/cli.ts
@@ -11,6 +11,7 @@
   runStatus,
   runTop,
 } from './admin_commands.js';
+import {AUDIT_ACTIONS, runAudit} from './audit_command.js';
 import {runCheck} from './check_command.js';
 import type {CliIo} from './cli_io.js';
 import {runCompletion, Subcommands} from './completion_command.js';
@@ -18,6 +19,8 @@
 import {EXIT_CODE_TEXTS, EXIT_CODES, ExitCode} from './exit_code.js';
 import {runExplain} from './explain_command.js';
 import {runKeys} from './keys_command.js';
+import {readOption} from './raw_option.js';
+import {runReport} from './report_command.js';
 import {RULES_ACTIONS, runRules} from './rules_command.js';
 import {runServeCommand} from './serve_command.js';
 import {runToken} from './token_command.js';
@@ -28,6 +31,7 @@
 const SUBCOMMANDS: Subcommands = {
   completion: ['bash'],
   rules: RULES_ACTIONS,
+  audit: AUDIT_ACTIONS,
   drain: ['vm', 'endpoint'],
   token: ['hash'],
 };
@@ -53,7 +57,7 @@
 
 function createCli(args: readonly string[], io: CliIo): CAC {
   const cli = cac('radishyoke');
-  addProcessCommands(cli);
+  addProcessCommands(cli, args);
   addFileCommands(cli, args, io);
   addAdminCommands(cli, args, io);
   cli
@@ -67,13 +71,14 @@
   return cli;
 }
 
-function addProcessCommands(cli: CAC): void {
+function addProcessCommands(cli: CAC, args: readonly string[]): void {
   cli
     .command('serve <settings>', 'Run one entry VM with the settings file')
     .action(settings => runServeCommand(settings));
   cli
     .command('demo', 'Run three trainers and an app against stand-ins')
-    .action(() => runDemoCommand());
+    .option('--save <file>', 'Write the figures there, for report')
+    .action(() => runDemoCommand(readOption(args, 'save')));
 }
 
 function addFileCommands(cli: CAC, args: readonly string[], io: CliIo): void {
@@ -132,6 +137,14 @@
     .option('--to <version>', 'diff: the newer version')
     .option('--version-number <version>', 'show: another than in force')
     .action((action, file, options) => runRules(toRun(options), action, file));
+  add('report [file]', 'Write a run, or the figures of VMs, as an HTML page')
+    .option('--out <file>', 'The page to write')
+    .action((file, options) => runReport(toRun(options), file));
+  add('audit <action> [file]', `Audit: ${AUDIT_ACTIONS.join(', ')}`)
+    .option('--from <offset>', 'show, export: the first block wanted')
+    .option('--subject <name>', 'show: a request, step or rollout')
+    .option('--out <file>', 'export: the file to write')
+    .action((action, file, options) => runAudit(toRun(options), action, file));
   cli
     .command('token <action> <name>', 'token hash NAME: mint a token')
     .option('--team <team>', 'Team that it acts for')
--- a/packages/cli/src/demo_command.ts
+++ b/packages/cli/src/demo_command.ts
@@ -3,8 +3,10 @@
 import type {ExitCode} from './exit_code.js';
 
 /** Runs the demonstration to its end. */
-export async function runDemoCommand(): Promise<ExitCode> {
+export async function runDemoCommand(
+  savePath: string | undefined,
+): Promise<ExitCode> {
   // The stand-ins are loaded only when they are wanted.
   const {runDemo} = await import('@radishyoke/bench/demo');
-  return (await runDemo()) as ExitCode;
+  return (await runDemo(savePath)) as ExitCode;
 }
--- /dev/null
+++ b/packages/cli/src/report_command.ts
@@ -0,0 +1,77 @@
+/**
+ * `radishyoke report`: a run as an HTML page. The run is a file of JSON lines,
+ * such as the output of `demo` or `measure`, or the VMs that are asked.
+ */
+
+import {readFile, writeFile} from 'node:fs/promises';
+import {z} from 'zod';
+import {EncodedMetrics, MetricRegistry} from '@radishyoke/core/metrics';
+import {ADMIN_ANSWERS} from '@radishyoke/daemon/admin_schema';
+import {createClients} from './admin_client.js';
+import {AdminRun, reportFailure} from './admin_commands.js';
+import {EXIT_CODES, ExitCode} from './exit_code.js';
+import {requireOption} from './raw_option.js';
+import {renderReport, RunReport} from './report_page.js';
+import {UsageError} from './usage_error.js';
+
+/** A line may carry the histograms of the run beside its figures. */
+const runLineSchema = z.looseObject({
+  metrics: ADMIN_ANSWERS.histograms.optional(),
+});
+
+/** Writes the page for `file`, or for the VMs given when there is none. */
+export async function runReport(
+  run: AdminRun,
+  file: string | undefined,
+): Promise<ExitCode> {
+  const out = requireOption(run.rawArgs, 'out');
+  const report = file === undefined ? await askVms(run) : await readRun(file);
+  if (typeof report === 'number') return report;
+  await writeFile(out, renderReport(report));
+  run.io.writeErr(`${out} is written`);
+  return EXIT_CODES.ok;
+}
+
+async function askVms(run: AdminRun): Promise<RunReport | ExitCode> {
+  const metrics = new MetricRegistry();
+  const figures: Array<Readonly<Record<string, unknown>>> = [];
+  for (const client of createClients(run.io, run.rawArgs)) {
+    const status = await client.get('status', 'status');
+    if (!status.ok) return reportFailure(run.io, status.error);
+    const histograms = await client.get('histograms', 'histograms');
+    if (!histograms.ok) return reportFailure(run.io, histograms.error);
+    figures.push(status.value);
+    merge(metrics, histograms.value as EncodedMetrics);
+  }
+  return {title: 'Radishyoke: figures of running VMs', figures, metrics};
+}
+
+async function readRun(file: string): Promise<RunReport> {
+  const metrics = new MetricRegistry();
+  const figures: Array<Readonly<Record<string, unknown>>> = [];
+  for (const line of (await readFile(file, 'utf8')).split('\n')) {
+    const parsed = runLineSchema.safeParse(parseJson(line));
+    if (!parsed.success) continue;
+    const {metrics: encoded, ...rest} = parsed.data;
+    figures.push(rest);
+    if (encoded) merge(metrics, encoded as EncodedMetrics);
+  }
+  if (figures.length === 0) {
+    throw new UsageError(`${file} holds no line with a JSON object`);
+  }
+  return {title: `Radishyoke: ${file}`, figures, metrics};
+}
+
+function merge(metrics: MetricRegistry, encoded: EncodedMetrics): void {
+  const merged = metrics.merge(encoded);
+  if (!merged.ok) throw new UsageError(merged.error.detail);
+}
+
+/** Lines that are no JSON are what programs print for people. */
+function parseJson(line: string): unknown {
+  try {
+    return JSON.parse(line);
+  } catch {
+    return undefined;
+  }
+}
--- a/packages/daemon/src/__tests__/fake_admin_backend.ts
+++ b/packages/daemon/src/__tests__/fake_admin_backend.ts
@@ -149,6 +149,11 @@
       next: from + records.length,
     });
   }
+
+  async readAuditBlocks(from: number): Promise<Result<AdminAnswer<'audit'>>> {
+    const record = {tenants: [...TENANTS]};
+    return succeed({records: [{offset: 0, timeMs: 1, record}], next: from});
+  }
 }
 
 export const KODKUTU = toTeamId('kodkutu');
--- a/packages/daemon/src/admin_backend.ts
+++ b/packages/daemon/src/admin_backend.ts
@@ -63,4 +63,10 @@
     tenants: ReadonlySet<TenantId>,
     query: AuditQuery,
   ): Promise<Result<AdminAnswer<'audit'>>>;
+
+  /** Reads whole blocks, of all teams. */
+  abstract readAuditBlocks(
+    from: number,
+    max: number,
+  ): Promise<Result<AdminAnswer<'audit'>>>;
 }
--- a/packages/daemon/src/admin_route.ts
+++ b/packages/daemon/src/admin_route.ts
@@ -99,6 +99,12 @@
   post('/admin/v1/rules', 'publish', 'published', publishRules),
   post('/admin/v1/drain', 'publish', 'drained', drain, true),
   get('/admin/v1/audit', 'audit', 'audit', readAudit),
+  // Whole blocks hold the entries of all teams: a chain can only be checked
+  // whole.
+  {
+    ...get('/admin/v1/audit/blocks', 'audit', 'audit', readBlocks),
+    platformOnly: true,
+  },
 ];
 
 /** Whether a series may be shown to the maker of `call`. */
@@ -228,6 +234,17 @@
   });
 }
 
+function readBlocks(
+  backend: AdminBackend,
+  {query}: AdminCall,
+): Promise<Result<AdminAnswer<'audit'>>> {
+  const max = readCount(query, 'max') ?? DEFAULT_AUDIT_RECORDS;
+  return backend.readAuditBlocks(
+    readCount(query, 'from') ?? 0,
+    Math.min(max, MAX_AUDIT_RECORDS),
+  );
+}
+
 /** The version of the caller's own team; undefined asks for the one in force. */
 function findVersion(
   backend: AdminBackend,
--- a/packages/daemon/src/rule_book.ts
+++ b/packages/daemon/src/rule_book.ts
@@ -56,7 +56,8 @@
     return route;
   }
 
-  private findRoute(team: TeamId, facts: RuleFacts): Result<Route> {
+  /** As `resolve`, but no request is counted. */
+  findRoute(team: TeamId, facts: RuleFacts): Result<Route> {
     const current = this.compile(team);
     if (!current) return fail(createError('not_current', 'no configuration'));
     const decision = resolveRule(current.compiled, facts);
--- a/packages/daemon/src/vm.ts
+++ b/packages/daemon/src/vm.ts
@@ -261,12 +261,22 @@
       this.peers.tell({kind: 'config_offset', next});
     });
     this.loadTimer = setInterval(() => {
+      this.sampleIdle();
       const inFlight = new Map(this.dispatcher.countInFlight());
       this.peers.tell({kind: 'own_load', inFlight});
     }, ownLoadMs);
     void this.peers.events.observe(event => this.hearPeer(event));
   }
 
+  private sampleIdle(): void {
+    const own = this.directory.listTasks();
+    const ledgers = this.log.state.listSteps();
+    this.metrics.sampleIdle(
+      ledgers.filter(ledger => own.has(ledger.key)),
+      ownLoadMs,
+    );
+  }
+
   private hearPeer(event: PeerEvent): void {
     switch (event.kind) {
       case 'vms':
@@ -329,7 +339,8 @@
       const err = createError('no_rule', 'the tenant has no team');
       return {ok: false, error: err} as const;
     }
-    return this.rules.resolve(team, {
+    // The request that opened the step was counted where it came in.
+    return this.rules.findRoute(team, {
       tenant,
       workClass: 'rollout',
       model: req.model,
--- a/packages/daemon/src/vm_admin_backend.ts
+++ b/packages/daemon/src/vm_admin_backend.ts
@@ -18,6 +18,7 @@
 import {AdminBackend, AuditQuery} from './admin_backend.js';
 import type {
   AdminAnswer,
+  AuditEntry,
   EndpointEntry,
   LeaseEntry,
   QueueEntry,
@@ -207,6 +208,20 @@
     team: TeamId,
     _tenants: ReadonlySet<TenantId>,
     {from, max, subject}: AuditQuery,
+  ): Promise<Result<AdminAnswer<'audit'>>> {
+    const page = await this.readAuditBlocks(from, max);
+    if (!page.ok) return page;
+    const records = page.value.records.flatMap(({offset, timeMs, record}) =>
+      listEntries(record)
+        .filter(entry => isWanted(entry, team, subject))
+        .map(entry => ({offset, timeMs, record: entry})),
+    );
+    return succeed({records, next: page.value.next});
+  }
+
+  async readAuditBlocks(
+    from: number,
+    max: number,
   ): Promise<Result<AdminAnswer<'audit'>>> {
     const read = await this.options.logClient.read(
       'audit',
@@ -218,13 +233,12 @@
       const detail = `the log keeps the audit from ${read.value.oldest} on`;
       return fail(createError('not_found', detail));
     }
-    const {records, next} = read.value;
-    const wanted = records.flatMap(({offset, timeMs, value}) =>
-      listEntries(value)
-        .filter(entry => isWanted(entry, team, subject))
-        .map(record => ({offset, timeMs, record})),
-    );
-    return succeed({records: wanted, next});
+    const records = read.value.records.map(({offset, timeMs, value}) => ({
+      offset,
+      timeMs,
+      record: value as AuditEntry['record'],
+    }));
+    return succeed({records, next: read.value.next});
   }
 
   private readStep(step: StepLedger): StepEntry {
--- a/packages/daemon/src/vm_metrics.ts
+++ b/packages/daemon/src/vm_metrics.ts
@@ -19,6 +19,9 @@
   readonly registry = new MetricRegistry();
   readonly recorder = new RequestRecorder();
 
+  /** Time in which trainers waited, by step. */
+  private readonly idleMs = new Map<string, number>();
+
   /** A rule was looked for. */
   recordRoute(facts: RuleFacts, route: Result<Route>): void {
     const {tenant, workClass = 'interactive'} = facts;
@@ -55,10 +58,21 @@
     this.registry.recordValue('staleness', tenant, 'rollout', staleness);
   }
 
+  /** Looks once in `everyMs` which of this VM's steps have their trainer wait. */
+  sampleIdle(ledgers: readonly StepLedger[], everyMs: number): void {
+    for (const {key, acknowledged, lastCursor} of ledgers) {
+      if (acknowledged < lastCursor) continue;
+      this.idleMs.set(key, (this.idleMs.get(key) ?? 0) + everyMs);
+    }
+  }
+
   /** `nowMs` is the log's time, as the opening is. */
   recordStepEnd(ledger: StepLedger, end: StepEnd, nowMs: number): void {
+    const idleMs = this.idleMs.get(ledger.key) ?? 0;
+    this.idleMs.delete(ledger.key);
     if (end === 'lost' || end === 'left') return;
     const {tenant, openedAtMs} = ledger.opening;
+    this.registry.recordValue('trainer_idle', tenant, 'rollout', idleMs);
     const durationMs = nowMs - openedAtMs;
     this.registry.recordValue('step_duration', tenant, 'rollout', durationMs);
   }
