--- a/packages/bench/src/demo.ts
+++ b/packages/bench/src/demo.ts
@@ -34,6 +34,7 @@
 const appPauseMs = 10;
 const progressMs = 1000;
 const readyPollMs = 50;
+const heldCallerPorts = [7100, 7110];
 const firstVersion = 1;
 
 /** One line per tenant of the closing table. */
@@ -50,7 +51,7 @@
  * `savePath` that object goes there too, with the VMs' metrics for a report.
  */
 export async function runDemo(savePath?: string): Promise<number> {
-  const demo = new Demo(savePath);
+  const demo = new Demo([0, 0], savePath);
   try {
     return await demo.run();
   } finally {
@@ -58,6 +59,17 @@
   }
 }
 
+/** Keeps the same deployment open for requests by hand, until interrupted. */
+export async function holdDemo(): Promise<void> {
+  const demo = new Demo(heldCallerPorts);
+  try {
+    await demo.start();
+    await new Promise(resolve => process.once('SIGINT', resolve));
+  } finally {
+    await demo.close();
+  }
+}
+
 class Demo {
   private standIns!: StandIns;
   private vms: Vm[] = [];
@@ -73,7 +85,11 @@
   private appFailures = 0;
   private summary: Readonly<Record<string, unknown>> = {};
 
-  constructor(private readonly savePath: string | undefined) {}
+  /** `callerPorts`: one for each VM; 0 takes a free one. */
+  constructor(
+    private readonly callerPorts: readonly number[] = [0, 0],
+    private readonly savePath?: string,
+  ) {}
 
   async run(): Promise<number> {
     await this.start();
@@ -101,7 +117,7 @@
     await this.standIns?.close();
   }
 
-  private async start(): Promise<void> {
+  async start(): Promise<void> {
     this.standIns = await startStandIns({
       model,
       engineGroup: 'tutors',
@@ -122,7 +138,8 @@
     publishFirstRules(this.standIns, team, rules);
     const text = await readExample('settings.ini');
     for (const [index, dataCentre] of ['gebze-a', 'kartal'].entries()) {
-      await this.startVm(text, `entry-${index + 1}`, dataCentre);
+      const port = this.callerPorts[index];
+      await this.startVm(text, `entry-${index + 1}`, dataCentre, port);
     }
     await Promise.all(this.origins.map(waitUntilReady));
     console.log(`two VMs serve callers at ${this.origins.join(' and ')}`);
@@ -132,10 +149,11 @@
     text: string,
     id: string,
     dataCentre: string,
+    port: number,
   ): Promise<void> {
     const parsed = parseSettings(text, 'examples/settings.ini');
     if (!parsed.ok) throw new Error(JSON.stringify(parsed.error));
-    const settings = this.adaptSettings(parsed.value, id, dataCentre);
+    const settings = this.adaptSettings(parsed.value, id, dataCentre, port);
     const vm = new Vm({
       settings,
       logger: createDemoLogger(id),
@@ -158,6 +176,7 @@
     settings: Settings,
     id: string,
     dataCentre: string,
+    port: number,
   ): Settings {
     const {log, vmList, weightStore} = this.standIns;
     return {
@@ -165,7 +184,7 @@
       vm: {
         id: toVmId(id),
         dataCentre: dataCentre as Settings['vm']['dataCentre'],
-        callerAddress: '127.0.0.1:0',
+        callerAddress: `127.0.0.1:${port}`,
         peerAddress: '127.0.0.1:0',
         adminAddress: '127.0.0.1:0',
       },
--- a/packages/cli/src/cli.ts
+++ b/packages/cli/src/cli.ts
@@ -77,8 +77,11 @@
     .action(settings => runServeCommand(settings));
   cli
     .command('demo', 'Run three trainers and an app against stand-ins')
+    .option('--hold', 'Keep the deployment open on port 7100, without trainers')
     .option('--save <file>', 'Write the figures there, for report')
-    .action(() => runDemoCommand(readOption(args, 'save')));
+    .action(options =>
+      runDemoCommand(Boolean(options.hold), readOption(args, 'save')),
+    );
 }
 
 function addFileCommands(cli: CAC, args: readonly string[], io: CliIo): void {
