fix(daemon): a VM that leaves renews its session no more; transfers property test

Cause: a renewal queued after session_closed opened the session again, so that the leases of a VM that had left in order looked held for another ttl. Change: leaving stops renewals and claims. Property test over transfers of configuration between VMs, delayed and from VMs that lag.

--- /dev/null
+++ b/packages/core/src/__tests__/config_transfer.spec.ts
@@ -0,0 +1,73 @@
+import type {ConfigRecord} from '@radishyoke/shared/log_record';
+import test from 'ava';
+import fc from 'fast-check';
+import {
+  ConfigHistory,
+  type ConfigTransfer,
+  NO_VERSION,
+} from '../config_history.js';
+import {publishConfig, RecordFixture, TEAM} from './log_fixtures.js';
+
+const RECORDS = 200;
+const VMS = 4;
+
+/** One event: a VM reads some of the log, or takes what another one exports. */
+const event = fc.record({
+  vm: fc.nat(VMS - 1),
+  from: fc.option(fc.nat(VMS - 1), {nil: undefined}),
+  records: fc.nat(40),
+  /** A transfer that is sent now and arrives only at the next one. */
+  delayed: fc.boolean(),
+});
+
+function createStream(): RecordFixture<ConfigRecord> {
+  const stream = new RecordFixture<ConfigRecord>();
+  const history = new ConfigHistory(() => undefined);
+  for (let i = 0; i < RECORDS; i++) {
+    const current = history.current(TEAM)?.version ?? NO_VERSION;
+    const basedOn = i % 5 === 4 ? NO_VERSION : current;
+    history.apply(stream.add('op', publishConfig(basedOn, `rules ${i}`), i));
+  }
+  return stream;
+}
+
+// A VM whose log connection is silent takes its configuration from others.
+// 1. It asks one that was paused and lags behind; an older answer, delayed on
+//    its way, arrives after a newer one.
+// 2. It goes back to rules that were replaced, or misses a version between two.
+test('transfers between VMs never turn one back and leave no gap', t => {
+  const {records} = createStream();
+  const truth = new ConfigHistory(() => undefined);
+  const currentAt = records.map(record => {
+    truth.apply(record);
+    return truth.current(TEAM)?.version;
+  });
+  const details = fc.check(
+    fc.property(fc.array(event, {maxLength: 60, size: 'max'}), events => {
+      const vms = Array.from(
+        {length: VMS},
+        () => new ConfigHistory(() => undefined),
+      );
+      let waiting: ConfigTransfer | undefined;
+      return events.every(({vm, from, records: count, delayed}) => {
+        const history = vms[vm]!;
+        const before = history.next;
+        if (from === undefined) {
+          records.slice(before, before + count).forEach(r => history.apply(r));
+        } else {
+          const transfer = vms[from]!.exportRecords(before);
+          if (waiting) history.importRecords(waiting);
+          waiting = delayed ? transfer : undefined;
+          if (!delayed) history.importRecords(transfer);
+        }
+        const version = history.current(TEAM)?.version;
+        return (
+          history.next >= before &&
+          (history.next === 0 || version === currentAt[history.next - 1])
+        );
+      });
+    }),
+    {seed: 9, numRuns: 300},
+  );
+  t.deepEqual(details.counterexample, null);
+});
--- a/packages/daemon/src/log_task.ts
+++ b/packages/daemon/src/log_task.ts
@@ -125,6 +125,7 @@
   private readonly wanted = new Set<string>();
   private readonly jitter = Math.random();
   private checkpointing = false;
+  private leaving = false;
   private stateFold: StateFold;
   private configHistory: ConfigHistory;
   private renewing = false;
@@ -209,6 +210,9 @@
 
   /** Gives back all leases at once, so that others need not wait for a lapse. */
   async leave(): Promise<void> {
+    // A renewal that follows the closing would open the session again, and the
+    // leases would look held until it lapses.
+    this.leaving = true;
     this.wanted.clear();
     await this.append({kind: 'session_closed'});
   }
@@ -241,6 +245,7 @@
    * another live session holds it.
    */
   async claim(lease: string): Promise<Result<number>> {
+    if (this.leaving) return fail(createError('draining'));
     this.wanted.add(lease);
     if (!this.session.isValid(performance.now())) void this.renewSession();
     const result = await this.append({kind: 'lease_claimed', lease});
@@ -412,7 +417,7 @@
 
   /** One renewal at a time: more would only fill the buffer in an outage. */
   private async renewSession(): Promise<void> {
-    if (this.renewing) return;
+    if (this.renewing || this.leaving) return;
     this.renewing = true;
     const askedAtMs = performance.now();
     this.session.ask(askedAtMs);
