fix(core): a sample refused for a passing reason runs again

Cause: a group without endpoints for a moment, or a full queue, ended a sample as a shortfall long before the step's deadline. Change: no_endpoint and overloaded make the sample wait and run again; rules' hedge, max_queue and max_in_flight reach the scheduler; groups listed by id go to it as they stand, so one endpoint may be in several. Figures: the new test fails before (a commit at once) and passes after.

--- a/packages/core/src/__tests__/step_machine.spec.ts
+++ b/packages/core/src/__tests__/step_machine.spec.ts
@@ -157,3 +157,20 @@
     ['shortfall', 'end'],
   );
 });
+
+// A step ends short although its deadline is minutes off.
+// 1. All endpoints of the group are gone for a moment; the scheduler refuses.
+// Cause: a refusal that passes by itself was taken for the sample's end.
+test('a sample that no endpoint could take runs again', t => {
+  const machine = createMachine(1);
+  machine.begin();
+  const failed: StepInput = {
+    kind: 'failed',
+    group: 0,
+    sample: 0,
+    error: {kind: 'no_endpoint', detail: '', retryAfterMs: 200},
+  };
+  t.deepEqual(machine.handle(failed, 1000), []);
+  t.deepEqual(machine.handle({kind: 'tick'}, 1199), []);
+  t.like(machine.handle({kind: 'tick'}, 1200), {0: {kind: 'run', sample: 0}});
+});
--- a/packages/core/src/step_machine.ts
+++ b/packages/core/src/step_machine.ts
@@ -5,7 +5,7 @@
  * that moment. Pure: events in, actions out.
  */
 
-import type {RadishyokeError} from '@radishyoke/shared/error_kind';
+import type {ErrorKind, RadishyokeError} from '@radishyoke/shared/error_kind';
 import {createError} from '@radishyoke/shared/error_kind';
 import type {EndpointId, StepId} from '@radishyoke/shared/ids';
 import {toEndpointId, toRolloutId} from '@radishyoke/shared/ids';
@@ -124,6 +124,8 @@
 
 type SampleState =
   | {readonly kind: 'running'}
+  /** No endpoint could take it; it runs again then. */
+  | {readonly kind: 'waiting'; readonly untilMs: number}
   /** Text and error wait here for the log, then for the trainer. */
   | {
       readonly kind: 'settled';
@@ -140,6 +142,14 @@
     }
   | {readonly kind: 'acknowledged'; readonly shortfall: boolean};
 
+/** Refusals that pass by themselves. */
+const passingKinds: ReadonlySet<ErrorKind> = new Set<ErrorKind>([
+  'no_endpoint',
+  'overloaded',
+]);
+/** Pause before such a sample runs again, where the refusal names none. */
+const retryPauseMs = 500;
+
 type SettledState = Extract<SampleState, {readonly kind: 'settled'}>;
 
 /** How long a new owner waits for an engine to give back a winner's text. */
@@ -206,7 +216,7 @@
         this.settle(input.output, {output: input.output}, out);
         break;
       case 'failed':
-        this.settle(input, {shortfall: input.error}, out);
+        this.fail(input, input.error, nowMs, out);
         break;
       case 'outdated':
         this.rerun(input, out);
@@ -333,6 +343,26 @@
     out.push({kind: 'commit', samples: [this.buildCommit(ref)]});
   }
 
+  /**
+   * A full queue or a group without endpoints passes; ending the sample for it
+   * would show as a step that is short although its deadline is far off.
+   */
+  private fail(
+    ref: SampleRef,
+    error: RadishyokeError,
+    nowMs: number,
+    out: StepOutput[],
+  ): void {
+    if (!passingKinds.has(error.kind)) {
+      this.settle(ref, {shortfall: error}, out);
+      return;
+    }
+    const key = formatSampleKey(ref);
+    if (this.states.get(key)?.kind !== 'running') return;
+    const untilMs = nowMs + (error.retryAfterMs ?? retryPauseMs);
+    this.states.set(key, {kind: 'waiting', untilMs});
+  }
+
   private buildCommit(ref: SampleRef): SampleCommit {
     const state = this.states.get(formatSampleKey(ref));
     if (state?.kind !== 'settled') throw new Error('sample is not settled');
@@ -498,7 +528,8 @@
     let rollouts = 0;
     let shortfalls = 0;
     for (const state of this.states.values()) {
-      if (state.kind === 'running' || state.kind === 'recovering') return;
+      if (state.kind === 'running' || state.kind === 'waiting') return;
+      if (state.kind === 'recovering') return;
       if (state.kind === 'settled') {
         if (state.cursor === undefined) return;
         if (state.cursor > this.sentCursor) return;
@@ -521,10 +552,13 @@
 
   private expire(nowMs: number, out: StepOutput[]): void {
     this.expireRecoveries(nowMs, out);
-    if (nowMs < this.deadlineAtMs) return;
+    const isLate = nowMs >= this.deadlineAtMs;
     for (const [key, state] of [...this.states]) {
-      if (state.kind !== 'running') continue;
       const [group, sample] = key.split('/').map(Number);
+      if (state.kind === 'waiting' && (isLate || nowMs >= state.untilMs)) {
+        this.run({group, sample}, out);
+      }
+      if (!isLate || this.states.get(key)?.kind !== 'running') continue;
       out.push({kind: 'abandon', group, sample});
       const shortfall = createError('deadline_passed');
       this.settle({group, sample}, {shortfall}, out);
--- a/packages/daemon/src/app_api.ts
+++ b/packages/daemon/src/app_api.ts
@@ -204,6 +204,9 @@
     minWeightVersion: 0,
     idempotent,
     maxAttempts: body === undefined ? 1 : action.maxAttempts,
+    hedge: false,
+    maxQueue: action.maxQueue,
+    maxInFlight: action.maxInFlight,
     fingerprint,
   };
 }
--- a/packages/daemon/src/endpoint_task.ts
+++ b/packages/daemon/src/endpoint_task.ts
@@ -67,6 +67,7 @@
     this.drained.add(id);
     this.endpoints = this.applyGroups(this.endpoints);
     const {dispatcher} = this.options;
+    dispatcher.post({kind: 'groups', groups: this.options.listGroups()});
     dispatcher.post({kind: 'endpoints', endpoints: this.endpoints});
     return true;
   }
@@ -90,26 +91,13 @@
       logger.log('warn', 'VM list unavailable', {detail: list.error.detail});
       return;
     }
-    this.endpoints = this.applyGroups(list.value.endpoints);
+    this.endpoints = list.value.endpoints;
     this.vms = list.value.vms;
+    dispatcher.post({kind: 'groups', groups: this.options.listGroups()});
     dispatcher.post({kind: 'endpoints', endpoints: this.endpoints});
     this.vmBox.post(this.vms);
   }
 
-  private applyGroups(
-    endpoints: readonly EndpointInfo[],
-  ): readonly EndpointInfo[] {
-    const groups = new Map<EndpointId, string>();
-    for (const group of this.options.listGroups()) {
-      for (const id of group.endpoints) groups.set(id, group.name);
-    }
-    return endpoints.map(endpoint => ({
-      ...endpoint,
-      group: groups.get(endpoint.id) ?? endpoint.group,
-      state: this.drained.has(endpoint.id) ? 'leaving' : endpoint.state,
-    }));
-  }
-
   private async readReport(endpoint: EndpointInfo): Promise<void> {
     const report = await this.fetchReport(endpoint);
     if (!report || this.stopped) return;
--- a/packages/daemon/src/step_task.ts
+++ b/packages/daemon/src/step_task.ts
@@ -281,6 +281,8 @@
       minWeightVersion: run.minWeightVersion,
       idempotent: true,
       maxAttempts: action.maxAttempts,
+      hedge: action.hedge,
+      maxInFlight: action.maxInFlight,
       fingerprint: prefixKey,
     };
   }
