fix(daemon): groups by id go to the scheduler as they stand

Cause: an endpoint listed in two groups of a rule set was in the last only. Change: the task posts the groups and the endpoints, drained ones as leaving.

--- a/packages/daemon/src/endpoint_task.ts
+++ b/packages/daemon/src/endpoint_task.ts
@@ -65,10 +65,7 @@
   drain(id: EndpointId): boolean {
     if (!this.endpoints.some(endpoint => endpoint.id === id)) return false;
     this.drained.add(id);
-    this.endpoints = this.applyGroups(this.endpoints);
-    const {dispatcher} = this.options;
-    dispatcher.post({kind: 'groups', groups: this.options.listGroups()});
-    dispatcher.post({kind: 'endpoints', endpoints: this.endpoints});
+    this.tellEndpoints(this.endpoints);
     return true;
   }
 
@@ -85,19 +82,27 @@
   }
 
   private async readList(): Promise<void> {
-    const {vmList, dispatcher, logger} = this.options;
+    const {vmList, logger} = this.options;
     const list = await vmList.fetch({timeoutMs: reportTimeoutMs});
     if (!list.ok) {
       logger.log('warn', 'VM list unavailable', {detail: list.error.detail});
       return;
     }
-    this.endpoints = list.value.endpoints;
     this.vms = list.value.vms;
-    dispatcher.post({kind: 'groups', groups: this.options.listGroups()});
-    dispatcher.post({kind: 'endpoints', endpoints: this.endpoints});
+    this.tellEndpoints(list.value.endpoints);
     this.vmBox.post(this.vms);
   }
 
+  private tellEndpoints(endpoints: readonly EndpointInfo[]): void {
+    this.endpoints = endpoints.map(endpoint => ({
+      ...endpoint,
+      state: this.drained.has(endpoint.id) ? 'leaving' : endpoint.state,
+    }));
+    const {dispatcher, listGroups} = this.options;
+    dispatcher.post({kind: 'groups', groups: listGroups()});
+    dispatcher.post({kind: 'endpoints', endpoints: this.endpoints});
+  }
+
   private async readReport(endpoint: EndpointInfo): Promise<void> {
     const report = await this.fetchReport(endpoint);
     if (!report || this.stopped) return;
