fix(core): a step is queued whole or not at all

Cause: the rule's bound on queued works cut large steps, whose other samples were then run for nothing. Change: samples of a step that was begun to be taken are not held to the bound. Fault case added.

--- a/packages/core/src/__tests__/scheduler_faults.spec.ts
+++ b/packages/core/src/__tests__/scheduler_faults.spec.ts
@@ -289,6 +289,23 @@
   t.like(expired, {error: {kind: 'deadline_passed', ran: 'no'}});
 });
 
+// A large step comes back with most of its samples missing.
+// 1. A step has more samples than the rule lets a tenant queue.
+// 2. A second step of the tenant comes while the first waits.
+// Cause: the bound was held against samples rather than steps.
+test('a step is taken whole or not at all', t => {
+  const bench = createBench('a');
+  const create = (stepKey: string) =>
+    listNames(100).map(name =>
+      createWork(`${stepKey}-${name}`, {stepKey, maxQueue: 10}),
+    );
+  bench.add(...create('s1'));
+  t.is(bench.scheduler.countWorks(), 100);
+  bench.add(...create('s2'));
+  t.is(bench.scheduler.countWorks(), 100);
+  t.is(bench.finalOf('s2-w99'), 'overloaded');
+});
+
 // A step waits for a sample on a slow engine while others stand idle.
 // 1. Two samples run; one engine makes a tenth of the other's tokens.
 // Cause: a sample stayed where it was begun.
--- a/packages/core/src/admission.ts
+++ b/packages/core/src/admission.ts
@@ -18,10 +18,14 @@
 /** When to come back where nothing was measured. */
 export const DEFAULT_RETRY_AFTER_MS = 1000;
 
-/** Why the work is refused without being run, if it is. */
+/**
+ * Why the work is refused without being run, if it is. `isStepOpen` tells that
+ * samples of the work's step were taken before.
+ */
 export function findRefusal(
   work: WorkState,
   group: EndpointGroup,
+  isStepOpen: boolean,
   nowMs: number,
 ): RadishyokeError | undefined {
   if (group.pool.endpoints.size === 0) {
@@ -32,12 +36,13 @@
   if (work.item.deadlineAtMs <= nowMs) {
     return createError('deadline_passed', undefined, {ran: 'no'});
   }
-  return findQueueRefusal(work, group, nowMs);
+  return findQueueRefusal(work, group, isStepOpen, nowMs);
 }
 
 function findQueueRefusal(
   work: WorkState,
   group: EndpointGroup,
+  isStepOpen: boolean,
   nowMs: number,
 ): RadishyokeError | undefined {
   const {workClass, tenant, deadlineAtMs} = work.item;
@@ -47,7 +52,10 @@
     queue.measureCostAhead(tenant),
   );
   const queued = queue.countOf(tenant);
-  if (queued >= (work.item.maxQueue ?? MAX_QUEUED[workClass])) {
+  const isFull = queued >= (work.item.maxQueue ?? MAX_QUEUED[workClass]);
+  // A step that is larger than the bound would lose the samples past it while
+  // the others are run for nothing; it is taken whole or not at all.
+  if (isFull && !isStepOpen) {
     // Room for one more comes with the next one that leaves.
     const oneMs = waitMs === undefined ? undefined : waitMs / queued;
     return createError('overloaded', undefined, {
--- a/packages/core/src/policy_scheduler.ts
+++ b/packages/core/src/policy_scheduler.ts
@@ -174,7 +174,8 @@
   ): RadishyokeError | undefined {
     const suspicion = this.suspects.classify(work.item.fingerprint);
     if (suspicion === 'convicted') return createError('suspect_request');
-    return findRefusal(work, group, this.nowMs);
+    const isStepOpen = this.pace.isOpen(work.item.stepKey);
+    return findRefusal(work, group, isStepOpen, this.nowMs);
   }
 
   private adopt(item: WorkItem, number: number, id: EndpointId): void {
--- a/packages/core/src/step_pace.ts
+++ b/packages/core/src/step_pace.ts
@@ -47,6 +47,11 @@
     this.steps.delete(stepKey);
   }
 
+  /** Whether works of the step are queued or running. */
+  isOpen(stepKey: string): boolean {
+    return this.steps.has(stepKey);
+  }
+
   listWorks(stepKey: string): readonly WorkState[] {
     return [...(this.steps.get(stepKey)?.works ?? [])];
   }
