fix(core): endpoints of another model are no candidates, parked works try again in parts

Cause: a group may hold engines of several models, and only the group was looked at. A large step waiting for weights was gone through whole every 250 ms. Change: the model is part of the choice; parked works whose version no endpoint has ever shown stay parked, others try again 200 at a time. Fault case added.

--- a/packages/core/src/__tests__/scheduler_faults.spec.ts
+++ b/packages/core/src/__tests__/scheduler_faults.spec.ts
@@ -220,6 +220,30 @@
   t.is(bench.finalOf('w0'), 'not_fresh_in_time');
 });
 
+// A trainer is handed samples of another model.
+// 1. Two engines of one group serve different models, and one is full.
+// Cause: only the group was looked at.
+test('work goes to engines of its model and does not hold up others', t => {
+  const bench = createBench();
+  const endpoints = ['a', 'b'].map(id => ({
+    ...createEndpoint(id),
+    model: `model-${id}`,
+  }));
+  bench.handle({kind: 'endpoints', endpoints});
+  const names = listNames(100);
+  bench.add(...names.map(name => createWork(name, {model: 'model-a'})));
+  bench.add(createWork('other', {model: 'model-b'}));
+  t.is(bench.endpointOf('other'), 'b');
+  const started = names.filter(name => bench.last.has(name));
+  t.true(started.length > 0 && started.length < 100);
+  t.true(started.every(name => bench.endpointOf(name) === 'a'));
+  while (bench.scheduler.countWorks() > 0) {
+    for (const name of [...bench.last.keys()]) bench.finish(name);
+    bench.wait(300);
+  }
+  t.true(names.every(name => bench.finalOf(name) === 'done'));
+});
+
 // Engines spend their time on what will be thrown away.
 // 1. A step wants version 2; the engine still reports 1.
 // 2. The engine reports 2.
--- a/packages/core/src/endpoint_pool.ts
+++ b/packages/core/src/endpoint_pool.ts
@@ -27,6 +27,8 @@
 export interface Choice extends ScoredWork {
   readonly workClass: WorkClass;
   readonly minWeightVersion: number;
+  /** Model that has to be served; absent for any. */
+  readonly model?: string;
   /** Empty for none. */
   readonly prefixKey: string;
   /** Whether it must not meet another suspect. */
@@ -132,6 +134,8 @@
   vms: VmView,
 ): boolean {
   if (choice.isSuspect && endpoint.suspect) return false;
+  const {model} = endpoint.info;
+  if (choice.model && model && choice.model !== model) return false;
   return (
     endpoint.weightVersion >= choice.minWeightVersion &&
     endpoint.hasRoomFor(choice.workClass, vms)
--- a/packages/core/src/policy_scheduler.ts
+++ b/packages/core/src/policy_scheduler.ts
@@ -39,6 +39,8 @@
 
 /** Wait before work that an endpoint rejected is sent elsewhere. */
 const REJECTED_WAIT_MS = 100;
+/** Parked works that may try again at one scan. */
+const MAX_UNPARKED = 200;
 /** Stragglers are looked for this often. */
 const STRAGGLER_SCAN_MS = 250;
 
@@ -253,8 +255,8 @@
         continue;
       }
       if (!this.isChoosy(work)) break;
-      // The endpoints with room have older weights than this work needs; others
-      // behind it may be content with them.
+      // The endpoints with room have older weights than this work needs, or
+      // another model; others behind it may be content with them.
       queue.pop();
       work.phase = 'parked';
       group.parked.push(work);
@@ -337,6 +339,7 @@
         item.stepKey,
         item.minWeightVersion,
       ),
+      model: item.model,
       promptTokens: item.promptTokens + (work.partial?.tokens ?? 0),
       expectedTokens: work.expectedTokens - (work.partial?.tokens ?? 0),
       prefixKey: this.options.prefixAffinity ? item.prefixKey : '',
@@ -346,10 +349,13 @@
     return group.pool.choose(choice, this.directory.view, this.getView(group));
   }
 
-  /** Whether some endpoints may be too old for the work. */
+  /** Whether some endpoints may not do for the work. */
   private isChoosy(work: WorkState): boolean {
-    const {stepKey, minWeightVersion} = work.item;
-    return this.freshness.findMin(stepKey, minWeightVersion) > 0;
+    const {stepKey, minWeightVersion, model} = work.item;
+    return (
+      model !== undefined ||
+      this.freshness.findMin(stepKey, minWeightVersion) > 0
+    );
   }
 
   private start(work: WorkState, endpoint: EndpointState): void {
@@ -802,11 +808,23 @@
     }
   }
 
+  /**
+   * Lets parked works try again, a few at a time: a large step that waits for
+   * weights would otherwise be gone through whole at every scan.
+   */
   private releaseParked(group: EndpointGroup): void {
+    if (group.parked.length === 0) return;
+    let room = MAX_UNPARKED;
     const parked = group.parked;
     group.parked = [];
     for (const work of parked) {
-      this.queue(work);
+      const {stepKey, minWeightVersion} = work.item;
+      const min = this.freshness.findMin(stepKey, minWeightVersion);
+      if (room === 0 || min > group.pool.newestVersion) group.parked.push(work);
+      else {
+        room--;
+        this.queue(work);
+      }
     }
   }
 
