--- a/packages/cli/src/__tests__/admin_commands.spec.ts
+++ b/packages/cli/src/__tests__/admin_commands.spec.ts
@@ -138,6 +138,10 @@
 
   const top = await run(['top']);
   t.regex(top.out, /lesson-app +interactive +duration \(ms\) +[1-9]/);
+  t.regex(
+    top.out,
+    /lesson-app +interactive +time_to_first_token \(ms\) +[1-9]/,
+  );
   t.regex(top.out, /lesson-app +interactive +decisions app +[1-9]/);
   t.is((await run(['top'], strangerToken)).out.includes('lesson-app'), false);
 
--- a/packages/daemon/src/app_runner.ts
+++ b/packages/daemon/src/app_runner.ts
@@ -62,6 +62,7 @@
           [HEADERS.ran]: 'yes',
         },
         progressTimeoutMs,
+        onHead: () => this.options.dispatcher.noteOutput(this.options.workId),
       },
       res,
     );
--- a/packages/daemon/src/dispatcher.ts
+++ b/packages/daemon/src/dispatcher.ts
@@ -41,6 +41,13 @@
   readonly waitedMs: number;
 }
 
+/** The first output of one work. */
+export interface FirstOutput {
+  readonly item: WorkItem;
+  /** Time since the work was submitted. */
+  readonly sinceMs: number;
+}
+
 /** Works of one tenant and class. */
 export interface WorkCount {
   readonly tenant: TenantId;
@@ -53,6 +60,7 @@
   readonly item: WorkItem;
   readonly submittedAtMs: number;
   attempts: number;
+  hasOutput: boolean;
 }
 
 /** Number of an adopted attempt within its work. */
@@ -64,6 +72,7 @@
 export class Dispatcher {
   private readonly events = createMailbox<SchedulerEvent>();
   private readonly startBox = createMailbox<WorkStart>();
+  private readonly outputBox = createMailbox<FirstOutput>();
   private readonly submitted = new Map<string, SubmittedWork>();
   private readonly noticeBox = createMailbox<DispatcherNotice>();
   private readonly runners = new Map<string, WorkRunner>();
@@ -78,6 +87,9 @@
   /** Attempts as they begin. */
   readonly starts = this.startBox.messages;
 
+  /** Works of which the first byte or token has come. */
+  readonly firstOutputs = this.outputBox.messages;
+
   constructor(readonly scheduler: Scheduler) {
     void this.events.messages.observe(event => this.handle(event));
     this.ticker = setInterval(() => this.post({kind: 'tick'}), tickMs);
@@ -123,6 +135,15 @@
     return this.inFlight;
   }
 
+  /** A byte or token of the work's output has come. */
+  noteOutput(workId: string): void {
+    const work = this.submitted.get(workId);
+    if (!work || work.hasOutput) return;
+    work.hasOutput = true;
+    const sinceMs = Date.now() - work.submittedAtMs;
+    this.outputBox.post({item: work.item, sinceMs});
+  }
+
   /** Works by tenant and class. */
   listWorkCounts(): readonly WorkCount[] {
     const counts = new Map<string, WorkCount>();
@@ -148,6 +169,7 @@
 
   private handle(event: SchedulerEvent): void {
     if (event.kind === 'endpoints') this.noteEndpoints(event.endpoints);
+    if (event.kind === 'progress') this.noteOutput(event.workId);
     if (event.kind === 'ended') this.release(event.workId, event.attempt);
     for (const action of this.scheduler.handle(event, Date.now())) {
       this.carryOut(action);
@@ -155,7 +177,13 @@
   }
 
   private note(item: WorkItem, attempts: number): void {
-    this.submitted.set(item.id, {item, attempts, submittedAtMs: Date.now()});
+    this.submitted.set(item.id, {
+      item,
+      attempts,
+      submittedAtMs: Date.now(),
+      // Work taken over had its first output under another owner.
+      hasOutput: attempts > 0,
+    });
   }
 
   /** Forgets a work's runner; it hears no more. */
--- a/packages/daemon/src/vm.ts
+++ b/packages/daemon/src/vm.ts
@@ -184,6 +184,9 @@
       const {fingerprints} = value;
       this.dispatcher.post({kind: 'suspects', fingerprints});
     });
+    void this.dispatcher.firstOutputs.observe(output =>
+      this.metrics.recordFirstOutput(output),
+    );
     void this.dispatcher.starts.observe(start =>
       this.metrics.recordStart(start),
     );
--- a/packages/daemon/src/vm_metrics.ts
+++ b/packages/daemon/src/vm_metrics.ts
@@ -8,7 +8,7 @@
 import type {Result} from '@radishyoke/shared/result';
 import {measureStaleness} from '@radishyoke/shared/rollout';
 import type {AppRecord} from './app_api.js';
-import type {WorkStart} from './dispatcher.js';
+import type {FirstOutput, WorkStart} from './dispatcher.js';
 import type {Route} from './rule_book.js';
 import type {StepEnd} from './step_task.js';
 
@@ -44,6 +44,16 @@
     }
   }
 
+  recordFirstOutput({item, sinceMs}: FirstOutput): void {
+    const {tenant, workClass} = item;
+    this.registry.recordValue(
+      'time_to_first_token',
+      tenant,
+      workClass,
+      sinceMs,
+    );
+  }
+
   recordApp({caller, route, end, durationMs}: AppRecord): void {
     const {tenant} = caller;
     const workClass = route.action.workClass ?? 'interactive';
--- a/packages/wire/src/forward.ts
+++ b/packages/wire/src/forward.ts
@@ -36,6 +36,8 @@
   readonly answerHeaders: Readonly<Record<string, string>>;
   /** Longest wait for the answer's head and between its parts, ms. */
   readonly progressTimeoutMs: number;
+  /** Called when the head of the answer goes to the caller. */
+  readonly onHead?: () => void;
 }
 
 /** How a forwarded request ended. */
@@ -106,6 +108,7 @@
       await answer.body.dump();
       return {kind: 'failed', failure: 'rejected', sent: true, answered: false};
     }
+    req.onHead?.();
     res.writeHead(answer.statusCode, {
       ...selectHeaders(answer.headers),
       ...req.answerHeaders,
