--- a/packages/daemon/src/endpoint_task.ts
+++ b/packages/daemon/src/endpoint_task.ts
@@ -65,9 +65,7 @@
   drain(id: EndpointId): boolean {
     if (!this.endpoints.some(endpoint => endpoint.id === id)) return false;
     this.drained.add(id);
-    this.endpoints = this.applyGroups(this.endpoints);
-    const {dispatcher} = this.options;
-    dispatcher.post({kind: 'endpoints', endpoints: this.endpoints});
+    this.tellEndpoints(this.endpoints);
     return true;
   }
 
@@ -84,30 +82,25 @@
   }
 
   private async readList(): Promise<void> {
-    const {vmList, dispatcher, logger} = this.options;
+    const {vmList, logger} = this.options;
     const list = await vmList.fetch({timeoutMs: reportTimeoutMs});
     if (!list.ok) {
       logger.log('warn', 'VM list unavailable', {detail: list.error.detail});
       return;
     }
-    this.endpoints = this.applyGroups(list.value.endpoints);
     this.vms = list.value.vms;
-    dispatcher.post({kind: 'endpoints', endpoints: this.endpoints});
+    this.tellEndpoints(list.value.endpoints);
     this.vmBox.post(this.vms);
   }
 
-  private applyGroups(
-    endpoints: readonly EndpointInfo[],
-  ): readonly EndpointInfo[] {
-    const groups = new Map<EndpointId, string>();
-    for (const group of this.options.listGroups()) {
-      for (const id of group.endpoints) groups.set(id, group.name);
-    }
-    return endpoints.map(endpoint => ({
+  private tellEndpoints(endpoints: readonly EndpointInfo[]): void {
+    this.endpoints = endpoints.map(endpoint => ({
       ...endpoint,
-      group: groups.get(endpoint.id) ?? endpoint.group,
       state: this.drained.has(endpoint.id) ? 'leaving' : endpoint.state,
     }));
+    const {dispatcher, listGroups} = this.options;
+    dispatcher.post({kind: 'groups', groups: listGroups()});
+    dispatcher.post({kind: 'endpoints', endpoints: this.endpoints});
   }
 
   private async readReport(endpoint: EndpointInfo): Promise<void> {
