build(cli): name the module of the stand-ins where it now lies

A build from a fresh clone failed: a test of the command line imported bench/stand_ins, which had moved to fakes while both landed. Worktrees built on, as the old output still lay in their dist directories.

npm run clean, dist removed, npm run build: failed before, passes now.

--- a/packages/cli/src/__tests__/admin_commands.spec.ts
+++ b/packages/cli/src/__tests__/admin_commands.spec.ts
@@ -3,7 +3,7 @@
 import {join} from 'node:path';
 import test, {ExecutionContext} from 'ava';
 import {request} from 'undici';
-import {startStandIns} from '@radishyoke/bench/stand_ins';
+import {startStandIns} from '@radishyoke/fakes/stand_ins';
 import {silentLogger} from '@radishyoke/daemon/logger';
 import {parseSettings, Settings} from '@radishyoke/daemon/settings';
 import {Vm} from '@radishyoke/daemon/vm';
