--- a/packages/cli/src/demo_command.ts
+++ b/packages/cli/src/demo_command.ts
@@ -4,12 +4,16 @@
 
 /**
  * Runs the demonstration to its end; with `hold`, keeps its deployment open for
- * requests by hand until the process is interrupted.
+ * requests by hand until the process is interrupted. `savePath` is where the
+ * figures go.
  */
-export async function runDemoCommand(hold: boolean): Promise<ExitCode> {
+export async function runDemoCommand(
+  hold: boolean,
+  savePath: string | undefined,
+): Promise<ExitCode> {
   // The stand-ins are loaded only when they are wanted.
   const {holdDemo, runDemo} = await import('@radishyoke/bench/demo');
-  if (!hold) return (await runDemo()) as ExitCode;
+  if (!hold) return (await runDemo(savePath)) as ExitCode;
   await holdDemo();
   return EXIT_CODES.ok;
 }
