--- a/packages/core/src/__tests__/scheduler_faults.spec.ts
+++ b/packages/core/src/__tests__/scheduler_faults.spec.ts
@@ -220,6 +220,30 @@
   t.is(bench.finalOf('w0'), 'not_fresh_in_time');
 });
 
+// A trainer is handed samples of another model.
+// 1. Two engines of one group serve different models, and one is full.
+// Cause: only the group was looked at.
+test('work goes to engines of its model and does not hold up others', t => {
+  const bench = createBench();
+  const endpoints = ['a', 'b'].map(id => ({
+    ...createEndpoint(id),
+    model: `model-${id}`,
+  }));
+  bench.handle({kind: 'endpoints', endpoints});
+  const names = listNames(100);
+  bench.add(...names.map(name => createWork(name, {model: 'model-a'})));
+  bench.add(createWork('other', {model: 'model-b'}));
+  t.is(bench.endpointOf('other'), 'b');
+  const started = names.filter(name => bench.last.has(name));
+  t.true(started.length > 0 && started.length < 100);
+  t.true(started.every(name => bench.endpointOf(name) === 'a'));
+  while (bench.scheduler.countWorks() > 0) {
+    for (const name of [...bench.last.keys()]) bench.finish(name);
+    bench.wait(300);
+  }
+  t.true(names.every(name => bench.finalOf(name) === 'done'));
+});
+
 // Engines spend their time on what will be thrown away.
 // 1. A step wants version 2; the engine still reports 1.
 // 2. The engine reports 2.
@@ -289,6 +313,23 @@
   t.like(expired, {error: {kind: 'deadline_passed', ran: 'no'}});
 });
 
+// A large step comes back with most of its samples missing.
+// 1. A step has more samples than the rule lets a tenant queue.
+// 2. A second step of the tenant comes while the first waits.
+// Cause: the bound was held against samples rather than steps.
+test('a step is taken whole or not at all', t => {
+  const bench = createBench('a');
+  const create = (stepKey: string) =>
+    listNames(100).map(name =>
+      createWork(`${stepKey}-${name}`, {stepKey, maxQueue: 10}),
+    );
+  bench.add(...create('s1'));
+  t.is(bench.scheduler.countWorks(), 100);
+  bench.add(...create('s2'));
+  t.is(bench.scheduler.countWorks(), 100);
+  t.is(bench.finalOf('s2-w99'), 'overloaded');
+});
+
 // A step waits for a sample on a slow engine while others stand idle.
 // 1. Two samples run; one engine makes a tenth of the other's tokens.
 // Cause: a sample stayed where it was begun.
