--- /dev/null
+++ b/packages/daemon/src/lease_holder.ts
@@ -0,0 +1,112 @@
+/** The leases of this VM: claims, its session, and whether it may act on them. */
+
+import type {StateFold} from '@radishyoke/core/state_fold';
+import type {JudgedRecord} from '@radishyoke/core/verdict';
+import {nameWriter} from '@radishyoke/core/writer_table';
+import type {Unstamped} from '@radishyoke/platform/log_writer';
+import {createError} from '@radishyoke/shared/error_kind';
+import type {IncarnationId, VmId} from '@radishyoke/shared/ids';
+import type {StateRecord} from '@radishyoke/shared/log_record';
+import {fail, type Result, succeed} from '@radishyoke/shared/result';
+import {SessionKeeper, type SessionTiming} from './session_keeper.js';
+
+/** A lease that this VM holds. */
+export interface HeldLease {
+  readonly lease: string;
+  readonly fencing: number;
+}
+
+export interface LeaseHolderOptions {
+  readonly vm: VmId;
+  readonly incarnation: IncarnationId;
+  readonly timing: SessionTiming;
+  readonly getFold: () => StateFold;
+  readonly append: (
+    body: Unstamped<StateRecord>,
+  ) => Promise<Result<JudgedRecord<StateRecord>>>;
+}
+
+/** One instance a VM. */
+export class LeaseHolder {
+  private readonly session: SessionKeeper;
+  /** Leases that are claimed or about to be, though not read back yet. */
+  private readonly wanted = new Set<string>();
+  private renewing = false;
+  private leaving = false;
+
+  constructor(private readonly options: LeaseHolderOptions) {
+    this.session = new SessionKeeper(options.timing);
+  }
+
+  /**
+   * Claims a lease and returns the fencing number. Fails with `not_owner` when
+   * another live session holds it.
+   */
+  async claim(lease: string): Promise<Result<number>> {
+    if (this.leaving) return fail(createError('draining'));
+    this.wanted.add(lease);
+    if (!this.session.isValid(performance.now())) void this.renewSession();
+    const result = await this.options.append({kind: 'lease_claimed', lease});
+    if (!result.ok) {
+      this.wanted.delete(lease);
+      return result;
+    }
+    const {verdict} = result.value;
+    if (verdict.kind === 'accepted' && verdict.fencing !== undefined) {
+      return succeed(verdict.fencing);
+    }
+    this.wanted.delete(lease);
+    const holder = this.options.getFold().leases.find(lease)?.vm;
+    const detail = holder ? `${holder} holds ${lease}` : `${lease} is not held`;
+    return fail(createError('not_owner', detail));
+  }
+
+  /** Gives a lease back. */
+  async release(held: HeldLease): Promise<void> {
+    this.wanted.delete(held.lease);
+    await this.options.append({kind: 'lease_released', ...held});
+  }
+
+  /**
+   * Whether this VM may act on the lease now: the log names it the holder under
+   * this number, and by its own clock no other can have followed yet. Between
+   * this answer and the act the VM can be paused; that is what fencing numbers
+   * in records, orders and the trainer's stream are for.
+   */
+  holds({lease, fencing}: HeldLease): boolean {
+    return (
+      this.options.getFold().leases.isCurrent(lease, fencing) &&
+      this.session.isValid(performance.now())
+    );
+  }
+
+  /** Gives back all leases at once, so that others need not wait for a lapse. */
+  async leave(): Promise<void> {
+    // A renewal that follows the closing would open the session again, and the
+    // leases would look held until it lapses.
+    this.leaving = true;
+    this.wanted.clear();
+    await this.options.append({kind: 'session_closed'});
+  }
+
+  /** Renews the session when that is due and the VM owns something. */
+  tick(): void {
+    const own = nameWriter(this.options);
+    const owns =
+      this.wanted.size > 0 ||
+      this.options.getFold().leases.listOf(own).length > 0;
+    if (owns && this.session.isDue(performance.now())) void this.renewSession();
+  }
+
+  /** One renewal at a time: more would only fill the buffer in an outage. */
+  private async renewSession(): Promise<void> {
+    if (this.renewing || this.leaving) return;
+    this.renewing = true;
+    const askedAtMs = performance.now();
+    this.session.ask(askedAtMs);
+    const {ttlMs} = this.options.timing;
+    const result = await this.options.append({kind: 'session', ttlMs});
+    this.renewing = false;
+    if (result.ok) this.session.confirm(askedAtMs);
+  }
+}
--- a/packages/daemon/src/log_task.ts
+++ b/packages/daemon/src/log_task.ts
@@ -32,7 +32,6 @@
   LogWriter,
   type Unstamped,
 } from '@radishyoke/platform/log_writer';
-import {createError} from '@radishyoke/shared/error_kind';
 import type {IncarnationId, TeamId, VmId} from '@radishyoke/shared/ids';
 import type {
   ConfigRecord,
@@ -40,10 +39,11 @@
   Stamp,
   StateRecord,
 } from '@radishyoke/shared/log_record';
-import {fail, type Result, succeed} from '@radishyoke/shared/result';
+import type {Result} from '@radishyoke/shared/result';
 import type {Stream} from 'most';
 import {EventSource} from './event_source.js';
-import {SessionKeeper, type SessionTiming} from './session_keeper.js';
+import {type HeldLease, LeaseHolder} from './lease_holder.js';
+import type {SessionTiming} from './session_keeper.js';
 import {FoldPort, StreamFollower} from './stream_follower.js';
 
 export type StateBody = Unstamped<StateRecord>;
@@ -99,12 +99,6 @@
   readonly seenNext: number;
 }
 
-/** A lease that this VM holds. */
-export interface HeldLease {
-  readonly lease: string;
-  readonly fencing: number;
-}
-
 /** How often due renewals are looked for. */
 const TICK_MS = 250;
 
@@ -120,15 +114,12 @@
   private readonly stateFollower: StreamFollower<StateRecord>;
   private readonly configFollower: StreamFollower<ConfigRecord>;
   private readonly source = new EventSource<LogChange>();
-  private readonly session: SessionKeeper;
+  private readonly leaseHolder: LeaseHolder;
   private readonly currency: CurrencyTracker;
-  private readonly wanted = new Set<string>();
   private readonly jitter = Math.random();
   private checkpointing = false;
-  private leaving = false;
   private stateFold: StateFold;
   private configHistory: ConfigHistory;
-  private renewing = false;
   private timer: NodeJS.Timeout | undefined;
 
   constructor(
@@ -136,7 +127,13 @@
     private readonly cfg: LogTaskConfig,
   ) {
     this.budget = new AppendBudget(cfg.deploymentAppendsPerSecond);
-    this.session = new SessionKeeper(cfg.session);
+    this.leaseHolder = new LeaseHolder({
+      vm: cfg.vm,
+      incarnation: cfg.incarnation,
+      timing: cfg.session,
+      getFold: () => this.stateFold,
+      append: body => this.append(body),
+    });
     const trustMs = cfg.notReadyAfterMs ?? DEFAULT_CURRENCY_TIMING.logDownMs;
     this.currency = new CurrencyTracker(
       {
@@ -209,12 +206,8 @@
   }
 
   /** Gives back all leases at once, so that others need not wait for a lapse. */
-  async leave(): Promise<void> {
-    // A renewal that follows the closing would open the session again, and the
-    // leases would look held until it lapses.
-    this.leaving = true;
-    this.wanted.clear();
-    await this.append({kind: 'session_closed'});
+  leave(): Promise<void> {
+    return this.leaseHolder.leave();
   }
 
   /** Live VMs share the deployment's budget of appends evenly. */
@@ -244,23 +237,8 @@
    * Claims a lease and returns the fencing number. Fails with `not_owner` when
    * another live session holds it.
    */
-  async claim(lease: string): Promise<Result<number>> {
-    if (this.leaving) return fail(createError('draining'));
-    this.wanted.add(lease);
-    if (!this.session.isValid(performance.now())) void this.renewSession();
-    const result = await this.append({kind: 'lease_claimed', lease});
-    if (!result.ok) {
-      this.wanted.delete(lease);
-      return result;
-    }
-    const {verdict} = result.value;
-    if (verdict.kind === 'accepted' && verdict.fencing !== undefined) {
-      return succeed(verdict.fencing);
-    }
-    this.wanted.delete(lease);
-    const holder = this.stateFold.leases.find(lease)?.vm;
-    const detail = holder ? `${holder} holds ${lease}` : `${lease} is not held`;
-    return fail(createError('not_owner', detail));
+  claim(lease: string): Promise<Result<number>> {
+    return this.leaseHolder.claim(lease);
   }
 
   /** Whether a record is this VM life's own. */
@@ -269,22 +247,13 @@
   }
 
   /** Gives a lease back. */
-  async release(held: HeldLease): Promise<void> {
-    this.wanted.delete(held.lease);
-    await this.append({kind: 'lease_released', ...held});
+  release(held: HeldLease): Promise<void> {
+    return this.leaseHolder.release(held);
   }
 
-  /**
-   * Whether this VM may act on the lease now: the log names it the holder under
-   * this number, and by its own clock no other can have followed yet. Between
-   * this answer and the act the VM can be paused; that is what fencing numbers
-   * in records, orders and the trainer's stream are for.
-   */
+  /** Whether this VM may act on the lease now. */
   holds(held: HeldLease): boolean {
-    return (
-      this.stateFold.leases.isCurrent(held.lease, held.fencing) &&
-      this.session.isValid(performance.now())
-    );
+    return this.leaseHolder.holds(held);
   }
 
   /** Log time as far as this VM can tell, for judging whether leases lapsed. */
@@ -409,22 +378,7 @@
 
   private tick(): void {
     void this.writeDueCheckpoints();
-    const own = nameWriter(this.cfg);
-    const owns =
-      this.wanted.size > 0 || this.stateFold.leases.listOf(own).length > 0;
-    if (owns && this.session.isDue(performance.now())) void this.renewSession();
-  }
-
-  /** One renewal at a time: more would only fill the buffer in an outage. */
-  private async renewSession(): Promise<void> {
-    if (this.renewing || this.leaving) return;
-    this.renewing = true;
-    const askedAtMs = performance.now();
-    this.session.ask(askedAtMs);
-    const {ttlMs} = this.cfg.session;
-    const result = await this.append({kind: 'session', ttlMs});
-    this.renewing = false;
-    if (result.ok) this.session.confirm(askedAtMs);
+    this.leaseHolder.tick();
   }
 
   private async writeDueCheckpoints(): Promise<void> {
--- a/packages/daemon/src/order_task.ts
+++ b/packages/daemon/src/order_task.ts
@@ -13,7 +13,8 @@
 import type {WeightStoreClient} from '@radishyoke/platform/weight_store_client';
 import type {EndpointInfo} from '@radishyoke/shared/endpoint';
 import type {EndpointTask} from './endpoint_task.js';
-import type {HeldLease, LogTask} from './log_task.js';
+import type {HeldLease} from './lease_holder.js';
+import type {LogTask} from './log_task.js';
 import type {Logger} from './logger.js';
 
 const pollMs = 500;
