test(core): the scheduler's property goes over all events and long sequences

Cause: the generator's default size kept sequences at about ten events, so that the property passed on broken copies (staleness ignored, timers never due); the queue's and the rollout's had the same fault. Change: full size, and load, versions, bounds, peers, progress, cancels and suspects as events.

--- a/packages/core/src/__tests__/concurrency_limit.spec.ts
+++ b/packages/core/src/__tests__/concurrency_limit.spec.ts
@@ -7,7 +7,7 @@
   fc.assert(
     fc.property(
       fc.nat(200),
-      fc.array(fc.nat(60), {minLength: 1, maxLength: 40}),
+      fc.array(fc.nat(60), {minLength: 1, maxLength: 40, size: 'max'}),
       fc.nat(1000),
       (limit, demands, offset) => {
         const parts = divideLimit(limit, demands, offset);
--- a/packages/core/src/__tests__/fair_queue.spec.ts
+++ b/packages/core/src/__tests__/fair_queue.spec.ts
@@ -20,7 +20,7 @@
     fc.constant({op: 'pop' as const}),
     fc.nat(9).map(index => ({op: 'remove' as const, index})),
   ),
-  {maxLength: 80},
+  {maxLength: 80, size: 'max'},
 );
 
 test('takes what a scan of everything takes', t => {
--- a/packages/core/src/__tests__/policy_scheduler.spec.ts
+++ b/packages/core/src/__tests__/policy_scheduler.spec.ts
@@ -1,12 +1,13 @@
 import test from 'ava';
 import fc from 'fast-check';
-import {toTenantId} from '@radishyoke/shared/ids';
+import {toEndpointId, toTenantId, toVmId} from '@radishyoke/shared/ids';
 import type {FailureKind} from '../failure.js';
 import type {PolicyScheduler} from '../policy_scheduler.js';
 import {RETRY_TABLE} from '../retry_policy.js';
 import type {SchedulerAction, SchedulerEvent, WorkItem} from '../scheduler.js';
 import {
   createEndpoint,
+  createReport,
   createScheduler,
   createWork,
 } from './scheduler_fixture.js';
@@ -17,6 +18,12 @@
 /** Runs a scheduler and keeps an account of each work by its actions alone. */
 class Account {
   nowMs = 0;
+  /** Oldest version of use to any step. */
+  min = 1;
+  /** Version that engines report and make output with. */
+  version = 1;
+  /** Version of the last output of each work. */
+  readonly versions = new Map<string, number>();
   readonly live = new Map<string, {attempt: number; endpoint: string}[]>();
   readonly works = new Map<string, WorkItem>();
   readonly sent = new Set<string>();
@@ -35,11 +42,9 @@
   }
 
   end(index: number, failure: FailureKind | undefined, sent: boolean): void {
-    const all = [...this.live].flatMap(([workId, attempts]) =>
-      attempts.map(({attempt}) => ({workId, attempt})),
-    );
-    if (all.length === 0) return;
-    const {workId, attempt} = all[index % all.length];
+    const found = this.pick(index);
+    if (!found) return;
+    const {workId, attempt} = found;
     this.drop(workId, attempt);
     const isSent = sent && failure !== 'connect_failed';
     if (isSent || !failure) this.sent.add(workId);
@@ -50,10 +55,41 @@
       attempt,
       outcome: failure
         ? {kind: 'failed', failure, sent: isSent, tokensReceived: 0}
-        : {kind: 'finished', tokens: 5, spans: []},
+        : {kind: 'finished', tokens: 5, spans: [this.makeSpan(workId)]},
     });
   }
 
+  /** Engines that lag make output one version behind the newest. */
+  private makeSpan(workId: string) {
+    const weightVersion = Math.max(1, this.version - (workId.length % 2));
+    this.versions.set(workId, weightVersion);
+    return {weightVersion, tokens: 5};
+  }
+
+  progress(index: number): void {
+    const found = this.pick(index);
+    if (!found) return;
+    const {version: weightVersion} = this;
+    this.handle({kind: 'progress', ...found, tokens: 3, weightVersion});
+  }
+
+  /** The caller goes away: no end is told, and nothing may follow. */
+  cancel(index: number): void {
+    const open = [...this.works.keys()].filter(id => !this.finals.has(id));
+    if (open.length === 0) return;
+    const workId = open[index % open.length];
+    this.handle({kind: 'cancel', workId});
+    this.finals.set(workId, 1);
+    this.live.delete(workId);
+  }
+
+  private pick(index: number) {
+    const all = [...this.live].flatMap(([workId, attempts]) =>
+      attempts.map(({attempt}) => ({workId, attempt})),
+    );
+    return all.length > 0 ? all[index % all.length] : undefined;
+  }
+
   private apply(action: SchedulerAction): void {
     if (action.kind === 'report_crash') return;
     const {workId} = action;
@@ -66,8 +102,12 @@
       action.error.ran === 'no' &&
       this.sent.has(workId);
     if (isUntrue) this.problems.push(`${workId} ran though told it did not`);
-    if (action.kind === 'give_up') this.live.delete(workId);
-    if (action.kind === 'done') this.live.delete(workId);
+    const isStale =
+      action.kind === 'done' &&
+      this.works.get(workId)!.workClass === 'rollout' &&
+      this.versions.get(workId)! < this.min;
+    if (isStale) this.problems.push(`${workId} handed over stale`);
+    this.live.delete(workId);
   }
 
   private start(action: SchedulerAction & {kind: 'start'}): void {
@@ -110,7 +150,12 @@
       readonly sent: boolean;
     }
   | {readonly op: 'wait'; readonly ms: number}
-  | {readonly op: 'leave' | 'back'; readonly engine: number};
+  | {readonly op: 'leave' | 'back'; readonly engine: number}
+  | {readonly op: 'report'; readonly engine: number; readonly waiting: number}
+  | {readonly op: 'peer'; readonly engine: number; readonly count: number}
+  | {readonly op: 'publish' | 'raise'}
+  | {readonly op: 'progress' | 'cancel'; readonly index: number}
+  | {readonly op: 'suspect'; readonly fingerprint: number};
 
 const opArbitrary: fc.Arbitrary<Op> = fc.oneof(
   fc.record({
@@ -127,6 +172,22 @@
     sent: fc.boolean(),
   }),
   fc.record({op: fc.constant('wait' as const), ms: fc.nat(3000)}),
+  fc.record({
+    op: fc.constant('report' as const),
+    engine: fc.nat(2),
+    waiting: fc.nat(3),
+  }),
+  fc.record({
+    op: fc.constant('peer' as const),
+    engine: fc.nat(2),
+    count: fc.nat(20),
+  }),
+  fc.record({op: fc.constantFrom('publish' as const, 'raise' as const)}),
+  fc.record({
+    op: fc.constantFrom('progress' as const, 'cancel' as const),
+    index: fc.nat(50),
+  }),
+  fc.record({op: fc.constant('suspect' as const), fingerprint: fc.nat(4)}),
   fc.record({
     op: fc.constantFrom('leave' as const, 'back' as const),
     engine: fc.nat(2),
@@ -143,6 +204,8 @@
           tenant: toTenantId(`t${op.tenant}`),
           workClass: op.interactive ? 'interactive' : 'rollout',
           fingerprint: `f${op.fingerprint}`,
+          stepKey: op.interactive ? '' : `s${op.tenant}`,
+          minWeightVersion: op.interactive ? 0 : account.min,
         }),
       });
     case 'end':
@@ -150,6 +213,38 @@
     case 'wait':
       account.nowMs += op.ms;
       return account.handle({kind: 'tick'});
+    case 'report':
+      return account.handle({
+        kind: 'load',
+        report: createReport(ENGINES[op.engine], {
+          waiting: op.waiting,
+          running: 5,
+          weightVersion: account.version,
+          leaving: account.leaving.has(ENGINES[op.engine]),
+          measuredAtMs: account.nowMs,
+        }),
+      });
+    case 'peer':
+      return account.handle({
+        kind: 'peer_load',
+        vm: toVmId('vm-2'),
+        inFlight: new Map([[toEndpointId(ENGINES[op.engine]), op.count]]),
+      });
+    case 'publish':
+      account.version++;
+      return;
+    case 'raise':
+      account.min = Math.min(account.version, account.min + 1);
+      return raiseAll(account);
+    case 'progress':
+      return account.progress(op.index);
+    case 'cancel':
+      return account.cancel(op.index);
+    case 'suspect':
+      return account.handle({
+        kind: 'suspects',
+        fingerprints: [`f${op.fingerprint}`, 'other'],
+      });
     default: {
       const id = ENGINES[op.engine];
       if (op.op === 'leave') account.leaving.add(id);
@@ -162,11 +257,27 @@
   }
 }
 
+function raiseAll(account: Account): void {
+  for (const stepKey of ['s0', 's1', 's2']) {
+    const minWeightVersion = account.min;
+    account.handle({kind: 'min_version', stepKey, minWeightVersion});
+  }
+}
+
 /** Lets everything that is left run to its end. */
 function drain(account: Account): void {
   account.leaving.clear();
   const endpoints = ENGINES.map(id => createEndpoint(id));
   account.handle({kind: 'endpoints', endpoints});
+  account.version += 2;
+  for (const id of ENGINES) {
+    const weightVersion = account.version;
+    const measuredAtMs = account.nowMs + 1;
+    const report = createReport(id, {weightVersion, measuredAtMs});
+    account.handle({kind: 'load', report});
+  }
+  const vm = toVmId('vm-2');
+  account.handle({kind: 'peer_load', vm, inFlight: new Map()});
   for (let i = 0; i < 500 && account.scheduler.countWorks() > 0; i++) {
     account.end(0, undefined, true);
     account.nowMs += 100;
@@ -177,11 +288,13 @@
 // A caller gets no answer, two answers, or finds a note filed twice.
 // 1. Requests of all kinds come while endpoints fail in every way and leave.
 // 2. Retries, hedges and waits overlap.
-// Cause: the scheduler loses a work, ends it twice, or sends a non-idempotent
-// request again after the first could have been received.
-test('every work ends once, and the non-idempotent are sent once', t => {
+// 3. Weights change, steps' bounds rise, callers go away, other VMs tell of load.
+// Cause: the scheduler loses a work, ends it twice, sends a non-idempotent
+// request again after the first could have been received, or hands over output
+// that is older than the bound.
+test('every work ends once, the non-idempotent are sent once, nothing is stale', t => {
   fc.assert(
-    fc.property(fc.array(opArbitrary, {maxLength: 150}), ops => {
+    fc.property(fc.array(opArbitrary, {maxLength: 150, size: 'max'}), ops => {
       const account = new Account(createScheduler(ENGINES));
       ops.forEach((op, index) => run(account, op, index));
       drain(account);
--- a/packages/core/src/__tests__/weight_rollout.spec.ts
+++ b/packages/core/src/__tests__/weight_rollout.spec.ts
@@ -69,7 +69,7 @@
     'answer_lost',
   );
   fc.assert(
-    fc.property(fc.array(fate, {maxLength: 30}), fates => {
+    fc.property(fc.array(fate, {maxLength: 30, size: 'max'}), fates => {
       const fleet = new Fleet(new WeightRollout(7), fates);
       for (let i = 0; i < 4000; i++) fleet.run(i < 40 ? 2 : 3);
       const isDone = [...fleet.versions.values()].every(v => v === 3);
