--- /dev/null
+++ b/packages/bench/src/__tests__/steps.spec.ts
@@ -0,0 +1,35 @@
+import test from 'ava';
+import {createPolicyContender} from '../steps.js';
+import {DEPLOYMENTS, FAULT_CASES} from '../steps_case.js';
+import {StepsWorld} from '../steps_world.js';
+
+const SEED = 11;
+
+function run(name: string) {
+  const deployment = DEPLOYMENTS[1];
+  return new StepsWorld({
+    deployment,
+    fault: FAULT_CASES.find(fault => fault.name === name)!,
+    seed: SEED,
+    vms: 4,
+    createScheduler: createPolicyContender('present', {}).create(deployment),
+    withRollouts: true,
+  }).run();
+}
+
+// A fault costs a trainer rollouts, or hands it stale ones.
+// 1. Engines crash, or hang on to old weights, through several steps.
+// Cause: any decision that gives up, repeats or keeps what it should not.
+for (const name of ['crash_a_minute', 'swap_fails']) {
+  test(`no promise is broken under ${name}`, t => {
+    const result = run(name);
+    t.true(result.staleness.length > 0);
+    t.is(result.overBound, 0);
+    t.is(result.lost, 0);
+    t.deepEqual(result.gaveUp, {});
+  });
+}
+
+test('the same seed gives the same run', t => {
+  t.deepEqual(run('crash_a_minute'), run('crash_a_minute'));
+});
