fix(core,daemon): a null value no longer throws; only the platform team groups endpoints

The new fuzz test of decoders found that 'when.tenant = null' threw: the ini library takes a dotted key with that value for nested sections. Thrown while the config stream is folded it would have stopped every VM; the library now gets the value alone. Any team's [group.NAME] moved an endpoint out of the group that another team's rules name; only the platform team's groups count now, and others are refused at publication.

--- a/packages/cli/src/keys_command.ts
+++ b/packages/cli/src/keys_command.ts
@@ -41,7 +41,7 @@
 Published by \`radishyoke rules publish FILE\`. Examples are [examples/rules-kodkutu.ini](../examples/rules-kodkutu.ini) and [examples/rules-castellanos.ini](../examples/rules-castellanos.ini). Rules are tried in the order in which they stand; the first whose conditions all hold decides the request. A condition that lists several values holds if one of them does. A request that no rule matches is refused with \`no_rule\`. There are at most ${MAX_RULES} rules, which look at ${MAX_HEADER_NAMES} different headers at most.`;
 
 const GROUP_TEXT =
-  "Optional. A group that no section names holds the endpoints that carry its name as `group` in the platform's VM list.";
+  "Optional. A group that no section names holds the endpoints that carry its name as `group` in the platform's VM list. Endpoints are shared by all teams and each is in one group, so only the platform team's sections count, or those of the only team.";
 
 /** Prints the reference. */
 export function runKeys(io: CliIo): ExitCode {
--- a/packages/core/src/ini_text.ts
+++ b/packages/core/src/ini_text.ts
@@ -107,11 +107,12 @@
 }
 
 function decodeEntry(text: string, line: number): IniEntry | undefined {
-  if (!text.includes('=')) return undefined;
-  const decoded = Object.entries(parse(text));
-  if (decoded.length !== 1) return undefined;
-  const [key, value] = decoded[0];
-  if (key === '' || Array.isArray(value)) return undefined;
+  const equals = text.indexOf('=');
+  const key = text.slice(0, Math.max(0, equals)).trim();
+  if (key === '' || key.endsWith('[]')) return undefined;
+  // The library takes a key with dots and the value `null` for a section within
+  // a section and answers with an object. It is given the value alone.
+  const {value} = parse(`value = ${text.slice(equals + 1)}`);
   return {key, value: String(value), line};
 }
 
--- a/packages/daemon/src/__tests__/admin_server.spec.ts
+++ b/packages/daemon/src/__tests__/admin_server.spec.ts
@@ -277,6 +277,15 @@
     body: {basedOn: -1, text: '[rule.x]'},
     error: 'config_invalid',
   },
+  {
+    name: "a group of endpoints by another than the platform's team",
+    path: '/admin/v1/rules',
+    body: {
+      basedOn: -1,
+      text: `${createRules('castellanos', 'a')}[group.a]\nendpoints = app-1\n`,
+    },
+    error: 'config_invalid',
+  },
   {
     name: 'a body over the limit',
     path: '/admin/v1/rules',
--- a/packages/daemon/src/admin_route.ts
+++ b/packages/daemon/src/admin_route.ts
@@ -201,7 +201,8 @@
   const body = readBodyAs(publishBodySchema, call);
   if (!body.ok) return body;
   const {team, tokenName} = call.principal;
-  const problem = checkRuleText(body.value.text, team);
+  const problem =
+    checkRuleText(body.value.text, team) ?? checkGroups(body.value.text, call);
   if (problem) return fail(createError('config_invalid', problem));
   const published = await backend.publish({
     team,
@@ -211,6 +212,17 @@
   return published.ok ? succeed({version: published.value}) : published;
 }
 
+/** Endpoints are shared, so only the platform team says which group one is in. */
+function checkGroups(text: string, call: AdminCall): string | undefined {
+  const parsed = parseRuleText(text, 'rules');
+  if (call.isPlatformTeam || !parsed.ok) return undefined;
+  const [group] = parsed.value.groups;
+  return (
+    group &&
+    `rules: [group.${group.name}]: expected no groups but the platform team's`
+  );
+}
+
 async function drain(
   backend: AdminBackend,
   call: AdminCall,
--- a/packages/daemon/src/rule_book.ts
+++ b/packages/daemon/src/rule_book.ts
@@ -42,6 +42,7 @@
     private readonly tenants: ReadonlyMap<TenantId, TeamId>,
     private readonly readHistory: () => ConfigHistory,
     private readonly observe: RuleObserver = () => undefined,
+    private readonly platformTeam?: TeamId,
   ) {}
 
   /** Team that answers for `tenant`. */
@@ -73,10 +74,15 @@
     });
   }
 
-  /** Groups that the teams' configurations list by endpoint id. */
+  /**
+   * Groups that a configuration lists by endpoint id. An endpoint is in one
+   * group for all teams: if any team could list it, one would take it out of the
+   * group that another team's rules name, which shows there as `no_endpoint`. So
+   * only the platform team's lists count, or those of the only team.
+   */
   listGroups(): readonly RuleGroup[] {
-    const teams = new Set(this.tenants.values());
-    return [...teams].flatMap(team => this.compile(team)?.ruleSet.groups ?? []);
+    const team = this.platformTeam ?? findOnly(new Set(this.tenants.values()));
+    return (team && this.compile(team)?.ruleSet.groups) ?? [];
   }
 
   private compile(team: TeamId): CompiledVersion | undefined {
@@ -95,3 +101,7 @@
     return compiled;
   }
 }
+
+function findOnly<T>(values: ReadonlySet<T>): T | undefined {
+  return values.size === 1 ? [...values][0] : undefined;
+}
--- a/packages/daemon/src/vm.ts
+++ b/packages/daemon/src/vm.ts
@@ -115,6 +115,7 @@
       settings.tenants,
       () => this.log.config,
       (facts, route) => this.metrics.recordRoute(facts, route),
+      settings.admin.platformTeam,
     );
     this.audit = new AuditTask(this.logClient, this.log, {
       vm: vm.id,
