--- a/packages/cli/src/__tests__/cli.spec.ts
+++ b/packages/cli/src/__tests__/cli.spec.ts
@@ -26,6 +26,12 @@
     code: 3,
     says: 'a readable file',
   },
+  {
+    name: 'serving with rules in place of settings',
+    args: ['serve', RULES],
+    code: 3,
+    says: '',
+  },
   {
     name: 'an unknown command',
     args: ['frob'],
--- a/packages/daemon/src/serve.ts
+++ b/packages/daemon/src/serve.ts
@@ -1,6 +1,7 @@
 /** Runs one entry VM as a process, from a settings file to its drained end. */
 
 import {randomInt} from 'node:crypto';
+import {formatProblem} from '@radishyoke/core/config_problem';
 import {createLogger} from './logger.js';
 import {loadSettings} from './settings.js';
 import {Vm} from './vm.js';
@@ -15,7 +16,7 @@
   const settings = await loadSettings(path);
   if (!settings.ok) {
     for (const problem of settings.error) {
-      process.stderr.write(`${JSON.stringify(problem)}\n`);
+      process.stderr.write(`${formatProblem(problem)}\n`);
     }
     return exitInvalidSettings;
   }
