--- /dev/null
+++ b/packages/bench/src/demo_deployment.ts
@@ -0,0 +1,183 @@
+/**
+ * The deployment that the demonstration runs on: two VMs by the example files,
+ * with stand-ins for everything outside, all on loopback.
+ */
+
+import {readFile} from 'node:fs/promises';
+import {fileURLToPath} from 'node:url';
+import {request} from 'undici';
+import {hashToken, mintToken} from '@radishyoke/daemon/admin_token';
+import {createLogger, Logger, silentLogger} from '@radishyoke/daemon/logger';
+import {
+  parseSettings,
+  Settings,
+  TokenSettings,
+} from '@radishyoke/daemon/settings';
+import {Vm} from '@radishyoke/daemon/vm';
+import {
+  publishFirstRules,
+  StandIns,
+  startStandIns,
+} from '@radishyoke/fakes/stand_ins';
+import {toDataCentreId, toTeamId, toVmId} from '@radishyoke/shared/ids';
+
+/** Model that the demonstration's engines serve. */
+export const demoModel = 'hint-tutor';
+
+const team = toTeamId('kodkutu');
+const tokenName = 'operator';
+const tokenLifeMs = 86_400_000;
+const dataCentres = ['gebze-a', 'gebze-b', 'kartal'];
+const vmDataCentres = ['gebze-a', 'kartal'];
+const readyPollMs = 50;
+
+/** Ports of one VM; 0 takes a free one. */
+export interface DemoPorts {
+  readonly caller: number;
+  readonly admin: number;
+}
+
+const freePorts: DemoPorts = {caller: 0, admin: 0};
+/** Ports that the pages' commands name. */
+const heldPorts: readonly DemoPorts[] = [
+  {caller: 7100, admin: 7102},
+  {caller: 7110, admin: 7112},
+];
+
+export class DemoDeployment {
+  readonly vms: Vm[] = [];
+  /** `http://ip:port` of each VM's caller listener. */
+  readonly origins: string[] = [];
+  standIns!: StandIns;
+  /** Token for the administration API, with every role. */
+  token = '';
+
+  constructor(private readonly ports: readonly DemoPorts[] = []) {}
+
+  async start(): Promise<void> {
+    this.standIns = await startDemoStandIns();
+    this.standIns.weightStore.publish(demoModel, 1);
+    const rules = await readExample('rules-kodkutu.ini');
+    publishFirstRules(this.standIns, team, rules);
+    const text = await readExample('settings.ini');
+    const parsed = parseSettings(text, 'examples/settings.ini');
+    if (!parsed.ok) throw new Error(JSON.stringify(parsed.error));
+    const tokens = [await this.createToken()];
+    for (const [index, dataCentre] of vmDataCentres.entries()) {
+      const ports = this.ports[index] ?? freePorts;
+      const id = `entry-${index + 1}`;
+      const settings = this.adapt(parsed.value, id, dataCentre, ports);
+      await this.startVm({...settings, tokens});
+    }
+    await Promise.all(this.origins.map(waitUntilReady));
+    console.log(`two VMs serve callers at ${this.origins.join(' and ')}`);
+  }
+
+  async close(): Promise<void> {
+    await Promise.all(this.vms.map(vm => vm.stop()));
+    await this.standIns?.close();
+  }
+
+  private async createToken(): Promise<TokenSettings> {
+    this.token = mintToken(tokenName);
+    return {
+      name: tokenName,
+      team,
+      roles: ['read', 'publish', 'audit'],
+      hash: await hashToken(this.token),
+      expiresAtMs: Date.now() + tokenLifeMs,
+    };
+  }
+
+  private async startVm(settings: Settings): Promise<void> {
+    const {id, dataCentre} = settings.vm;
+    const seed = this.vms.length + 1;
+    const vm = new Vm({settings, logger: createDemoLogger(id), seed});
+    const callerAddress = await vm.start();
+    this.vms.push(vm);
+    this.origins.push(`http://${callerAddress}`);
+    const {peerAddress} = vm;
+    const state = 'live';
+    this.standIns.putVm({id, peerAddress, callerAddress, dataCentre, state});
+  }
+
+  /** The example's settings with these ports and the stand-ins' addresses. */
+  private adapt(
+    settings: Settings,
+    id: string,
+    dataCentre: string,
+    ports: DemoPorts,
+  ): Settings {
+    const {log, vmList, weightStore} = this.standIns;
+    return {
+      ...settings,
+      vm: {
+        id: toVmId(id),
+        dataCentre: toDataCentreId(dataCentre),
+        callerAddress: `127.0.0.1:${ports.caller}`,
+        peerAddress: '127.0.0.1:0',
+        adminAddress: `127.0.0.1:${ports.admin}`,
+      },
+      platform: {
+        ...settings.platform,
+        log: log.address,
+        vmList: vmList.address,
+        weightStore: weightStore.address,
+      },
+      peers: {...settings.peers, seeds: []},
+    };
+  }
+}
+
+/** Keeps the deployment open for requests by hand, until interrupted. */
+export async function holdDemo(): Promise<void> {
+  const deployment = new DemoDeployment(heldPorts);
+  try {
+    await deployment.start();
+    const admin = deployment.vms.map(vm => vm.adminAddress).join(',');
+    console.log(`export RADISHYOKE_ADMIN=${admin}`);
+    console.log(`export RADISHYOKE_TOKEN=${deployment.token}`);
+    await new Promise(resolve => process.once('SIGINT', resolve));
+  } finally {
+    await deployment.close();
+  }
+}
+
+function startDemoStandIns(): Promise<StandIns> {
+  return startStandIns({
+    model: demoModel,
+    engineGroup: 'tutors',
+    serviceGroup: 'app',
+    engines: 6,
+    services: 3,
+    dataCentres,
+    engine: {
+      length: {medianTokens: 60, sigma: 0.7},
+      decodeBaseMs: 4,
+      swapMs: 100,
+      fetchMs: 100,
+    },
+    serviceTimeMs: 2,
+  });
+}
+
+/** Logs of the VMs only on request, so that the last line stays the result. */
+function createDemoLogger(vm: string): Logger {
+  if (!process.env['RADISHYOKE_DEMO_LOG']) return silentLogger;
+  return createLogger('info', {vm}, line => process.stderr.write(`${line}\n`));
+}
+
+/** Waits as a balancer does before it sends callers to a VM. */
+async function waitUntilReady(origin: string): Promise<void> {
+  for (;;) {
+    const res = await request(`${origin}/readyz`);
+    await res.body.dump();
+    if (res.statusCode === 200) return;
+    await new Promise(resolve => setTimeout(resolve, readyPollMs));
+  }
+}
+
+async function readExample(name: string): Promise<string> {
+  const url = new URL(`../../../examples/${name}`, import.meta.url);
+  return readFile(fileURLToPath(url), 'utf8');
+}
--- a/packages/cli/src/demo_command.ts
+++ b/packages/cli/src/demo_command.ts
@@ -12,8 +12,11 @@
   savePath: string | undefined,
 ): Promise<ExitCode> {
   // The stand-ins are loaded only when they are wanted.
-  const {holdDemo, runDemo} = await import('@radishyoke/bench/demo');
-  if (!hold) return (await runDemo(savePath)) as ExitCode;
+  if (!hold) {
+    const {runDemo} = await import('@radishyoke/bench/demo');
+    return (await runDemo(savePath)) as ExitCode;
+  }
+  const {holdDemo} = await import('@radishyoke/bench/demo_deployment');
   await holdDemo();
   return EXIT_CODES.ok;
 }
--- a/packages/daemon/src/__tests__/deployment_fixture.ts
+++ b/packages/daemon/src/__tests__/deployment_fixture.ts
@@ -113,7 +113,7 @@
     origins.push(`http://${address}`);
     standIns.putVm({
       id: settings.vm.id,
-      peerAddress: settings.vm.peerAddress,
+      peerAddress: vm.peerAddress,
       callerAddress: address,
       dataCentre: toDataCentreId('salto'),
       state: 'live',
--- a/packages/daemon/src/step_task.ts
+++ b/packages/daemon/src/step_task.ts
@@ -192,6 +192,7 @@
         return;
       case 'send':
         this.stream?.send(output.event);
+        if (output.event.kind === 'end') this.stream?.end();
         return;
       case 'recover':
         void this.recover(output.committed);
--- a/packages/daemon/src/vm.ts
+++ b/packages/daemon/src/vm.ts
@@ -70,6 +70,7 @@
   private readonly incarnation = toIncarnationId(randomUUID());
   private readonly admin: AdminServer;
   private adminAddressTaken = '';
+  private peerAddressTaken = '';
   private readonly http: RenewingAgent;
   private readonly logClient: HttpLogClient;
   private readonly vmListClient: HttpVmListClient;
@@ -185,6 +186,11 @@
     return this.adminAddressTaken;
   }
 
+  /** `ip:port` that other VMs connect to, once started. */
+  get peerAddress(): string {
+    return this.peerAddressTaken;
+  }
+
   /** Starts all tasks; resolves with the address callers connect to. */
   async start(): Promise<string> {
     this.connectPeers();
@@ -212,7 +218,7 @@
     this.log.start();
     const {adminAddress} = this.options.settings.vm;
     this.adminAddressTaken = await this.admin.listen(adminAddress);
-    await this.peers.start();
+    this.peerAddressTaken = await this.peers.start();
     await this.endpoints.start();
     this.orders.start();
     const address = await this.server.listen();
