test(daemon): the audit of a whole step, from the trainer's side to the check

Cause: chain, recorder and export were tested apart. Change: a step runs through a VM; each rollout that the trainer got has one entry with its weight version and rule, and the export has no fault.

--- /dev/null
+++ b/packages/daemon/src/__tests__/vm_audit.spec.ts
@@ -0,0 +1,49 @@
+import type {AuditBlock} from '@radishyoke/core/audit_chain';
+import {concernsSubject} from '@radishyoke/core/audit_entry';
+import {AuditExporter, verifyExport} from '@radishyoke/core/audit_export';
+import {toStepId} from '@radishyoke/shared/ids';
+import type {LoggedRecord} from '@radishyoke/shared/log_record';
+import test from 'ava';
+import {createStepRequest, startDeployment} from './deployment_fixture.js';
+
+const STEP = toStepId('step-1');
+const DRAIN_MS = 5000;
+
+// An auditor asks which weights and which rule made a rollout, and the audit has
+// no entry of it, or one that names another text than the trainer got.
+test('the audit of a step names what the trainer got, and is whole', async t => {
+  const deployment = await startDeployment(1);
+  t.teardown(() => deployment.close());
+  const received = new Map<string, number>();
+  const client = deployment.createClient();
+  await client.runStep({
+    step: STEP,
+    req: createStepRequest(2),
+    readWeightVersion: () => 1,
+    onRollout: ({id, spans}) => {
+      received.set(id, spans.at(-1)!.weightVersion);
+    },
+  });
+  await client.close();
+  await deployment.vms[0]!.drain(DRAIN_MS);
+  const {log} = deployment.standIns;
+  const answer = log.model.read('audit', 0, 1000, Date.now());
+  const records = (answer.kind === 'records' ? answer.records : []) as Array<
+    LoggedRecord<AuditBlock>
+  >;
+  const exporter = new AuditExporter();
+  const lines = [exporter.begin(0), ...records.map(r => exporter.add(r))];
+  const report = verifyExport([...lines, exporter.end()]);
+  t.deepEqual(report.faults, []);
+  t.deepEqual(report.unclosed, []);
+  const entries = records.flatMap(record => record.value.entries);
+  t.true(received.size > 0);
+  for (const [id, weightVersion] of received) {
+    const [entry, ...more] = entries.filter(e => concernsSubject(e, id));
+    t.deepEqual(more, []);
+    if (entry?.kind !== 'rollout') return t.fail(`no entry of ${id}`);
+    const winner = entry.attempts.find(a => a.end === 'finished');
+    t.is(winner?.spans.at(-1)?.weightVersion, weightVersion);
+    t.true(entry.configVersion >= 0 && entry.rule !== '');
+  }
+});
