--- a/packages/cli/src/__tests__/admin_commands.spec.ts
+++ b/packages/cli/src/__tests__/admin_commands.spec.ts
@@ -145,6 +145,17 @@
   t.regex(top.out, /lesson-app +interactive +decisions app +[1-9]/);
   t.is((await run(['top'], strangerToken)).out.includes('lesson-app'), false);
 
+  const audit = await waitFor(
+    () => run(['audit', 'show']),
+    ({out}) => out.includes('"kind":"request"'),
+  );
+  const lines = audit.out.split('\n').map(line => JSON.parse(line));
+  t.like(
+    lines.find(({kind}) => kind === 'request'),
+    {rule: 'app', configVersion: 0, outcome: 'answered', team: 'kodkutu'},
+  );
+  t.is((await run(['audit', 'show'], strangerToken)).out, '');
+
   t.is((await run(['rules', 'show'], strangerToken)).code, 1);
   t.is((await run(['drain', 'vm', 'entry-1'], strangerToken)).code, 5);
   t.is((await run(['status'], 'operator.wrong')).code, 5);
