fix(wire): a body over its limit gets its refusal; wasted tokens are counted

Cause: leaving the loop over a request destroyed its connection before the 413 was read; the counter of wasted tokens had no source. Change: the rest of such a body is read and dropped; a step's runs report what they received and nobody will.

--- a/packages/daemon/src/__tests__/vm.spec.ts
+++ b/packages/daemon/src/__tests__/vm.spec.ts
@@ -137,6 +137,22 @@
   t.is(rollouts.length, 24);
 });
 
+// A trainer with too large a step sees a broken connection and no reason.
+// 1. The body is over the limit; the VM stops reading and closes.
+// Cause: the reset overtakes the refusal.
+test('a body over the limit gets its refusal', async t => {
+  const deployment = await startDeployment(1);
+  t.teardown(() => deployment.close());
+  const res = await fetch(`${deployment.origins[0]}/v1/steps/large`, {
+    method: 'PUT',
+    headers: {[HEADERS.tenant]: 'trainer'},
+    body: 'x'.repeat(17 * 1024 * 1024),
+  });
+  t.is(res.status, 413);
+  t.is(res.headers.get(HEADERS.error), 'too_large');
+  t.is(res.headers.get(HEADERS.ran), 'no');
+});
+
 interface RefusalCase {
   readonly name: string;
   readonly path: string;
--- a/packages/daemon/src/sample_runner.ts
+++ b/packages/daemon/src/sample_runner.ts
@@ -53,11 +53,17 @@
 export class SampleRunner extends WorkRunner {
   private readonly partials = new Map<number, PartialOutput>();
   private stopped = false;
+  private received = 0;
 
   constructor(private readonly options: SampleRunnerOptions) {
     super();
   }
 
+  /** Tokens that all attempts together brought. */
+  get receivedTokens(): number {
+    return this.received;
+  }
+
   get workId(): string {
     return this.options.work.id;
   }
@@ -201,6 +207,7 @@
   ): void {
     partial.chunks.push(chunk);
     partial.tokens += chunk.tokens;
+    this.received += chunk.tokens;
     const nowMs = Date.now();
     if (nowMs - partial.reportedAtMs < progressReportMs) return;
     partial.reportedAtMs = nowMs;
--- a/packages/daemon/src/step_directory.ts
+++ b/packages/daemon/src/step_directory.ts
@@ -34,6 +34,7 @@
   readonly maxOpenSteps: number;
   /** Rule that now holds for a step; its own rule may be gone. */
   readonly resolveRoute: (ledger: StepLedger) => Result<Route>;
+  readonly onWasted: (ledger: StepLedger, tokens: number) => void;
   readonly onSettled: (ledger: StepLedger, output: SampleOutput) => void;
   readonly onEnd: (ledger: StepLedger, end: StepEnd) => void;
 }
@@ -176,6 +177,7 @@
       http,
       logger,
       slowReaderTimeoutMs,
+      onWasted: tokens => this.options.onWasted(ledger, tokens),
       onSettled: output => this.options.onSettled(ledger, output),
       onEnd: end => this.end(ledger, task, end),
     });
--- a/packages/daemon/src/step_task.ts
+++ b/packages/daemon/src/step_task.ts
@@ -25,7 +25,7 @@
   CommittedSample,
   SampleCommit,
 } from '@radishyoke/shared/log_record';
-import type {StepRequest} from '@radishyoke/shared/rollout';
+import type {StepRequest, TokenSpan} from '@radishyoke/shared/rollout';
 import {EngineStream, GenerationChunk} from '@radishyoke/wire/engine_stream';
 import type {Dispatcher} from './dispatcher.js';
 import type {LogTask, StateBody} from './log_task.js';
@@ -60,6 +60,8 @@
   readonly slowReaderTimeoutMs: number;
   /** Called once; the task does nothing more after it. */
   readonly onEnd: (end: StepEnd) => void;
+  /** Told of generated tokens that no trainer will receive. */
+  readonly onWasted: (tokens: number) => void;
   /** Told of every sample settled, for metrics and the audit. */
   readonly onSettled: (output: SampleOutput) => void;
 }
@@ -233,7 +235,7 @@
       onAttempt: (attempt, endpoint) =>
         this.noteAttempt(output, attempt, endpoint),
       onOutput: result => {
-        this.forget(output);
+        this.forget(output, sumTokens(result.spans));
         this.options.onSettled(result);
         this.inputs.post({kind: 'finished', output: result});
       },
@@ -313,8 +315,12 @@
     this.forget(ref);
   }
 
-  private forget(ref: SampleRef): void {
-    this.runners.delete(formatSampleKey(ref));
+  /** The run is over; of what it received, `usedTokens` are handed over. */
+  private forget(ref: SampleRef, usedTokens = 0): void {
+    const key = formatSampleKey(ref);
+    const received = this.runners.get(key)?.receivedTokens ?? 0;
+    this.runners.delete(key);
+    if (received > usedTokens) this.options.onWasted(received - usedTokens);
   }
 
   private raiseMinVersion(minWeightVersion: number): void {
@@ -478,6 +484,10 @@
   };
 }
 
+function sumTokens(spans: readonly TokenSpan[]): number {
+  return spans.reduce((sum, span) => sum + span.tokens, 0);
+}
+
 /** A seed that is the same on every VM, so that a rerun draws the same sample. */
 function hashSeed(text: string): number {
   return parseInt(computePrefixKey(text).slice(0, 8), 16);
--- a/packages/daemon/src/vm.ts
+++ b/packages/daemon/src/vm.ts
@@ -367,6 +367,7 @@
       slowReaderTimeoutMs: limits.slowReaderTimeoutMs,
       maxOpenSteps: limits.maxOpenSteps,
       resolveRoute: ledger => this.resolveStepRoute(ledger),
+      onWasted: (ledger, tokens) => this.metrics.recordWasted(ledger, tokens),
       onSettled: (ledger, output) => this.metrics.recordSettled(ledger, output),
       onEnd: (ledger, end) =>
         this.metrics.recordStepEnd(ledger, end, this.log.estimateLogNowMs()),
--- a/packages/daemon/src/vm_metrics.ts
+++ b/packages/daemon/src/vm_metrics.ts
@@ -68,6 +68,11 @@
     this.registry.recordValue('staleness', tenant, 'rollout', staleness);
   }
 
+  recordWasted(ledger: StepLedger, tokens: number): void {
+    const {tenant} = ledger.opening;
+    this.registry.addCount('wasted_tokens', tenant, 'rollout', 'step', tokens);
+  }
+
   /** Looks once in `everyMs` which of this VM's steps have their trainer wait. */
   sampleIdle(ledgers: readonly StepLedger[], everyMs: number): void {
     for (const {key, acknowledged, lastCursor} of ledgers) {
--- a/packages/wire/src/request_body.ts
+++ b/packages/wire/src/request_body.ts
@@ -5,24 +5,30 @@
 import {fail, Result, succeed} from '@radishyoke/shared/result';
 
 /** Reads at most `maxBytes`; a longer body is refused as `too_large`. */
-export async function readBody(
+export function readBody(
   req: IncomingMessage,
   maxBytes: number,
 ): Promise<Result<Buffer>> {
-  const chunks: Buffer[] = [];
-  let bytes = 0;
-  try {
-    for await (const chunk of req) {
-      bytes += (chunk as Buffer).length;
-      if (bytes > maxBytes) {
-        return fail(createError('too_large', `body over ${maxBytes} bytes`));
+  return new Promise(resolve => {
+    const chunks: Buffer[] = [];
+    let bytes = 0;
+    req.on('data', (chunk: Buffer) => {
+      bytes += chunk.length;
+      if (bytes <= maxBytes) {
+        chunks.push(chunk);
+        return;
       }
-      chunks.push(chunk as Buffer);
-    }
-  } catch {
-    return fail(createError('bad_request', 'the body broke off'));
-  }
-  return succeed(Buffer.concat(chunks));
+      // The rest is read and dropped. Breaking the connection here would reset
+      // it before the refusal is read, and the caller would see no reason.
+      chunks.length = 0;
+      const detail = `body over ${maxBytes} bytes`;
+      resolve(fail(createError('too_large', detail)));
+    });
+    req.once('end', () => resolve(succeed(Buffer.concat(chunks))));
+    req.once('close', () =>
+      resolve(fail(createError('bad_request', 'the body broke off'))),
+    );
+  });
 }
 
 /** Reads a JSON body of at most `maxBytes`. */
