fix(daemon): a refused request gives its claim back; exports named one by one

Cause: a non-idempotent request with an id that was refused before anything was sent (ran: no) stayed claimed, and sending it again was refused for an hour. Change: record request_released by the claim's holder, folded in the log's order; the naive fold knows it too.

--- a/packages/core/src/__tests__/naive_state_fold.spec.ts
+++ b/packages/core/src/__tests__/naive_state_fold.spec.ts
@@ -52,6 +52,12 @@
         tenant: TENANT,
         req: toRequestId(`r${detail % 2}`),
       };
+    case 9:
+      return {
+        kind: 'request_released',
+        tenant: TENANT,
+        req: toRequestId(`r${detail % 2}`),
+      };
     case 7:
       return {kind: 'step_closed', ...owner, reason: 'complete'};
     default: {
--- a/packages/core/src/__tests__/naive_state_fold.ts
+++ b/packages/core/src/__tests__/naive_state_fold.ts
@@ -53,13 +53,9 @@
           ? VOID
           : PLAIN;
       case 'request_claimed':
-        return this.first(offset, 'request_claimed').some(
-          r =>
-            r.value.req === value.req &&
-            this.timeOf(r.offset) + this.claimHorizonMs > this.timeOf(offset),
-        )
-          ? VOID
-          : PLAIN;
+        return this.isClaimed(value.req, offset) ? VOID : PLAIN;
+      case 'request_released':
+        return this.isClaimed(value.req, offset, record) ? PLAIN : VOID;
       case 'samples_committed':
         return this.judgeCommit(offset, value);
       case 'step_closed':
@@ -69,6 +65,26 @@
     }
   }
 
+  /** Whether a claim counts before `offset`; with `by`, one of its writer. */
+  private isClaimed(req: string, offset: number, by?: Logged): boolean {
+    let claims: Logged[] = [];
+    let winner: Logged | undefined;
+    for (const r of this.before(offset)) {
+      const {value} = r;
+      const isOurs = 'req' in value && value.req === req;
+      if (!isOurs || this.before(r.offset).some(e => isCopy(e, r))) continue;
+      const accepted = this.verdicts[r.offset]!.accepted;
+      if (value.kind === 'request_released' && accepted) claims = [];
+      if (value.kind !== 'request_claimed') continue;
+      claims.push(r);
+      if (accepted) winner = r;
+    }
+    const counts = claims.some(
+      r => this.timeOf(r.offset) + this.claimHorizonMs > this.timeOf(offset),
+    );
+    return counts && (by === undefined || isSameWriter(winner!, by));
+  }
+
   private judgeClaim(record: Logged, lease: string): NaiveVerdict {
     const {offset} = record;
     if (!this.isLive(record, offset)) return VOID;
--- a/packages/core/src/request_claims.ts
+++ b/packages/core/src/request_claims.ts
@@ -52,6 +52,13 @@
     return known === undefined ? 'won' : 'lost';
   }
 
+  /** Forgets the claim that `writer` won; returns whether it held it. */
+  release(key: string, writer: string, nowMs: number): boolean {
+    this.dropExpired(nowMs);
+    if (this.claims.get(key)?.winner !== writer) return false;
+    return this.claims.delete(key);
+  }
+
   /** Who holds the claim on `key`, if anybody does. */
   winnerOf(key: string): string | undefined {
     return this.claims.get(key)?.winner;
--- a/packages/core/src/state_fold.ts
+++ b/packages/core/src/state_fold.ts
@@ -226,6 +226,12 @@
         return this.openStep(value, nowMs);
       case 'request_claimed':
         return this.claimRequest(value, writer, nowMs);
+      case 'request_released': {
+        const key = `${value.tenant}/${value.req}`;
+        return this.claims.release(key, writer, nowMs)
+          ? ACCEPTED
+          : voidBecause('no_change');
+      }
       case 'crash_seen':
         this.suspectTable.add(value.endpoint, value.fingerprints, nowMs);
         return ACCEPTED;
--- a/packages/daemon/src/__tests__/vm.spec.ts
+++ b/packages/daemon/src/__tests__/vm.spec.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import {HEADERS} from '@radishyoke/shared/header';
-import {toStepId} from '@radishyoke/shared/ids';
+import {toDataCentreId, toEndpointId, toStepId} from '@radishyoke/shared/ids';
 import type {Rollout} from '@radishyoke/shared/rollout';
 import {
   createStepRequest,
@@ -104,6 +104,50 @@
   t.is(calls, 1);
 });
 
+// A note can not be filed for an hour although the refusal said it never ran.
+// 1. No endpoint is reached; the caller is told that nothing ran.
+// 2. It sends the note again under the same id when the endpoints are back.
+// Cause: the claim on the id outlived the refusal.
+test('a refused request with an id can be sent again', async t => {
+  const deployment = await startDeployment(1);
+  t.teardown(() => deployment.close());
+  const {services, vmList} = deployment.standIns;
+  const fileNote = () =>
+    fetch(`${deployment.origins[0]}/notes`, {
+      method: 'POST',
+      headers: {
+        [HEADERS.tenant]: 'notebook',
+        [HEADERS.requestId]: 'note-8',
+      },
+      body: 'clover',
+    });
+  const listed = [...services].map(([id, service]) => ({
+    id: toEndpointId(id),
+    kind: 'service' as const,
+    address: service.address,
+    dataCentre: toDataCentreId('salto'),
+    group: 'notebook',
+    state: 'live' as const,
+    checksFencing: false,
+  }));
+  for (const {id} of listed) vmList.remove(id);
+  const endpoints = deployment.vms[0].endpoints;
+  while (endpoints.listEndpoints().some(e => e.kind === 'service')) {
+    await sleep(20);
+  }
+  const refused = await fileNote();
+  t.is(refused.headers.get(HEADERS.ran), 'no');
+  for (const endpoint of listed) vmList.putEndpoint(endpoint);
+  let res = await fileNote();
+  while (res.status !== 200 && res.headers.get(HEADERS.ran) !== 'yes') {
+    await sleep(50);
+    res = await fileNote();
+  }
+  t.is(res.status, 200);
+  const calls = [...services.values()].map(s => s.countCalls('note-8'));
+  t.deepEqual(calls.sort(), [0, 1]);
+});
+
 // A teacher's request breaks off when a VM is replaced.
 // 1. A slow call is in flight; the VM is told to leave.
 // Cause: the process ended as soon as it was told to.
--- a/packages/daemon/src/app_api.ts
+++ b/packages/daemon/src/app_api.ts
@@ -5,7 +5,11 @@
 import type {Dispatcher as HttpDispatcher} from 'undici';
 import {computeDigest} from '@radishyoke/core/digest';
 import type {WorkItem} from '@radishyoke/core/scheduler';
-import {createError, RadishyokeError} from '@radishyoke/shared/error_kind';
+import {
+  createError,
+  RadishyokeError,
+  resolveRan,
+} from '@radishyoke/shared/error_kind';
 import {HEADERS} from '@radishyoke/shared/header';
 import {DataCentreId, RequestId, toRequestId} from '@radishyoke/shared/ids';
 import {fail, Result, succeed} from '@radishyoke/shared/result';
@@ -85,7 +89,7 @@
     const id = await this.claimRequest(req, caller.value, idempotent.value);
     if (!id.ok) return this.refuse(res, id.error);
     this.submit(
-      {req, res, caller: caller.value, route: route.value, id: id.value},
+      {req, res, caller: caller.value, route: route.value, ...id.value},
       body.value,
       idempotent.value,
     );
@@ -104,15 +108,17 @@
     req: IncomingMessage,
     caller: Caller,
     idempotent: boolean,
-  ): Promise<Result<RequestId>> {
+  ): Promise<Result<ClaimedId>> {
     const given = readSingleHeader(req, HEADERS.requestId);
-    if (given === undefined) return succeed(toRequestId(randomUUID()));
+    if (given === undefined) {
+      return succeed({id: toRequestId(randomUUID()), claimed: false});
+    }
     if (!requestIdPattern.test(given)) {
       const detail = `header ${HEADERS.requestId} is malformed`;
       return fail(createError('bad_request', detail));
     }
     const id = toRequestId(given);
-    if (idempotent) return succeed(id);
+    if (idempotent) return succeed({id, claimed: false});
     const {tenant} = caller;
     const claimed = await this.options.log.append({
       kind: 'request_claimed',
@@ -121,13 +127,22 @@
     });
     if (!claimed.ok) return claimed;
     const {verdict} = claimed.value;
-    if (verdict.kind === 'accepted') return succeed(id);
+    if (verdict.kind === 'accepted') return succeed({id, claimed: true});
     if (verdict.reason === 'claims_full') {
       return fail(createError('overloaded', 'too many request ids are held'));
     }
     return fail(createError('duplicate_request'));
   }
 
+  /**
+   * A refusal that says nothing ran invites the caller to send the request
+   * again; with the claim left standing that would be refused for an hour.
+   */
+  private releaseRequest({caller, id}: AppCall): void {
+    const {tenant} = caller;
+    void this.options.log.append({kind: 'request_released', tenant, req: id});
+  }
+
   private submit(
     call: AppCall,
     body: Buffer | undefined,
@@ -154,6 +169,7 @@
   private finish(call: AppCall, end: AppEnd, durationMs: number): void {
     this.inFlight--;
     const {caller, route, id} = call;
+    if (call.claimed && !canHaveRun(end)) this.releaseRequest(call);
     this.options.logger.log(end.error ? 'warn' : 'debug', 'request ended', {
       requestId: id,
       tenant: caller.tenant,
@@ -168,12 +184,17 @@
   }
 }
 
-interface AppCall {
+/** The request's id, and whether a claim on it stands on the log. */
+interface ClaimedId {
+  readonly id: RequestId;
+  readonly claimed: boolean;
+}
+
+interface AppCall extends ClaimedId {
   readonly req: IncomingMessage;
   readonly res: ServerResponse;
   readonly caller: Caller;
   readonly route: Route;
-  readonly id: RequestId;
 }
 
 let nextWork = 1;
@@ -211,6 +232,12 @@
   };
 }
 
+/** Whether an endpoint can have received the request. */
+function canHaveRun(end: AppEnd): boolean {
+  if (end.attempts === 0) return false;
+  return end.error === undefined || resolveRan(end.error) !== 'no';
+}
+
 /** The rule says it first, then the caller's mark, then the method. */
 function resolveIdempotent(
   req: IncomingMessage,
--- a/packages/shared/src/log_record.ts
+++ b/packages/shared/src/log_record.ts
@@ -183,6 +183,15 @@
       readonly tenant: TenantId;
       readonly req: RequestId;
     }
+  | {
+      /**
+       * Gives a claim back: the request was refused before it was sent, so the
+       * caller may send it again under the same id.
+       */
+      readonly kind: 'request_released';
+      readonly tenant: TenantId;
+      readonly req: RequestId;
+    }
   | {
       /** A crash while these requests ran on one endpoint. */
       readonly kind: 'crash_seen';
--- /dev/null
+++ b/tools/list_exports.mjs
@@ -0,0 +1,60 @@
+/**
+ * Writes each package's `exports`: the modules that another package imports, and
+ * those meant for users, one by one. `--check` fails if the lists are not so.
+ */
+
+import {readdirSync, readFileSync, writeFileSync} from 'node:fs';
+import path from 'node:path';
+import process from 'node:process';
+import console from 'node:console';
+
+/** Modules that users of the libraries import though no package here does. */
+const publicModules = {
+  client: ['step_progress', 'trainer_client'],
+  daemon: ['serve', 'vm'],
+  core: ['naive_scheduler', 'policy_scheduler', 'step_machine'],
+};
+
+const importPattern = /['"]@radishyoke\/([a-z]+)\/([a-z0-9_/]+)['"]/g;
+
+function listSources(dir) {
+  return readdirSync(dir, {withFileTypes: true, recursive: true})
+    .filter(entry => entry.isFile() && entry.name.endsWith('.ts'))
+    .map(entry => path.join(entry.parentPath ?? entry.path, entry.name));
+}
+
+const packages = readdirSync('packages');
+const wanted = new Map(
+  packages.map(name => [name, new Set(publicModules[name])]),
+);
+for (const name of packages) {
+  for (const file of listSources(`packages/${name}/src`)) {
+    const text = readFileSync(file, 'utf8');
+    for (const [, target, module] of text.matchAll(importPattern)) {
+      wanted.get(target).add(module);
+    }
+  }
+}
+
+let stale = false;
+for (const [name, modules] of wanted) {
+  const file = `packages/${name}/package.json`;
+  const manifest = JSON.parse(readFileSync(file, 'utf8'));
+  const entries = [...modules]
+    .sort()
+    .map(module => [
+      `./${module}`,
+      {types: `./dist/${module}.d.ts`, default: `./dist/${module}.js`},
+    ]);
+  const exports = Object.fromEntries(entries);
+  if (JSON.stringify(exports) === JSON.stringify(manifest.exports)) continue;
+  stale = true;
+  manifest.exports = exports;
+  if (!process.argv.includes('--check')) {
+    writeFileSync(file, `${JSON.stringify(manifest, null, 2)}\n`);
+  }
+}
+if (stale && process.argv.includes('--check')) {
+  console.error('exports are not up to date: node tools/list_exports.mjs');
+  process.exitCode = 1;
+}
