--- a/packages/core/src/policy_scheduler.ts
+++ b/packages/core/src/policy_scheduler.ts
@@ -12,6 +12,7 @@
 } from '@radishyoke/shared/error_kind';
 import {DEFAULT_RETRY_AFTER_MS, findRefusal} from './admission.js';
 import {EndpointDirectory, EndpointGroup} from './endpoint_directory.js';
+import {CrashTracker} from './crash_tracker.js';
 import type {Choice} from './endpoint_pool.js';
 import {estimateTokenMs, ScoreView} from './endpoint_score.js';
 import {EndpointState} from './endpoint_state.js';
@@ -58,6 +59,7 @@
   private readonly delayed = new WorkTimers();
   private readonly freshness = new Freshness();
   private readonly suspects = new SuspectList();
+  private readonly crashes = new CrashTracker(this.suspects);
   private readonly retries = new RetryBudget();
   private readonly stragglers = new StragglerPolicy();
   private readonly tenantCap = new RunCap();
@@ -569,8 +571,8 @@
     const {work, endpoint} = attempt;
     const {failure, sent} = failed;
     endpoint.health.noteFailure(failure, this.nowMs);
-    if (failure === 'crashed') this.noteCrash(attempt);
-    this.noteLostConnection(attempt, failure);
+    const crash = this.crashes.noteFailure(attempt, failure, this.nowMs);
+    if (crash) this.actions.push({kind: 'report_crash', ...crash});
     if (failure === 'rejected') endpoint.limit.noteRejected(this.nowMs);
     if (sent) work.sentAttempts++;
     attempt.tokens = Math.max(attempt.tokens, failed.tokensReceived);
@@ -657,54 +659,6 @@
     return work.partial !== undefined && work.partial.oldestVersion < min;
   }
 
-  /** Counts a crash once, with all that ran there then. */
-  private noteCrash(attempt: Attempt): void {
-    if (attempt.isCrashCounted) return;
-    const {endpoint} = attempt;
-    const running: string[] = [];
-    for (const other of endpoint.attempts) {
-      if (other.isCrashCounted) continue;
-      other.isCrashCounted = true;
-      running.push(other.work.item.fingerprint);
-    }
-    const accused = endpoint.quarantined
-      ? endpoint.suspect?.item.fingerprint
-      : undefined;
-    this.reportCrash(endpoint, accused ? [accused] : running, accused);
-  }
-
-  private reportCrash(
-    endpoint: EndpointState,
-    fingerprints: readonly string[],
-    accused?: string,
-  ): void {
-    endpoint.forgetCache();
-    this.suspects.noteCrash(fingerprints, this.nowMs, accused);
-    this.actions.push({
-      kind: 'report_crash',
-      endpoint: endpoint.id,
-      fingerprints,
-    });
-  }
-
-  /**
-   * A crash of a plain service shows as broken connections, and as a refused
-   * one when it is tried again. Neither alone tells of a crash.
-   */
-  private noteLostConnection(attempt: Attempt, failure: FailureKind): void {
-    const {endpoint, work} = attempt;
-    const {fingerprint} = work.item;
-    if (failure === 'connection_lost') {
-      if (endpoint.quarantined && endpoint.suspect === work) {
-        this.noteCrash(attempt);
-      } else endpoint.noteLost(fingerprint, this.nowMs);
-      return;
-    }
-    if (failure !== 'connect_failed') return;
-    const lost = endpoint.takeLost(this.nowMs);
-    if (lost.length > 0) this.reportCrash(endpoint, lost);
-  }
-
   private cancel(workId: string): void {
     const work = this.works.get(workId);
     if (!work) return;
--- a/packages/daemon/src/step_task.ts
+++ b/packages/daemon/src/step_task.ts
@@ -5,7 +5,7 @@
 
 import type {ServerResponse} from 'node:http';
 import type {Dispatcher as HttpDispatcher} from 'undici';
-import {computePrefixKey} from '@radishyoke/core/digest';
+import {computeDigest, computePrefixKey} from '@radishyoke/core/digest';
 import {nameStepLease} from '@radishyoke/core/lease_table';
 import type {RouteAction} from '@radishyoke/core/rule';
 import type {WorkItem} from '@radishyoke/core/scheduler';
@@ -286,7 +286,9 @@
       maxAttempts: action.maxAttempts,
       hedge: action.hedge,
       maxInFlight: action.maxInFlight,
-      fingerprint: prefixKey,
+      // Prompts of one trainer often begin alike; a fingerprint of the beginning
+      // would blame all of them for the one that crashes engines.
+      fingerprint: computeDigest(prompt),
     };
   }
 
