fix(daemon): a VM takes up its own lease on orders again

Cause: a VM that doubted its session for a moment dropped the lease on orders and then saw the log name a holder, which was itself, so it never claimed it again while its session lived. Change: the holder's own life is no obstacle; a superseded lease is given back first. A test brings the doubt about; without the fix it does not end.

--- a/packages/bench/src/drill.ts
+++ b/packages/bench/src/drill.ts
@@ -36,6 +36,8 @@
   readonly seconds: number;
   readonly broken: readonly string[];
   readonly errors: readonly string[];
+  /** The trainers' weight version at the end, and then each engine's. */
+  readonly weightVersions: readonly number[];
 }
 
 let calmMs = 0;
@@ -60,7 +62,13 @@
   await restore(world);
   errors.push(...trainers.flatMap(trainer => trainer.error ?? []));
   const seconds = (Date.now() - startMs) / 1000;
-  return summarize(drillCase, figures, trainers, appResult, errors, seconds);
+  const {engines} = world.standins;
+  const weightVersions = [
+    world.weightVersion,
+    ...engines.map(engine => engine.readWeightVersion()),
+  ];
+  const line = summarize(drillCase, figures, trainers, appResult, errors);
+  return {...line, seconds: Number(seconds.toFixed(1)), weightVersions};
 }
 
 function summarize(
@@ -69,8 +77,7 @@
   trainers: readonly TrainerResult[],
   app: AppResult,
   errors: readonly string[],
-  seconds: number,
-): DrillLine {
+): Omit<DrillLine, 'seconds' | 'weightVersions'> {
   const sum = (pick: (trainer: TrainerResult) => number) =>
     trainers.reduce((total, trainer) => total + pick(trainer), 0);
   const stepMs = sum(trainer => trainer.durationMs);
@@ -90,14 +97,15 @@
     reconnects: sum(trainer => trainer.reconnects),
     idleRatio: Number((stepMs / (calmMs || stepMs)).toFixed(2)),
     stepSeconds: trainers.map(trainer => trainer.durationMs / 1000),
-    seconds: Number(seconds.toFixed(1)),
     errors,
   };
   return {...line, broken: listBroken(line)};
 }
 
 /** Names of the promises that the case broke. */
-function listBroken(line: Omit<DrillLine, 'broken'>): readonly string[] {
+function listBroken(
+  line: Omit<DrillLine, 'broken' | 'seconds' | 'weightVersions'>,
+): readonly string[] {
   const config = line.configSecondsToAll ?? 0;
   const checks: ReadonlyArray<readonly [string, boolean]> = [
     ['lost', line.lost > 0],
--- a/packages/bench/src/drill_world.ts
+++ b/packages/bench/src/drill_world.ts
@@ -33,6 +33,7 @@
 const ENGINES = 3;
 const SERVICES = 2;
 const FIRST_VERSION = 1;
+const LIST_LAG_MS = 2000;
 const POLL_MS = 50;
 const PROBE_TIMEOUT_MS = 1000;
 
@@ -98,6 +99,7 @@
       ),
     );
     standins.vmList.update({vms: vms.map(vm => vm.info), endpoints});
+    standins.vmList.faults.set({kind: 'lag', lagMs: LIST_LAG_MS});
     const world = new DrillWorld(standins, vms, endpoints);
     world.publishConfig(-1, 'first');
     return world;
@@ -214,7 +216,7 @@
   );
   return {
     log: await startFakeLog(),
-    vmList: await startFakeVmList({lagMs: 2000}),
+    vmList: await startFakeVmList(),
     weightStore,
     engines: await Promise.all(engines),
     services: await Promise.all(services),
--- /dev/null
+++ b/packages/daemon/src/__tests__/order_task.spec.ts
@@ -0,0 +1,104 @@
+import test from 'ava';
+import {nameOrdersLease} from '@radishyoke/core/lease_table';
+import {DEFAULT_CLAIM_HORIZON_MS} from '@radishyoke/core/state_fold';
+import {startFakeEngine} from '@radishyoke/fakes/fake_engine';
+import {startFakeLog} from '@radishyoke/fakes/fake_log';
+import {startFakeWeightStore} from '@radishyoke/fakes/fake_weight_store';
+import {HttpLogClient} from '@radishyoke/platform/http_log_client';
+import {HttpWeightStoreClient} from '@radishyoke/platform/http_weight_store_client';
+import type {EndpointInfo} from '@radishyoke/shared/endpoint';
+import {
+  toDataCentreId,
+  toEndpointId,
+  toIncarnationId,
+  toVmId,
+} from '@radishyoke/shared/ids';
+import {Agent} from 'undici';
+import type {EndpointTask} from '../endpoint_task.js';
+import {HeldLease, LogTask} from '../log_task.js';
+import {createLogger} from '../logger.js';
+import {OrderTask} from '../order_task.js';
+import {DEFAULT_SESSION_TIMING} from '../session_keeper.js';
+
+const MODEL = 'tutor';
+const POLL_MS = 20;
+
+/** A log task whose own clock says once that its session may be over. */
+class DoubtingLogTask extends LogTask {
+  doubts = false;
+
+  override holds(held: HeldLease): boolean {
+    const {doubts} = this;
+    this.doubts = false;
+    return !doubts && super.holds(held);
+  }
+}
+
+// Trainers wait for rollouts that are all too old, and no step ends any more.
+// 1. A VM holds the lease on orders. 2. Its connections to the log go silent;
+//    by its own clock its session could be over, so it gives no order.
+// 3. A new connection works and the session was renewed in time.
+// Cause: it had forgotten the lease, and took the holder in the log, which was
+// itself, for another VM.
+test('a VM that doubted its session for a moment goes on ordering', async t => {
+  const platform = await Promise.all([
+    startFakeLog(),
+    startFakeWeightStore(),
+    startFakeEngine({model: MODEL, fetchMs: 1, swapMs: 1, loadLagMs: 0}),
+  ]);
+  const [log, weightStore, engine] = platform;
+  const logClient = new HttpLogClient(log.address);
+  const storeClient = new HttpWeightStoreClient(weightStore.address);
+  const http = new Agent();
+  const task = new DoubtingLogTask(logClient, {
+    vm: toVmId('vm'),
+    incarnation: toIncarnationId('1'),
+    session: DEFAULT_SESSION_TIMING,
+    deploymentAppendsPerSecond: 300,
+    claimHorizonMs: DEFAULT_CLAIM_HORIZON_MS,
+    logRetentionMs: 3_600_000,
+    checkConfig: () => undefined,
+  });
+  const info: EndpointInfo = {
+    id: toEndpointId('engine'),
+    kind: 'engine',
+    address: engine.address,
+    dataCentre: toDataCentreId('dc'),
+    group: 'tutors',
+    model: MODEL,
+    state: 'live',
+    checksFencing: true,
+  };
+  const endpoints = {
+    listEndpoints: () => [info],
+    findReport: () => ({weightVersion: engine.readWeightVersion()}),
+  } as unknown as EndpointTask;
+  const orders = new OrderTask({
+    log: task,
+    endpoints,
+    weightStore: storeClient,
+    http,
+    logger: createLogger('error', {vm: 'vm', dataCentre: 'dc'}),
+  });
+  t.teardown(async () => {
+    orders.stop();
+    task.stop();
+    await Promise.all([logClient.close(), storeClient.close(), http.destroy()]);
+    await Promise.all(platform.map(standin => standin.close()));
+  });
+  task.start();
+  orders.start();
+  const serves = async (version: number) => {
+    weightStore.publish(MODEL, version);
+    while (engine.readWeightVersion() < version) await sleep(POLL_MS);
+  };
+  await serves(2);
+  const before = task.state.leases.find(nameOrdersLease(MODEL))?.fencing;
+  task.doubts = true;
+  await serves(3);
+  t.is(task.state.leases.find(nameOrdersLease(MODEL))?.fencing, before);
+});
+
+function sleep(ms: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, ms));
+}
--- a/packages/daemon/src/log_task.ts
+++ b/packages/daemon/src/log_task.ts
@@ -258,8 +258,8 @@
     return fail(createError('not_owner', detail));
   }
 
-  /** Whether a record is this VM life's own. */
-  isOwn(stamp: Stamp): boolean {
+  /** Whether a record or a lease is of this life of this VM. */
+  isOwn(stamp: Pick<Stamp, 'vm' | 'incarnation'>): boolean {
     return nameWriter(stamp) === nameWriter(this.cfg);
   }
 
--- a/packages/daemon/src/order_task.ts
+++ b/packages/daemon/src/order_task.ts
@@ -94,10 +94,14 @@
       return held;
     }
     this.held.delete(name);
+    if (held?.rollout.isSuperseded) await log.release(held.lease);
     const current = log.state.leases.find(name);
-    if (current && log.state.leases.isHeld(current, log.estimateLogNowMs())) {
-      return undefined;
-    }
+    const isHeld =
+      current && log.state.leases.isHeld(current, log.estimateLogNowMs());
+    // This VM doubted its own session, as when its log connections went silent,
+    // and renewed it in time. The log still names it the holder: if it took
+    // itself for another, nobody would order new weights for good.
+    if (isHeld && !log.isOwn(current)) return undefined;
     const claimed = await log.claim(name);
     if (!claimed.ok) return undefined;
     const fencing = claimed.value;
