fix(core): an unanswered weight order holds the others up for 4 s, not 15

Change: an order that nobody answered is waited for 4 s and then given again; ordering the same version again is harmless. A test has both orders of the first wave vanish.

--- a/packages/core/src/__tests__/weight_rollout.spec.ts
+++ b/packages/core/src/__tests__/weight_rollout.spec.ts
@@ -97,3 +97,15 @@
   t.true(rollout.isSuperseded);
   t.deepEqual(rollout.plan(reported, 3, 60_000), []);
 });
+
+// Trainers wait for fresh rollouts long after new weights came out.
+// 1. New weights are ordered; the connections to the first engines went silent.
+// 2. The orders vanish, and all other engines wait for them.
+// Cause: an order that nobody answered was waited for like a swap under way.
+test('orders that vanish hold the other engines up for seconds only', t => {
+  const fates = Array.from<Fate>({length: WAVE}).fill('lost');
+  const fleet = new Fleet(new WeightRollout(7), fates);
+  while (fleet.sentAtMs.length <= WAVE && fleet.nowMs < 60_000) fleet.run(2);
+  const {unansweredTimeoutMs} = DEFAULT_ROLLOUT_OPTIONS;
+  t.true(fleet.sentAtMs[WAVE] <= unansweredTimeoutMs + STEP_MS);
+});
--- a/packages/core/src/weight_rollout.ts
+++ b/packages/core/src/weight_rollout.ts
@@ -39,6 +39,8 @@
   readonly waveShare: number;
   /** Time that an engine has to fetch and swap before it counts as failed. */
   readonly swapTimeoutMs: number;
+  /** The same for an order that nobody answered. */
+  readonly unansweredTimeoutMs: number;
   readonly firstRetryMs: number;
   readonly maxRetryMs: number;
 }
@@ -47,13 +49,18 @@
   fetchesPerSecond: 4,
   waveShare: 1 / 3,
   swapTimeoutMs: 15_000,
+  unansweredTimeoutMs: 4000,
   firstRetryMs: 1000,
   maxRetryMs: 60_000,
 };
 
 interface EngineOrders {
   /** The order under way; absent when none is. */
-  pending?: {readonly version: number; readonly sentAtMs: number};
+  pending?: {
+    readonly version: number;
+    readonly sentAtMs: number;
+    readonly timeoutMs: number;
+  };
   failures: number;
   retryAtMs: number;
 }
@@ -100,6 +107,7 @@
       this.getOrders(engine.id).pending = {
         version: newestVersion,
         sentAtMs: nowMs,
+        timeoutMs: this.options.swapTimeoutMs,
       };
       const {fencing} = this;
       orders.push({engine: engine.id, version: newestVersion, fencing});
@@ -110,10 +118,16 @@
 
   noteOutcome(order: LoadOrder, outcome: OrderOutcome, nowMs: number): void {
     if (outcome === 'stale_fencing') this.superseded = true;
-    // After no answer the report tells; until then the engine counts as loading.
-    if (outcome !== 'failed') return;
     const engine = this.getOrders(order.engine);
-    if (engine.pending?.version === order.version) this.fail(engine, nowMs);
+    const {pending} = engine;
+    if (pending?.version !== order.version) return;
+    if (outcome === 'failed') this.fail(engine, nowMs);
+    // After no answer the report tells, and until then the engine counts as
+    // loading. An order on a connection that went silent never arrived, and a
+    // long wait for it keeps all others from the new weights. Ordering the same
+    // version again is harmless.
+    if (outcome !== 'unknown') return;
+    engine.pending = {...pending, timeoutMs: this.options.unansweredTimeoutMs};
   }
 
   /** Sees what a report tells of the order under way. */
@@ -128,7 +142,7 @@
       return;
     }
     const waitedMs = nowMs - pending.sentAtMs;
-    if (waitedMs >= this.options.swapTimeoutMs) this.fail(engine, nowMs);
+    if (waitedMs >= pending.timeoutMs) this.fail(engine, nowMs);
   }
 
   private fail(engine: EngineOrders, nowMs: number): void {
