--- a/packages/daemon/src/__tests__/order_task.spec.ts
+++ b/packages/daemon/src/__tests__/order_task.spec.ts
@@ -15,7 +15,8 @@
 } from '@radishyoke/shared/ids';
 import {Agent} from 'undici';
 import type {EndpointTask} from '../endpoint_task.js';
-import {HeldLease, LogTask} from '../log_task.js';
+import type {HeldLease} from '../lease_holder.js';
+import {LogTask} from '../log_task.js';
 import {createLogger} from '../logger.js';
 import {OrderTask} from '../order_task.js';
 import {DEFAULT_SESSION_TIMING} from '../session_keeper.js';
