--- a/packages/daemon/src/__tests__/deployment_fixture.ts
+++ b/packages/daemon/src/__tests__/deployment_fixture.ts
@@ -64,6 +64,8 @@
   readonly standIns: StandIns;
   readonly vms: readonly Vm[];
   readonly origins: readonly string[];
+  /** Starts one more VM; resolves with its origin, ready or not. */
+  addVm(): Promise<string>;
   createClient(origins?: readonly string[]): TrainerClient;
   close(): Promise<void>;
 }
@@ -105,25 +107,29 @@
   publishFirstRules(standIns, 'growers', rules);
   const vms: Vm[] = [];
   const origins: string[] = [];
-  for (let i = 1; i <= vmCount; i++) {
-    const settings = createSettings(`entry-${i}`, standIns);
-    const vm = new Vm({settings, logger: silentLogger, seed: i});
-    const address = await vm.start();
+  const addVm = async () => {
+    const seed = vms.length + 1;
+    const settings = createSettings(`entry-${seed}`, standIns);
+    const vm = new Vm({settings, logger: silentLogger, seed});
+    const callerAddress = await vm.start();
     vms.push(vm);
-    origins.push(`http://${address}`);
+    origins.push(`http://${callerAddress}`);
     standIns.putVm({
       id: settings.vm.id,
       peerAddress: vm.peerAddress,
-      callerAddress: address,
+      callerAddress,
       dataCentre: toDataCentreId('salto'),
       state: 'live',
     });
-  }
+    return origins[origins.length - 1];
+  };
+  for (let i = 0; i < vmCount; i++) await addVm();
   await Promise.all(origins.map(waitUntilReady));
   return {
     standIns,
     vms,
     origins,
+    addVm,
     createClient: (used = origins) =>
       new TrainerClient({origins: used, tenant: toTenantId('trainer')}),
     close: async () => {
@@ -133,7 +139,8 @@
   };
 }
 
-async function waitUntilReady(origin: string): Promise<void> {
+/** Waits as a balancer does before it sends callers. */
+export async function waitUntilReady(origin: string): Promise<void> {
   while (!(await fetch(`${origin}/readyz`)).ok) await sleep(20);
 }
 
--- a/packages/daemon/src/__tests__/vm.spec.ts
+++ b/packages/daemon/src/__tests__/vm.spec.ts
@@ -7,6 +7,7 @@
   Deployment,
   sleep,
   startDeployment,
+  waitUntilReady,
 } from './deployment_fixture.js';
 
 /** Runs a step to its end and returns what the trainer got, in order. */
@@ -104,6 +105,22 @@
   t.is(calls, 1);
 });
 
+// After a VM is replaced in an outage of the log, a part of all calls fails.
+// 1. The log goes down; a VM is replaced and can not read the configuration.
+// Cause: the log was the only place to have it from.
+test('a VM that starts while the log is down has its rules from peers', async t => {
+  const deployment = await startDeployment(2);
+  t.teardown(() => deployment.close());
+  deployment.standIns.log.faults.set({kind: 'outage'});
+  const origin = await deployment.addVm();
+  await waitUntilReady(origin);
+  const res = await fetch(`${origin}/lessons/7`, {
+    headers: {[HEADERS.tenant]: 'notebook'},
+  });
+  t.is(res.status, 200);
+  t.is(res.headers.get(HEADERS.rule), 'notebook');
+});
+
 // A note can not be filed for an hour although the refusal said it never ran.
 // 1. No endpoint is reached; the caller is told that nothing ran.
 // 2. It sends the note again under the same id when the endpoints are back.
