fix(daemon): a draining VM takes requests until the balancer has seen it

Cause: as soon as a VM was told to leave it refused what the balancer went on sending; the log's budget, its retention and the store's pace were constants.

--- a/packages/bench/src/drill_vm.ts
+++ b/packages/bench/src/drill_vm.ts
@@ -152,6 +152,7 @@
     '[peers]',
     'shared_key = the-key-of-the-drill-alone',
     '[shutdown]',
+    'notice = 500ms',
     'max_drain = 20s',
     '[tenants]',
     'trainer-1 = kodkutu',
--- a/packages/cli/src/__tests__/admin_commands.spec.ts
+++ b/packages/cli/src/__tests__/admin_commands.spec.ts
@@ -74,6 +74,7 @@
       adminAddress: '127.0.0.1:0',
     },
     platform: {
+      ...settings.platform,
       log: log.address,
       vmList: vmList.address,
       weightStore: weightStore.address,
--- a/packages/daemon/src/__tests__/deployment_fixture.ts
+++ b/packages/daemon/src/__tests__/deployment_fixture.ts
@@ -55,6 +55,8 @@
 [leases]
 session_ttl = 1s
 session_renewal = 300ms
+[shutdown]
+notice = 100ms
 [tenants]
 trainer = growers
 notebook = growers
--- a/packages/daemon/src/__tests__/order_task.spec.ts
+++ b/packages/daemon/src/__tests__/order_task.spec.ts
@@ -78,6 +78,7 @@
     log: task,
     endpoints,
     weightStore: storeClient,
+    fetchesPerSecond: 4,
     http,
     logger: createLogger('error', {vm: 'vm', dataCentre: 'dc'}),
   });
--- a/packages/daemon/src/caller_server.ts
+++ b/packages/daemon/src/caller_server.ts
@@ -16,8 +16,10 @@
   readonly steps: StepApi;
   readonly apps: AppApi;
   readonly logger: Logger;
-  /** Why this VM takes no new requests, if so. */
+  /** Why this VM refuses requests, if so. */
   readonly findObstacle: () => RadishyokeError | undefined;
+  /** Why this VM is not ready, if so; while it drains, some time before it refuses. */
+  readonly findReadyObstacle: () => RadishyokeError | undefined;
 }
 
 /** Time a kept-alive connection may stand idle; longer than balancers keep it. */
@@ -74,10 +76,8 @@
   ): Promise<void> {
     const path = req.url ?? '/';
     if (path === '/healthz') return sendJson(res, 200, {healthy: true});
+    if (path === '/readyz') return this.answerReady(res);
     const obstacle = this.options.findObstacle();
-    if (path === '/readyz' && !obstacle) {
-      return sendJson(res, 200, {ready: true});
-    }
     if (obstacle) {
       // The balancer sees a draining VM late; a caller told to go elsewhere
       // must not come back over the same connection.
@@ -97,6 +97,12 @@
     }
   }
 
+  private answerReady(res: http.ServerResponse): void {
+    const obstacle = this.options.findReadyObstacle();
+    if (obstacle) sendError(res, obstacle);
+    else sendJson(res, 200, {ready: true});
+  }
+
   /** Cuts off a caller that stops in the middle of its request's body. */
   private guardBody(req: http.IncomingMessage): void {
     const {slowWriterTimeoutMs} = this.options.limits;
--- a/packages/daemon/src/order_task.ts
+++ b/packages/daemon/src/order_task.ts
@@ -6,6 +6,7 @@
 import type {Dispatcher as HttpDispatcher} from 'undici';
 import {nameOrdersLease} from '@radishyoke/core/lease_table';
 import {
+  DEFAULT_ROLLOUT_OPTIONS,
   LoadOrder,
   OrderOutcome,
   WeightRollout,
@@ -26,6 +27,8 @@
   readonly log: LogTask;
   readonly endpoints: EndpointTask;
   readonly weightStore: WeightStoreClient;
+  /** What the store allows all engines together. */
+  readonly fetchesPerSecond: number;
   readonly http: HttpDispatcher;
   readonly logger: Logger;
 }
@@ -108,7 +111,10 @@
     const fencing = claimed.value;
     const taken = {
       lease: {lease: name, fencing},
-      rollout: new WeightRollout(fencing),
+      rollout: new WeightRollout(fencing, {
+        ...DEFAULT_ROLLOUT_OPTIONS,
+        fetchesPerSecond: this.options.fetchesPerSecond,
+      }),
     };
     this.held.set(name, taken);
     return taken;
--- /dev/null
+++ b/packages/daemon/src/peer_wiring.ts
@@ -0,0 +1,117 @@
+/**
+ * What a VM tells its peers and does with what they tell: load, crashes,
+ * configuration and which VMs live.
+ */
+
+import type {VmInfo} from '@radishyoke/shared/endpoint';
+import type {VmId} from '@radishyoke/shared/ids';
+import type {Dispatcher} from './dispatcher.js';
+import type {EndpointTask} from './endpoint_task.js';
+import type {LogTask, PeerView} from './log_task.js';
+import type {PeerEvent, PeerTask} from './peer_task.js';
+import type {StepDirectory} from './step_directory.js';
+
+/** How often the other VMs are told what this one has in flight, ms. */
+const ownLoadMs = 500;
+
+export interface PeerWiringOptions {
+  readonly vm: VmId;
+  readonly peers: PeerTask;
+  readonly log: LogTask;
+  readonly dispatcher: Dispatcher;
+  readonly endpoints: EndpointTask;
+  readonly directory: StepDirectory;
+}
+
+export class PeerWiring {
+  private timer: NodeJS.Timeout | undefined;
+  /** Highest offset of the configuration that any peer told. */
+  private configSeen = 0;
+  /** VMs that the membership counts as live, this one left out. */
+  private livePeers: readonly VmId[] = [];
+
+  constructor(private readonly options: PeerWiringOptions) {}
+
+  start(): void {
+    const {endpoints, peers, log, dispatcher} = this.options;
+    void endpoints.vmLists.observe(vms => peers.tell({kind: 'vm_list', vms}));
+    void log.changes.observe(change => {
+      if (change.kind === 'state' || change.kind === 'health') return;
+      peers.tell({kind: 'config_offset', next: log.config.next});
+    });
+    void dispatcher.notices.observe(({endpoint, fingerprints}) => {
+      peers.tell({kind: 'own_suspects', fingerprints});
+      void log.append({kind: 'crash_seen', endpoint, fingerprints});
+    });
+    // A crash that the peers' messages lost is still found in the log.
+    void log.changes.observe(change => {
+      if (change.kind !== 'state') return;
+      const {value} = change.judged.record;
+      if (value.kind !== 'crash_seen') return;
+      if (value.stamp.vm === this.options.vm) return;
+      const {fingerprints} = value;
+      dispatcher.post({kind: 'suspects', fingerprints});
+    });
+    void peers.events.observe(event => this.hear(event));
+    this.timer = setInterval(() => {
+      const inFlight = new Map(dispatcher.countInFlight());
+      peers.tell({kind: 'own_load', inFlight});
+    }, ownLoadMs);
+  }
+
+  stop(): void {
+    clearInterval(this.timer);
+  }
+
+  /** What is known of the other VMs, for judging whether this one is current. */
+  view(): PeerView {
+    const {endpoints, vm} = this.options;
+    const others = endpoints
+      .listVms()
+      .filter(entry => entry.state === 'live' && entry.id !== vm);
+    return {
+      otherVms: others.length,
+      heardVms: this.livePeers,
+      seenNext: this.configSeen,
+    };
+  }
+
+  /** `ip:port` of another VM's caller listener. */
+  findCallerAddress(id: VmId): string | undefined {
+    const {endpoints, peers} = this.options;
+    const isIt = (entry: Pick<VmInfo, 'id'>) => entry.id === id;
+    // The VM list lags: a VM that owns a step already may not be on it yet.
+    const entry =
+      endpoints.listVms().find(isIt) ?? peers.listMembers().find(isIt);
+    return entry?.callerAddress;
+  }
+
+  private hear(event: PeerEvent): void {
+    const {dispatcher, log} = this.options;
+    switch (event.kind) {
+      case 'vms':
+        return this.setLiveVms(event.vms);
+      case 'peer_load':
+      case 'suspects':
+        return dispatcher.post(event);
+      case 'config_transfer':
+        log.importConfig(event.transfer);
+        return;
+      case 'config_seen':
+        this.configSeen = event.next;
+        return;
+      case 'silent_endpoint':
+        // Connections of this VM's own may be well; its attempts tell.
+        return;
+    }
+  }
+
+  private setLiveVms(vms: readonly VmId[]): void {
+    const {vm, dispatcher, directory, log} = this.options;
+    this.livePeers = vms.filter(id => id !== vm);
+    const live = vms.includes(vm) ? vms : [...vms, vm];
+    dispatcher.post({kind: 'vms', vms: live});
+    directory.setLiveVms(live);
+    log.setLiveVms(live.length);
+  }
+}
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -71,6 +71,10 @@
     readonly log: string;
     readonly vmList: string;
     readonly weightStore: string;
+    /** Appends a second that the log grants to the whole deployment. */
+    readonly logAppendsPerSecond: number;
+    readonly logRetentionMs: number;
+    readonly weightFetchesPerSecond: number;
   };
   readonly peers: {
     readonly seeds: readonly string[];
@@ -83,7 +87,7 @@
   };
   readonly config: {readonly notReadyAfterMs: number};
   readonly admin: {readonly platformTeam?: TeamId};
-  readonly shutdown: {readonly maxDrainMs: number};
+  readonly shutdown: {readonly noticeMs: number; readonly maxDrainMs: number};
   readonly logging: {readonly level: LogLevel};
   readonly tenants: ReadonlyMap<TenantId, TeamId>;
   readonly tokens: readonly TokenSettings[];
@@ -252,6 +256,9 @@
       log: platform.log,
       vmList: platform.vm_list,
       weightStore: platform.weight_store,
+      logAppendsPerSecond: platform.log_appends,
+      logRetentionMs: platform.log_retention,
+      weightFetchesPerSecond: platform.weight_fetches,
     },
     peers: {seeds: peers.seeds ?? [], sharedKey: peers.shared_key},
     limits: toLimits(values.limits),
@@ -266,7 +273,7 @@
           ? undefined
           : toTeamId(admin.platform_team),
     },
-    shutdown: {maxDrainMs: shutdown.max_drain},
+    shutdown: {noticeMs: shutdown.notice, maxDrainMs: shutdown.max_drain},
     logging,
     tenants,
     tokens,
--- a/packages/daemon/src/settings_schema.ts
+++ b/packages/daemon/src/settings_schema.ts
@@ -46,6 +46,21 @@
     log: required(addressType(), "The platform's append-only log."),
     vm_list: required(addressType(), "The platform's VM list."),
     weight_store: required(addressType(), "The platform's weight store."),
+    log_appends: withDefault(
+      integerType(1, 100_000),
+      '300',
+      'Appends a second that all VMs together may make; the same on every VM.',
+    ),
+    log_retention: withDefault(
+      durationType('1m', '8760h'),
+      '24h',
+      'Time for which the log keeps a record at the least.',
+    ),
+    weight_fetches: withDefault(
+      integerType(1, 100_000),
+      '4',
+      'Fetches of weights a second that the store allows; each order to an engine causes one.',
+    ),
   },
   peers: {
     seeds: optional(
@@ -144,6 +159,11 @@
     ),
   },
   shutdown: {
+    notice: withDefault(
+      durationType('1ms', '5m'),
+      '2s',
+      'Time after SIGTERM in which requests are still taken while /readyz says no; longer than the balancer takes to see it.',
+    ),
     max_drain: withDefault(
       durationType('1s', '24h'),
       '1h',
--- a/packages/daemon/src/vm.ts
+++ b/packages/daemon/src/vm.ts
@@ -10,7 +10,7 @@
 import {HttpVmListClient} from '@radishyoke/platform/http_vm_list_client';
 import {HttpWeightStoreClient} from '@radishyoke/platform/http_weight_store_client';
 import {createError, RadishyokeError} from '@radishyoke/shared/error_kind';
-import {toIncarnationId, VmId} from '@radishyoke/shared/ids';
+import {toIncarnationId} from '@radishyoke/shared/ids';
 import {RenewingAgent} from '@radishyoke/wire/renewing_agent';
 import {AdminServer} from './admin_server.js';
 import {AppApi} from './app_api.js';
@@ -19,10 +19,11 @@
 import {EndpointTask} from './endpoint_task.js';
 import {AuditRecorder} from './audit_recorder.js';
 import {AuditTask, DEFAULT_MAX_WAITING} from './audit_task.js';
-import {LogTask, type PeerView} from './log_task.js';
+import {LogTask} from './log_task.js';
 import type {Logger} from './logger.js';
 import {OrderTask} from './order_task.js';
-import {PeerEvent, PeerTask} from './peer_task.js';
+import {PeerTask} from './peer_task.js';
+import {PeerWiring} from './peer_wiring.js';
 import {RuleBook} from './rule_book.js';
 import type {Settings} from './settings.js';
 import {StepApi} from './step_api.js';
@@ -30,19 +31,15 @@
 import {VmAdminBackend} from './vm_admin_backend.js';
 import {VmMetrics} from './vm_metrics.js';
 
-/** Appends a second that the platform's log grants to the whole deployment. */
-const deploymentAppendsPerSecond = 300;
 const claimHorizonMs = 3_600_000;
-/** How long the platform's log keeps a record, at the least. */
-const logRetentionMs = 86_400_000;
-/** How often other VMs' share of the endpoints' load is brought up to date, ms. */
-const ownLoadMs = 500;
+/** How often trainers are looked at for waiting, ms. */
+const idleSampleMs = 500;
 /** Most connections to one endpoint. */
 const connectionsPerEndpoint = 512;
 const connectTimeoutMs = 1000;
 const drainPollMs = 50;
-/** Time the balancer has to see that this VM is not ready, ms. */
-const drainNoticeMs = 200;
+/** Longest wait for the last records to be taken, ms. */
+const lastRecordsMs = 2000;
 
 export interface VmOptions {
   readonly settings: Settings;
@@ -77,16 +74,15 @@
   private readonly weightStoreClient: HttpWeightStoreClient;
   private readonly orders: OrderTask;
   readonly peers: PeerTask;
-  private loadTimer: NodeJS.Timeout | undefined;
+  private readonly wiring: PeerWiring;
+  private idleTimer: NodeJS.Timeout | undefined;
   private readonly apps: AppApi;
   private readonly audit: AuditTask;
   private readonly auditRecorder: AuditRecorder;
   private readonly server: CallerServer;
   private draining = false;
-  /** Whether the log was read to its end since the start. */
-  private configSeen = 0;
-  /** VMs that the membership counts as live, this one left out. */
-  private livePeers: readonly VmId[] = [];
+  /** New requests are refused; the notice to the balancer is over. */
+  private refusing = false;
 
   constructor(private readonly options: VmOptions) {
     const {settings, logger} = options;
@@ -106,9 +102,9 @@
         ttlMs: settings.leases.sessionTtlMs,
         renewalMs: settings.leases.sessionRenewalMs,
       },
-      deploymentAppendsPerSecond,
+      deploymentAppendsPerSecond: platform.logAppendsPerSecond,
       claimHorizonMs,
-      logRetentionMs,
+      logRetentionMs: platform.logRetentionMs,
       notReadyAfterMs: settings.config.notReadyAfterMs,
       checkConfig: checkRuleText,
     });
@@ -146,11 +142,20 @@
       log: this.log,
       endpoints: this.endpoints,
       weightStore: this.weightStoreClient,
+      fetchesPerSecond: platform.weightFetchesPerSecond,
       http: this.http,
       logger,
     });
     this.peers = this.createPeers();
     this.directory = this.createDirectory();
+    this.wiring = new PeerWiring({
+      vm: vm.id,
+      peers: this.peers,
+      log: this.log,
+      dispatcher: this.dispatcher,
+      endpoints: this.endpoints,
+      directory: this.directory,
+    });
     this.apps = new AppApi({
       dataCentre: vm.dataCentre,
       rules: this.rules,
@@ -173,11 +178,12 @@
         rules: this.rules,
         directory: this.directory,
         http: this.http,
-        findCallerAddress: id => this.findCallerAddress(id),
+        findCallerAddress: id => this.wiring.findCallerAddress(id),
       }),
       apps: this.apps,
       logger,
       findObstacle: () => this.findObstacle(),
+      findReadyObstacle: () => this.findReadyObstacle(),
     });
     this.admin = this.createAdmin();
   }
@@ -194,20 +200,8 @@
 
   /** Starts all tasks; resolves with the address callers connect to. */
   async start(): Promise<string> {
-    this.connectPeers();
-    void this.dispatcher.notices.observe(notice => {
-      const {endpoint, fingerprints} = notice;
-      this.peers.tell({kind: 'own_suspects', fingerprints});
-      void this.log.append({kind: 'crash_seen', endpoint, fingerprints});
-    });
-    void this.log.changes.observe(change => {
-      if (change.kind !== 'state') return;
-      const {value} = change.judged.record;
-      if (value.kind !== 'crash_seen') return;
-      if (value.stamp.vm === this.options.settings.vm.id) return;
-      const {fingerprints} = value;
-      this.dispatcher.post({kind: 'suspects', fingerprints});
-    });
+    this.wiring.start();
+    this.idleTimer = setInterval(() => this.sampleIdle(), idleSampleMs);
     void this.dispatcher.firstOutputs.observe(output =>
       this.metrics.recordFirstOutput(output),
     );
@@ -240,15 +234,18 @@
     this.draining = true;
     this.peers.tell({kind: 'leave'});
     const deadlineAtMs = Date.now() + maxDrainMs;
-    await sleep(drainNoticeMs);
+    // The balancer goes on sending for a while after /readyz has changed; a
+    // refusal in that time would reach callers that did nothing wrong.
+    await sleep(this.options.settings.shutdown.noticeMs);
+    this.refusing = true;
     const stepsHandedOver = this.directory.listTasks().size;
     this.directory.leave();
     while (this.apps.countInFlight() > 0 && Date.now() < deadlineAtMs) {
       await sleep(drainPollMs);
     }
     const appsLeft = this.apps.countInFlight();
-    await Promise.race([this.audit.leave(), sleep(drainNoticeMs)]);
-    await Promise.race([this.log.leave(), sleep(drainNoticeMs)]);
+    await Promise.race([this.audit.leave(), sleep(lastRecordsMs)]);
+    await Promise.race([this.log.leave(), sleep(lastRecordsMs)]);
     await this.stop();
     return {appsLeft, stepsHandedOver};
   }
@@ -256,7 +253,8 @@
   /** Stops at once, as a crash would, but for closed sockets. */
   async stop(): Promise<void> {
     this.orders.stop();
-    clearInterval(this.loadTimer);
+    clearInterval(this.idleTimer);
+    this.wiring.stop();
     this.endpoints.stop();
     this.directory.stop();
     this.dispatcher.close();
@@ -289,51 +287,15 @@
     });
   }
 
-  /** Tells the other VMs what this one knows, and passes on what they tell. */
-  private connectPeers(): void {
-    void this.endpoints.vmLists.observe(vms => {
-      this.peers.tell({kind: 'vm_list', vms});
-    });
-    void this.log.changes.observe(change => {
-      if (change.kind === 'state' || change.kind === 'health') return;
-      const {next} = this.log.config;
-      this.peers.tell({kind: 'config_offset', next});
-    });
-    this.loadTimer = setInterval(() => {
-      this.sampleIdle();
-      const inFlight = new Map(this.dispatcher.countInFlight());
-      this.peers.tell({kind: 'own_load', inFlight});
-    }, ownLoadMs);
-    void this.peers.events.observe(event => this.hearPeer(event));
-  }
-
   private sampleIdle(): void {
     const own = this.directory.listTasks();
     const ledgers = this.log.state.listSteps();
     this.metrics.sampleIdle(
       ledgers.filter(ledger => own.has(ledger.key)),
-      ownLoadMs,
+      idleSampleMs,
     );
   }
 
-  private hearPeer(event: PeerEvent): void {
-    switch (event.kind) {
-      case 'vms':
-        return this.setLiveVms(event.vms);
-      case 'peer_load':
-      case 'suspects':
-        return this.dispatcher.post(event);
-      case 'config_transfer':
-        this.log.importConfig(event.transfer);
-        return;
-      case 'config_seen':
-        this.configSeen = event.next;
-        return;
-      case 'silent_endpoint':
-        return;
-    }
-  }
-
   private createAdmin(): AdminServer {
     const {settings, logger, requestDrain = () => undefined} = this.options;
     const backend = new VmAdminBackend({
@@ -345,7 +307,7 @@
       endpoints: this.endpoints,
       peers: this.peers,
       metrics: this.metrics,
-      isReady: () => this.findObstacle() === undefined,
+      isReady: () => this.findReadyObstacle() === undefined,
       isDraining: () => this.draining,
       requestDrain,
     });
@@ -393,28 +355,15 @@
     });
   }
 
-  private setLiveVms(vms: readonly VmId[]): void {
-    const own = this.options.settings.vm.id;
-    this.livePeers = vms.filter(id => id !== own);
-    const live = vms.includes(own) ? vms : [...vms, own];
-    this.dispatcher.post({kind: 'vms', vms: live});
-    this.directory.setLiveVms(live);
-    this.log.setLiveVms(live.length);
-  }
-
-  private findCallerAddress(id: VmId): string | undefined {
-    const entry = this.endpoints.listVms().find(vm => vm.id === id);
-    if (entry) return entry.callerAddress;
-    // The VM list lags: a VM that owns a step already may not be on it yet.
-    const member = this.peers.listMembers().find(vm => vm.id === id);
-    return member?.callerAddress;
+  /** Why the balancer should send nothing new here, if so. */
+  private findReadyObstacle(): RadishyokeError | undefined {
+    return this.draining ? createDraining() : this.findObstacle();
   }
 
+  /** Why a request is refused, if so. */
   private findObstacle(): RadishyokeError | undefined {
-    if (this.draining) {
-      return createError('draining', undefined, {retryAfterMs: 0});
-    }
-    const currency = this.log.assessCurrency(this.viewPeers());
+    if (this.refusing) return createDraining();
+    const currency = this.log.assessCurrency(this.wiring.view());
     if (currency.kind !== 'not_current') return this.findStateObstacle();
     return createError('not_current', `configuration: ${currency.reason}`);
   }
@@ -429,17 +378,10 @@
     if (this.log.wasStateRead || isLogDown) return undefined;
     return createError('not_current', 'steps and leases are being read');
   }
+}
 
-  private viewPeers(): PeerView {
-    const isOther = ({id}: {readonly id: VmId}) =>
-      id !== this.options.settings.vm.id;
-    const listed = this.endpoints.listVms().filter(vm => vm.state === 'live');
-    return {
-      otherVms: listed.filter(isOther).length,
-      heardVms: this.livePeers,
-      seenNext: this.configSeen,
-    };
-  }
+function createDraining(): RadishyokeError {
+  return createError('draining', undefined, {retryAfterMs: 0});
 }
 
 function sleep(ms: number): Promise<void> {
