--- a/packages/bench/src/slopes.ts
+++ b/packages/bench/src/slopes.ts
@@ -10,6 +10,7 @@
 import {measureLogSlopes} from './slopes_log.js';
 import {measurePeers} from './slopes_peers.js';
 import {measureRules} from './slopes_rules.js';
+import {measureStreams} from './slopes_streams.js';
 
 export async function* runSlopes(): AsyncGenerator<Slope> {
   yield* measureRules();
@@ -17,6 +18,7 @@
   yield* measureRecords();
   yield* measureEndpoints();
   yield* measurePeers();
+  yield* measureStreams();
 }
 
 function* measureDecisions(): Generator<Slope> {
--- a/packages/core/src/__tests__/step_machine.spec.ts
+++ b/packages/core/src/__tests__/step_machine.spec.ts
@@ -174,3 +174,17 @@
   t.deepEqual(machine.handle({kind: 'tick'}, 1199), []);
   t.like(machine.handle({kind: 'tick'}, 1200), {0: {kind: 'run', sample: 0}});
 });
+
+// A step never ends, or its VM stands still, because of one wrong number.
+// 1. A trainer connects with a cursor far beyond anything committed.
+// Cause: its word was taken for what it had read.
+test('a cursor beyond what was committed skips nothing', t => {
+  const machine = createMachine(1);
+  machine.begin();
+  const cursor = Number.MAX_SAFE_INTEGER;
+  machine.handle({kind: 'attached', cursor, weightVersion: 5}, 0);
+  machine.handle({kind: 'acknowledged', cursor, weightVersion: 5}, 0);
+  finish(machine, 0, 5);
+  const out = machine.handle(createCommitted(0, 1), 2);
+  t.deepEqual(listSentCursors(out), [1]);
+});
--- a/packages/core/src/step_machine.ts
+++ b/packages/core/src/step_machine.ts
@@ -229,7 +229,7 @@
         break;
       case 'attached':
         this.attached = true;
-        this.sentCursor = input.cursor;
+        this.sentCursor = this.boundCursor(input.cursor);
         this.endSent = false;
         this.moveTrainer(input.cursor, input.weightVersion, out);
         this.rerunLost(out);
@@ -404,9 +404,10 @@
     weightVersion: number,
     out: StepOutput[],
   ): void {
-    const moved = cursor > this.acknowledgedCursor;
+    const known = this.boundCursor(cursor);
+    const moved = known > this.acknowledgedCursor;
     const newer = weightVersion > this.weightVersion;
-    if (moved) this.acknowledgeUpTo(cursor);
+    if (moved) this.acknowledgeUpTo(known);
     if (newer) {
       this.weightVersion = weightVersion;
       out.push({kind: 'min_version', minWeightVersion: this.minWeightVersion});
@@ -420,6 +421,15 @@
     }
   }
 
+  /**
+   * A trainer can have read no further than was ever committed. Taking its word
+   * for more would skip what is yet to come, and a huge number would keep this
+   * process busy with cursors that do not exist.
+   */
+  private boundCursor(cursor: number): number {
+    return Math.min(cursor, this.highestCursor);
+  }
+
   private acknowledgeUpTo(cursor: number): void {
     for (let at = this.acknowledgedCursor + 1; at <= cursor; at++) {
       const ref = this.cursors.get(at);
