--- a/packages/bench/src/demo.ts
+++ b/packages/bench/src/demo.ts
@@ -3,6 +3,7 @@
  * three trainers with a few steps each, an app beside them, and new weights.
  */
 
+import {setTimeout as sleep} from 'node:timers/promises';
 import {writeFile} from 'node:fs/promises';
 import {build as buildHistogram, Histogram} from 'hdr-histogram-js';
 import {Agent, request} from 'undici';
@@ -218,7 +219,3 @@
 function createHistogram(): Histogram {
   return buildHistogram({numberOfSignificantValueDigits: 3});
 }
-
-function sleep(ms: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, ms));
-}
--- a/packages/bench/src/slopes_log.ts
+++ b/packages/bench/src/slopes_log.ts
@@ -25,7 +25,7 @@
   StateRecord,
 } from '@radishyoke/shared/log_record';
 
-/** What the letter says of a deployment, as far as the log carries it. */
+/** What a deployment is expected to be, as far as the log carries it. */
 export interface LogLoad {
   readonly vms: number;
   readonly trainers: number;
@@ -42,7 +42,7 @@
   readonly appendsPerSecond: number;
 }
 
-/** Today's and the letter's size; shares that neither gives are assumptions. */
+/** Today's size and the one aimed at; the shares are assumptions. */
 export const LOG_LOADS: readonly LogLoad[] = [
   {
     vms: 13,
--- a/packages/client/src/trainer_client.ts
+++ b/packages/client/src/trainer_client.ts
@@ -3,6 +3,7 @@
  * many connections as it takes, and acknowledges what it has read.
  */
 
+import {setTimeout as sleep} from 'node:timers/promises';
 import type {Readable} from 'node:stream';
 import {Agent, Dispatcher} from 'undici';
 import type {RadishyokeError} from '@radishyoke/shared/error_kind';
@@ -319,7 +320,3 @@
     return createError('endpoint_failed', 'an answer that is not JSON');
   }
 }
-
-function sleep(ms: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, ms));
-}
--- a/packages/daemon/src/vm.ts
+++ b/packages/daemon/src/vm.ts
@@ -1,5 +1,6 @@
 /** One entry VM: its tasks, wired together from its settings. */
 
+import {setTimeout as sleep} from 'node:timers/promises';
 import {randomUUID} from 'node:crypto';
 import {PolicyScheduler} from '@radishyoke/core/policy_scheduler';
 import {createRandomBits} from '@radishyoke/core/random_bits';
@@ -383,7 +384,3 @@
 function createDraining(): RadishyokeError {
   return createError('draining', undefined, {retryAfterMs: 0});
 }
-
-function sleep(ms: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, ms));
-}
