fix(daemon): a VM whose port is taken says so and ends

Cause: a start that failed half way left a stack trace, or a process whose first tasks went on. Change: runServe catches it, stops what was begun, logs and returns 1.

--- a/packages/daemon/src/serve.ts
+++ b/packages/daemon/src/serve.ts
@@ -33,7 +33,11 @@
     requestDrain: () => drainAsked.pull('operator'),
   });
   const told = Promise.race([waitForSignal(), drainAsked.pulled]);
-  await service.start();
+  const failure = await startOrStop(service);
+  if (failure) {
+    logger.log('error', 'start failed', {detail: failure});
+    return exitFailure;
+  }
   const signal = await told;
   logger.log('info', 'draining', {signal});
   const report = await service.drain(shutdown.maxDrainMs);
@@ -41,6 +45,17 @@
   return report.appsLeft > 0 ? exitFailure : exitOk;
 }
 
+/** Starts the VM; what failed, for example an address in use, is returned. */
+async function startOrStop(service: Vm): Promise<string | undefined> {
+  try {
+    await service.start();
+    return undefined;
+  } catch (err) {
+    await service.stop();
+    return err instanceof Error ? err.message : String(err);
+  }
+}
+
 function createTrigger() {
   let pull: (reason: string) => void = () => undefined;
   const pulled = new Promise<string>(resolve => (pull = resolve));
