fix(daemon): the audit names every attempt of a request; half an answer is no answer

Cause: only the last attempt of an app's request was recorded, and a request whose endpoint failed in mid-answer, or whose caller left, stood as answered. Change: AppRunner keeps each attempt with its times and end; such requests end as endpoint_failed or cancelled.

--- a/packages/daemon/src/__tests__/vm_audit.spec.ts
+++ b/packages/daemon/src/__tests__/vm_audit.spec.ts
@@ -1,14 +1,28 @@
 import type {AuditBlock} from '@radishyoke/core/audit_chain';
 import {concernsSubject} from '@radishyoke/core/audit_entry';
 import {AuditExporter, verifyExport} from '@radishyoke/core/audit_export';
+import {HEADERS} from '@radishyoke/shared/header';
 import {toStepId} from '@radishyoke/shared/ids';
 import type {LoggedRecord} from '@radishyoke/shared/log_record';
 import test from 'ava';
-import {createStepRequest, startDeployment} from './deployment_fixture.js';
+import {
+  createStepRequest,
+  Deployment,
+  startDeployment,
+} from './deployment_fixture.js';
 
 const STEP = toStepId('step-1');
 const DRAIN_MS = 5000;
 
+function readAudit(
+  deployment: Deployment,
+): ReadonlyArray<LoggedRecord<AuditBlock>> {
+  const {log} = deployment.standIns;
+  const answer = log.model.read('audit', 0, 1000, Date.now());
+  if (answer.kind !== 'records') return [];
+  return answer.records as Array<LoggedRecord<AuditBlock>>;
+}
+
 // An auditor asks which weights and which rule made a rollout, and the audit has
 // no entry of it, or one that names another text than the trainer got.
 test('the audit of a step names what the trainer got, and is whole', async t => {
@@ -26,11 +40,7 @@
   });
   await client.close();
   await deployment.vms[0]!.drain(DRAIN_MS);
-  const {log} = deployment.standIns;
-  const answer = log.model.read('audit', 0, 1000, Date.now());
-  const records = (answer.kind === 'records' ? answer.records : []) as Array<
-    LoggedRecord<AuditBlock>
-  >;
+  const records = readAudit(deployment);
   const exporter = new AuditExporter();
   const lines = [exporter.begin(0), ...records.map(r => exporter.add(r))];
   const report = verifyExport([...lines, exporter.end()]);
@@ -47,3 +57,30 @@
     t.true(entry.configVersion >= 0 && entry.rule !== '');
   }
 });
+
+// An auditor sees one attempt where a request was tried at two endpoints.
+// 1. The first endpoint is not reached; the request goes to the other.
+// Cause: only the last attempt was kept.
+test('the audit of a request names every attempt and its end', async t => {
+  const deployment = await startDeployment(1);
+  t.teardown(() => deployment.close());
+  const [down] = [...deployment.standIns.services.values()];
+  down.faults.set({kind: 'unreachable'});
+  const requests = Array.from({length: 12}, (_, i) => `lesson-${i}`);
+  for (const id of requests) {
+    const res = await fetch(`${deployment.origins[0]}/lessons/${id}`, {
+      headers: {[HEADERS.tenant]: 'notebook', [HEADERS.requestId]: id},
+    });
+    t.is(res.status, 200);
+  }
+  await deployment.vms[0]!.drain(DRAIN_MS);
+  const entries = readAudit(deployment)
+    .flatMap(record => record.value.entries)
+    .filter(entry => entry.kind === 'request');
+  t.is(entries.length, requests.length);
+  const ends = entries.map(entry => entry.attempts.map(a => a.end));
+  t.true(ends.every(list => list.at(-1) === 'finished'));
+  const retried = ends.filter(list => list.length > 1);
+  t.true(retried.length > 0);
+  t.true(retried.every(list => list[0] !== 'finished'));
+});
--- a/packages/daemon/src/app_api.ts
+++ b/packages/daemon/src/app_api.ts
@@ -175,9 +175,9 @@
       tenant: caller.tenant,
       rule: route.rule,
       configVersion: route.configVersion,
-      endpoint: end.endpoint?.id,
+      endpoint: end.attempts.at(-1)?.endpoint,
       status: end.status,
-      attempts: end.attempts,
+      attempts: end.attempts.length,
       error: end.error?.kind,
     });
     this.options.onEnd({caller, requestId: id, route, end, durationMs});
@@ -234,7 +234,7 @@
 
 /** Whether an endpoint can have received the request. */
 function canHaveRun(end: AppEnd): boolean {
-  if (end.attempts === 0) return false;
+  if (end.attempts.length === 0) return false;
   return end.error === undefined || resolveRan(end.error) !== 'no';
 }
 
--- a/packages/daemon/src/app_runner.ts
+++ b/packages/daemon/src/app_runner.ts
@@ -2,9 +2,10 @@
 
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Dispatcher as HttpDispatcher} from 'undici';
-import type {AttemptOutcome} from '@radishyoke/core/failure';
+import type {AttemptOutcome, FailureKind} from '@radishyoke/core/failure';
 import type {EndpointInfo} from '@radishyoke/shared/endpoint';
-import type {RadishyokeError} from '@radishyoke/shared/error_kind';
+import {createError, RadishyokeError} from '@radishyoke/shared/error_kind';
+import type {EndpointId} from '@radishyoke/shared/ids';
 import {HEADERS} from '@radishyoke/shared/header';
 import {sendError} from '@radishyoke/wire/error_answer';
 import {Forward, ForwardEnd} from '@radishyoke/wire/forward';
@@ -27,27 +28,43 @@
 
 /** What became of an app's request. */
 export interface AppEnd {
-  readonly endpoint?: EndpointInfo;
-  readonly attempts: number;
+  /** In the order of their start. */
+  readonly attempts: readonly AppAttempt[];
+  /** Status that the caller got; 0 for none. */
   readonly status: number;
+  /** Absent when the caller has the whole answer. */
   readonly error?: RadishyokeError;
 }
 
+/** One attempt of an app's request. Times are Unix ms. */
+export interface AppAttempt {
+  readonly attempt: number;
+  readonly endpoint: EndpointId;
+  readonly startedAtMs: number;
+  readonly endedAtMs: number;
+  readonly end: 'finished' | 'stopped' | FailureKind;
+}
+
+interface RunningAttempt {
+  readonly forward: Forward;
+  readonly endpoint: EndpointId;
+  readonly startedAtMs: number;
+}
+
 export class AppRunner extends WorkRunner {
-  private readonly running = new Map<number, Forward>();
-  private attempts = 0;
-  private endpoint: EndpointInfo | undefined;
+  private readonly running = new Map<number, RunningAttempt>();
+  private readonly attempts: AppAttempt[] = [];
   private ended = false;
 
   constructor(private readonly options: AppRunnerOptions) {
     super();
-    options.res.once('close', () => this.leave());
+    options.res.once('close', () =>
+      this.leave(createError('cancelled', 'the caller left')),
+    );
   }
 
   start(action: StartAction, endpoint: EndpointInfo): void {
     const {req, res, body, http, progressTimeoutMs} = this.options;
-    this.attempts = action.attempt;
-    this.endpoint = endpoint;
     const forward = new Forward(
       http,
       {
@@ -66,13 +83,17 @@
       },
       res,
     );
-    this.running.set(action.attempt, forward);
+    this.running.set(action.attempt, {
+      forward,
+      endpoint: endpoint.id,
+      startedAtMs: Date.now(),
+    });
     void forward.run().then(end => this.finish(action.attempt, end));
   }
 
   stop(attempt: number): void {
-    this.running.get(attempt)?.stop();
-    this.running.delete(attempt);
+    this.running.get(attempt)?.forward.stop();
+    this.close(attempt, 'stopped');
   }
 
   done(): void {
@@ -86,14 +107,16 @@
   }
 
   private finish(attempt: number, end: ForwardEnd): void {
-    if (!this.running.delete(attempt)) return;
+    const how = end.kind === 'failed' ? end.failure : end.kind;
+    if (!this.close(attempt, how)) return;
     // Once the caller has the head of an answer no other attempt can give it
     // the rest: the connection is broken so that half is not taken for whole.
+    const {workId, dispatcher, res} = this.options;
     if (end.kind === 'failed' && end.answered) {
-      this.options.res.destroy();
+      this.leave(createError('endpoint_failed', 'it failed while it answered'));
+      res.destroy();
       return;
     }
-    const {workId, dispatcher} = this.options;
     dispatcher.post({
       kind: 'ended',
       workId,
@@ -102,23 +125,32 @@
     });
   }
 
-  private leave(): void {
-    if (this.ended) return;
-    if (this.options.res.writableFinished) return;
-    for (const forward of this.running.values()) forward.stop();
+  /** The caller will not have the whole answer. */
+  private leave(error: RadishyokeError): void {
+    if (this.ended || this.options.res.writableFinished) return;
+    for (const [attempt, {forward}] of [...this.running]) {
+      forward.stop();
+      this.close(attempt, 'stopped');
+    }
     this.options.dispatcher.cancel(this.options.workId);
-    this.end(0);
+    this.end(0, error);
+  }
+
+  /** Notes the end of an attempt; returns whether it was still running. */
+  private close(attempt: number, end: AppAttempt['end']): boolean {
+    const running = this.running.get(attempt);
+    if (!running) return false;
+    this.running.delete(attempt);
+    const {endpoint, startedAtMs} = running;
+    const endedAtMs = Date.now();
+    this.attempts.push({attempt, endpoint, startedAtMs, endedAtMs, end});
+    return true;
   }
 
   private end(status: number, error?: RadishyokeError): void {
     if (this.ended) return;
     this.ended = true;
-    this.options.onEnd({
-      endpoint: this.endpoint,
-      attempts: this.attempts,
-      status,
-      error,
-    });
+    this.options.onEnd({attempts: this.attempts, status, error});
   }
 }
 
--- a/packages/daemon/src/audit_recorder.ts
+++ b/packages/daemon/src/audit_recorder.ts
@@ -30,30 +30,16 @@
   }
 
   /** An app's request has ended. */
-  noteRequest({caller, requestId, route, end, durationMs}: AppRecord): void {
-    const atMs = Date.now();
-    const attempts: readonly AuditAttempt[] =
-      end.endpoint === undefined
-        ? []
-        : [
-            {
-              attempt: end.attempts,
-              endpoint: end.endpoint.id,
-              startedAtMs: atMs - durationMs,
-              endedAtMs: atMs,
-              end: end.error === undefined ? 'finished' : 'failed',
-              spans: [],
-            },
-          ];
+  noteRequest({caller, requestId, route, end}: AppRecord): void {
     this.options.record({
       kind: 'request',
-      atMs,
+      atMs: Date.now(),
       team: caller.team,
       tenant: caller.tenant,
       request: requestId,
       rule: route.rule,
       configVersion: route.configVersion,
-      attempts,
+      attempts: end.attempts.map(attempt => ({...attempt, spans: []})),
       outcome: end.error?.kind ?? 'answered',
     });
   }
