fix(daemon): the audit tells how losing attempts ended; a step keeps its rule

Change: sample runners hand their attempts to the recorder; an owner takes the rule from the version in which the step was opened, while it is kept.

--- a/packages/daemon/src/__tests__/vm_audit.spec.ts
+++ b/packages/daemon/src/__tests__/vm_audit.spec.ts
@@ -84,3 +84,34 @@
   t.true(retried.length > 0);
   t.true(retried.every(list => list[0] !== 'finished'));
 });
+
+// An auditor asks what became of an attempt whose engine crashed, and reads only
+// that another one won.
+// 1. An engine crashes with several samples on it; they go on elsewhere.
+// Cause: the entry was made from the log, which has the winner's end alone.
+test('the audit of a rollout names the end of the attempts that lost', async t => {
+  const deployment = await startDeployment(1);
+  t.teardown(() => deployment.close());
+  const [engine] = deployment.standIns.engines.values();
+  engine.faults.set({kind: 'crash_after_tokens', tokens: 150});
+  const client = deployment.createClient();
+  await client.runStep({
+    step: STEP,
+    req: createStepRequest(6),
+    readWeightVersion: () => 1,
+    onRollout: () => undefined,
+  });
+  await client.close();
+  await deployment.vms[0]!.drain(DRAIN_MS);
+  const entries = readAudit(deployment)
+    .flatMap(record => record.value.entries)
+    .filter(entry => entry.kind === 'rollout');
+  const lost = entries
+    .flatMap(entry => entry.attempts)
+    .filter(({end}) => end !== 'finished');
+  t.true(lost.length > 0);
+  for (const {startedAtMs, endedAtMs, end} of lost) {
+    t.not(end, 'superseded');
+    t.true(endedAtMs! >= startedAtMs!);
+  }
+});
--- a/packages/daemon/src/audit_recorder.ts
+++ b/packages/daemon/src/audit_recorder.ts
@@ -4,6 +4,7 @@
 import type {ConfigVersion} from '@radishyoke/core/config_history';
 import {computeDigest} from '@radishyoke/core/digest';
 import type {StepLedger} from '@radishyoke/core/step_ledger';
+import {formatSampleKey, SampleRef} from '@radishyoke/core/step_machine';
 import {toTeamId, type TeamId, type TenantId} from '@radishyoke/shared/ids';
 import type {
   CommittedSample,
@@ -11,6 +12,7 @@
   StateRecord,
 } from '@radishyoke/shared/log_record';
 import type {AppRecord} from './app_api.js';
+import type {EndedSampleAttempt} from './sample_runner.js';
 import type {LogChange, LogTask} from './log_task.js';
 
 export interface AuditRecorderOptions {
@@ -23,12 +25,32 @@
 
 /** One instance a VM. */
 export class AuditRecorder {
+  /** Attempts of samples that have no winner yet, by step and sample. */
+  private readonly attempts = new Map<string, Map<string, AuditAttempt[]>>();
+
   constructor(private readonly options: AuditRecorderOptions) {}
 
   start(): void {
     void this.options.log.changes.observe(change => this.takeChange(change));
   }
 
+  /** A run of a sample is over; its entry is made when the log has a winner. */
+  noteAttempts(
+    {key}: StepLedger,
+    ref: SampleRef,
+    attempts: readonly EndedSampleAttempt[],
+  ): void {
+    const step = this.attempts.get(key) ?? new Map<string, AuditAttempt[]>();
+    this.attempts.set(key, step);
+    const sample = formatSampleKey(ref);
+    step.set(sample, [...(step.get(sample) ?? []), ...attempts]);
+  }
+
+  /** The step is closed or goes on at another VM. */
+  forgetStep({key}: StepLedger): void {
+    this.attempts.delete(key);
+  }
+
   /** An app's request has ended. */
   noteRequest({caller, requestId, route, end}: AppRecord): void {
     this.options.record({
@@ -100,12 +122,26 @@
         fencing: value.fencing,
         rule,
         configVersion,
-        attempts: listAttempts(ledger, winner),
+        attempts: this.takeAttempts(ledger, winner),
         outcome: shortfall ?? 'committed',
         digest,
       });
     }
   }
+
+  /** Attempts seen here in full, and those of earlier owners as the log has them. */
+  private takeAttempts(
+    ledger: StepLedger,
+    winner: CommittedSample,
+  ): readonly AuditAttempt[] {
+    const step = this.attempts.get(ledger.key);
+    const seen = step?.get(formatSampleKey(winner)) ?? [];
+    step?.delete(formatSampleKey(winner));
+    const told = listAttempts(ledger, winner).filter(
+      ({attempt}) => !seen.some(entry => entry.attempt === attempt),
+    );
+    return [...told, ...seen].sort((a, b) => a.attempt - b.attempt);
+  }
 }
 
 /** The attempts that the log tells of; only the winner's spans are on it. */
--- a/packages/daemon/src/rule_book.ts
+++ b/packages/daemon/src/rule_book.ts
@@ -85,6 +85,26 @@
     return (team && this.compile(team)?.ruleSet.groups) ?? [];
   }
 
+  /**
+   * A rule as it stood in a version. A step goes on under the rule it was opened
+   * with, also at a new owner: what the audit says was in force must be what ran.
+   */
+  findByVersion(
+    team: TeamId,
+    rule: string,
+    configVersion: number,
+  ): Route | undefined {
+    const version = this.readHistory()
+      .history(team)
+      .find(entry => entry.version === configVersion);
+    if (!version) return undefined;
+    const parsed = parseRuleText(version.text, fileName);
+    if (!parsed.ok) return undefined;
+    const action = parsed.value.rules.find(({name}) => name === rule)?.then;
+    if (action?.kind !== 'route') return undefined;
+    return {rule, configVersion, action};
+  }
+
   private compile(team: TeamId): CompiledVersion | undefined {
     const current = this.readHistory().current(team);
     if (!current) return undefined;
--- a/packages/daemon/src/sample_runner.ts
+++ b/packages/daemon/src/sample_runner.ts
@@ -1,7 +1,7 @@
 /** Runs one sample of a step on engines and gathers its output. */
 
 import type {Dispatcher as HttpDispatcher} from 'undici';
-import type {AttemptOutcome} from '@radishyoke/core/failure';
+import type {AttemptOutcome, FailureKind} from '@radishyoke/core/failure';
 import type {WorkItem} from '@radishyoke/core/scheduler';
 import type {SampleOutput, SampleRef} from '@radishyoke/core/step_machine';
 import type {EndpointInfo} from '@radishyoke/shared/endpoint';
@@ -40,9 +40,24 @@
   readonly onGiveUp: (err: RadishyokeError) => void;
 }
 
+/** One attempt of a sample that is over. Times are Unix ms. */
+export interface EndedSampleAttempt {
+  readonly attempt: number;
+  readonly endpoint: EndpointId;
+  readonly startedAtMs: number;
+  readonly endedAtMs: number;
+  readonly end: 'finished' | 'stopped' | FailureKind;
+  /** Versions that made its output, what it was resumed from included. */
+  readonly spans: readonly TokenSpan[];
+}
+
 /** One attempt's output so far, what it was resumed from included. */
 interface PartialOutput {
   readonly endpoint: EndpointId;
+  /** Unix ms. */
+  readonly startedAtMs: number;
+  endedAtMs?: number;
+  end?: EndedSampleAttempt['end'];
   readonly chunks: GenerationChunk[];
   tokens: number;
   reportedAtMs: number;
@@ -64,6 +79,18 @@
     return this.received;
   }
 
+  /** All attempts, those still running as stopped now. */
+  listAttempts(): readonly EndedSampleAttempt[] {
+    return [...this.partials].map(([attempt, partial]) => ({
+      attempt: this.numberAttempt(attempt),
+      endpoint: partial.endpoint,
+      startedAtMs: partial.startedAtMs,
+      endedAtMs: partial.endedAtMs ?? Date.now(),
+      end: partial.end ?? 'stopped',
+      spans: mergeSpans(partial.chunks),
+    }));
+  }
+
   get workId(): string {
     return this.options.work.id;
   }
@@ -151,12 +178,10 @@
       spans: mergeSpans(partial.chunks),
       finishReason: partial.finishReason,
     });
-    this.partials.clear();
   }
 
   giveUp(err: RadishyokeError): void {
     this.stopAll();
-    this.partials.clear();
     this.options.onGiveUp(err);
   }
 
@@ -226,6 +251,8 @@
     end: GenerationEnd,
   ): void {
     if (end.kind === 'finished') partial.finishReason = end.finishReason;
+    partial.endedAtMs = Date.now();
+    partial.end = end.kind === 'failed' ? end.failure : end.kind;
     const {dispatcher, work} = this.options;
     const outcome = resolveOutcome(end, partial);
     dispatcher.post({kind: 'ended', workId: work.id, attempt, outcome});
@@ -257,6 +284,7 @@
   return {
     endpoint,
     chunks: [...prefix],
+    startedAtMs: Date.now(),
     tokens: countTokens(prefix),
     reportedAtMs: 0,
     finishReason: '',
--- a/packages/daemon/src/step_directory.ts
+++ b/packages/daemon/src/step_directory.ts
@@ -7,7 +7,7 @@
 import {computeDigest} from '@radishyoke/core/digest';
 import {nameStepLease} from '@radishyoke/core/lease_table';
 import type {StepLedger} from '@radishyoke/core/step_ledger';
-import type {SampleOutput} from '@radishyoke/core/step_machine';
+import type {SampleOutput, SampleRef} from '@radishyoke/core/step_machine';
 import {createError} from '@radishyoke/shared/error_kind';
 import type {StepId, TenantId, VmId} from '@radishyoke/shared/ids';
 import {fail, Result, succeed} from '@radishyoke/shared/result';
@@ -16,6 +16,7 @@
 import type {LogTask} from './log_task.js';
 import type {Logger} from './logger.js';
 import type {Route} from './rule_book.js';
+import type {EndedSampleAttempt} from './sample_runner.js';
 import {StepEnd, StepTask} from './step_task.js';
 
 /** Where a step is to be found. */
@@ -34,6 +35,11 @@
   readonly maxOpenSteps: number;
   /** Rule that now holds for a step; its own rule may be gone. */
   readonly resolveRoute: (ledger: StepLedger) => Result<Route>;
+  readonly onAttempts: (
+    ledger: StepLedger,
+    ref: SampleRef,
+    attempts: readonly EndedSampleAttempt[],
+  ) => void;
   readonly onWasted: (ledger: StepLedger, tokens: number) => void;
   readonly onSettled: (ledger: StepLedger, output: SampleOutput) => void;
   readonly onEnd: (ledger: StepLedger, end: StepEnd) => void;
@@ -177,6 +183,8 @@
       http,
       logger,
       slowReaderTimeoutMs,
+      onAttempts: (ref, attempts) =>
+        this.options.onAttempts(ledger, ref, attempts),
       onWasted: tokens => this.options.onWasted(ledger, tokens),
       onSettled: output => this.options.onSettled(ledger, output),
       onEnd: end => this.end(ledger, task, end),
--- a/packages/daemon/src/step_task.ts
+++ b/packages/daemon/src/step_task.ts
@@ -31,7 +31,7 @@
 import type {LogTask, StateBody} from './log_task.js';
 import type {Logger} from './logger.js';
 import {createMailbox} from './mailbox.js';
-import {mergeSpans, SampleRunner} from './sample_runner.js';
+import {EndedSampleAttempt, mergeSpans, SampleRunner} from './sample_runner.js';
 import {StepStream} from './step_stream.js';
 
 /** How long records wait for others to share an append with, ms. */
@@ -60,6 +60,11 @@
   readonly slowReaderTimeoutMs: number;
   /** Called once; the task does nothing more after it. */
   readonly onEnd: (end: StepEnd) => void;
+  /** Told of a run's attempts when it is over, however it ended. */
+  readonly onAttempts: (
+    ref: SampleRef,
+    attempts: readonly EndedSampleAttempt[],
+  ) => void;
   /** Told of generated tokens that no trainer will receive. */
   readonly onWasted: (tokens: number) => void;
   /** Told of every sample settled, for metrics and the audit. */
@@ -320,8 +325,11 @@
   /** The run is over; of what it received, `usedTokens` are handed over. */
   private forget(ref: SampleRef, usedTokens = 0): void {
     const key = formatSampleKey(ref);
-    const received = this.runners.get(key)?.receivedTokens ?? 0;
+    const runner = this.runners.get(key);
+    if (!runner) return;
     this.runners.delete(key);
+    this.options.onAttempts(ref, runner.listAttempts());
+    const received = runner.receivedTokens;
     if (received > usedTokens) this.options.onWasted(received - usedTokens);
   }
 
--- a/packages/daemon/src/vm.ts
+++ b/packages/daemon/src/vm.ts
@@ -12,6 +12,7 @@
 import {HttpWeightStoreClient} from '@radishyoke/platform/http_weight_store_client';
 import {createError, RadishyokeError} from '@radishyoke/shared/error_kind';
 import {toIncarnationId} from '@radishyoke/shared/ids';
+import {succeed} from '@radishyoke/shared/result';
 import {RenewingAgent} from '@radishyoke/wire/renewing_agent';
 import {AdminServer} from './admin_server.js';
 import {AppApi} from './app_api.js';
@@ -330,10 +331,14 @@
       slowReaderTimeoutMs: limits.slowReaderTimeoutMs,
       maxOpenSteps: limits.maxOpenSteps,
       resolveRoute: ledger => this.resolveStepRoute(ledger),
+      onAttempts: (ledger, ref, attempts) =>
+        this.auditRecorder.noteAttempts(ledger, ref, attempts),
       onWasted: (ledger, tokens) => this.metrics.recordWasted(ledger, tokens),
       onSettled: (ledger, output) => this.metrics.recordSettled(ledger, output),
-      onEnd: (ledger, end) =>
-        this.metrics.recordStepEnd(ledger, end, this.log.estimateLogNowMs()),
+      onEnd: (ledger, end) => {
+        this.auditRecorder.forgetStep(ledger);
+        this.metrics.recordStepEnd(ledger, end, this.log.estimateLogNowMs());
+      },
     });
   }
 
@@ -344,6 +349,9 @@
       const err = createError('no_rule', 'the tenant has no team');
       return {ok: false, error: err} as const;
     }
+    const {rule, configVersion} = ledger.opening;
+    const opened = this.rules.findByVersion(team, rule, configVersion);
+    if (opened) return succeed(opened);
     // The request that opened the step was counted where it came in.
     return this.rules.findRoute(team, {
       tenant,
