feat(cli): timelines of steps in the report

Cause: the report had histograms alone; how a step's rollouts came in, and which step waited for its last, could not be seen.

--- a/packages/bench/src/demo.ts
+++ b/packages/bench/src/demo.ts
@@ -25,6 +25,14 @@
 const progressMs = 1000;
 const firstVersion = 1;
 
+/** A step as its trainer saw it; ms from the start of the run. */
+interface StepTimeline {
+  readonly tenant: string;
+  readonly step: string;
+  readonly openedMs: number;
+  readonly arrivalsMs: readonly number[];
+}
+
 /** One line per tenant of the closing table. */
 interface TenantFigures {
   readonly tenant: string;
@@ -58,6 +66,8 @@
   private readonly stepHistograms = new Map<string, Histogram>();
   private appCalls = 0;
   private appFailures = 0;
+  private readonly beganAtMs = performance.now();
+  private readonly timelines: StepTimeline[] = [];
   private summary: Readonly<Record<string, unknown>> = {};
 
   constructor(private readonly savePath?: string) {}
@@ -81,7 +91,8 @@
     const merged = new MetricRegistry();
     for (const vm of this.deployment.vms)
       merged.merge(vm.metrics.registry.encode());
-    const run = {...this.summary, metrics: merged.encode()};
+    const {timelines} = this;
+    const run = {...this.summary, timelines, metrics: merged.encode()};
     await writeFile(path, `${JSON.stringify(run)}\n`);
   }
 
@@ -104,11 +115,16 @@
       const req = this.createStep(tenant, index);
       this.requested += groupsPerStep * samplesPerGroup;
       const startedAtMs = performance.now();
+      const arrivalsMs: number[] = [];
+      const step = toStepId(`step-${index}`);
+      const openedMs = startedAtMs - this.beganAtMs;
+      this.timelines.push({tenant, step, openedMs, arrivalsMs});
       const result = await client.runStep({
-        step: toStepId(`step-${index}`),
+        step,
         req,
         readWeightVersion: () => this.version,
         onRollout: rollout => {
+          arrivalsMs.push(performance.now() - this.beganAtMs);
           const trainerVersion = this.version;
           this.deliveries.push({tenant, rollout, trainerVersion, maxStaleness});
         },
--- a/packages/cli/src/__tests__/admin_commands.spec.ts
+++ b/packages/cli/src/__tests__/admin_commands.spec.ts
@@ -219,7 +219,11 @@
 test('a report is one page with its plots and no way out of its script', async t => {
   const registry = new MetricRegistry();
   registry.recordValue('duration', '</script><b>', 'interactive', 40);
-  const line = {delivered: 7, note: '<i>', metrics: registry.encode()};
+  const timelines = [
+    {tenant: '<b>', step: 's', openedMs: 0, arrivalsMs: [500, 1000]},
+  ];
+  const metrics = registry.encode();
+  const line = {delivered: 7, note: '<i>', timelines, metrics};
   const file = writeRules('run.jsonl', `text\n${JSON.stringify(line)}\n`);
   const page = `${file}.html`;
   const run = await runInProcess(['report', file, '--out', page]);
@@ -229,6 +233,8 @@
   t.true(html.includes('"data":[[0,1,2,3,4,5,6,7,8,9],[40,40,40'));
   t.false(html.includes('</script><b>') || html.includes('<i>'));
   t.notRegex(html, /(src|href)=/);
+  t.regex(html, /timeline=\{"names":\["\\u003cb> s"\],"data":\[\[0,/);
+  t.regex(html, /,1,1,2\]\]\}/);
 });
 
 test('a VM that can not be reached is told by its exit code', async t => {
--- a/packages/cli/src/report_command.ts
+++ b/packages/cli/src/report_command.ts
@@ -12,11 +12,13 @@
 import {EXIT_CODES, ExitCode} from './exit_code.js';
 import {requireOption} from './raw_option.js';
 import {renderReport, RunReport} from './report_page.js';
+import {StepTimeline, stepTimelineSchema} from './step_timeline.js';
 import {UsageError} from './usage_error.js';
 
 /** A line may carry the histograms of the run beside its figures. */
 const runLineSchema = z.looseObject({
   metrics: ADMIN_ANSWERS.histograms.optional(),
+  timelines: z.array(stepTimelineSchema).optional(),
 });
 
 /** Writes the page for `file`, or for the VMs given when there is none. */
@@ -43,23 +45,26 @@
     figures.push(status.value);
     merge(metrics, histograms.value as EncodedMetrics);
   }
-  return {title: 'Radishyoke: figures of running VMs', figures, metrics};
+  const title = 'Radishyoke: figures of running VMs';
+  return {title, figures, metrics, timelines: []};
 }
 
 async function readRun(file: string): Promise<RunReport> {
   const metrics = new MetricRegistry();
   const figures: Array<Readonly<Record<string, unknown>>> = [];
+  const timelines: StepTimeline[] = [];
   for (const line of (await readFile(file, 'utf8')).split('\n')) {
     const parsed = runLineSchema.safeParse(parseJson(line));
     if (!parsed.success) continue;
-    const {metrics: encoded, ...rest} = parsed.data;
+    const {metrics: encoded, timelines: steps = [], ...rest} = parsed.data;
     figures.push(rest);
+    timelines.push(...steps);
     if (encoded) merge(metrics, encoded as EncodedMetrics);
   }
   if (figures.length === 0) {
     throw new UsageError(`${file} holds no line with a JSON object`);
   }
-  return {title: `Radishyoke: ${file}`, figures, metrics};
+  return {title: `Radishyoke: ${file}`, figures, metrics, timelines};
 }
 
 function merge(metrics: MetricRegistry, encoded: EncodedMetrics): void {
--- a/packages/cli/src/report_page.ts
+++ b/packages/cli/src/report_page.ts
@@ -3,6 +3,7 @@
 import {readFileSync} from 'node:fs';
 import {createRequire} from 'node:module';
 import {HISTOGRAMS} from '@radishyoke/core/metric_schema';
+import {createTimelinePlot, StepTimeline} from './step_timeline.js';
 import type {HistogramSeries, MetricRegistry} from '@radishyoke/core/metrics';
 
 /** What a page shows. */
@@ -11,6 +12,7 @@
   /** Figures of the run, as its JSON gives them. */
   readonly figures: ReadonlyArray<Readonly<Record<string, unknown>>>;
   readonly metrics: MetricRegistry;
+  readonly timelines: readonly StepTimeline[];
 }
 
 /** One plot: a line for each tenant and class over the percentiles. */
@@ -54,8 +56,18 @@
   }, plot.data, target);
 }`;
 
+const TIMELINE_SCRIPT = `if (timeline.names.length > 0) new uPlot({
+  title: 'rollouts received', width: 900, height: 320,
+  scales: {x: {time: false}},
+  axes: [{label: 'seconds'}, {label: 'rollouts'}],
+  series: [{label: 'seconds'},
+    ...timeline.names.map((label, i) => ({label, stroke: colours[i % colours.length], width: 2}))],
+}, timeline.data, document.querySelector('.timeline'));`;
+
 /** The whole page. */
-export function renderReport({title, figures, metrics}: RunReport): string {
+export function renderReport(report: RunReport): string {
+  const {title, figures, metrics, timelines} = report;
+  const timeline = createTimelinePlot(timelines);
   const plots = createPlots(metrics.listHistograms());
   return [
     '<!doctype html>',
@@ -63,6 +75,10 @@
     `<style>${readAsset('uPlot.min.css')}${STYLE}</style></head><body>`,
     `<h1>${escapeHtml(title)}</h1>`,
     ...figures.map(renderFigures),
+    '<h2>Steps</h2>',
+    timelines.length === 0
+      ? '<p>This run holds no timelines of steps.</p>'
+      : '<div class="timeline"></div>',
     '<h2>Percentiles by tenant and class</h2>',
     plots.length === 0
       ? '<p>This run holds no histograms.</p>'
@@ -70,7 +86,7 @@
     '<h2>Counters</h2>',
     renderCounters(metrics),
     `<script>${readAsset('uPlot.iife.min.js')}</script>`,
-    `<script>const percentiles=${toScript(PERCENTILES)},colours=${toScript(COLOURS)},plots=${toScript(plots)};${SCRIPT}</script>`,
+    `<script>const percentiles=${toScript(PERCENTILES)},colours=${toScript(COLOURS)},plots=${toScript(plots)},timeline=${toScript(timeline)};${SCRIPT}${TIMELINE_SCRIPT}</script>`,
     '</body></html>',
     '',
   ].join('\n');
