refactor(wire): one way to open a listener

Cause: the callers', operators' and peers' listeners each split their address by themselves; the callers' kept the brackets of an IPv6 number, which the settings allow and Node refuses. Change: wire/listen.ts serves all three.

--- a/packages/daemon/src/admin_server.ts
+++ b/packages/daemon/src/admin_server.ts
@@ -4,7 +4,6 @@
  */
 
 import {createServer, IncomingMessage, Server, ServerResponse} from 'node:http';
-import type {AddressInfo} from 'node:net';
 import {z} from 'zod';
 import {
   METRICS_CONTENT_TYPE,
@@ -14,6 +13,7 @@
 import type {TeamId, TenantId} from '@radishyoke/shared/ids';
 import {fail, Result, succeed} from '@radishyoke/shared/result';
 import {sendError, sendJson} from '@radishyoke/wire/error_answer';
+import {listenAt} from '@radishyoke/wire/listen';
 import {readJson} from '@radishyoke/wire/request_body';
 import {Authenticator, Principal} from './admin_auth.js';
 import type {AdminBackend} from './admin_backend.js';
@@ -77,16 +77,7 @@
 
   /** Opens the listener at `address` (`ip:port`); resolves to the real one. */
   listen(address: string): Promise<string> {
-    const colon = address.lastIndexOf(':');
-    const host = address.slice(0, colon).replace(/^\[|\]$/g, '');
-    const port = Number(address.slice(colon + 1));
-    return new Promise((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(port, host, () => {
-        const bound = this.server.address() as AddressInfo;
-        resolve(`${address.slice(0, colon)}:${bound.port}`);
-      });
-    });
+    return listenAt(this.server, address);
   }
 
   async close(): Promise<void> {
--- a/packages/daemon/src/caller_server.ts
+++ b/packages/daemon/src/caller_server.ts
@@ -1,9 +1,9 @@
 /** The HTTP listener for callers. */
 
 import http from 'node:http';
-import type {AddressInfo} from 'node:net';
 import {createError, RadishyokeError} from '@radishyoke/shared/error_kind';
 import {sendError, sendJson} from '@radishyoke/wire/error_answer';
+import {listenAt} from '@radishyoke/wire/listen';
 import type {AppApi} from './app_api.js';
 import type {Logger} from './logger.js';
 import type {LimitSettings} from './settings.js';
@@ -43,16 +43,8 @@
   }
 
   /** Resolves with the address listened on. */
-  async listen(): Promise<string> {
-    const at = this.options.address.lastIndexOf(':');
-    const host = this.options.address.slice(0, at);
-    const port = Number(this.options.address.slice(at + 1));
-    await new Promise<void>((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(port, host, resolve);
-    });
-    const bound = this.server.address() as AddressInfo;
-    return `${bound.address}:${bound.port}`;
+  listen(): Promise<string> {
+    return listenAt(this.server, this.options.address);
   }
 
   /** Takes no new connection; resolves when the open ones have ended. */
--- a/packages/wire/src/peer_server.ts
+++ b/packages/wire/src/peer_server.ts
@@ -1,8 +1,8 @@
 /** The listener for other VMs. */
 
 import {createServer, Server} from 'node:http';
-import type {AddressInfo} from 'node:net';
 import {WebSocketServer} from 'ws';
+import {listenAt} from './listen.js';
 import {PeerLink, PeerLinkHandler, PeerLinkOptions} from './peer_link.js';
 
 /** Far above the contacts of a VM; more are somebody else's. */
@@ -32,17 +32,7 @@
 
   /** Resolves to the address taken, `ip:port`. */
   listen(address: string): Promise<string> {
-    const at = address.lastIndexOf(':');
-    // Node wants IPv6 numbers without the brackets.
-    const host = address.slice(0, at).replace(/^\[|\]$/g, '');
-    const port = Number(address.slice(at + 1));
-    return new Promise((resolve, reject) => {
-      this.http.once('error', reject);
-      this.http.listen(port, host, () => {
-        const {port: taken} = this.http.address() as AddressInfo;
-        resolve(`${address.slice(0, at)}:${taken}`);
-      });
-    });
+    return listenAt(this.http, address);
   }
 
   async close(): Promise<void> {
