--- a/packages/bench/src/memory_log_client.ts
+++ b/packages/bench/src/memory_log_client.ts
@@ -6,7 +6,7 @@
   LogClient,
   type LogQuery,
   type LogRead,
-} from '@radishyoke/platform/log_client';
+} from '@radishyoke/stores/log_client';
 import {createError} from '@radishyoke/shared/error_kind';
 import type {StreamName} from '@radishyoke/shared/log_record';
 import {fail, type Result, succeed} from '@radishyoke/shared/result';
--- /dev/null
+++ b/packages/core/src/batches/batch_job.ts
@@ -0,0 +1,91 @@
+/** Items of open batches as work: what is to be run, and what is running. */
+
+import type {Batch, BatchItem, ItemResult} from './batch_record.js';
+import {Transcript, type VersionDemand} from './transcript.js';
+
+export type JobState =
+  | 'waiting'
+  | 'running'
+  /** It has a result that is on its way to the log, or stands there. */
+  | 'finished';
+
+/** One item of one batch. */
+export interface Job {
+  readonly batch: OpenBatch;
+  readonly item: BatchItem;
+  /** Output so far; shared with later batches that ask for the item again. */
+  readonly transcript: Transcript;
+  state: JobState;
+  /** Set once the item has a result. */
+  result: ItemResult | undefined;
+  /** Attempts that an endpoint answered as failed. */
+  failures: number;
+  /** Connections that broke before the first event of a run, one after another. */
+  earlyBreaks: number;
+  /** Steady ms before which it is not started again. */
+  notBeforeMs: number;
+}
+
+/** What the route of a batch asks for, with times of the steady clock. */
+export interface OpenBatchTerms extends VersionDemand {
+  readonly service: string;
+  readonly attempts: number;
+  readonly dueAtMs: number;
+  readonly giveUpAtMs: number;
+}
+
+/** A batch whose items are still run. */
+export interface OpenBatch {
+  readonly batch: Batch;
+  /** Undefined where no rule allows the batch any more. */
+  terms: OpenBatchTerms | undefined;
+  readonly jobs: ReadonlyMap<string, Job>;
+  /** Groups that an earlier batch left incomplete; its trainer needs them all. */
+  readonly carriedGroups: ReadonlySet<string>;
+}
+
+/** One item on one endpoint. */
+export interface Run {
+  readonly id: number;
+  readonly job: Job;
+  readonly engineId: string;
+  readonly startedMs: number;
+  lastEventMs: number;
+  events: number;
+  /** Set when the scheduler wants it ended; its end is then no news of the endpoint. */
+  isStopping: boolean;
+}
+
+/** Builds a job for `item` that goes on from `transcript`. */
+export function createJob(
+  batch: OpenBatch,
+  item: BatchItem,
+  transcript = new Transcript(),
+): Job {
+  return {
+    batch,
+    item,
+    transcript,
+    state: 'waiting',
+    result: undefined,
+    failures: 0,
+    earlyBreaks: 0,
+    notBeforeMs: -Infinity,
+  };
+}
+
+/** Output tokens that `job` is still expected to make. */
+export function estimateRemaining(job: Job, tokensPerEvent: number): number {
+  const {expectedOutputTokens, maxOutputTokens} = job.item;
+  const made = job.transcript.events.length * tokensPerEvent;
+  // A text that has outgrown the guess is in the tail of lengths, where as much
+  // again is to come as is there already; never more than the stated bound.
+  const total = made > expectedOutputTokens ? made * 2 : expectedOutputTokens;
+  return Math.max(Math.min(total, maxOutputTokens) - made, tokensPerEvent);
+}
+
+/** Memory that `job` is expected to take at its end, tokens. */
+export function estimateFootprint(job: Job, tokensPerEvent: number): number {
+  const made = job.transcript.events.length * tokensPerEvent;
+  return job.item.promptTokens + made + estimateRemaining(job, tokensPerEvent);
+}
--- /dev/null
+++ b/packages/core/src/batches/batch_scheduler.ts
@@ -0,0 +1,557 @@
+/**
+ * Decides which item of which batch runs on which engine. An item may be
+ * stopped and go on elsewhere from its last event, which costs a few ms of
+ * reading, so the scheduler moves work freely: off slow, silent and leaving
+ * engines, and aside for groups that a trainer is waiting for.
+ *
+ * The load this answers: several trainers share the engines, each asks for a
+ * step about every four seconds, lengths vary by a factor of ten, and a step is
+ * as late as the longest item of the groups that its trainer needs.
+ */
+
+import {
+  createJob,
+  estimateFootprint,
+  estimateRemaining,
+  type Job,
+  type OpenBatch,
+  type OpenBatchTerms,
+  type Run,
+} from './batch_job.js';
+import type {BatchEntry} from './batch_ledger.js';
+import type {ItemResult, OutputEvent} from './batch_record.js';
+import {EngineBoard, type EngineView} from './engine_board.js';
+import {chooseGroups, type GroupChoice} from './group_choice.js';
+import {Transcript} from './transcript.js';
+
+/** How a run ended. */
+export type RunEnd =
+  /** The whole output was received. */
+  | 'finished'
+  /** The engine answered that the attempt failed. */
+  | 'failed'
+  /** The engine answered that the item can never be done. */
+  | 'impossible'
+  /** The engine did not run it: it was full or loading. */
+  | 'refused'
+  /** Another engine has the address, or it has another version. */
+  | 'misdirected'
+  /** No connection could be made. */
+  | 'unreachable'
+  /** The connection broke, or what came was no proper output. */
+  | 'broken'
+  /** Ended on the scheduler's word. */
+  | 'stopped';
+
+/** What the owner of the scheduler is to do. */
+export type ScheduleAction =
+  | {readonly kind: 'start'; readonly run: Run; readonly reason: StartReason}
+  | {readonly kind: 'stop'; readonly run: Run; readonly reason: StopReason}
+  | {
+      readonly kind: 'list';
+      readonly batchId: string;
+      readonly result: ItemResult;
+      readonly reason: ListReason;
+    };
+
+export type StartReason = 'first' | 'resume' | 'again';
+export type StopReason =
+  | 'ended'
+  | 'stalled'
+  | 'engine_silent'
+  | 'engine_slow'
+  | 'engine_draining'
+  | 'made_room'
+  | 'stale_text';
+export type ListReason =
+  | 'finished'
+  | 'known_from_earlier_batch'
+  | 'impossible'
+  | 'attempts_used_up'
+  | 'retention_over'
+  | 'route_removed';
+
+/** A run without an event for this long goes on elsewhere, ms. Events come every 30 to 150 ms, a load pauses them for about 900. */
+const STALL_MS = 1500;
+/** The same while the engine loads: several loads at once take longer. */
+const LOADING_STALL_MS = 4000;
+/** All runs of an engine without an event for this long: it is silent, ms. Well over the gaps of a slow engine (4 times 40 ms) and the start of a full batch. */
+const SILENCE_MS = 800;
+/** Runs that must be silent together; one alone may be read in behind a long prompt. */
+const MIN_SILENT_RUNS = 2;
+/** Early breaks after which an item is suspected of crashing engines. */
+const MAX_EARLY_BREAKS = 3;
+/** Pause of a suspected item, ms: long enough that it reaches no more than two engines within a usual retention of 40 s. */
+const SUSPECT_PAUSE_MS = 15_000;
+/** Share of an engine's memory that is planned with; estimates are often off, and a full memory restarts the newest run. */
+const MEMORY_SHARE = 0.9;
+/** Items of one group on one engine share their prompt there; a worker this many runs busier is not chosen for that. */
+const AFFINITY_RUNS = 3;
+
+/** Pause before an item that failed is tried again, ms; most failures of an engine pass within a few requests. */
+const REPEAT_PAUSE_MS = 50;
+
+/** Figures of the deployment. */
+export interface SchedulerConfig {
+  /** Output tokens in one event. */
+  readonly tokensPerEvent: number;
+}
+
+export class BatchScheduler {
+  readonly board = new EngineBoard();
+  private readonly open = new Map<string, OpenBatch>();
+  /** The newest job of each item id, to go on from when it is asked for again. */
+  private readonly lastJobs = new Map<string, Job>();
+  private readonly runs = new Map<number, Run>();
+  private engines: readonly EngineView[] = [];
+  private nextRunId = 1;
+  private actions: ScheduleAction[] = [];
+
+  constructor(private readonly cfg: SchedulerConfig) {}
+
+  get openBatches(): IterableIterator<OpenBatch> {
+    return this.open.values();
+  }
+
+  get activeRuns(): IterableIterator<Run> {
+    return this.runs.values();
+  }
+
+  /** Takes a batch from the log, with the results and output it has. */
+  openBatch(entry: BatchEntry, terms: OpenBatchTerms | undefined): void {
+    const {batch} = entry;
+    if (this.open.has(batch.id) || entry.isEnded) return;
+    const jobs = new Map<string, Job>();
+    const carriedGroups = new Set<string>();
+    const open: OpenBatch = {batch, terms, jobs, carriedGroups};
+    for (const item of batch.items) {
+      const known = entry.items.get(item.id)!;
+      const earlier = this.lastJobs.get(item.id);
+      if (earlier) carriedGroups.add(item.group);
+      const job = createJob(open, item, copyText(known.transcript, earlier));
+      job.failures = known.failures;
+      if (known.position !== undefined) {
+        job.state = 'finished';
+        job.result = entry.results[known.position];
+      }
+      jobs.set(item.id, job);
+      if (earlier?.result) this.reuseResult(job, earlier.result);
+      this.lastJobs.set(item.id, job);
+    }
+    this.open.set(batch.id, open);
+  }
+
+  /** The batch's owner has ended it, or it is to be forgotten. */
+  closeBatch(batchId: string): void {
+    const open = this.open.get(batchId);
+    if (!open) return;
+    this.open.delete(batchId);
+    for (const run of this.runs.values()) {
+      if (run.job.batch === open) this.stop(run, 'ended');
+    }
+  }
+
+  /** Drops what is kept of items for later batches. */
+  forgetItems(itemIds: Iterable<string>): void {
+    for (const id of itemIds) this.lastJobs.delete(id);
+  }
+
+  /** A result stands in the log, from this VM or another. */
+  noteListed(batchId: string, result: ItemResult): void {
+    const job = this.open.get(batchId)?.jobs.get(result.itemId);
+    if (!job) return;
+    this.finish(job, result);
+    for (const run of this.runs.values()) {
+      if (run.job === job) this.stop(run, 'ended');
+    }
+  }
+
+  setTerms(batchId: string, terms: OpenBatchTerms | undefined): void {
+    const open = this.open.get(batchId);
+    if (open) open.terms = terms;
+  }
+
+  setEngines(engines: readonly EngineView[]): void {
+    this.engines = engines;
+  }
+
+  /** Items of `model` that wait, with the greatest minimum version of its batches. */
+  measureNeed(model: string): {waiting: number; minVersion: number} {
+    let waiting = 0;
+    let minVersion = 0;
+    for (const {batch, jobs} of this.open.values()) {
+      if (batch.model !== model) continue;
+      let unfinished = 0;
+      for (const {state} of jobs.values()) {
+        if (state !== 'finished') unfinished += 1;
+        if (state === 'waiting') waiting += 1;
+      }
+      if (unfinished > 0) minVersion = Math.max(minVersion, batch.minVersion);
+    }
+    return {waiting, minVersion};
+  }
+
+  countRuns(engineId: string, model?: string): number {
+    let count = 0;
+    for (const run of this.runs.values()) {
+      if (run.engineId !== engineId) continue;
+      if (model === undefined || run.job.batch.batch.model === model) count++;
+    }
+    return count;
+  }
+
+  /** An event of `run` arrived. Says whether it follows the text so far. */
+  noteEvent(run: Run, event: OutputEvent, nowMs: number): boolean {
+    if (!this.runs.has(run.id) || run.isStopping) return true;
+    if (!run.job.transcript.append(event)) return false;
+    if (run.events > 0) {
+      const gapMs = nowMs - run.lastEventMs;
+      this.board.speeds.note(run.engineId, gapMs, nowMs);
+    }
+    run.events += 1;
+    run.lastEventMs = nowMs;
+    run.job.earlyBreaks = 0;
+    this.board.noteEvent(run.engineId);
+    return true;
+  }
+
+  /** A run is over. */
+  noteEnd(run: Run, end: RunEnd, nowMs: number): void {
+    if (!this.runs.delete(run.id)) return;
+    const {job, engineId} = run;
+    // Events that came after the stop were not kept, so even a run that got to
+    // its end has no whole output.
+    if (run.isStopping) {
+      if (job.state === 'running') job.state = 'waiting';
+      return;
+    }
+    if (job.state === 'finished') return;
+    job.state = 'waiting';
+    switch (end) {
+      case 'finished':
+        this.takeOutput(job);
+        return;
+      case 'failed':
+        this.countFailure(job, nowMs);
+        return;
+      case 'impossible':
+        this.giveUp(job, 'impossible');
+        return;
+      case 'refused':
+        this.board.noteRefusal(engineId, job.batch.batch.model, nowMs);
+        return;
+      case 'misdirected':
+      case 'unreachable':
+        this.board.noteUnreachable(engineId, nowMs);
+        return;
+      case 'broken':
+        this.countBreak(run, nowMs);
+        return;
+      case 'stopped':
+        return;
+    }
+  }
+
+  /** What is to be done now. */
+  decide(nowMs: number): readonly ScheduleAction[] {
+    this.giveUpOverdue(nowMs);
+    this.stopSilent(nowMs);
+    this.startWaiting(nowMs);
+    this.moveFromBadEngines(nowMs);
+    const actions = this.actions;
+    this.actions = [];
+    return actions;
+  }
+
+  private giveUpOverdue(nowMs: number): void {
+    for (const open of this.open.values()) {
+      const reason = judgeOverdue(open, nowMs);
+      if (!reason) continue;
+      for (const job of open.jobs.values()) this.giveUp(job, reason);
+    }
+  }
+
+  private stopSilent(nowMs: number): void {
+    const byEngine = new Map<string, Run[]>();
+    for (const run of this.runs.values()) {
+      if (run.isStopping) continue;
+      const runs = byEngine.get(run.engineId) ?? [];
+      runs.push(run);
+      byEngine.set(run.engineId, runs);
+    }
+    for (const [engineId, runs] of byEngine) {
+      const view = this.engines.find(({id}) => id === engineId);
+      const isLoading = (view?.loading.size ?? 0) > 0;
+      if (!isLoading && isAllSilent(runs, nowMs)) {
+        this.board.noteSilence(engineId, nowMs);
+        for (const run of runs) this.stop(run, 'engine_silent');
+        continue;
+      }
+      const limitMs = isLoading ? LOADING_STALL_MS : STALL_MS;
+      for (const run of runs) {
+        if (nowMs - run.lastEventMs > limitMs) this.stop(run, 'stalled');
+      }
+    }
+  }
+
+  private startWaiting(nowMs: number): void {
+    const slow = this.board.speeds.listSlow(nowMs);
+    for (const job of this.listWaiting(nowMs)) {
+      const engine = this.pickEngine(job, slow, nowMs);
+      if (engine) this.start(job, engine, nowMs);
+      else this.makeRoom(job, slow, nowMs);
+    }
+  }
+
+  /** Waiting jobs in the order in which they should start. */
+  private listWaiting(nowMs: number): readonly Job[] {
+    const ranked: Array<{job: Job; rank: readonly number[]}> = [];
+    for (const open of this.open.values()) {
+      if (!open.terms) continue;
+      const choice = chooseGroups(open, this.cfg.tokensPerEvent);
+      if (choice.isSatisfied) continue;
+      for (const job of open.jobs.values()) {
+        if (job.state !== 'waiting' || nowMs < job.notBeforeMs) continue;
+        ranked.push({job, rank: this.rankJob(job, open.terms, choice)});
+      }
+    }
+    ranked.sort((a, b) => compareRanks(a.rank, b.rank));
+    return ranked.map(({job}) => job);
+  }
+
+  /** Needed groups first, then by due time, then the longest first: a long item started late ends the step late. */
+  private rankJob(
+    job: Job,
+    terms: OpenBatchTerms,
+    choice: GroupChoice,
+  ): readonly number[] {
+    const isSurplus = choice.needed.has(job.item.group) ? 0 : 1;
+    const remaining = estimateRemaining(job, this.cfg.tokensPerEvent);
+    return [isSurplus, terms.dueAtMs, -remaining];
+  }
+
+  private pickEngine(
+    job: Job,
+    slow: ReadonlySet<string>,
+    nowMs: number,
+  ): EngineView | undefined {
+    let best: EngineView | undefined;
+    let bestScore = Infinity;
+    for (const engine of this.engines) {
+      if (!this.canTake(engine, job, nowMs)) continue;
+      const runs = this.countRuns(engine.id);
+      if (!this.hasRoom(engine, job, runs)) continue;
+      const peers = this.countPeers(engine.id, job) > 0 ? AFFINITY_RUNS : 0;
+      const penalty = slow.has(engine.id) ? engine.slots : 0;
+      const score = runs + penalty - peers;
+      if (score < bestScore) {
+        best = engine;
+        bestScore = score;
+      }
+    }
+    return best;
+  }
+
+  private canTake(engine: EngineView, job: Job, nowMs: number): boolean {
+    const {batch, terms} = job.batch;
+    if (!terms || engine.service !== terms.service) return false;
+    if (engine.isDraining || engine.loading.has(batch.model)) return false;
+    if (!this.board.isOpen(engine.id, batch.model, nowMs)) return false;
+    const version = engine.versions.get(batch.model);
+    return version !== undefined && version >= terms.minVersion;
+  }
+
+  private hasRoom(engine: EngineView, job: Job, runs: number): boolean {
+    if (runs >= engine.slots) return false;
+    if (runs === 0) return true;
+    let tokens = estimateFootprint(job, this.cfg.tokensPerEvent);
+    for (const run of this.runs.values()) {
+      if (run.engineId !== engine.id) continue;
+      tokens += estimateFootprint(run.job, this.cfg.tokensPerEvent);
+    }
+    return tokens <= engine.kvTokens * MEMORY_SHARE;
+  }
+
+  private countPeers(engineId: string, job: Job): number {
+    let count = 0;
+    for (const {engineId: id, job: other} of this.runs.values()) {
+      if (id !== engineId || other.batch !== job.batch) continue;
+      if (other.item.group === job.item.group) count += 1;
+    }
+    return count;
+  }
+
+  private start(job: Job, engine: EngineView, nowMs: number): void {
+    const {batch, terms} = job.batch;
+    const version = engine.versions.get(batch.model);
+    const isStale =
+      terms!.singleVersion &&
+      job.transcript.listVersions().some(made => made !== version);
+    if (isStale || !job.transcript.isFit(terms!)) job.transcript.clear();
+    const run: Run = {
+      id: this.nextRunId++,
+      job,
+      engineId: engine.id,
+      startedMs: nowMs,
+      lastEventMs: nowMs,
+      events: 0,
+      isStopping: false,
+    };
+    job.state = 'running';
+    this.runs.set(run.id, run);
+    const reason = job.transcript.events.length > 0 ? 'resume' : 'first';
+    this.actions.push({kind: 'start', run, reason});
+  }
+
+  /**
+   * A needed item found no place: a surplus run that holds one makes way. Its
+   * text is kept and it goes on later.
+   */
+  private makeRoom(job: Job, slow: ReadonlySet<string>, nowMs: number): void {
+    const choice = chooseGroups(job.batch, this.cfg.tokensPerEvent);
+    if (!choice.needed.has(job.item.group)) return;
+    for (const run of this.runs.values()) {
+      if (run.isStopping || slow.has(run.engineId)) continue;
+      const engine = this.engines.find(({id}) => id === run.engineId);
+      if (!engine || !this.canTake(engine, job, nowMs)) continue;
+      const other = chooseGroups(run.job.batch, this.cfg.tokensPerEvent);
+      if (other.needed.has(run.job.item.group)) continue;
+      this.stop(run, 'made_room');
+      return;
+    }
+  }
+
+  /** Moves runs from slow and draining engines to places that are free elsewhere. */
+  private moveFromBadEngines(nowMs: number): void {
+    const slow = this.board.speeds.listSlow(nowMs);
+    const reserved = new Map<string, number>();
+    const runs = [...this.runs.values()].sort(
+      (a, b) => this.estimateRun(b) - this.estimateRun(a),
+    );
+    for (const run of runs) {
+      if (run.isStopping) continue;
+      const reason = this.judgeEngine(run, slow);
+      if (!reason) continue;
+      const target = this.pickEngine(run.job, slow, nowMs);
+      if (!target || target.id === run.engineId || slow.has(target.id))
+        continue;
+      const taken = reserved.get(target.id) ?? 0;
+      if (this.countRuns(target.id) + taken >= target.slots) continue;
+      reserved.set(target.id, taken + 1);
+      this.stop(run, reason);
+    }
+  }
+
+  private judgeEngine(
+    run: Run,
+    slow: ReadonlySet<string>,
+  ): StopReason | undefined {
+    if (slow.has(run.engineId)) return 'engine_slow';
+    const engine = this.engines.find(({id}) => id === run.engineId);
+    return !engine || engine.isDraining ? 'engine_draining' : undefined;
+  }
+
+  private estimateRun(run: Run): number {
+    return estimateRemaining(run.job, this.cfg.tokensPerEvent);
+  }
+
+  private stop(run: Run, reason: StopReason): void {
+    if (run.isStopping) return;
+    run.isStopping = true;
+    this.actions.push({kind: 'stop', run, reason});
+  }
+
+  private takeOutput(job: Job): void {
+    const {terms} = job.batch;
+    // Weights can be older than the engine's last word said when it restarted
+    // meanwhile; such a text is not used.
+    if (terms && !job.transcript.isFit(terms)) {
+      job.transcript.clear();
+      return;
+    }
+    const result: ItemResult = {
+      itemId: job.item.id,
+      state: 'done',
+      output: job.transcript.joinOutput(),
+      versions: job.transcript.listVersions(),
+    };
+    this.list(job, result, 'finished');
+  }
+
+  private reuseResult(job: Job, result: ItemResult): void {
+    const {terms} = job.batch;
+    if (!terms || job.state === 'finished' || result.state !== 'done') return;
+    if (result.versions.some(version => version < terms.minVersion)) return;
+    if (terms.singleVersion && result.versions.length > 1) return;
+    this.list(job, result, 'known_from_earlier_batch');
+  }
+
+  private giveUp(job: Job, reason: ListReason): void {
+    if (job.state === 'finished') return;
+    const {id: itemId} = job.item;
+    this.list(
+      job,
+      {itemId, state: 'errored', output: '', versions: []},
+      reason,
+    );
+  }
+
+  private list(job: Job, result: ItemResult, reason: ListReason): void {
+    this.finish(job, result);
+    const batchId = job.batch.batch.id;
+    this.actions.push({kind: 'list', batchId, result, reason});
+  }
+
+  private finish(job: Job, result: ItemResult): void {
+    job.state = 'finished';
+    job.result = result;
+  }
+
+  private countFailure(job: Job, nowMs: number): void {
+    job.failures += 1;
+    const attempts = job.batch.terms?.attempts ?? 1;
+    if (job.failures >= attempts) this.giveUp(job, 'attempts_used_up');
+    else job.notBeforeMs = nowMs + REPEAT_PAUSE_MS;
+  }
+
+  /**
+   * An item can crash each engine that begins to run it. It shows as a
+   * connection that breaks before the first event, again and again, and would
+   * take down one engine after the other; so it pauses after a few.
+   */
+  private countBreak(run: Run, nowMs: number): void {
+    const {job} = run;
+    if (run.events > 0) return;
+    job.earlyBreaks += 1;
+    this.board.noteUnreachable(run.engineId, nowMs);
+    if (job.earlyBreaks < MAX_EARLY_BREAKS) return;
+    job.notBeforeMs = nowMs + SUSPECT_PAUSE_MS;
+  }
+}
+
+function copyText(stored: Transcript, earlier: Job | undefined): Transcript {
+  const copy = new Transcript();
+  const source =
+    earlier && earlier.transcript.events.length > stored.events.length
+      ? earlier.transcript
+      : stored;
+  for (const event of source.events) copy.append(event);
+  return copy;
+}
+
+function judgeOverdue(open: OpenBatch, nowMs: number): ListReason | undefined {
+  if (!open.terms) return 'route_removed';
+  return nowMs > open.terms.giveUpAtMs ? 'retention_over' : undefined;
+}
+
+function isAllSilent(runs: readonly Run[], nowMs: number): boolean {
+  if (runs.length < MIN_SILENT_RUNS) return false;
+  return runs.every(({lastEventMs}) => nowMs - lastEventMs > SILENCE_MS);
+}
+
+function compareRanks(a: readonly number[], b: readonly number[]): number {
+  for (let i = 0; i < a.length; i++) {
+    if (a[i] !== b[i]) return a[i] - b[i];
+  }
+  return 0;
+}
--- /dev/null
+++ b/packages/core/src/batches/group_choice.ts
@@ -0,0 +1,58 @@
+/**
+ * Which groups of a batch its trainer will use. A trainer waits for a number of
+ * complete groups, so the items of the others only matter once those are done.
+ */
+
+import {estimateRemaining, type Job, type OpenBatch} from './batch_job.js';
+
+/** How the groups of a batch stand. */
+export interface GroupChoice {
+  /** Groups to finish first: those carried over, then the ones closest to their end. */
+  readonly needed: ReadonlySet<string>;
+  /** Whether as many groups as wanted are complete, carried ones among them. */
+  readonly isSatisfied: boolean;
+}
+
+interface GroupState {
+  readonly group: string;
+  /** Tokens of its longest unfinished item; 0 when it is complete. */
+  readonly longest: number;
+  readonly isCarried: boolean;
+}
+
+/** Chooses the groups of `open` to finish first. */
+export function chooseGroups(
+  open: OpenBatch,
+  tokensPerEvent: number,
+): GroupChoice {
+  const groups = summarizeGroups(open, tokensPerEvent);
+  const wanted = Math.min(open.batch.groupsWanted, groups.length);
+  const ranked = [...groups].sort(
+    (a, b) =>
+      Number(b.isCarried) - Number(a.isCarried) || a.longest - b.longest,
+  );
+  const needed = ranked.slice(0, wanted);
+  const isSatisfied = needed.every(({longest}) => longest === 0);
+  return {needed: new Set(needed.map(({group}) => group)), isSatisfied};
+}
+
+function summarizeGroups(
+  open: OpenBatch,
+  tokensPerEvent: number,
+): readonly GroupState[] {
+  const longest = new Map<string, number>();
+  for (const job of open.jobs.values()) {
+    const {group} = job.item;
+    const left = measureLeft(job, tokensPerEvent);
+    longest.set(group, Math.max(longest.get(group) ?? 0, left));
+  }
+  return [...longest].map(([group, tokens]) => ({
+    group,
+    longest: tokens,
+    isCarried: open.carriedGroups.has(group),
+  }));
+}
+
+function measureLeft(job: Job, tokensPerEvent: number): number {
+  return job.state === 'finished' ? 0 : estimateRemaining(job, tokensPerEvent);
+}
--- /dev/null
+++ b/packages/core/src/batches/transcript.ts
@@ -0,0 +1,56 @@
+/** The part of an item's output that is known so far. */
+
+import type {OutputEvent} from './batch_record.js';
+
+/** What weights a text must have been made with. */
+export interface VersionDemand {
+  readonly minVersion: number;
+  readonly singleVersion: boolean;
+}
+
+/**
+ * Events of one item in order and without gaps, whichever endpoints made them.
+ * Ids on the wire begin anywhere and rise by one.
+ */
+export class Transcript {
+  private readonly kept: OutputEvent[] = [];
+
+  get events(): readonly OutputEvent[] {
+    return this.kept;
+  }
+
+  get lastEventId(): number | undefined {
+    return this.kept.at(-1)?.id;
+  }
+
+  /** Adds `event` if it follows the last one; says whether it did. */
+  append(event: OutputEvent): boolean {
+    const last = this.lastEventId;
+    if (last !== undefined && event.id !== last + 1) return false;
+    this.kept.push(event);
+    return true;
+  }
+
+  /** Weight versions that made the events, ascending. */
+  listVersions(): readonly number[] {
+    return [...new Set(this.kept.map(({version}) => version))].sort(
+      (a, b) => a - b,
+    );
+  }
+
+  /** The data of all events, separated by line feeds. */
+  joinOutput(): string {
+    return this.kept.map(({data}) => data).join('\n');
+  }
+
+  /** Whether the text may be used where `demand` holds. */
+  isFit(demand: VersionDemand): boolean {
+    const versions = this.listVersions();
+    if (versions.some(version => version < demand.minVersion)) return false;
+    return !demand.singleVersion || versions.length <= 1;
+  }
+
+  clear(): void {
+    this.kept.length = 0;
+  }
+}
--- /dev/null
+++ b/packages/core/src/fleet/weight_plan.ts
@@ -0,0 +1,125 @@
+/**
+ * Which engines serve which model, and when each of them loads a new version.
+ *
+ * Loading stops an engine for about a second and empties its cache, so a model
+ * lives on its share of the engines and not on all. The share follows what is
+ * known of the engines: one that is slow, silent or leaving is replaced.
+ */
+
+/** An engine as the plan sees it. */
+export interface PlannedEngine {
+  readonly id: string;
+  /** Versions by model. */
+  readonly versions: ReadonlyMap<string, number>;
+  /** Whether it answers and keeps pace. */
+  readonly isSound: boolean;
+}
+
+export type Assignment = ReadonlyMap<string, readonly string[]>;
+
+/**
+ * Assigns engines to models so that each model has an equal share of the sound
+ * ones. Engines stay where they are as long as that holds: a move costs a load.
+ * Where the share would fall below `minPerModel`, engines serve several models.
+ *
+ * @param previous What was assigned before.
+ */
+export function assignEngines(
+  models: readonly string[],
+  engines: readonly PlannedEngine[],
+  previous: Assignment,
+  minPerModel: number,
+): Assignment {
+  const sound = engines.filter(({isSound}) => isSound);
+  // With no sound engine at all the unsound are better than none.
+  const pool = sound.length > 0 ? sound : engines;
+  const ids = new Set(pool.map(({id}) => id));
+  const load = new Map<string, number>(pool.map(({id}) => [id, 0]));
+  const share = Math.floor(pool.length / Math.max(models.length, 1));
+  const wanted = Math.min(Math.max(share, minPerModel), pool.length);
+  const result = new Map<string, string[]>();
+  for (const model of models) {
+    const kept = (previous.get(model) ?? [])
+      .filter(id => ids.has(id))
+      .slice(0, wanted);
+    for (const id of kept) addLoad(load, id);
+    result.set(model, kept);
+  }
+  for (let round = 0; round < wanted; round++) {
+    for (const model of models) {
+      const kept = result.get(model)!;
+      if (kept.length > round) continue;
+      const id = pickEngine(model, kept, pool, load);
+      if (id === undefined) continue;
+      kept.push(id);
+      addLoad(load, id);
+    }
+  }
+  return result;
+}
+
+/** The engine with the fewest models; among equals the one with the newest version of `model`. */
+function pickEngine(
+  model: string,
+  taken: readonly string[],
+  pool: readonly PlannedEngine[],
+  load: ReadonlyMap<string, number>,
+): string | undefined {
+  const free = pool.filter(({id}) => !taken.includes(id));
+  const rank = (engine: PlannedEngine) =>
+    load.get(engine.id)! * 1e6 - (engine.versions.get(model) ?? 0);
+  return free.sort((a, b) => rank(a) - rank(b) || (a.id < b.id ? -1 : 1))[0]
+    ?.id;
+}
+
+function addLoad(load: Map<string, number>, id: string): void {
+  load.set(id, (load.get(id) ?? 0) + 1);
+}
+
+/** An engine's state with regard to one model it is assigned to. */
+export interface LoadCandidate {
+  readonly id: string;
+  readonly version: number;
+  /** Whether it is carrying out an order, for any model. */
+  readonly isLoading: boolean;
+  /** Generations of the model that run there. */
+  readonly running: number;
+}
+
+/** What the open work of a model asks for. */
+export interface VersionNeed {
+  /** Newest version that was named. */
+  readonly newest: number;
+  /** Greatest minimum of all open batches; 0 for none. */
+  readonly minVersion: number;
+  /** Items that wait for an engine. */
+  readonly waiting: number;
+}
+
+/**
+ * Picks the engines that should load the newest version now, first choice first.
+ *
+ * An engine that can serve the open work as it is goes on with it and loads when
+ * it is idle: a load in the middle of a step costs every run there about a
+ * second. One that can not serve it loads at once. Half of the engines load as
+ * soon as a version is named and they are idle, so that part of the samples of
+ * the next step already come from it.
+ */
+export function pickLoads(
+  candidates: readonly LoadCandidate[],
+  need: VersionNeed,
+  maxAtOnce: number,
+): readonly string[] {
+  const loading = candidates.filter(({isLoading}) => isLoading).length;
+  const outdated = candidates.filter(
+    ({isLoading, version}) => !isLoading && version < need.newest,
+  );
+  const urgent = outdated.filter(({version}) => version < need.minVersion);
+  const idle = outdated.filter(
+    ({version, running}) => version >= need.minVersion && running === 0,
+  );
+  // While items wait for a place, an engine that can take them is not idle.
+  const restful = need.waiting > 0 ? [] : idle;
+  const picked = [...urgent, ...restful].map(({id}) => id);
+  return picked.slice(0, Math.max(maxAtOnce - loading, 0));
+}
--- /dev/null
+++ b/packages/core/src/leases/log_lease.ts
@@ -0,0 +1,158 @@
+/**
+ * A lease over one partition of the log. Its records are claims and renewals,
+ * each appended only if the partition still ends where the writer last saw it,
+ * so of two claims at one place exactly one stands. The offset of a claim is the
+ * fencing token of that term: it grows with each holder.
+ *
+ * Times are of a steady clock that may stand still while the VM is suspended;
+ * the owner of this object calls `distrust` when it finds that it did.
+ */
+
+/** One record of the lease's partition. */
+export interface LeaseRecord {
+  readonly kind: 'claim' | 'renewal' | 'release';
+  /** Unique for each start of a process. */
+  readonly holder: string;
+}
+
+export interface LeaseTiming {
+  /** Between renewals, ms. */
+  readonly renewMs: number;
+  /** The holder trusts its lease this long from before it sent a renewal, ms. */
+  readonly trustMs: number;
+  /** Others claim after this long without a record, ms. More than `trustMs`. */
+  readonly silenceMs: number;
+}
+
+/** What the owner of the lease object should do now. */
+export type LeaseAction =
+  | {readonly kind: 'none'}
+  | {
+      readonly kind: 'append';
+      readonly record: LeaseRecord;
+      /** The append must fail unless the partition ends here. */
+      readonly at: number;
+    };
+
+const NO_ACTION: LeaseAction = {kind: 'none'};
+
+export class LogLease {
+  private holder: string | undefined;
+  /** Offset of the claim that began the present term. */
+  private claimOffset = -1;
+  private nextOffset = 0;
+  private lastRecordMs: number;
+  private trustedUntilMs = -Infinity;
+  private heldSinceMs = -Infinity;
+  private inFlight: {readonly sentMs: number} | undefined;
+  private lastSentMs = -Infinity;
+
+  /**
+   * @param self Name of this process in records.
+   * @param patienceMs Added to the silence that this VM waits for; differs
+   *     between VMs so that they do not all claim at once.
+   */
+  constructor(
+    readonly self: string,
+    private readonly timing: LeaseTiming,
+    private readonly patienceMs: number,
+    nowMs: number,
+  ) {
+    this.lastRecordMs = nowMs;
+  }
+
+  /** Token of the present term; meaningful while `isHeld`. */
+  get fencingToken(): number {
+    // Offsets begin at 0, and a token of 0 would look like none.
+    return this.claimOffset + 1;
+  }
+
+  get currentHolder(): string | undefined {
+    return this.holder;
+  }
+
+  /** Whether this process may act as the holder. */
+  isHeld(nowMs: number): boolean {
+    return this.holder === this.self && nowMs < this.trustedUntilMs;
+  }
+
+  /** Whether the log names this process, even if it can not be sure any more. */
+  isNamed(): boolean {
+    return this.holder === this.self;
+  }
+
+  /** How long the present term has lasted, ms. */
+  measureTermMs(nowMs: number): number {
+    return nowMs - this.heldSinceMs;
+  }
+
+  /** Takes the next record that was read. */
+  observe(record: LeaseRecord, offset: number, nowMs: number): void {
+    this.nextOffset = Math.max(this.nextOffset, offset + 1);
+    this.lastRecordMs = nowMs;
+    switch (record.kind) {
+      case 'claim':
+        this.holder = record.holder;
+        this.claimOffset = offset;
+        this.heldSinceMs = nowMs;
+        return;
+      case 'renewal':
+        return;
+      case 'release':
+        if (this.holder !== record.holder) return;
+        this.holder = undefined;
+        // Nothing is left to wait for but the VM's own patience.
+        this.lastRecordMs = nowMs - this.timing.silenceMs;
+    }
+  }
+
+  /** Reads failed until now: silence counts from here. */
+  noteContact(nowMs: number): void {
+    this.lastRecordMs = Math.max(this.lastRecordMs, nowMs);
+  }
+
+  /** Gives up all trust in the lease until it is renewed. */
+  distrust(): void {
+    this.trustedUntilMs = -Infinity;
+  }
+
+  /** Says what to append now, if anything. */
+  decide(nowMs: number): LeaseAction {
+    if (this.inFlight) return NO_ACTION;
+    if (this.holder === this.self) {
+      if (nowMs - this.lastSentMs < this.timing.renewMs) return NO_ACTION;
+      return this.send('renewal', nowMs);
+    }
+    const silentMs = nowMs - this.lastRecordMs;
+    if (silentMs < this.timing.silenceMs + this.patienceMs) return NO_ACTION;
+    return this.send('claim', nowMs);
+  }
+
+  /** The append that `decide` asked for stands at `offset`. */
+  noteAppended(record: LeaseRecord, offset: number, nowMs: number): void {
+    const sentMs = this.inFlight?.sentMs ?? -Infinity;
+    this.inFlight = undefined;
+    // A renewal may stand right behind the claim of another holder that was
+    // not read yet; it then renews nothing. The condition on the end rules
+    // that out: what was read so far is all there is.
+    this.observe(record, offset, nowMs);
+    if (this.holder === this.self) {
+      this.trustedUntilMs = sentMs + this.timing.trustMs;
+    }
+  }
+
+  /** The append failed or its outcome is unknown; reading tells. */
+  noteNotAppended(): void {
+    this.inFlight = undefined;
+  }
+
+  private send(kind: 'claim' | 'renewal', nowMs: number): LeaseAction {
+    this.inFlight = {sentMs: nowMs};
+    this.lastSentMs = nowMs;
+    return {
+      kind: 'append',
+      record: {kind, holder: this.self},
+      at: this.nextOffset,
+    };
+  }
+}
--- a/packages/daemon/src/__tests__/audit_task.spec.ts
+++ b/packages/daemon/src/__tests__/audit_task.spec.ts
@@ -3,7 +3,7 @@
 import {AuditExporter, verifyExport} from '@radishyoke/core/audit_export';
 import {DEFAULT_CLAIM_HORIZON_MS} from '@radishyoke/core/state_fold';
 import {type FakeLog, startFakeLog} from '@radishyoke/fakes/fake_log';
-import {HttpLogClient} from '@radishyoke/platform/http_log_client';
+import {HttpLogClient} from '@radishyoke/stores/http_log_client';
 import {
   toIncarnationId,
   toRequestId,
--- a/packages/daemon/src/__tests__/order_task.spec.ts
+++ b/packages/daemon/src/__tests__/order_task.spec.ts
@@ -4,8 +4,8 @@
 import {startFakeEngine} from '@radishyoke/fakes/fake_engine';
 import {startFakeLog} from '@radishyoke/fakes/fake_log';
 import {startFakeWeightStore} from '@radishyoke/fakes/fake_weight_store';
-import {HttpLogClient} from '@radishyoke/platform/http_log_client';
-import {HttpWeightStoreClient} from '@radishyoke/platform/http_weight_store_client';
+import {HttpLogClient} from '@radishyoke/stores/http_log_client';
+import {HttpWeightStoreClient} from '@radishyoke/stores/http_weight_store_client';
 import type {EndpointInfo} from '@radishyoke/shared/endpoint';
 import {
   toDataCentreId,
--- a/packages/daemon/src/audit_task.ts
+++ b/packages/daemon/src/audit_task.ts
@@ -10,8 +10,8 @@
 } from '@radishyoke/core/audit_chain';
 import type {AuditEntry} from '@radishyoke/core/audit_entry';
 import {nameWriter} from '@radishyoke/core/writer_table';
-import type {LogClient} from '@radishyoke/platform/log_client';
-import {LOG_WRITER_DEFAULTS, LogWriter} from '@radishyoke/platform/log_writer';
+import type {LogClient} from '@radishyoke/stores/log_client';
+import {LOG_WRITER_DEFAULTS, LogWriter} from '@radishyoke/stores/log_writer';
 import type {IncarnationId, VmId} from '@radishyoke/shared/ids';
 import type {LogChange, LogTask} from './log_task.js';
 
--- a/packages/daemon/src/endpoint_task.ts
+++ b/packages/daemon/src/endpoint_task.ts
@@ -5,7 +5,7 @@
 
 import type {Dispatcher as HttpDispatcher} from 'undici';
 import type {RuleGroup} from '@radishyoke/core/rule';
-import type {VmListClient} from '@radishyoke/platform/vm_list_client';
+import type {VmListClient} from '@radishyoke/stores/vm_list_client';
 import {
   EndpointInfo,
   LoadReport,
--- /dev/null
+++ b/packages/daemon/src/gateway/batch_api.ts
@@ -0,0 +1,333 @@
+/**
+ * Batches towards callers: a submission is acknowledged once the log has it
+ * whole, and everything that is read comes from the log as of the question.
+ */
+
+import type {BatchRecord} from '@radishyoke/core/batches/batch_record';
+import type {BatchEntry} from '@radishyoke/core/batches/batch_ledger';
+import type {Route} from '@radishyoke/core/routing/route_table';
+import {
+  createError,
+  ERROR_ANSWERS,
+  type RadishyokeError,
+} from '@radishyoke/shared/error_kind';
+import type http from 'node:http';
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {Logger} from '../logger.js';
+import {encodeRecord, encodeSubmission} from './batch_codec.js';
+import {BATCH_TOPIC, type BatchBook, type BatchShelf} from './batch_book.js';
+import type {
+  CallerCall,
+  CallerProtocol,
+  ResultPage,
+} from './caller_protocol.js';
+import type {GatewayMetrics} from './gateway_metrics.js';
+import type {AppendOutcome, LogStore} from './log_store.js';
+
+export interface BatchApiParts {
+  readonly store: LogStore;
+  readonly shelf: BatchShelf;
+  readonly protocol: CallerProtocol;
+  readonly metrics: GatewayMetrics;
+  readonly logger: Logger;
+}
+
+/** An append is tried for this long, ms; the caller goes to another VM after about as long. */
+const APPEND_BUDGET_MS = 2500;
+/** Pause between tries, ms. */
+const APPEND_RETRY_MS = 60;
+/** Characters of output in one page; the page must stay under 1 MB, and a character takes up to three bytes. */
+const MAX_PAGE_CHARS = 300_000;
+/** When to come back while the log is out of reach, ms. */
+const RETRY_AFTER_MS = 300;
+/** Submissions that are decoded and stored at once on one VM; each holds its body several times over. */
+const MAX_SUBMISSIONS = 16;
+
+export class BatchApi {
+  private submissions = 0;
+  private nextSubmission = 1;
+
+  constructor(
+    private readonly parts: BatchApiParts,
+    /** Unique for each start of this process. */
+    private readonly lifeId: string,
+  ) {}
+
+  /** Takes a batch that was posted under `route`. */
+  async submit(
+    route: Route,
+    host: string,
+    path: string,
+    body: Buffer,
+    req: http.IncomingMessage,
+    res: http.ServerResponse,
+  ): Promise<void> {
+    const {protocol} = this.parts;
+    const attemptId = protocol.readAttempt(req.headers).id;
+    if (attemptId === undefined) {
+      const error = createError('bad_request', 'the batch has no id');
+      return this.finish(res, 'submit', undefined, route, error);
+    }
+    if (this.submissions >= MAX_SUBMISSIONS) {
+      const error = createError('overloaded', 'too many submissions at once', {
+        retryAfterMs: RETRY_AFTER_MS,
+      });
+      return this.finish(res, 'submit', attemptId, route, error);
+    }
+    this.submissions += 1;
+    try {
+      const error = await this.store(attemptId, host, path, body);
+      this.finish(res, 'submit', attemptId, route, error);
+    } finally {
+      this.submissions -= 1;
+    }
+  }
+
+  /** Answers a call about a batch. */
+  async answer(
+    call: Exclude<CallerCall, {kind: 'request'}>,
+    res: http.ServerResponse,
+  ): Promise<void> {
+    const book = this.parts.shelf.locate(call.batchId);
+    const synced = await book.sync();
+    if (synced.kind === 'failed')
+      return this.refuseRead(res, call, synced.error);
+    const entry = book.ledger.get(call.batchId);
+    if (!entry) {
+      const error = createError('not_found', 'there is no such batch');
+      return this.refuseRead(res, call, error);
+    }
+    switch (call.kind) {
+      case 'read_results':
+        return this.sendResults(call.after, call.waitMs, entry, book, res);
+      case 'read_body':
+        return this.sendBody(call.itemId, entry, res);
+      case 'end_batch':
+        return this.end(entry, book, res);
+    }
+  }
+
+  private async store(
+    attemptId: string,
+    host: string,
+    path: string,
+    body: Buffer,
+  ): Promise<RadishyokeError | undefined> {
+    const {protocol, shelf, store, logger} = this.parts;
+    const atMs = Date.now();
+    const batch = protocol.decodeBatch(body, {attemptId, host, path, atMs});
+    if (!batch.ok) return batch.error;
+    const book = shelf.locate(attemptId);
+    if (book.ledger.get(attemptId)) return undefined;
+    const submission = `${this.lifeId}-${this.nextSubmission++}`;
+    const records = encodeSubmission(
+      batch.value,
+      submission,
+      store.maxRecordBytes,
+    );
+    const outcome = await this.appendAll(book, records);
+    if (outcome.kind === 'appended') {
+      logger.log('info', 'batch accepted', {
+        requestId: attemptId,
+        step: batch.value.step,
+        model: batch.value.model,
+        minVersion: batch.value.minVersion,
+        items: batch.value.items.length,
+        partition: book.partition,
+        offset: outcome.offset,
+      });
+      return undefined;
+    }
+    if (outcome.kind === 'unknown') {
+      return createError('outcome_unknown', 'the log did not answer');
+    }
+    const detail =
+      outcome.kind === 'refused' ? outcome.error.detail : 'conflict';
+    return createError('log_unavailable', detail, {
+      retryAfterMs: RETRY_AFTER_MS,
+    });
+  }
+
+  /**
+   * Appends `records`, in several calls where one can not hold them; the batch
+   * counts with the last. A call without an answer is made again: a record that
+   * stands twice counts once.
+   */
+  private async appendAll(
+    book: BatchBook,
+    records: readonly Uint8Array[],
+  ): Promise<AppendOutcome> {
+    let outcome: AppendOutcome | undefined;
+    for (const call of splitCalls(records, this.parts.store.maxAppendBytes)) {
+      outcome = await this.appendOnce(book, call);
+      if (outcome.kind !== 'appended') return outcome;
+    }
+    return outcome!;
+  }
+
+  private async appendOnce(
+    book: BatchBook,
+    records: readonly Uint8Array[],
+  ): Promise<AppendOutcome> {
+    const untilMs = performance.now() + APPEND_BUDGET_MS;
+    let isUncertain = false;
+    for (;;) {
+      const {store} = this.parts;
+      const outcome = await store.append(BATCH_TOPIC, book.partition, records);
+      if (outcome.kind === 'appended') return outcome;
+      isUncertain ||= outcome.kind === 'unknown';
+      if (performance.now() + APPEND_RETRY_MS > untilMs) {
+        // One try that may stand makes the whole uncertain, whatever came after.
+        if (!isUncertain || outcome.kind === 'unknown') return outcome;
+        const error = createError('outcome_unknown', 'an append may stand');
+        return {kind: 'unknown', error};
+      }
+      await sleep(APPEND_RETRY_MS);
+    }
+  }
+
+  private async sendResults(
+    after: number,
+    waitMs: number,
+    entry: BatchEntry,
+    book: BatchBook,
+    res: http.ServerResponse,
+  ): Promise<void> {
+    const untilMs = performance.now() + waitMs;
+    const abort = new AbortController();
+    res.once('close', () => abort.abort());
+    while (entry.results.length <= after && !isComplete(entry)) {
+      const leftMs = Math.floor(untilMs - performance.now());
+      if (leftMs <= 0 || res.destroyed) break;
+      const outcome = await book.waitForNews(leftMs, abort.signal);
+      if (outcome.kind === 'failed') break;
+    }
+    const body = this.parts.protocol.encodePage(cutPage(entry, after));
+    this.send(res, 200, 'application/json', body);
+  }
+
+  private sendBody(
+    itemId: string,
+    entry: BatchEntry,
+    res: http.ServerResponse,
+  ): void {
+    const item = entry.items.get(itemId)?.item;
+    if (!item) {
+      this.sendError(res, createError('not_found', 'there is no such item'));
+      return;
+    }
+    this.send(res, 200, 'application/octet-stream', item.body);
+  }
+
+  private async end(
+    entry: BatchEntry,
+    book: BatchBook,
+    res: http.ServerResponse,
+  ): Promise<void> {
+    const {batch} = entry;
+    const record: BatchRecord = {kind: 'ended', batchId: batch.id};
+    if (!entry.isEnded) {
+      const outcome = await this.appendOnce(book, [encodeRecord(record)]);
+      if (outcome.kind !== 'appended') {
+        // Ending is idempotent, so it may be said that it can be tried again,
+        // but not that it did not happen.
+        const error = createError('outcome_unknown', 'the log did not answer');
+        return this.finish(res, 'end', batch.id, undefined, error);
+      }
+    }
+    this.finish(res, 'end', batch.id, undefined, undefined);
+  }
+
+  private finish(
+    res: http.ServerResponse,
+    what: 'submit' | 'end',
+    requestId: string | undefined,
+    route: Route | undefined,
+    error: RadishyokeError | undefined,
+  ): void {
+    const {metrics, logger} = this.parts;
+    metrics.count(`batch_${what}_${error?.kind ?? 'ok'}`);
+    if (error) {
+      logger.log('warn', `batch ${what} failed`, {
+        requestId,
+        rule: route?.name,
+        outcome: error.kind,
+        detail: error.detail,
+      });
+      this.sendError(res, error);
+      return;
+    }
+    if (what === 'end') logger.log('info', 'batch end', {requestId});
+    this.send(res, what === 'submit' ? 202 : 200, undefined, new Uint8Array());
+  }
+
+  private refuseRead(
+    res: http.ServerResponse,
+    call: Exclude<CallerCall, {kind: 'request'}>,
+    error: RadishyokeError,
+  ): void {
+    this.parts.logger.log('warn', 'batch call refused', {
+      requestId: call.batchId,
+      call: call.kind,
+      outcome: error.kind,
+      detail: error.detail,
+    });
+    this.sendError(res, error);
+  }
+
+  private sendError(res: http.ServerResponse, error: RadishyokeError): void {
+    const body = JSON.stringify({error: error.kind, detail: error.detail});
+    if (res.destroyed) return;
+    res.writeHead(ERROR_ANSWERS[error.kind].status, {
+      ...this.parts.protocol.answerHeaders(error.retryAfterMs),
+      'Content-Length': Buffer.byteLength(body),
+    });
+    res.end(body);
+  }
+
+  private send(
+    res: http.ServerResponse,
+    status: number,
+    contentType: string | undefined,
+    body: Uint8Array,
+  ): void {
+    if (res.destroyed) return;
+    const type = contentType ? {'Content-Type': contentType} : {};
+    res.writeHead(status, {...type, 'Content-Length': body.length});
+    res.end(body);
+  }
+}
+
+function isComplete(entry: BatchEntry): boolean {
+  return entry.isEnded || entry.results.length === entry.items.size;
+}
+
+/** At least one result where there is one, and no more than a page holds. */
+function cutPage(entry: BatchEntry, after: number): ResultPage {
+  const results = [];
+  let chars = 0;
+  for (const result of entry.results.slice(after)) {
+    chars += result.output.length;
+    if (results.length > 0 && chars > MAX_PAGE_CHARS) break;
+    results.push(result);
+  }
+  return {total: entry.items.size, results, next: after + results.length};
+}
+
+/** Groups records so that each group fits one append. */
+function splitCalls(
+  records: readonly Uint8Array[],
+  maxBytes: number,
+): ReadonlyArray<readonly Uint8Array[]> {
+  const calls: Uint8Array[][] = [[]];
+  let bytes = 0;
+  for (const record of records) {
+    bytes += record.length;
+    if (bytes > maxBytes && calls.at(-1)!.length > 0) {
+      calls.push([]);
+      bytes = record.length;
+    }
+    calls.at(-1)!.push(record);
+  }
+  return calls;
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/batch_book.ts
@@ -0,0 +1,195 @@
+/**
+ * This VM's copy of one partition of batches. It is read on demand: a caller's
+ * question is answered after the partition was read to its end once, counted
+ * from the question, so every VM answers alike without following everything.
+ */
+
+import {
+  BatchLedger,
+  type LedgerChange,
+} from '@radishyoke/core/batches/batch_ledger';
+import type {BatchRecord} from '@radishyoke/core/batches/batch_record';
+import type {RadishyokeError} from '@radishyoke/shared/error_kind';
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {Logger} from '../logger.js';
+import {decodeBatch, decodeBatchRecord} from './batch_codec.js';
+import type {LogStore, StoredRecord} from './log_store.js';
+
+export const BATCH_TOPIC = 'batches';
+
+/** How long a follower lets the log wait for news, ms. */
+const FOLLOW_WAIT_MS = 10_000;
+/** Pause of a follower after a failed read, ms. */
+const RETRY_MS = 100;
+/** Batches are forgotten this long after their submission, ms: callers may read for 120 s, and clocks of VMs differ. */
+const KEEP_MS = 180_000;
+/** Records that are applied before other tasks get a turn. */
+const SLICE_RECORDS = 64;
+
+export type SyncOutcome =
+  | {readonly kind: 'current'}
+  | {readonly kind: 'failed'; readonly error: RadishyokeError};
+
+type Listener = (change: LedgerChange) => void;
+
+export class BatchBook {
+  readonly ledger = new BatchLedger(decodeBatch);
+  private next = 0;
+  private running: Promise<SyncOutcome> | undefined;
+  private queued: Promise<SyncOutcome> | undefined;
+  private readonly listeners = new Set<Listener>();
+  private contactMs = -Infinity;
+
+  constructor(
+    private readonly store: LogStore,
+    readonly partition: number,
+    private readonly logger: Logger,
+  ) {}
+
+  /** Steady ms of the last read that succeeded. */
+  get lastContactMs(): number {
+    return this.contactMs;
+  }
+
+  listen(listener: Listener): void {
+    this.listeners.add(listener);
+  }
+
+  unlisten(listener: Listener): void {
+    this.listeners.delete(listener);
+  }
+
+  /**
+   * Reads to the end as of now. Questions that come while a read is under way
+   * share the next one: that under way may have begun before them.
+   */
+  sync(): Promise<SyncOutcome> {
+    if (!this.running) {
+      this.running = this.readToEnd().finally(() => (this.running = undefined));
+      return this.running;
+    }
+    this.queued ??= this.running.then(() => {
+      this.queued = undefined;
+      return this.sync();
+    });
+    return this.queued;
+  }
+
+  /** Waits up to `waitMs` for a record behind those known. */
+  async waitForNews(
+    waitMs: number,
+    signal?: AbortSignal,
+  ): Promise<SyncOutcome> {
+    const outcome = await this.readOnce(waitMs, signal);
+    return outcome.kind === 'failed' ? outcome : {kind: 'current'};
+  }
+
+  /** Applies records as they come, until `signal`. */
+  async follow(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      const outcome = await this.readOnce(FOLLOW_WAIT_MS, signal);
+      if (outcome.kind === 'failed' && !signal.aborted) await sleep(RETRY_MS);
+    }
+  }
+
+  private async readToEnd(): Promise<SyncOutcome> {
+    for (;;) {
+      const outcome = await this.readOnce(0);
+      if (outcome.kind === 'failed') return outcome;
+      if (outcome.isAtEnd) return {kind: 'current'};
+    }
+  }
+
+  private async readOnce(
+    waitMs: number,
+    signal?: AbortSignal,
+  ): Promise<
+    | {readonly kind: 'read'; readonly isAtEnd: boolean}
+    | {readonly kind: 'failed'; readonly error: RadishyokeError}
+  > {
+    const {store, partition} = this;
+    const options = signal ? {waitMs, signal} : {waitMs};
+    const outcome = await store.read(
+      BATCH_TOPIC,
+      partition,
+      this.next,
+      options,
+    );
+    switch (outcome.kind) {
+      case 'failed':
+        return outcome;
+      case 'expired':
+        this.logger.log('info', 'start of a partition is gone', {
+          partition,
+          from: this.next,
+          first: outcome.firstOffset,
+        });
+        this.next = Math.max(this.next, outcome.firstOffset);
+        return {kind: 'read', isAtEnd: false};
+      case 'page':
+        this.contactMs = performance.now();
+        await this.applyAll(outcome.records);
+        return {kind: 'read', isAtEnd: this.next >= outcome.endOffset};
+    }
+  }
+
+  private async applyAll(records: readonly StoredRecord[]): Promise<void> {
+    for (const [index, {offset, bytes}] of records.entries()) {
+      // Two reads may be under way at once and bring the same records.
+      if (offset < this.next) continue;
+      this.next = offset + 1;
+      this.applyOne(bytes, offset);
+      if (index % SLICE_RECORDS === SLICE_RECORDS - 1) await sleep(0);
+    }
+    this.ledger.forget(Date.now() - KEEP_MS);
+  }
+
+  private applyOne(bytes: Uint8Array, offset: number): void {
+    let record: BatchRecord;
+    try {
+      record = decodeBatchRecord(bytes);
+    } catch (err) {
+      this.logger.log('error', 'record can not be read and is skipped', {
+        partition: this.partition,
+        offset,
+        detail: String(err),
+      });
+      return;
+    }
+    const change = this.ledger.apply(record);
+    if (!change) return;
+    for (const listener of this.listeners) listener(change);
+  }
+}
+
+/** All partitions of this VM. */
+export class BatchShelf {
+  private readonly books = new Map<number, BatchBook>();
+
+  constructor(
+    private readonly store: LogStore,
+    private readonly logger: Logger,
+  ) {}
+
+  /** The partition that keeps `batchId`; the same on every VM. */
+  locate(batchId: string): BatchBook {
+    let hash = 0;
+    for (let i = 0; i < batchId.length; i++) {
+      hash = (Math.imul(hash, 31) + batchId.charCodeAt(i)) >>> 0;
+    }
+    return this.open(hash % this.store.partitions);
+  }
+
+  open(partition: number): BatchBook {
+    let book = this.books.get(partition);
+    if (!book) {
+      book = new BatchBook(this.store, partition, this.logger);
+      this.books.set(partition, book);
+    }
+    return book;
+  }
+
+  openAll(): readonly BatchBook[] {
+    return Array.from({length: this.store.partitions}, (_, i) => this.open(i));
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/batch_runner.ts
@@ -0,0 +1,340 @@
+/**
+ * Runs the items of all open batches while this VM is the coordinator: follows
+ * the partitions, asks the scheduler what to do, runs it, and writes down what
+ * came of it.
+ */
+
+import {
+  BatchScheduler,
+  type RunEnd,
+  type ScheduleAction,
+} from '@radishyoke/core/batches/batch_scheduler';
+import type {OpenBatchTerms, Run} from '@radishyoke/core/batches/batch_job';
+import type {LedgerChange} from '@radishyoke/core/batches/batch_ledger';
+import type {Batch, OutputEvent} from '@radishyoke/core/batches/batch_record';
+import type {EndpointRoster} from '@radishyoke/core/fleet/endpoint_roster';
+import type {RouteTable} from '@radishyoke/core/routing/route_table';
+import {pickService} from '@radishyoke/core/routing/route_table';
+import type {Logger} from '../logger.js';
+import type {BatchBook, BatchShelf} from './batch_book.js';
+import type {ConfigHolder} from './config_holder.js';
+import type {EndpointLinks} from './endpoint_links.js';
+import type {EndpointProtocol} from './endpoint_protocol.js';
+import {EngineFleet} from './engine_fleet.js';
+import type {GatewayMetrics} from './gateway_metrics.js';
+import {Generation} from './generation.js';
+import type {LeaseTask} from './lease_task.js';
+import type {LogStore} from './log_store.js';
+import {RecordWriter} from './record_writer.js';
+import type {VmClock} from './vm_clock.js';
+import {WeightTask} from './weight_task.js';
+
+export interface RunnerParts {
+  readonly store: LogStore;
+  readonly shelf: BatchShelf;
+  readonly lease: LeaseTask;
+  readonly roster: EndpointRoster;
+  readonly links: EndpointLinks;
+  readonly protocol: EndpointProtocol;
+  readonly config: ConfigHolder;
+  readonly named: ReadonlyMap<string, number>;
+  readonly clock: VmClock;
+  readonly metrics: GatewayMetrics;
+  readonly vmName: string;
+  readonly logger: Logger;
+}
+
+/** How often the scheduler decides beside each event that it waits for, ms. */
+const TICK_MS = 60;
+/** How often running output is written down, ms: a successor repeats at most this much. */
+const PROGRESS_MS = 700;
+/**
+ * Nothing is started this long after the log was last reached, ms. Behind a cut
+ * this VM does not hear that a batch ended, and must not start its items later
+ * than callers may expect.
+ */
+const BLIND_MS = 2200;
+/** Output tokens of one event until the configuration says. */
+const DEFAULT_TOKENS_PER_EVENT = 1;
+
+interface LiveRun {
+  readonly run: Run;
+  readonly generation: Generation;
+  /** Events that were written down. */
+  written: number;
+}
+
+export class BatchRunner {
+  private readonly scheduler: BatchScheduler;
+  private readonly fleet: EngineFleet;
+  private readonly weights: WeightTask;
+  private readonly live = new Map<number, LiveRun>();
+  private readonly writers = new Map<number, RecordWriter>();
+  private readonly abort = new AbortController();
+  private readonly listener = (change: LedgerChange) => this.take(change);
+  private isDeciding = false;
+  private tickTimer: NodeJS.Timeout | undefined;
+  private progressTimer: NodeJS.Timeout | undefined;
+
+  constructor(private readonly parts: RunnerParts) {
+    const {roster, lease, links, protocol, named, vmName, logger} = parts;
+    const engine = parts.config.table?.engines[0]?.engine;
+    const tokensPerEvent = engine?.tokensPerEvent ?? DEFAULT_TOKENS_PER_EVENT;
+    this.scheduler = new BatchScheduler({tokensPerEvent});
+    this.fleet = new EngineFleet(roster);
+    this.weights = new WeightTask({
+      lease,
+      roster,
+      fleet: this.fleet,
+      links,
+      protocol,
+      scheduler: this.scheduler,
+      named,
+      vmName,
+      logger,
+    });
+  }
+
+  /** Reads what there is and starts to run it. */
+  async start(): Promise<void> {
+    const {shelf} = this.parts;
+    const books = shelf.openAll();
+    await Promise.all(books.map(book => book.sync()));
+    if (this.abort.signal.aborted) return;
+    for (const book of books) {
+      book.listen(this.listener);
+      const entries = [...book.ledger.entries].sort(
+        (a, b) => a.batch.submittedAtMs - b.batch.submittedAtMs,
+      );
+      for (const entry of entries) this.take({kind: 'opened', entry});
+      void book.follow(this.abort.signal);
+    }
+    this.tickTimer = setInterval(() => this.tick(), TICK_MS);
+    this.progressTimer = setInterval(() => this.writeProgress(), PROGRESS_MS);
+  }
+
+  /** Stops all runs; what they made so far is written down first where it can be. */
+  stop(): void {
+    this.writeProgress();
+    this.abort.abort();
+    clearInterval(this.tickTimer);
+    clearInterval(this.progressTimer);
+    this.weights.stop();
+    for (const book of this.parts.shelf.openAll()) book.unlisten(this.listener);
+    for (const {generation} of [...this.live.values()]) generation.stop();
+  }
+
+  /** An endpoint's entry changed. */
+  noteEndpoint(id: string): void {
+    const entry = this.parts.roster.get(id);
+    if (entry) this.fleet.noteEntry(entry);
+  }
+
+  /** An endpoint is gone or another one now. */
+  forgetEndpoint(id: string): void {
+    this.scheduler.board.forget(id);
+    this.fleet.forget(id);
+  }
+
+  applyConfig(table: RouteTable): void {
+    for (const {batch} of this.scheduler.openBatches) {
+      this.scheduler.setTerms(batch.id, this.findTerms(batch, table));
+    }
+    this.decideSoon();
+  }
+
+  private take(change: LedgerChange): void {
+    const {entry} = change;
+    const {table} = this.parts.config;
+    switch (change.kind) {
+      case 'opened':
+        if (table) {
+          this.scheduler.openBatch(entry, this.findTerms(entry.batch, table));
+        }
+        break;
+      case 'ended':
+        this.scheduler.closeBatch(entry.batch.id);
+        break;
+      case 'listed':
+        this.scheduler.noteListed(entry.batch.id, change.result);
+        if (entry.results.length === entry.items.size) {
+          this.scheduler.closeBatch(entry.batch.id);
+        }
+    }
+    this.decideSoon();
+  }
+
+  private findTerms(
+    batch: Batch,
+    table: RouteTable,
+  ): OpenBatchTerms | undefined {
+    const route = table.match(batch.host, batch.path);
+    if (!route?.batch) return undefined;
+    const service = pickService(route, 0);
+    if (service === undefined) return undefined;
+    const submittedMs = this.parts.clock.toSteady(batch.submittedAtMs);
+    return {
+      service,
+      attempts: route.attempts,
+      minVersion: batch.minVersion,
+      singleVersion: route.batch.singleVersion,
+      dueAtMs: submittedMs + route.batch.dueMs,
+      giveUpAtMs: submittedMs + route.batch.retentionMs,
+    };
+  }
+
+  private tick(): void {
+    const {config, clock} = this.parts;
+    const {table} = config;
+    if (!table) return;
+    this.scheduler.setEngines(this.fleet.describe(table.engines, clock.now()));
+    this.weights.tick(table);
+    this.decide();
+  }
+
+  /** Decides once after everything that happens in this turn. */
+  private decideSoon(): void {
+    if (this.isDeciding) return;
+    this.isDeciding = true;
+    setImmediate(() => {
+      this.isDeciding = false;
+      if (!this.abort.signal.aborted) this.decide();
+    });
+  }
+
+  private decide(): void {
+    const nowMs = this.parts.clock.now();
+    if (nowMs - this.parts.lease.lastContactMs > BLIND_MS) return;
+    for (const action of this.scheduler.decide(nowMs)) this.act(action);
+  }
+
+  private act(action: ScheduleAction): void {
+    switch (action.kind) {
+      case 'start':
+        this.startRun(action.run, action.reason);
+        return;
+      case 'stop':
+        this.logRun(action.run, 'run stopped', action.reason);
+        this.live.get(action.run.id)?.generation.stop();
+        return;
+      case 'list':
+        this.parts.logger.log('info', 'item has a result', {
+          requestId: action.result.itemId,
+          batch: action.batchId,
+          outcome: action.result.state,
+          reason: action.reason,
+          versions: action.result.versions.join(','),
+        });
+        this.openWriter(action.batchId).write({
+          kind: 'result',
+          batchId: action.batchId,
+          result: action.result,
+        });
+    }
+  }
+
+  private startRun(run: Run, reason: string): void {
+    const {roster, links, protocol, clock} = this.parts;
+    const {job} = run;
+    const entry = roster.get(run.engineId);
+    if (!entry) {
+      this.scheduler.noteEnd(run, 'unreachable', clock.now());
+      return;
+    }
+    const terms = job.batch.terms!;
+    const {lastEventId} = job.transcript;
+    const deadlineMs = Math.max(Math.floor(terms.giveUpAtMs - clock.now()), 1);
+    const [expectVersion] = terms.singleVersion
+      ? [this.fleet.getVersion(entry.id, job.batch.batch.model)]
+      : [];
+    this.logRun(run, 'run started', reason);
+    const generation = new Generation(
+      links.open(entry),
+      protocol,
+      entry,
+      job.item,
+      {
+        endpointId: entry.id,
+        host: job.batch.batch.host,
+        deadlineMs,
+        ...(lastEventId === undefined ? {} : {lastEventId}),
+        ...(expectVersion === undefined ? {} : {expectVersion}),
+      },
+      {
+        onEvent: event => this.takeEvent(run, event),
+        onEnd: (end, detail) => this.endRun(run, end, detail),
+      },
+    );
+    const written = job.transcript.events.length;
+    this.live.set(run.id, {run, generation, written});
+  }
+
+  private takeEvent(run: Run, event: OutputEvent): void {
+    const nowMs = this.parts.clock.now();
+    const {model} = run.job.batch.batch;
+    this.fleet.noteVersion(run.engineId, model, event.version);
+    if (this.scheduler.noteEvent(run, event, nowMs)) return;
+    // A gap or a repeat: what this stream says can not be joined to the rest.
+    this.logRun(run, 'run out of order', `event ${event.id}`);
+    this.live.get(run.id)?.generation.stop();
+  }
+
+  private endRun(run: Run, end: RunEnd, detail: string): void {
+    const live = this.live.get(run.id);
+    this.live.delete(run.id);
+    if (end !== 'stopped') this.logRun(run, `run ${end}`, detail);
+    this.parts.metrics.count(`run_${end}`);
+    if (end === 'broken' || end === 'unreachable') {
+      this.parts.links.renew(run.engineId);
+    }
+    if (live && end !== 'finished') this.writeEvents(live);
+    if (end === 'failed') {
+      const batchId = run.job.batch.batch.id;
+      const itemId = run.job.item.id;
+      this.openWriter(batchId).write({kind: 'attempt_failed', batchId, itemId});
+    }
+    this.scheduler.noteEnd(run, end, this.parts.clock.now());
+    this.decideSoon();
+  }
+
+  private writeProgress(): void {
+    for (const live of this.live.values()) this.writeEvents(live);
+  }
+
+  private writeEvents(live: LiveRun): void {
+    const {job} = live.run;
+    const {events} = job.transcript;
+    if (events.length <= live.written || job.state === 'finished') return;
+    const batchId = job.batch.batch.id;
+    this.openWriter(batchId).write({
+      kind: 'progress',
+      batchId,
+      itemId: job.item.id,
+      events: events.slice(live.written),
+    });
+    live.written = events.length;
+  }
+
+  private openWriter(batchId: string): RecordWriter {
+    const {shelf, store} = this.parts;
+    const {partition}: BatchBook = shelf.locate(batchId);
+    let writer = this.writers.get(partition);
+    if (!writer) {
+      writer = new RecordWriter(store, partition);
+      this.writers.set(partition, writer);
+    }
+    return writer;
+  }
+
+  private logRun(run: Run, message: string, reason: string): void {
+    const {job} = run;
+    this.parts.logger.log('info', message, {
+      requestId: job.item.id,
+      batch: job.batch.batch.id,
+      endpoint: run.engineId,
+      reason,
+      from: job.transcript.lastEventId ?? -1,
+      configVersion: this.parts.config.version,
+    });
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/endpoint_exchange.ts
@@ -0,0 +1,168 @@
+/**
+ * One attempt of a caller's request at one endpoint. The answer is read whole
+ * and checked before anyone sees it: a caller must never get half a body, the
+ * answer to another request, or bytes that are no answer at all.
+ */
+
+import http from 'node:http';
+import type {EndpointEntry} from '@radishyoke/core/fleet/endpoint_entry';
+import type {AnswerFacts, EndpointProtocol} from './endpoint_protocol.js';
+
+export interface ExchangeRequest {
+  readonly method: string;
+  readonly path: string;
+  readonly headers: http.IncomingHttpHeaders;
+  readonly body: Buffer;
+  readonly attemptId: string | undefined;
+  readonly deadlineMs: number;
+}
+
+/** An answer as the endpoint gave it. */
+export interface EndpointAnswer {
+  readonly status: number;
+  /** Names and values by turns, as received. */
+  readonly rawHeaders: readonly string[];
+  readonly body: Buffer;
+  readonly facts: AnswerFacts;
+}
+
+export type ExchangeOutcome =
+  | {readonly kind: 'answered'; readonly answer: EndpointAnswer}
+  /** The endpoint states that it did not run the request. */
+  | {readonly kind: 'not_executed'; readonly detail: string}
+  /** No connection was made. */
+  | {readonly kind: 'unsent'; readonly detail: string}
+  /** It was sent; whether it ran is not known. */
+  | {readonly kind: 'unknown'; readonly detail: string};
+
+/** Answers of plain services are held in memory whole; longer ones are refused, bytes. */
+const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
+const MISDIRECTED = 421;
+
+export class EndpointExchange {
+  private req: http.ClientRequest | undefined;
+  private isConnected = false;
+  private isDone = false;
+
+  constructor(
+    private readonly agent: http.Agent,
+    private readonly protocol: EndpointProtocol,
+    private readonly entry: EndpointEntry,
+  ) {}
+
+  /** Sends `sent` and resolves when it is settled; never rejects. */
+  run(sent: ExchangeRequest): Promise<ExchangeOutcome> {
+    return new Promise(resolve => {
+      const settle = (outcome: ExchangeOutcome) => {
+        if (this.isDone) return;
+        this.isDone = true;
+        resolve(outcome);
+      };
+      const fail = (detail: string) =>
+        settle({kind: this.isConnected ? 'unknown' : 'unsent', detail});
+      this.req = this.send(sent);
+      this.req.on('error', err => fail(err.message));
+      this.req.on('close', () => fail('the connection closed'));
+      this.req.on('response', res => this.receive(res, sent, settle, fail));
+    });
+  }
+
+  /** Gives the attempt up; the endpoint sees its connection close. */
+  abort(): void {
+    this.req?.destroy();
+  }
+
+  /** Whether anything may have reached the endpoint. */
+  get isSent(): boolean {
+    return this.isConnected;
+  }
+
+  private send(sent: ExchangeRequest): http.ClientRequest {
+    const {id: endpointId, host, port} = this.entry;
+    const terms = {endpointId, deadlineMs: sent.deadlineMs};
+    const headers = this.protocol.forwardHeaders(sent.headers, terms);
+    if (sent.body.length > 0 || sent.headers['content-length'] !== undefined) {
+      headers['Content-Length'] = sent.body.length;
+    }
+    const {method, path} = sent;
+    const req = http.request({
+      agent: this.agent,
+      host,
+      port,
+      method,
+      path,
+      headers,
+      setHost: false,
+    });
+    req.on('socket', socket => {
+      if (!socket.connecting) this.isConnected = true;
+      else socket.once('connect', () => (this.isConnected = true));
+    });
+    req.end(sent.body);
+    return req;
+  }
+
+  private receive(
+    res: http.IncomingMessage,
+    sent: ExchangeRequest,
+    settle: (outcome: ExchangeOutcome) => void,
+    fail: (detail: string) => void,
+  ): void {
+    const facts = this.protocol.readAnswer(res.headers);
+    const problem = findProblem(res, facts, sent.attemptId);
+    if (problem) {
+      // What follows on this connection can not be trusted either.
+      fail(problem);
+      this.req?.destroy();
+      return;
+    }
+    const chunks: Buffer[] = [];
+    let bytes = 0;
+    res.on('data', (chunk: Buffer) => {
+      bytes += chunk.length;
+      if (bytes > MAX_ANSWER_BYTES) {
+        fail('the answer is too long');
+        this.req?.destroy();
+        return;
+      }
+      chunks.push(chunk);
+    });
+    res.on('error', err => fail(err.message));
+    res.on('end', () => {
+      if (!res.complete) return fail('the answer broke off');
+      const status = res.statusCode ?? 0;
+      if (facts.isNotExecuted || status === MISDIRECTED) {
+        settle({kind: 'not_executed', detail: `status ${status}`});
+        return;
+      }
+      const {rawHeaders} = res;
+      const body = Buffer.concat(chunks);
+      settle({kind: 'answered', answer: {status, rawHeaders, body, facts}});
+    });
+  }
+}
+
+function findProblem(
+  res: http.IncomingMessage,
+  facts: AnswerFacts,
+  attemptId: string | undefined,
+): string | undefined {
+  const status = res.statusCode ?? 0;
+  // An endpoint may send a second answer to an earlier request, which then
+  // stands where this one's is expected. Its id gives it away.
+  const isOther = facts.attemptId !== attemptId;
+  if (isOther && (facts.attemptId !== undefined || isSuccess(status))) {
+    return 'the answer is to another request';
+  }
+  if (isSuccess(status) && !facts.isStamped) return 'the answer bears no proof';
+  // Callers ask for bodies as they are; a coded one is not the endpoint's.
+  if (res.headers['content-encoding'] !== undefined) {
+    return 'the answer is encoded';
+  }
+  return undefined;
+}
+
+/** Whether `status` is a 2xx. */
+export function isSuccess(status: number): boolean {
+  return status >= 200 && status < 300;
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/endpoint_links.ts
@@ -0,0 +1,63 @@
+/**
+ * Connections to endpoints: one pool for each life of each endpoint, so that a
+ * request never goes out on a connection that was opened to another one.
+ */
+
+import http from 'node:http';
+import type {EndpointEntry} from '@radishyoke/core/fleet/endpoint_entry';
+
+/** An idle connection is given up after this long, ms; below the shortest idle time-out that endpoints were seen to state. */
+const IDLE_MS = 4000;
+
+interface Link {
+  readonly agent: http.Agent;
+  readonly bornMs: number;
+  readonly address: string;
+}
+
+export class EndpointLinks {
+  private readonly links = new Map<string, Link>();
+
+  /** The pool that leads to `entry` as it lives now. */
+  open(entry: EndpointEntry): http.Agent {
+    const address = `${entry.host}:${entry.port}`;
+    const known = this.links.get(entry.id);
+    if (known?.bornMs === entry.bornMs && known.address === address) {
+      return known.agent;
+    }
+    known?.agent.destroy();
+    const agent = new http.Agent({
+      keepAlive: true,
+      scheduling: 'lifo',
+      timeout: IDLE_MS,
+    });
+    this.links.set(entry.id, {agent, bornMs: entry.bornMs, address});
+    return agent;
+  }
+
+  /**
+   * Gives up the idle connections to an endpoint.
+   *
+   * Something between the two ends can lose track of connections: they go
+   * silent for good while new ones work. A request that met one takes all idle
+   * ones with it, so that no other request meets the next.
+   */
+  renew(endpointId: string): void {
+    const {agent} = this.links.get(endpointId) ?? {};
+    if (!agent) return;
+    for (const sockets of Object.values(agent.freeSockets)) {
+      for (const socket of sockets ?? []) socket.destroy();
+    }
+  }
+
+  /** Closes all connections to an endpoint that is gone. */
+  drop(endpointId: string): void {
+    this.links.get(endpointId)?.agent.destroy();
+    this.links.delete(endpointId);
+  }
+
+  close(): void {
+    for (const {agent} of this.links.values()) agent.destroy();
+    this.links.clear();
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/engine_fleet.ts
@@ -0,0 +1,126 @@
+/** What the coordinator knows of the engines: the list's word, and what it learned since. */
+
+import type {EngineView} from '@radishyoke/core/batches/engine_board';
+import type {EndpointEntry} from '@radishyoke/core/fleet/endpoint_entry';
+import type {EndpointRoster} from '@radishyoke/core/fleet/endpoint_roster';
+import type {ServiceSpec} from '@radishyoke/core/routing/route_table';
+import type {EngineReport} from './endpoint_protocol.js';
+
+/** An engine that is not heard to have finished a load for this long is taken to have, ms. */
+const MAX_LOAD_MS = 6000;
+
+interface EngineState {
+  bornMs: number;
+  readonly versions: Map<string, number>;
+  /** Models that load, with the steady ms at which the order was accepted. */
+  readonly loading: Map<string, number>;
+  /** Orders accepted, as far as known. */
+  orders: number;
+}
+
+export class EngineFleet {
+  private readonly states = new Map<string, EngineState>();
+
+  constructor(private readonly roster: EndpointRoster) {}
+
+  /** All engines of `services`, draining ones included. */
+  describe(
+    services: readonly ServiceSpec[],
+    nowMs: number,
+  ): readonly EngineView[] {
+    const views: EngineView[] = [];
+    for (const {name, engine} of services) {
+      if (!engine) continue;
+      for (const entry of this.roster.listUsable(name, nowMs)) {
+        const state = this.open(entry);
+        views.push({
+          id: entry.id,
+          service: name,
+          slots: Math.min(entry.slots, engine.slots),
+          kvTokens: engine.kvTokens,
+          versions: state.versions,
+          isDraining: false,
+          loading: this.listLoading(state, nowMs),
+        });
+      }
+    }
+    return views;
+  }
+
+  /** Takes the versions of a list entry. */
+  noteEntry(entry: EndpointEntry): void {
+    const state = this.open(entry);
+    for (const {model, version} of entry.models) {
+      this.raise(state, model, version);
+    }
+  }
+
+  noteReport(entry: EndpointEntry, report: EngineReport): void {
+    const state = this.open(entry);
+    state.orders = Math.max(state.orders, report.orders);
+    for (const {model, version} of report.models) {
+      this.raise(state, model, version);
+    }
+  }
+
+  /** An event of a run was made under `version`. */
+  noteVersion(engineId: string, model: string, version: number): void {
+    const state = this.states.get(engineId);
+    if (state) this.raise(state, model, version);
+  }
+
+  noteOrder(
+    entry: EndpointEntry,
+    model: string,
+    orders: number,
+    nowMs: number,
+  ): void {
+    const state = this.open(entry);
+    state.orders = Math.max(state.orders, orders);
+    state.loading.set(model, nowMs);
+  }
+
+  noteLoaded(engineId: string, model: string): void {
+    this.states.get(engineId)?.loading.delete(model);
+  }
+
+  getOrders(entry: EndpointEntry): number {
+    return this.open(entry).orders;
+  }
+
+  getVersion(engineId: string, model: string): number {
+    return this.states.get(engineId)?.versions.get(model) ?? 0;
+  }
+
+  forget(engineId: string): void {
+    this.states.delete(engineId);
+  }
+
+  private listLoading(state: EngineState, nowMs: number): ReadonlySet<string> {
+    for (const [model, sinceMs] of state.loading) {
+      if (nowMs - sinceMs > MAX_LOAD_MS) state.loading.delete(model);
+    }
+    return new Set(state.loading.keys());
+  }
+
+  /** Versions only rise: reports lag, and a restart keeps the version. */
+  private raise(state: EngineState, model: string, version: number): void {
+    const known = state.versions.get(model) ?? 0;
+    if (version > known) state.versions.set(model, version);
+  }
+
+  private open(entry: EndpointEntry): EngineState {
+    const known = this.states.get(entry.id);
+    if (known && known.bornMs === entry.bornMs) return known;
+    const state: EngineState = {
+      bornMs: entry.bornMs,
+      versions: new Map(
+        entry.models.map(({model, version}) => [model, version]),
+      ),
+      loading: new Map(),
+      orders: 0,
+    };
+    this.states.set(entry.id, state);
+    return state;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/forwarder.ts
@@ -0,0 +1,288 @@
+/**
+ * Passes one request of a caller on to endpoints of its route's service, with
+ * retries and hedges as the attempt policy says, and settles on one outcome.
+ */
+
+import type {EndpointEntry} from '@radishyoke/core/fleet/endpoint_entry';
+import type {EndpointRoster} from '@radishyoke/core/fleet/endpoint_roster';
+import {
+  type AttemptEnd,
+  decideNext,
+  measureHedgeMs,
+  type RequestTerms,
+} from '@radishyoke/core/routing/attempt_policy';
+import {chooseEndpoint} from '@radishyoke/core/routing/endpoint_choice';
+import {pickService, type Route} from '@radishyoke/core/routing/route_table';
+import {createError, type RadishyokeError} from '@radishyoke/shared/error_kind';
+import type {IncomingHttpHeaders} from 'node:http';
+import type {Logger} from '../logger.js';
+import {
+  type EndpointAnswer,
+  EndpointExchange,
+  type ExchangeOutcome,
+} from './endpoint_exchange.js';
+import type {EndpointLinks} from './endpoint_links.js';
+import type {EndpointProtocol} from './endpoint_protocol.js';
+import type {EndpointView} from './endpoint_view.js';
+
+export interface ForwardRequest {
+  readonly method: string;
+  readonly path: string;
+  readonly headers: IncomingHttpHeaders;
+  readonly body: Buffer;
+  readonly attemptId: string | undefined;
+  readonly route: Route;
+  readonly configVersion: number;
+  /** Steady ms at which the caller must have its answer. */
+  readonly deadlineMs: number;
+}
+
+export type ForwardOutcome =
+  | {readonly kind: 'answered'; readonly answer: EndpointAnswer}
+  | {readonly kind: 'failed'; readonly error: RadishyokeError};
+
+export interface ForwarderParts {
+  readonly roster: EndpointRoster;
+  readonly links: EndpointLinks;
+  readonly view: EndpointView;
+  readonly protocol: EndpointProtocol;
+  readonly dataCentre: string;
+  readonly logger: Logger;
+}
+
+/** An endpoint gets this much less than is left, ms: its answer has to travel back. */
+const RETURN_MS = 4;
+/** Less time than this is not worth an attempt, ms. */
+const MIN_ATTEMPT_MS = 8;
+/** When to come back after nothing could take the request, ms: about as long as the list of endpoints lags. */
+const RETRY_AFTER_MS = 150;
+
+export class Forwarder {
+  constructor(private readonly parts: ForwarderParts) {}
+
+  /** Starts `req`; the returned call can be given up. */
+  start(req: ForwardRequest): ForwardCall {
+    return new ForwardCall(this.parts, req);
+  }
+}
+
+/** One request on its way. */
+export class ForwardCall {
+  readonly outcome: Promise<ForwardOutcome>;
+  private readonly tried = new Set<string>();
+  private readonly pending = new Set<EndpointExchange>();
+  private readonly terms: RequestTerms;
+  private readonly service: string | undefined;
+  private ran = 0;
+  private notRun = 0;
+  private isSettled = false;
+  private failure: EndpointAnswer | undefined;
+  private hedgeTimer: NodeJS.Timeout | undefined;
+  private deadlineTimer: NodeJS.Timeout | undefined;
+  private resolve: (outcome: ForwardOutcome) => void = () => undefined;
+
+  constructor(
+    private readonly parts: ForwarderParts,
+    private readonly req: ForwardRequest,
+  ) {
+    const {route} = req;
+    this.terms = {
+      isRepeatable: route.kind === 'idempotent',
+      attempts: route.attempts,
+      objectiveMs: route.objectiveMs,
+    };
+    this.service = pickService(route, drawFrom(req.attemptId));
+    this.outcome = new Promise(resolve => (this.resolve = resolve));
+    const leftMs = Math.max(req.deadlineMs - performance.now(), 0);
+    this.deadlineTimer = setTimeout(() => this.expire(), leftMs);
+    this.attempt();
+    this.scheduleHedge();
+  }
+
+  /** The caller has gone: whatever is under way is stopped. */
+  abandon(): void {
+    this.settle({kind: 'failed', error: createError('cancelled')});
+  }
+
+  private scheduleHedge(): void {
+    const hedgeMs = measureHedgeMs(this.terms);
+    if (hedgeMs === undefined || this.isSettled) return;
+    this.hedgeTimer = setTimeout(() => {
+      const isFree = this.pending.size === 1 && this.ran < this.terms.attempts;
+      if (isFree) this.attempt();
+    }, hedgeMs);
+  }
+
+  private attempt(): void {
+    const leftMs = this.req.deadlineMs - performance.now();
+    if (leftMs < MIN_ATTEMPT_MS) return this.expire();
+    const entry = this.choose();
+    if (!entry) return this.endWithoutEndpoint();
+    this.tried.add(entry.id);
+    void this.runAt(entry, Math.floor(leftMs - RETURN_MS));
+  }
+
+  private choose(): EndpointEntry | undefined {
+    if (this.service === undefined) return undefined;
+    const nowMs = performance.now();
+    const {roster, view, dataCentre} = this.parts;
+    const usable = roster.listUsable(this.service, nowMs);
+    const choices = usable.map(entry => view.describe(entry, nowMs));
+    const draw = Math.random();
+    // Where all have been tried the best of them is tried again.
+    const choice =
+      chooseEndpoint(choices, this.tried, dataCentre, draw, nowMs) ??
+      chooseEndpoint(choices, new Set(), dataCentre, draw, nowMs);
+    return usable.find(({id}) => id === choice?.id);
+  }
+
+  private async runAt(entry: EndpointEntry, deadlineMs: number): Promise<void> {
+    const {links, view, protocol} = this.parts;
+    const exchange = new EndpointExchange(links.open(entry), protocol, entry);
+    this.pending.add(exchange);
+    this.ran += 1;
+    view.noteStart(entry);
+    const startedMs = performance.now();
+    const {method, path, headers, body, attemptId} = this.req;
+    const outcome = await exchange.run({
+      method,
+      path,
+      headers,
+      body,
+      attemptId,
+      deadlineMs,
+    });
+    view.noteEnd(entry);
+    this.pending.delete(exchange);
+    if (this.isSettled) return;
+    this.learn(entry, outcome);
+    this.logAttempt(entry, outcome, performance.now() - startedMs);
+    this.conclude(outcome);
+  }
+
+  private learn(entry: EndpointEntry, outcome: ExchangeOutcome): void {
+    const {view, links} = this.parts;
+    const nowMs = performance.now();
+    if (outcome.kind === 'answered') {
+      const {facts, status} = outcome.answer;
+      if (facts.load) view.noteLoad(entry, facts.load, nowMs);
+      if (status >= 500) view.noteFailure(entry, nowMs);
+      else view.noteSuccess(entry);
+      return;
+    }
+    view.noteFailure(entry, nowMs);
+    if (outcome.kind === 'unknown') links.renew(entry.id);
+  }
+
+  private conclude(outcome: ExchangeOutcome): void {
+    if (outcome.kind === 'not_executed' || outcome.kind === 'unsent') {
+      this.ran -= 1;
+      this.notRun += 1;
+    }
+    const tally = {
+      ran: this.ran,
+      notRun: this.notRun,
+      pending: this.pending.size,
+    };
+    const next = decideNext(this.terms, toAttemptEnd(outcome), tally);
+    switch (next.kind) {
+      case 'pass_on':
+        if (outcome.kind !== 'answered') return;
+        this.failure = outcome.answer;
+        // Another attempt may still bring a success.
+        if (outcome.answer.status >= 500 && this.pending.size > 0) return;
+        this.settle({kind: 'answered', answer: outcome.answer});
+        return;
+      case 'try_again':
+        if (outcome.kind === 'answered') this.failure = outcome.answer;
+        // A hedge that is still out takes the place of the next attempt.
+        if (this.pending.size === 0) this.attempt();
+        return;
+      case 'refuse':
+        if (this.pending.size === 0) this.refuse('endpoints are full');
+        return;
+      case 'fail':
+        if (this.pending.size === 0) this.fail('the outcome is unknown');
+    }
+  }
+
+  private endWithoutEndpoint(): void {
+    if (this.pending.size > 0) return;
+    if (this.ran === 0) this.refuse('no endpoint is usable');
+    else this.fail('no other endpoint is usable');
+  }
+
+  private refuse(detail: string): void {
+    const extra = {retryAfterMs: RETRY_AFTER_MS};
+    const error = createError('no_endpoint', detail, extra);
+    this.settle({kind: 'failed', error});
+  }
+
+  private fail(detail: string): void {
+    if (this.failure) {
+      this.settle({kind: 'answered', answer: this.failure});
+      return;
+    }
+    const kind = this.terms.isRepeatable
+      ? 'endpoint_failed'
+      : 'outcome_unknown';
+    this.settle({kind: 'failed', error: createError(kind, detail)});
+  }
+
+  private expire(): void {
+    // A request that never left may be refused; one that did may have run.
+    const kind = this.ran === 0 ? 'deadline_unreachable' : 'deadline_passed';
+    this.settle({kind: 'failed', error: createError(kind)});
+  }
+
+  private settle(outcome: ForwardOutcome): void {
+    if (this.isSettled) return;
+    this.isSettled = true;
+    clearTimeout(this.hedgeTimer);
+    clearTimeout(this.deadlineTimer);
+    for (const exchange of this.pending) exchange.abort();
+    this.resolve(outcome);
+  }
+
+  private logAttempt(
+    entry: EndpointEntry,
+    outcome: ExchangeOutcome,
+    tookMs: number,
+  ): void {
+    if (outcome.kind === 'answered' && outcome.answer.status < 500) return;
+    this.parts.logger.log('warn', 'attempt failed', {
+      requestId: this.req.attemptId,
+      rule: this.req.route.name,
+      configVersion: this.req.configVersion,
+      endpoint: entry.id,
+      tookMs: Math.round(tookMs),
+      outcome: outcome.kind,
+      detail:
+        outcome.kind === 'answered'
+          ? `status ${outcome.answer.status}`
+          : outcome.detail,
+    });
+  }
+}
+
+function toAttemptEnd(outcome: ExchangeOutcome): AttemptEnd {
+  switch (outcome.kind) {
+    case 'answered':
+      return {kind: 'answered', status: outcome.answer.status};
+    case 'not_executed':
+    case 'unsent':
+      return {kind: 'not_run'};
+    case 'unknown':
+      return {kind: 'unknown'};
+  }
+}
+
+/** A number in [0, 1) that the same id always gives. */
+function drawFrom(id: string | undefined): number {
+  if (id === undefined) return Math.random();
+  let hash = 2166136261;
+  for (let i = 0; i < id.length; i++) {
+    hash = Math.imul(hash ^ id.charCodeAt(i), 16777619);
+  }
+  return (hash >>> 0) / 2 ** 32;
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -0,0 +1,338 @@
+/**
+ * One VM of the service before a platform that keeps configuration, endpoints
+ * and batches in its log. Wires the tasks together and sees them start and stop
+ * in order.
+ */
+
+import type {EndpointEntry} from '@radishyoke/core/fleet/endpoint_entry';
+import {EndpointRoster} from '@radishyoke/core/fleet/endpoint_roster';
+import http from 'node:http';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {listenAt} from '@radishyoke/wire/listen';
+import type {Logger} from '../logger.js';
+import {BatchApi} from './batch_api.js';
+import {BatchShelf} from './batch_book.js';
+import {BatchRunner} from './batch_runner.js';
+import type {CallerProtocol} from './caller_protocol.js';
+import {ConfigHolder} from './config_holder.js';
+import {EndpointLinks} from './endpoint_links.js';
+import type {EndpointProtocol} from './endpoint_protocol.js';
+import {EndpointView} from './endpoint_view.js';
+import {Forwarder} from './forwarder.js';
+import {FrontServer} from './front_server.js';
+import {GatewayMetrics} from './gateway_metrics.js';
+import {KeyedFeed} from './keyed_feed.js';
+import {LeaseTask} from './lease_task.js';
+import type {KeyedRecord, LogStore} from './log_store.js';
+import type {PlatformDirectory} from './platform_directory.js';
+import {VmClock} from './vm_clock.js';
+
+export interface GatewayConfig {
+  readonly vmName: string;
+  /** Unique for each start of a process. */
+  readonly lifeId: string;
+  readonly dataCentre: string;
+  /** `ip:port` for callers. */
+  readonly frontAddress: string;
+  /** `ip:port` for the balancer's questions. */
+  readonly readyAddress: string;
+  /** Path of the readiness question. */
+  readonly readyPath: string;
+  /** Between the last order of one coordinator and the first of the next, ms. */
+  readonly orderLeaseMs: number;
+  /** Time between a request to stop and the end, ms. */
+  readonly graceMs: number;
+  /** Added to the silence after which this VM claims the lease, ms. */
+  readonly patienceMs: number;
+}
+
+export interface GatewayParts {
+  readonly store: LogStore;
+  readonly directory: PlatformDirectory;
+  readonly callers: CallerProtocol;
+  readonly endpoints: EndpointProtocol;
+  readonly logger: Logger;
+}
+
+/** The list of endpoints is read this long after its last news, ms: endpoints write all the time, and a change may take 2 s to count. */
+const ROSTER_GATHER_MS = 350;
+/** The configuration is read at once, bursts aside, ms. */
+const CONFIG_GATHER_MS = 30;
+const FEED_WAIT_MS = 15_000;
+/** An endpoint whose entry vanished is used this much longer, ms; endpoints serve on for 2 s at least, and an entry that was lost with its store is back as soon. */
+const GONE_GRACE_MS = 1200;
+/** Without a word from the log for this long the VM asks the balancer to leave it out, ms; below this every slow answer would do so. */
+const OUT_OF_TOUCH_MS = 1800;
+const SWEEP_MS = 500;
+/** The balancer asks once a second and needs two refusals: after this long no new connection comes, ms. */
+const UNROUTED_MS = 3200;
+/** Kept of the grace period for the last answers to travel, ms. */
+const GRACE_SLACK_MS = 600;
+
+export class Gateway {
+  readonly metrics = new GatewayMetrics();
+  private readonly clock = new VmClock();
+  private readonly roster = new EndpointRoster(GONE_GRACE_MS);
+  private readonly links = new EndpointLinks();
+  private readonly view = new EndpointView();
+  private readonly named = new Map<string, number>();
+  private readonly config: ConfigHolder;
+  private readonly shelf: BatchShelf;
+  private readonly lease: LeaseTask;
+  private readonly front: FrontServer;
+  private readonly readiness: http.Server;
+  private readonly feeds: readonly KeyedFeed[];
+  private runner: BatchRunner | undefined;
+  private contactMs = -Infinity;
+  private isRosterKnown = false;
+  private isStopping = false;
+  private sweepTimer: NodeJS.Timeout | undefined;
+
+  constructor(
+    private readonly cfg: GatewayConfig,
+    private readonly parts: GatewayParts,
+  ) {
+    const {store, directory, callers, endpoints, logger} = parts;
+    this.config = new ConfigHolder(logger);
+    this.shelf = new BatchShelf(store, logger);
+    this.lease = new LeaseTask(
+      store,
+      this.clock,
+      cfg,
+      isNamed => this.noteLease(isNamed),
+      logger,
+    );
+    const forwarder = new Forwarder({
+      roster: this.roster,
+      links: this.links,
+      view: this.view,
+      protocol: endpoints,
+      dataCentre: cfg.dataCentre,
+      logger,
+    });
+    const batches = new BatchApi(
+      {
+        store,
+        shelf: this.shelf,
+        protocol: callers,
+        metrics: this.metrics,
+        logger,
+      },
+      cfg.lifeId,
+    );
+    this.front = new FrontServer({
+      protocol: callers,
+      config: this.config,
+      forwarder,
+      batches,
+      metrics: this.metrics,
+      logger,
+    });
+    this.readiness = http.createServer((req, res) =>
+      this.answerReady(req, res),
+    );
+    this.feeds = [
+      this.createFeed(directory.configTopic, CONFIG_GATHER_MS, record =>
+        this.takeConfigRecord(record),
+      ),
+      this.createFeed(
+        directory.endpointTopic,
+        ROSTER_GATHER_MS,
+        record => this.takeEndpointRecord(record),
+        () => (this.isRosterKnown = true),
+      ),
+    ];
+    this.config.onChange(table => {
+      this.front.applyLimits();
+      this.runner?.applyConfig(table);
+    });
+    this.metrics.observe('config_version', () => this.config.version);
+    this.metrics.observe('endpoints', () => this.roster.size);
+    this.metrics.observe('coordinator', () => Number(this.lease.isNamed));
+  }
+
+  /** Opens the listeners and starts to follow the log. */
+  async start(): Promise<void> {
+    const {cfg, parts} = this;
+    await listenAt(this.readiness, cfg.readyAddress);
+    await this.front.listen(cfg.frontAddress);
+    for (const feed of this.feeds) void feed.run();
+    this.lease.start();
+    this.sweepTimer = setInterval(() => this.sweep(), SWEEP_MS);
+    parts.logger.log('info', 'started', {
+      vm: cfg.vmName,
+      life: cfg.lifeId,
+      front: cfg.frontAddress,
+    });
+  }
+
+  /** Whether the balancer should send callers here. */
+  get isReady(): boolean {
+    if (this.isStopping || !this.config.table || !this.isRosterKnown)
+      return false;
+    return this.clock.now() - this.lastContactMs < OUT_OF_TOUCH_MS;
+  }
+
+  /**
+   * Stops without cutting off a request: the balancer is told first and goes on
+   * sending for two of its questions, so the VM serves on until then.
+   */
+  async stop(): Promise<void> {
+    if (this.isStopping) return;
+    this.isStopping = true;
+    const {logger} = this.parts;
+    logger.log('info', 'stopping', {vm: this.cfg.vmName});
+    const endMs = this.clock.now() + this.cfg.graceMs - GRACE_SLACK_MS;
+    this.front.startDrain();
+    this.runner?.stop();
+    this.runner = undefined;
+    await this.lease.release();
+    await sleep(UNROUTED_MS);
+    const leftMs = Math.max(endMs - this.clock.now(), 0);
+    await Promise.race([this.front.finish(), sleep(leftMs)]);
+    this.close();
+    logger.log('info', 'stopped', {vm: this.cfg.vmName});
+  }
+
+  private close(): void {
+    clearInterval(this.sweepTimer);
+    for (const feed of this.feeds) feed.stop();
+    this.lease.stop();
+    this.front.close();
+    this.readiness.close();
+    this.links.close();
+    this.parts.store.close();
+  }
+
+  /** Steady ms of the last word from the log. */
+  private get lastContactMs(): number {
+    return Math.max(this.contactMs, this.lease.lastContactMs);
+  }
+
+  private createFeed(
+    topic: string,
+    gatherMs: number,
+    onRecord: (record: KeyedRecord) => void,
+    onCaughtUp: () => void = () => undefined,
+  ): KeyedFeed {
+    const cfg = {topic, gatherMs, waitMs: FEED_WAIT_MS};
+    const events = {
+      onRecord,
+      onCaughtUp,
+      onContact: () => (this.contactMs = this.clock.now()),
+      onLost: () => undefined,
+    };
+    return new KeyedFeed(this.parts.store, cfg, events, this.parts.logger);
+  }
+
+  private takeConfigRecord({key, value, offset}: KeyedRecord): void {
+    if (value === undefined) return;
+    const decoded = this.parts.directory.decodeConfigRecord(key, value);
+    if (!decoded.ok) {
+      this.logSkipped(key, offset, decoded.error.detail);
+      return;
+    }
+    switch (decoded.value.kind) {
+      case 'configuration':
+        this.config.offer(decoded.value.cfg);
+        return;
+      case 'model_version':
+        this.noteModelVersion(decoded.value.model, decoded.value.version);
+        return;
+      case 'other':
+        return;
+    }
+  }
+
+  private noteModelVersion(model: string, version: number): void {
+    if (version <= (this.named.get(model) ?? 0)) return;
+    this.named.set(model, version);
+    this.parts.logger.log('info', 'weights named', {model, version});
+  }
+
+  private takeEndpointRecord({key, value, offset}: KeyedRecord): void {
+    const nowMs = this.clock.now();
+    if (value === undefined) {
+      const change = this.roster.remove(key, offset, nowMs);
+      if (change) this.logEndpoint('left', change.entry, offset);
+      return;
+    }
+    const decoded = this.parts.directory.decodeEndpoint(key, value);
+    if (!decoded.ok) {
+      this.logSkipped(key, offset, decoded.error.detail);
+      return;
+    }
+    const {kind, entry} = this.roster.put(decoded.value, offset);
+    if (kind === 'reborn') this.forget(entry);
+    if (kind !== 'stale') this.runner?.noteEndpoint(entry.id);
+    if (kind !== 'updated') this.logEndpoint(kind, entry, offset);
+  }
+
+  private sweep(): void {
+    for (const entry of this.roster.sweep(this.clock.now())) {
+      this.forget(entry);
+      this.links.drop(entry.id);
+    }
+  }
+
+  private forget(entry: EndpointEntry): void {
+    this.view.forget(entry.id);
+    this.runner?.forgetEndpoint(entry.id);
+  }
+
+  private noteLease(isNamed: boolean): void {
+    this.runner?.stop();
+    this.runner = undefined;
+    if (!isNamed || this.isStopping) return;
+    const runner = new BatchRunner({
+      store: this.parts.store,
+      shelf: this.shelf,
+      lease: this.lease,
+      roster: this.roster,
+      links: this.links,
+      protocol: this.parts.endpoints,
+      config: this.config,
+      named: this.named,
+      clock: this.clock,
+      metrics: this.metrics,
+      vmName: this.cfg.lifeId,
+      logger: this.parts.logger,
+    });
+    this.runner = runner;
+    void runner.start();
+  }
+
+  private answerReady(
+    req: http.IncomingMessage,
+    res: http.ServerResponse,
+  ): void {
+    req.resume();
+    if (req.url === '/metrics') {
+      res.writeHead(200, {'Content-Type': 'text/plain'});
+      res.end(this.metrics.render());
+      return;
+    }
+    const isAsked = req.url === this.cfg.readyPath;
+    res.writeHead(isAsked ? (this.isReady ? 200 : 503) : 404, {
+      'Content-Length': 0,
+    });
+    res.end();
+  }
+
+  private logEndpoint(
+    change: string,
+    entry: EndpointEntry,
+    offset: number,
+  ): void {
+    this.parts.logger.log('info', `endpoint ${change}`, {
+      endpoint: entry.id,
+      service: entry.service,
+      address: `${entry.host}:${entry.port}`,
+      offset,
+    });
+  }
+
+  private logSkipped(key: string, offset: number, detail: string): void {
+    this.parts.logger.log('warn', 'record skipped', {key, offset, detail});
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/generation.ts
@@ -0,0 +1,161 @@
+/**
+ * One run of an item on an engine, as a stream of events. Only whole events are
+ * handed on: an engine may break off in the middle of one.
+ */
+
+import http from 'node:http';
+import type {
+  BatchItem,
+  OutputEvent,
+} from '@radishyoke/core/batches/batch_record';
+import type {RunEnd} from '@radishyoke/core/batches/batch_scheduler';
+import type {EndpointEntry} from '@radishyoke/core/fleet/endpoint_entry';
+import {createParser, type EventSourceParser} from 'eventsource-parser';
+import type {EndpointProtocol, GenerationTerms} from './endpoint_protocol.js';
+
+export interface GenerationEvents {
+  onEvent(event: OutputEvent): void;
+  onEnd(end: RunEnd, detail: string): void;
+}
+
+/** A connection must be made within this time, ms; distances are a few ms. */
+const CONNECT_MS = 400;
+
+export class Generation {
+  private readonly req: http.ClientRequest;
+  private isConnected = false;
+  private isOver = false;
+  private version: number | undefined;
+  private readonly parser: EventSourceParser;
+  private connectTimer: NodeJS.Timeout | undefined;
+
+  constructor(
+    agent: http.Agent,
+    private readonly protocol: EndpointProtocol,
+    private readonly entry: EndpointEntry,
+    private readonly item: BatchItem,
+    terms: GenerationTerms,
+    private readonly events: GenerationEvents,
+  ) {
+    this.parser = createParser({
+      onEvent: event => this.takeEvent(event.id, event.data),
+      // A change of the weight version stands in a field of its own.
+      onError: err => {
+        if (err.type === 'unknown-field') this.takeField(err.field, err.value);
+      },
+    });
+    const headers = protocol.generationHeaders(item, terms);
+    headers['Content-Length'] = item.body.length;
+    this.req = http.request({
+      agent,
+      host: entry.host,
+      port: entry.port,
+      method: 'POST',
+      path: item.path,
+      headers,
+      setHost: false,
+    });
+    this.req.on('socket', socket => this.watchConnect(socket));
+    this.req.on('error', err => this.breakOff(err.message));
+    this.req.on('close', () => this.breakOff('the connection closed'));
+    this.req.on('response', res => this.receive(res));
+    this.req.end(item.body);
+  }
+
+  /** Ends the run; the engine drops it when its connection closes. */
+  stop(): void {
+    this.end('stopped', 'stopped');
+    this.req.destroy();
+  }
+
+  private watchConnect(socket: import('node:net').Socket): void {
+    if (!socket.connecting) {
+      this.isConnected = true;
+      return;
+    }
+    this.connectTimer = setTimeout(() => {
+      this.end('unreachable', `no connection in ${CONNECT_MS} ms`);
+      this.req.destroy();
+    }, CONNECT_MS);
+    socket.once('connect', () => {
+      this.isConnected = true;
+      clearTimeout(this.connectTimer);
+    });
+  }
+
+  private receive(res: http.IncomingMessage): void {
+    const facts = this.protocol.readAnswer(res.headers);
+    const status = res.statusCode ?? 0;
+    if (facts.attemptId !== undefined && facts.attemptId !== this.item.id) {
+      return this.reject('broken', 'the answer is to another request');
+    }
+    if (status !== 200) {
+      this.drain(res, judgeStatus(status, facts.isNotExecuted), status);
+      return;
+    }
+    if (!facts.isStamped || res.headers['content-encoding'] !== undefined) {
+      return this.reject('broken', 'the answer is not the engine its own');
+    }
+    this.version = facts.weightVersion;
+    res.setEncoding('utf8');
+    res.on('data', (text: string) => this.parser.feed(text));
+    res.on('error', err => this.breakOff(err.message));
+    res.on('end', () => {
+      if (!res.complete) return this.breakOff('the stream broke off');
+      this.end('finished', 'whole');
+    });
+  }
+
+  /** Reads the rest of a failure, so that its connection can be used again. */
+  private drain(res: http.IncomingMessage, end: RunEnd, status: number): void {
+    res.on('error', () => undefined);
+    res.resume();
+    this.end(end, `status ${status}`);
+  }
+
+  private takeField(field: string | undefined, value: string | undefined): void {
+    if (field !== this.protocol.versionField) return;
+    const version = Number(value);
+    if (Number.isInteger(version)) this.version = version;
+  }
+
+  private takeEvent(id: string | undefined, data: string): void {
+    if (this.isOver) return;
+    const eventId = Number(id);
+    if (id === undefined || !Number.isInteger(eventId)) {
+      return this.reject('broken', 'an event has no number');
+    }
+    if (this.version === undefined) {
+      return this.reject('broken', 'the weight version is not stated');
+    }
+    this.events.onEvent({id: eventId, data, version: this.version});
+  }
+
+  private reject(end: RunEnd, detail: string): void {
+    this.end(end, detail);
+    this.req.destroy();
+  }
+
+  private breakOff(detail: string): void {
+    this.end(this.isConnected ? 'broken' : 'unreachable', detail);
+  }
+
+  private end(end: RunEnd, detail: string): void {
+    if (this.isOver) return;
+    this.isOver = true;
+    clearTimeout(this.connectTimer);
+    this.events.onEnd(end, detail);
+  }
+
+  /** The engine this runs on. */
+  get endpointId(): string {
+    return this.entry.id;
+  }
+}
+
+function judgeStatus(status: number, isNotExecuted: boolean): RunEnd {
+  if (status === 421) return 'misdirected';
+  if (isNotExecuted) return 'refused';
+  if (status === 422) return 'impossible';
+  return status >= 500 ? 'failed' : 'broken';
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/keyed_feed.ts
@@ -0,0 +1,156 @@
+/**
+ * Follows a keyed topic: first the newest record of each key, then every record
+ * after it. When the history it would go on from is gone it starts anew from the
+ * newest records; a key that is no longer among them was removed meanwhile.
+ */
+
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {Logger} from '../logger.js';
+import type {KeyedRecord, LogStore} from './log_store.js';
+
+export interface FeedConfig {
+  readonly topic: string;
+  /** How long the log may wait for news, ms. */
+  readonly waitMs: number;
+  /** Pause after news before asking again, ms: gathers what comes in bursts. */
+  readonly gatherMs: number;
+}
+
+export interface FeedEvents {
+  onRecord(record: KeyedRecord): void;
+  /** The feed has read all there was; once after each start. */
+  onCaughtUp(): void;
+  onContact(): void;
+  onLost(detail: string): void;
+}
+
+/** First pause after a failed read, ms; doubles up to the next. Short, since a VM out of touch serves on old knowledge. */
+const FIRST_RETRY_MS = 50;
+const MAX_RETRY_MS = 400;
+
+/** What one read brought. */
+type FeedStep = 'news' | 'quiet' | 'expired' | 'failed';
+
+export class KeyedFeed {
+  private next = 0;
+  private readonly known = new Map<string, number>();
+  private readonly abort = new AbortController();
+  private isLost = false;
+
+  constructor(
+    private readonly store: LogStore,
+    private readonly cfg: FeedConfig,
+    private readonly events: FeedEvents,
+    private readonly logger: Logger,
+  ) {}
+
+  /** Runs until `stop`. */
+  async run(): Promise<void> {
+    let needsSnapshot = true;
+    let retryMs = FIRST_RETRY_MS;
+    while (!this.abort.signal.aborted) {
+      const outcome: FeedStep = needsSnapshot
+        ? await this.takeSnapshot()
+        : await this.readOn();
+      if (outcome === 'failed') {
+        await this.pause(retryMs);
+        retryMs = Math.min(retryMs * 2, MAX_RETRY_MS);
+        continue;
+      }
+      retryMs = FIRST_RETRY_MS;
+      needsSnapshot = outcome === 'expired';
+      if (outcome === 'news') await this.pause(this.cfg.gatherMs);
+    }
+  }
+
+  stop(): void {
+    this.abort.abort();
+  }
+
+  private async takeSnapshot(): Promise<FeedStep> {
+    const outcome = await this.store.readNewest(this.cfg.topic);
+    if (outcome.kind !== 'page') {
+      this.noteFailure(
+        outcome.kind === 'failed' ? outcome.error.detail : 'expired',
+      );
+      return 'failed';
+    }
+    // A read that lags behind would bring back what has been left behind.
+    if (outcome.endOffset < this.next) {
+      this.noteFailure('the newest records are older than what was read');
+      return 'failed';
+    }
+    const present = new Set(outcome.records.map(({key}) => key));
+    for (const record of outcome.records) this.take(record);
+    for (const key of [...this.known.keys()]) {
+      if (present.has(key)) continue;
+      this.take({key, value: undefined, offset: outcome.endOffset - 1});
+    }
+    this.next = outcome.endOffset;
+    this.noteSuccess();
+    this.events.onCaughtUp();
+    return 'news';
+  }
+
+  private async readOn(): Promise<FeedStep> {
+    const {topic, waitMs} = this.cfg;
+    const {signal} = this.abort;
+    const outcome = await this.store.readKeyed(topic, this.next, {
+      waitMs,
+      signal,
+    });
+    if (outcome.kind === 'failed') {
+      this.noteFailure(outcome.error.detail);
+      return 'failed';
+    }
+    this.noteSuccess();
+    if (outcome.kind === 'expired') {
+      this.logger.log('warn', 'history of a topic is gone, reading anew', {
+        topic,
+        from: this.next,
+        first: outcome.firstOffset,
+      });
+      return 'expired';
+    }
+    for (const record of outcome.records) this.take(record);
+    return outcome.records.length > 0 ? 'news' : 'quiet';
+  }
+
+  private take(record: KeyedRecord): void {
+    this.next = Math.max(this.next, record.offset + 1);
+    const known = this.known.get(record.key) ?? -1;
+    if (record.offset < known) return;
+    if (record.offset === known && record.value !== undefined) return;
+    if (record.value === undefined) this.known.delete(record.key);
+    else this.known.set(record.key, record.offset);
+    this.events.onRecord(record);
+  }
+
+  private noteSuccess(): void {
+    if (this.isLost) {
+      this.isLost = false;
+      this.logger.log('info', 'topic is read again', {topic: this.cfg.topic});
+    }
+    this.events.onContact();
+  }
+
+  private noteFailure(detail: string): void {
+    if (this.abort.signal.aborted) return;
+    if (!this.isLost) {
+      this.isLost = true;
+      this.logger.log('warn', 'topic can not be read', {
+        topic: this.cfg.topic,
+        detail,
+      });
+    }
+    this.events.onLost(detail);
+  }
+
+  private async pause(ms: number): Promise<void> {
+    try {
+      await sleep(ms, undefined, {signal: this.abort.signal});
+    } catch {
+      // Woken early by `stop`; the loop sees it.
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/lease_task.ts
@@ -0,0 +1,225 @@
+/**
+ * Keeps this VM's view of the coordinator's lease, and the lease itself while it
+ * is held. The holder runs batches and orders weights; every VM may become it.
+ */
+
+import {
+  type LeaseRecord,
+  type LeaseTiming,
+  LogLease,
+} from '@radishyoke/core/leases/log_lease';
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {Logger} from '../logger.js';
+import {decodeLeaseRecord, encodeRecord} from './batch_codec.js';
+import type {LogStore, StoredRecord} from './log_store.js';
+import type {VmClock} from './vm_clock.js';
+
+const LEASE_TOPIC = 'coordinator';
+const PARTITION = 0;
+
+/**
+ * A holder that dies is replaced about 1.6 s after its last renewal: well over
+ * one lost answer of the log, and short enough that a step of 7.5 s survives it.
+ */
+export const LEASE_TIMING: LeaseTiming = {
+  renewMs: 450,
+  trustMs: 1300,
+  silenceMs: 1600,
+};
+
+/** How often the lease decides, ms. */
+const TICK_MS = 50;
+/** Long polls of the lease's partition wait this long, ms. */
+const WAIT_MS = 5000;
+/** Pause of a standby between reads, ms: it needs each renewal, but not at once. */
+const GATHER_MS = 250;
+const RETRY_MS = 100;
+/** Added to the lease of a predecessor before the first order, ms: clocks run at slightly different rates. */
+const ORDER_SLACK_MS = 250;
+/** Records of the lease that are kept, as history for whoever looks into a fault. */
+const KEPT_RECORDS = 500;
+/** Renewals between two trims of the partition. */
+const TRIM_EVERY = 200;
+
+export interface LeaseConfig {
+  /** Unique for each start of this process. */
+  readonly lifeId: string;
+  /** Added to the silence that this VM waits for before it claims, ms. */
+  readonly patienceMs: number;
+  /** Between the last order of one holder and the first of the next, ms. */
+  readonly orderLeaseMs: number;
+}
+
+export class LeaseTask {
+  readonly lease: LogLease;
+  private next = 0;
+  private readonly abort = new AbortController();
+  private wasNamed = false;
+  private isCaughtUp = false;
+  private isReleased = false;
+  private renewals = 0;
+  private contactMs = -Infinity;
+  /** Orders wait until this steady time after a suspension. */
+  private thawedMs = -Infinity;
+
+  constructor(
+    private readonly store: LogStore,
+    private readonly clock: VmClock,
+    private readonly cfg: LeaseConfig,
+    private readonly onChange: (isNamed: boolean) => void,
+    private readonly logger: Logger,
+  ) {
+    const {lifeId, patienceMs} = cfg;
+    this.lease = new LogLease(lifeId, LEASE_TIMING, patienceMs, clock.now());
+  }
+
+  start(): void {
+    void this.follow();
+    void this.keep();
+  }
+
+  /** Whether this VM runs batches. */
+  get isNamed(): boolean {
+    return this.lease.isNamed() && !this.isReleased;
+  }
+
+  /** Steady ms of the last read or append that succeeded. */
+  get lastContactMs(): number {
+    return this.contactMs;
+  }
+
+  /**
+   * Whether this VM may give an order now. A new holder waits until the orders
+   * of the one before it are a whole lease old, since an engine must never hear
+   * two holders by turns.
+   */
+  mayOrder(): boolean {
+    const nowMs = this.clock.now();
+    this.checkSuspension(nowMs);
+    const waitMs = this.cfg.orderLeaseMs + ORDER_SLACK_MS;
+    return (
+      this.lease.isHeld(nowMs) &&
+      !this.isReleased &&
+      this.lease.measureTermMs(nowMs) > waitMs &&
+      nowMs - this.thawedMs > LEASE_TIMING.trustMs
+    );
+  }
+
+  /** Gives the lease up so that another VM takes over at once. */
+  async release(): Promise<void> {
+    const wasNamed = this.isNamed;
+    this.isReleased = true;
+    this.noteChange();
+    if (!wasNamed) return;
+    const record: LeaseRecord = {kind: 'release', holder: this.cfg.lifeId};
+    await this.store.append(LEASE_TOPIC, PARTITION, [encodeRecord(record)]);
+  }
+
+  stop(): void {
+    this.abort.abort();
+  }
+
+  private async follow(): Promise<void> {
+    const {signal} = this.abort;
+    while (!signal.aborted) {
+      const options = {waitMs: this.isCaughtUp ? WAIT_MS : 0, signal};
+      const outcome = await this.store.read(
+        LEASE_TOPIC,
+        PARTITION,
+        this.next,
+        options,
+      );
+      const nowMs = this.clock.now();
+      if (outcome.kind === 'failed') {
+        // What happened while this VM was cut off is not known, so the silence
+        // that a claim needs begins when it reads again.
+        this.isCaughtUp = false;
+        await sleep(RETRY_MS);
+        continue;
+      }
+      this.contactMs = nowMs;
+      if (outcome.kind === 'expired') {
+        this.next = outcome.firstOffset;
+        continue;
+      }
+      this.takeAll(outcome.records, nowMs);
+      const isAtEnd = this.next >= outcome.endOffset;
+      if (isAtEnd && !this.isCaughtUp) {
+        this.isCaughtUp = true;
+        if (this.next > 0) this.lease.noteContact(nowMs);
+      }
+      if (isAtEnd) await sleep(GATHER_MS);
+    }
+  }
+
+  private takeAll(records: readonly StoredRecord[], nowMs: number): void {
+    for (const {offset, bytes} of records) {
+      if (offset < this.next) continue;
+      this.next = offset + 1;
+      this.lease.observe(decodeLeaseRecord(bytes), offset, nowMs);
+    }
+    this.noteChange();
+  }
+
+  private async keep(): Promise<void> {
+    const {signal} = this.abort;
+    while (!signal.aborted) {
+      await sleep(TICK_MS);
+      const nowMs = this.clock.now();
+      this.checkSuspension(nowMs);
+      if (this.isReleased) continue;
+      if (!this.isCaughtUp && !this.lease.isNamed()) continue;
+      const action = this.lease.decide(nowMs);
+      if (action.kind === 'append') await this.append(action.record, action.at);
+    }
+  }
+
+  private async append(record: LeaseRecord, at: number): Promise<void> {
+    const outcome = await this.store.append(
+      LEASE_TOPIC,
+      PARTITION,
+      [encodeRecord(record)],
+      at,
+    );
+    if (outcome.kind !== 'appended') {
+      this.lease.noteNotAppended();
+      return;
+    }
+    this.contactMs = this.clock.now();
+    this.next = Math.max(this.next, outcome.offset + 1);
+    this.lease.noteAppended(record, outcome.offset, this.contactMs);
+    this.noteChange();
+    this.renewals += 1;
+    if (this.renewals % TRIM_EVERY === 0) this.trim(outcome.offset);
+  }
+
+  private trim(offset: number): void {
+    const before = offset - KEPT_RECORDS;
+    if (before > 0) void this.store.trim(LEASE_TOPIC, PARTITION, before);
+  }
+
+  private checkSuspension(nowMs: number): void {
+    const suspendedMs = this.clock.takeSuspensionMs();
+    if (suspendedMs === 0) return;
+    this.thawedMs = nowMs;
+    this.lease.distrust();
+    this.logger.log('warn', 'the VM was suspended or its clock was set', {
+      driftMs: Math.round(suspendedMs),
+    });
+  }
+
+  private noteChange(): void {
+    const {isNamed} = this;
+    if (isNamed === this.wasNamed) return;
+    this.wasNamed = isNamed;
+    this.logger.log(
+      'info',
+      isNamed ? 'coordinator now' : 'coordinator no more',
+      {
+        fencingToken: this.lease.fencingToken,
+        holder: this.lease.currentHolder,
+      },
+    );
+    this.onChange(isNamed);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/log_sink.ts
@@ -0,0 +1,71 @@
+/**
+ * Takes log lines without ever blocking on whoever reads them. Node.js writes to
+ * a pipe synchronously, so a reader that stalls would stall the VM; here lines
+ * are gathered, written off the main thread one buffer at a time, and dropped
+ * with a count when too many wait.
+ */
+
+import {write} from 'node:fs';
+
+/** Lines that wait may hold this many characters; about a second at the heaviest load seen. */
+const MAX_WAITING_CHARS = 512 * 1024;
+/** Lines are gathered this long before one write, ms; a write costs as much as ten lines. */
+const GATHER_MS = 100;
+
+export class LogSink {
+  private waiting: string[] = [];
+  private chars = 0;
+  private dropped = 0;
+  private timer: NodeJS.Timeout | undefined;
+  private isWriting = false;
+
+  /** @param fd Where lines go; 1 is standard output. */
+  constructor(private readonly fd: number) {}
+
+  readonly write = (line: string): void => {
+    if (this.chars + line.length > MAX_WAITING_CHARS) {
+      this.dropped += 1;
+      return;
+    }
+    this.waiting.push(line);
+    this.chars += line.length + 1;
+    this.timer ??= setTimeout(() => this.flush(), GATHER_MS);
+  };
+
+  /** Writes what waits; resolves when it is written. */
+  flush(): Promise<void> {
+    clearTimeout(this.timer);
+    this.timer = undefined;
+    if (this.isWriting || this.waiting.length === 0) return Promise.resolve();
+    if (this.dropped > 0) this.reportDropped();
+    const text = Buffer.from(`${this.waiting.join('\n')}\n`);
+    this.waiting = [];
+    this.chars = 0;
+    this.isWriting = true;
+    return new Promise(resolve => this.writeAll(text, resolve));
+  }
+
+  private writeAll(bytes: Buffer, resolve: () => void): void {
+    write(this.fd, bytes, (err, written) => {
+      // EAGAIN: the reader is slow; what is left is tried again. Any other
+      // error means that nobody reads any more, and there is no one to tell.
+      const isRetryable = err?.code === 'EAGAIN';
+      const left = err ? bytes : bytes.subarray(written);
+      if (left.length > 0 && (!err || isRetryable)) {
+        setTimeout(() => this.writeAll(left, resolve), err ? GATHER_MS : 0);
+        return;
+      }
+      this.isWriting = false;
+      if (this.waiting.length > 0) {
+        this.timer ??= setTimeout(() => this.flush(), GATHER_MS);
+      }
+      resolve();
+    });
+  }
+
+  private reportDropped(): void {
+    const line = {message: 'log lines dropped', dropped: this.dropped};
+    this.waiting.push(JSON.stringify(line));
+    this.dropped = 0;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/weight_task.ts
@@ -0,0 +1,305 @@
+/**
+ * Moves engines to new weights. One instance on the coordinator: it alone gives
+ * orders, with the fencing token of its term. What an engine did is judged by
+ * its own report, since an answer may be lost and an order carried out late.
+ */
+
+import type {BatchScheduler} from '@radishyoke/core/batches/batch_scheduler';
+import type {EndpointEntry} from '@radishyoke/core/fleet/endpoint_entry';
+import type {EndpointRoster} from '@radishyoke/core/fleet/endpoint_roster';
+import {
+  type Assignment,
+  assignEngines,
+  type LoadCandidate,
+  pickLoads,
+  type PlannedEngine,
+} from '@radishyoke/core/fleet/weight_plan';
+import type {
+  RouteTable,
+  ServiceSpec,
+} from '@radishyoke/core/routing/route_table';
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {Logger} from '../logger.js';
+import type {EndpointLinks} from './endpoint_links.js';
+import type {
+  EndpointProtocol,
+  EngineReport,
+  LoadMode,
+  OrderAnswer,
+} from './endpoint_protocol.js';
+import type {EngineFleet} from './engine_fleet.js';
+import {callOnce} from './http_call.js';
+import type {LeaseTask} from './lease_task.js';
+
+export interface WeightParts {
+  readonly lease: LeaseTask;
+  readonly roster: EndpointRoster;
+  readonly fleet: EngineFleet;
+  readonly links: EndpointLinks;
+  readonly protocol: EndpointProtocol;
+  readonly scheduler: BatchScheduler;
+  /** Newest versions that trainers named. */
+  readonly named: ReadonlyMap<string, number>;
+  readonly vmName: string;
+  readonly logger: Logger;
+}
+
+/** Engines that serve one model at least: one alone would stop its trainer when it loads or fails. */
+const MIN_ENGINES = 2;
+/** Engines that load at once at most; more slow each other down. */
+const MAX_LOADS = 2;
+/** An engine answers a report or an order within this time, ms. */
+const CALL_MS = 400;
+/** A load takes about a second: the first look at its end, and the pause between looks, ms. */
+const FIRST_LOOK_MS = 850;
+const LOOK_MS = 150;
+/** Looks until a load is given up and begun anew. */
+const MAX_LOOKS = 24;
+/** Reports lag by some hundred ms, so an order without an answer is judged this long after it, ms. */
+const REPORT_LAG_MS = 450;
+/** Orders to one engine that may go wrong in a row before it is left alone for a while. */
+const MAX_TRIES = 6;
+/** Pause after that, ms. */
+const REST_MS = 1500;
+
+export class WeightTask {
+  private assignment: Assignment = new Map();
+  private readonly working = new Set<string>();
+  private readonly restUntilMs = new Map<string, number>();
+  private isStopped = false;
+
+  constructor(private readonly parts: WeightParts) {}
+
+  /** Engines that serve each model. */
+  get assigned(): Assignment {
+    return this.assignment;
+  }
+
+  stop(): void {
+    this.isStopped = true;
+  }
+
+  /** Starts whatever loads are due; called often. */
+  tick(table: RouteTable): void {
+    if (this.isStopped) return;
+    const nowMs = performance.now();
+    for (const service of table.engines) this.plan(service, nowMs);
+    if (!this.parts.lease.mayOrder()) return;
+    for (const service of table.engines) {
+      for (const model of service.engine!.models)
+        this.startLoads(model, table, nowMs);
+    }
+  }
+
+  private plan(service: ServiceSpec, nowMs: number): void {
+    const {fleet, scheduler} = this.parts;
+    const slow = scheduler.board.speeds.listSlow(nowMs);
+    const engines: PlannedEngine[] = fleet
+      .describe([service], nowMs)
+      .map(({id, versions}) => ({
+        id,
+        versions,
+        isSound: !slow.has(id) && !scheduler.board.isTroubled(id),
+      }));
+    const models = service.engine!.models;
+    const next = assignEngines(models, engines, this.assignment, MIN_ENGINES);
+    this.logChanges(next);
+    this.assignment = next;
+  }
+
+  private logChanges(next: Assignment): void {
+    for (const [model, ids] of next) {
+      const before = (this.assignment.get(model) ?? []).join(' ');
+      const after = ids.join(' ');
+      if (before === after) continue;
+      this.parts.logger.log('info', 'engines of a model', {
+        model,
+        before,
+        after,
+      });
+    }
+  }
+
+  private startLoads(model: string, table: RouteTable, nowMs: number): void {
+    const newest = this.parts.named.get(model);
+    if (newest === undefined) return;
+    const {scheduler, fleet, roster} = this.parts;
+    const candidates: LoadCandidate[] = [];
+    for (const id of this.assignment.get(model) ?? []) {
+      if (nowMs < (this.restUntilMs.get(id) ?? 0)) continue;
+      candidates.push({
+        id,
+        version: fleet.getVersion(id, model),
+        isLoading: this.working.has(id),
+        running: scheduler.countRuns(id, model),
+      });
+    }
+    const need = {newest, ...scheduler.measureNeed(model)};
+    const loads = pickLoads(candidates, need, MAX_LOADS);
+    for (const id of loads) {
+      const entry = roster.get(id);
+      if (!entry) continue;
+      const mode = isSingleVersion(model, table) ? 'wait' : 'keep';
+      void this.load(entry, model, newest, mode);
+    }
+  }
+
+  private async load(
+    entry: EndpointEntry,
+    model: string,
+    version: number,
+    mode: LoadMode,
+  ): Promise<void> {
+    this.working.add(entry.id);
+    try {
+      await this.loadUntilDone(entry, model, version, mode);
+    } finally {
+      this.working.delete(entry.id);
+      this.parts.fleet.noteLoaded(entry.id, model);
+    }
+  }
+
+  private async loadUntilDone(
+    entry: EndpointEntry,
+    model: string,
+    version: number,
+    mode: LoadMode,
+  ): Promise<void> {
+    const {lease, fleet} = this.parts;
+    for (let tries = 0; tries < MAX_TRIES; tries++) {
+      const report = await this.fetchReport(entry);
+      if (this.isOutOfDate(entry)) return;
+      if (!report) {
+        await sleep(LOOK_MS);
+        continue;
+      }
+      if (fleet.getVersion(entry.id, model) >= version) return;
+      if (report.isBusy) {
+        fleet.noteOrder(entry, model, report.orders, performance.now());
+        if (await this.watchLoad(entry, model, version)) return;
+        continue;
+      }
+      if (!lease.mayOrder()) return;
+      const answer = await this.order(entry, model, version, mode);
+      if (answer === 'accepted') {
+        const orders = fleet.getOrders(entry) + 1;
+        fleet.noteOrder(entry, model, orders, performance.now());
+        if (await this.watchLoad(entry, model, version)) return;
+        continue;
+      }
+      if (answer === 'holds_already') {
+        fleet.noteVersion(entry.id, model, version);
+        return;
+      }
+      if (answer === 'fenced') {
+        lease.lease.distrust();
+        return;
+      }
+      if (answer === 'refused' || answer === 'misdirected') break;
+      await sleep(REPORT_LAG_MS);
+    }
+    this.restUntilMs.set(entry.id, performance.now() + REST_MS);
+  }
+
+  /** Looks until the engine has `version`; false where it does not come. */
+  private async watchLoad(
+    entry: EndpointEntry,
+    model: string,
+    version: number,
+  ): Promise<boolean> {
+    await sleep(FIRST_LOOK_MS);
+    for (let looks = 0; looks < MAX_LOOKS; looks++) {
+      if (this.isOutOfDate(entry)) return true;
+      if (this.parts.fleet.getVersion(entry.id, model) >= version) return true;
+      const report = await this.fetchReport(entry);
+      if (report && !report.isBusy && looks > 4) {
+        return this.parts.fleet.getVersion(entry.id, model) >= version;
+      }
+      await sleep(LOOK_MS);
+    }
+    return false;
+  }
+
+  private isOutOfDate(entry: EndpointEntry): boolean {
+    const now = this.parts.roster.get(entry.id);
+    return this.isStopped || !now || now.bornMs !== entry.bornMs;
+  }
+
+  private async fetchReport(
+    entry: EndpointEntry,
+  ): Promise<EngineReport | undefined> {
+    const {protocol, fleet, links} = this.parts;
+    const call = protocol.reportCall();
+    const outcome = await callOnce(links.open(entry), {
+      ...call,
+      host: entry.host,
+      port: entry.port,
+      timeoutMs: CALL_MS,
+    });
+    if (outcome.kind !== 'answered' || outcome.status !== 200) {
+      if (outcome.kind === 'unknown') links.renew(entry.id);
+      return undefined;
+    }
+    const report = protocol.decodeReport(outcome.body);
+    if (!report.ok) {
+      this.parts.logger.log('warn', 'report of an engine can not be read', {
+        endpoint: entry.id,
+        detail: report.error.detail,
+      });
+      return undefined;
+    }
+    // The address may belong to a later life by now.
+    if (report.value.bornMs !== entry.bornMs) return undefined;
+    fleet.noteReport(entry, report.value);
+    return report.value;
+  }
+
+  private async order(
+    entry: EndpointEntry,
+    model: string,
+    version: number,
+    mode: LoadMode,
+  ): Promise<OrderAnswer | 'none'> {
+    const {protocol, links, lease, fleet, vmName, logger} = this.parts;
+    const {fencingToken} = lease.lease;
+    const expectedOrders = fleet.getOrders(entry);
+    const call = protocol.orderCall({
+      endpointId: entry.id,
+      model,
+      version,
+      mode,
+      owner: vmName,
+      fencingToken,
+      expectedOrders,
+    });
+    const outcome = await callOnce(links.open(entry), {
+      ...call,
+      host: entry.host,
+      port: entry.port,
+      timeoutMs: CALL_MS,
+    });
+    const answer =
+      outcome.kind === 'answered'
+        ? protocol.judgeOrder(outcome.status)
+        : 'none';
+    logger.log('info', 'order to an engine', {
+      endpoint: entry.id,
+      model,
+      version,
+      mode,
+      fencingToken,
+      expectedOrders,
+      outcome: answer,
+    });
+    return answer;
+  }
+}
+
+function isSingleVersion(model: string, table: RouteTable): boolean {
+  return table.cfg.routes.some(({batch, services}) => {
+    if (!batch?.singleVersion) return false;
+    return services.some(({service}) =>
+      table.getService(service)?.engine?.models.includes(model),
+    );
+  });
+}
--- a/packages/daemon/src/lease_holder.ts
+++ b/packages/daemon/src/lease_holder.ts
@@ -3,7 +3,7 @@
 import type {StateFold} from '@radishyoke/core/state_fold';
 import type {JudgedRecord} from '@radishyoke/core/verdict';
 import {nameWriter} from '@radishyoke/core/writer_table';
-import type {Unstamped} from '@radishyoke/platform/log_writer';
+import type {Unstamped} from '@radishyoke/stores/log_writer';
 import {createError} from '@radishyoke/shared/error_kind';
 import type {IncarnationId, VmId} from '@radishyoke/shared/ids';
 import type {StateRecord} from '@radishyoke/shared/log_record';
--- a/packages/daemon/src/log_task.ts
+++ b/packages/daemon/src/log_task.ts
@@ -25,13 +25,13 @@
 } from '@radishyoke/core/state_fold';
 import type {JudgedRecord} from '@radishyoke/core/verdict';
 import {nameWriter} from '@radishyoke/core/writer_table';
-import {AppendBudget} from '@radishyoke/platform/append_budget';
-import type {LogClient} from '@radishyoke/platform/log_client';
+import {AppendBudget} from '@radishyoke/stores/append_budget';
+import type {LogClient} from '@radishyoke/stores/log_client';
 import {
   LOG_WRITER_DEFAULTS,
   LogWriter,
   type Unstamped,
-} from '@radishyoke/platform/log_writer';
+} from '@radishyoke/stores/log_writer';
 import type {IncarnationId, TeamId, VmId} from '@radishyoke/shared/ids';
 import type {
   ConfigRecord,
--- a/packages/daemon/src/order_task.ts
+++ b/packages/daemon/src/order_task.ts
@@ -11,7 +11,7 @@
   OrderOutcome,
   WeightRollout,
 } from '@radishyoke/core/weight_rollout';
-import type {WeightStoreClient} from '@radishyoke/platform/weight_store_client';
+import type {WeightStoreClient} from '@radishyoke/stores/weight_store_client';
 import type {EndpointInfo} from '@radishyoke/shared/endpoint';
 import type {EndpointTask} from './endpoint_task.js';
 import type {HeldLease} from './lease_holder.js';
--- a/packages/daemon/src/stream_follower.ts
+++ b/packages/daemon/src/stream_follower.ts
@@ -9,8 +9,8 @@
   type CheckpointTiming,
   isCheckpointDue,
 } from '@radishyoke/core/checkpoint';
-import type {LogClient} from '@radishyoke/platform/log_client';
-import {LOG_READER_DEFAULTS, LogReader} from '@radishyoke/platform/log_reader';
+import type {LogClient} from '@radishyoke/stores/log_client';
+import {LOG_READER_DEFAULTS, LogReader} from '@radishyoke/stores/log_reader';
 import type {
   CheckpointPart,
   LoggedRecord,
--- a/packages/daemon/src/vm_admin_backend.ts
+++ b/packages/daemon/src/vm_admin_backend.ts
@@ -6,7 +6,7 @@
 import type {RecordedRequest} from '@radishyoke/core/recorded_request';
 import {nameStepLease} from '@radishyoke/core/lease_table';
 import type {StepLedger} from '@radishyoke/core/step_ledger';
-import type {LogClient} from '@radishyoke/platform/log_client';
+import type {LogClient} from '@radishyoke/stores/log_client';
 import {createError} from '@radishyoke/shared/error_kind';
 import {
   IncarnationId,
--- a/tools/list_exports.mjs
+++ b/tools/list_exports.mjs
@@ -27,8 +27,9 @@
 const wanted = new Map(
   packages.map(name => [name, new Set(publicModules[name])]),
 );
-for (const name of packages) {
-  for (const file of listSources(`packages/${name}/src`)) {
+const folders = [...packages.map(name => `packages/${name}`), 'platform'];
+for (const folder of folders) {
+  for (const file of listSources(`${folder}/src`)) {
     const text = readFileSync(file, 'utf8');
     for (const [, target, module] of text.matchAll(importPattern)) {
       wanted.get(target).add(module);
