fix(core): engines are dealt anew when more of them are known

Cause: an assignment made when two engines were listed was kept for all three models, so two of six engines did all the work. Ruled out: slow engines (the log named the same two engines for each model from the start). Change: an engine keeps at most its even share of models.

--- a/packages/core/src/batches/engine_board.ts
+++ b/packages/core/src/batches/engine_board.ts
@@ -24,6 +24,9 @@
 /** Pause after all runs of an engine fell silent, ms. */
 const SILENT_PAUSE_MS = 1200;
 
+/** Failures in a row that are more than one lost connection. */
+const TROUBLED_FAILURES = 2;
+
 interface Trouble {
   untilMs: number;
   failures: number;
@@ -43,7 +46,7 @@
 
   /** Whether the last attempts at the engine failed for its own reasons. */
   isTroubled(engineId: string): boolean {
-    return (this.troubles.get(engineId)?.failures ?? 0) > 0;
+    return (this.troubles.get(engineId)?.failures ?? 0) >= TROUBLED_FAILURES;
   }
 
   noteEvent(engineId: string): void {
--- a/packages/core/src/fleet/weight_plan.ts
+++ b/packages/core/src/fleet/weight_plan.ts
@@ -37,10 +37,13 @@
   const load = new Map<string, number>(pool.map(({id}) => [id, 0]));
   const share = Math.floor(pool.length / Math.max(models.length, 1));
   const wanted = Math.min(Math.max(share, minPerModel), pool.length);
+  // Engines that are new or back take over from those that serve more than
+  // their part; an assignment made while few were known would last otherwise.
+  const limit = Math.ceil((models.length * wanted) / Math.max(pool.length, 1));
   const result = new Map<string, string[]>();
   for (const model of models) {
     const kept = (previous.get(model) ?? [])
-      .filter(id => ids.has(id))
+      .filter(id => ids.has(id) && load.get(id)! < limit)
       .slice(0, wanted);
     for (const id of kept) addLoad(load, id);
     result.set(model, kept);
