fix(core,daemon): short waits on the log; stored output is joined run by run

Ruled out: the decoder (the record was never read). Change: waits of at most 0.9 s. Change: progress names the run that made the event before it.

--- a/packages/core/src/batches/batch_job.ts
+++ b/packages/core/src/batches/batch_job.ts
@@ -16,6 +16,8 @@
   /** Output so far; shared with later batches that ask for the item again. */
   readonly transcript: Transcript;
   state: JobState;
+  /** Events of `transcript` that the log keeps for this batch. */
+  recorded: number;
   /** Set once the item has a result. */
   result: ItemResult | undefined;
   /** Attempts that an endpoint answered as failed. */
@@ -46,7 +48,8 @@
 
 /** One item on one endpoint. */
 export interface Run {
-  readonly id: number;
+  /** Unique over all VMs. */
+  readonly id: string;
   readonly job: Job;
   readonly engineId: string;
   readonly startedMs: number;
@@ -67,6 +70,7 @@
     item,
     transcript,
     state: 'waiting',
+    recorded: 0,
     result: undefined,
     failures: 0,
     earlyBreaks: 0,
--- a/packages/core/src/batches/batch_ledger.ts
+++ b/packages/core/src/batches/batch_ledger.ts
@@ -10,7 +10,6 @@
   BatchItem,
   BatchRecord,
   ItemResult,
-  OutputEvent,
 } from './batch_record.js';
 import {Transcript} from './transcript.js';
 
@@ -44,6 +43,8 @@
       readonly result: ItemResult;
     };
 
+type ProgressRecord = Extract<BatchRecord, {kind: 'progress'}>;
+
 interface PendingSubmission {
   readonly slices: Uint8Array[];
 }
@@ -77,7 +78,7 @@
       case 'result':
         return this.list(record.batchId, record.result);
       case 'progress':
-        this.addProgress(record.batchId, record.itemId, record.events);
+        this.addProgress(record);
         return undefined;
       case 'attempt_failed': {
         const entry = this.batches
@@ -141,16 +142,12 @@
     return {kind: 'listed', entry, result};
   }
 
-  private addProgress(
-    batchId: string,
-    itemId: string,
-    events: readonly OutputEvent[],
-  ): void {
+  /** Progress that does not follow what is known is dropped; it only costs its generation again. */
+  private addProgress(record: ProgressRecord): void {
+    const {batchId, itemId, afterRun, events} = record;
     const entry = this.batches.get(batchId)?.items.get(itemId);
     if (!entry || entry.position !== undefined) return;
-    // Events from an owner that began anew overlap or leave a gap; what does
-    // not follow is dropped and only costs its generation again.
-    for (const event of events) entry.transcript.append(event);
+    entry.transcript.join(afterRun, events);
   }
 
   private end(batchId: string): LedgerChange | undefined {
--- a/packages/core/src/batches/batch_record.ts
+++ b/packages/core/src/batches/batch_record.ts
@@ -40,6 +40,8 @@
   readonly data: string;
   /** Weight version that made it. */
   readonly version: number;
+  /** The run that made it, unique over all VMs. */
+  readonly run: string;
 }
 
 export type ResultState = 'done' | 'errored';
@@ -81,6 +83,8 @@
       readonly kind: 'progress';
       readonly batchId: string;
       readonly itemId: string;
+      /** The run that made the event before these; absent where they begin the text. */
+      readonly afterRun?: string;
       readonly events: readonly OutputEvent[];
     }
   /** An endpoint answered that the attempt failed. */
--- a/packages/core/src/batches/batch_scheduler.ts
+++ b/packages/core/src/batches/batch_scheduler.ts
@@ -95,6 +95,8 @@
 export interface SchedulerConfig {
   /** Output tokens in one event. */
   readonly tokensPerEvent: number;
+  /** Makes the ids of runs unique over all VMs and their restarts. */
+  readonly runPrefix: string;
 }
 
 export class BatchScheduler {
@@ -102,9 +104,9 @@
   private readonly open = new Map<string, OpenBatch>();
   /** The newest job of each item id, to go on from when it is asked for again. */
   private readonly lastJobs = new Map<string, Job>();
-  private readonly runs = new Map<number, Run>();
+  private readonly runs = new Map<string, Run>();
   private engines: readonly EngineView[] = [];
-  private nextRunId = 1;
+  private nextRunNumber = 1;
   private actions: ScheduleAction[] = [];
 
   constructor(private readonly cfg: SchedulerConfig) {}
@@ -120,7 +122,7 @@
   /** Takes a batch from the log, with the results and output it has. */
   openBatch(entry: BatchEntry, terms: OpenBatchTerms | undefined): void {
     const {batch} = entry;
-    if (this.open.has(batch.id) || entry.isEnded) return;
+    if (this.open.has(batch.id)) return;
     const jobs = new Map<string, Job>();
     const carriedGroups = new Set<string>();
     const open: OpenBatch = {batch, terms, jobs, carriedGroups};
@@ -128,17 +130,22 @@
       const known = entry.items.get(item.id)!;
       const earlier = this.lastJobs.get(item.id);
       if (earlier) carriedGroups.add(item.group);
-      const job = createJob(open, item, copyText(known.transcript, earlier));
+      const text = chooseText(known.transcript, earlier);
+      const job = createJob(open, item, copyText(text));
+      if (text === known.transcript) job.recorded = text.events.length;
       job.failures = known.failures;
       if (known.position !== undefined) {
         job.state = 'finished';
         job.result = entry.results[known.position];
       }
       jobs.set(item.id, job);
-      if (earlier?.result) this.reuseResult(job, earlier.result);
+      if (earlier?.result && !entry.isEnded) {
+        this.reuseResult(job, earlier.result);
+      }
       this.lastJobs.set(item.id, job);
     }
-    this.open.set(batch.id, open);
+    // The items of an ended batch may still come again in a later one.
+    if (!entry.isEnded) this.open.set(batch.id, open);
   }
 
   /** The batch's owner has ended it, or it is to be forgotten. */
@@ -151,9 +158,14 @@
     }
   }
 
-  /** Drops what is kept of items for later batches. */
-  forgetItems(itemIds: Iterable<string>): void {
-    for (const id of itemIds) this.lastJobs.delete(id);
+  /** Forgets batches submitted before `beforeMs` (Unix ms), with their items. */
+  forget(beforeMs: number): void {
+    for (const [id, {batch}] of this.open) {
+      if (batch.submittedAtMs < beforeMs) this.closeBatch(id);
+    }
+    for (const [id, job] of this.lastJobs) {
+      if (job.batch.batch.submittedAtMs < beforeMs) this.lastJobs.delete(id);
+    }
   }
 
   /** A result stands in the log, from this VM or another. */
@@ -387,9 +399,9 @@
     const isStale =
       terms!.singleVersion &&
       job.transcript.listVersions().some(made => made !== version);
-    if (isStale || !job.transcript.isFit(terms!)) job.transcript.clear();
+    if (isStale || !job.transcript.isFit(terms!)) clearText(job);
     const run: Run = {
-      id: this.nextRunId++,
+      id: `${this.cfg.runPrefix}-${this.nextRunNumber++}`,
       job,
       engineId: engine.id,
       startedMs: nowMs,
@@ -466,7 +478,7 @@
     // Weights can be older than the engine's last word said when it restarted
     // meanwhile; such a text is not used.
     if (terms && !job.transcript.isFit(terms)) {
-      job.transcript.clear();
+      clearText(job);
       return;
     }
     const result: ItemResult = {
@@ -529,12 +541,20 @@
   }
 }
 
-function copyText(stored: Transcript, earlier: Job | undefined): Transcript {
+function clearText(job: Job): void {
+  job.transcript.clear();
+  job.recorded = 0;
+}
+
+/** The longer of what the log keeps and what an earlier batch made. */
+function chooseText(stored: Transcript, earlier: Job | undefined): Transcript {
+  if (!earlier) return stored;
+  const {transcript} = earlier;
+  return transcript.events.length > stored.events.length ? transcript : stored;
+}
+
+function copyText(source: Transcript): Transcript {
   const copy = new Transcript();
-  const source =
-    earlier && earlier.transcript.events.length > stored.events.length
-      ? earlier.transcript
-      : stored;
   for (const event of source.events) copy.append(event);
   return copy;
 }
--- a/packages/core/src/batches/transcript.ts
+++ b/packages/core/src/batches/transcript.ts
@@ -31,6 +31,37 @@
     return true;
   }
 
+  /**
+   * Joins `events` to the event before them, if that is known and was made by
+   * `afterRun`; what stood behind it is dropped. Says whether it did.
+   *
+   * Two VMs may run one item at the same time and write down what each made.
+   * Their texts have the same ids, and joined by id alone the text of one run
+   * would go on with that of another which never resumed it. A run goes on from
+   * one event of one run, so that pair names all of the text before.
+   */
+  join(afterRun: string | undefined, events: readonly OutputEvent[]): boolean {
+    const [first] = events;
+    if (first === undefined) return true;
+    const keep = this.findJoint(afterRun, first.id);
+    if (keep === undefined) return false;
+    this.kept.length = keep;
+    for (const event of events) this.append(event);
+    return true;
+  }
+
+  /** How many events stand before one with `id` that follows `afterRun`. */
+  private findJoint(
+    afterRun: string | undefined,
+    id: number,
+  ): number | undefined {
+    if (afterRun === undefined) return 0;
+    const at = this.kept.findIndex(
+      event => event.id === id - 1 && event.run === afterRun,
+    );
+    return at < 0 ? undefined : at + 1;
+  }
+
   /** Weight versions that made the events, ascending. */
   listVersions(): readonly number[] {
     return [...new Set(this.kept.map(({version}) => version))].sort(
--- a/packages/daemon/src/gateway/batch_book.ts
+++ b/packages/daemon/src/gateway/batch_book.ts
@@ -17,12 +17,12 @@
 
 export const BATCH_TOPIC = 'batches';
 
-/** How long a follower lets the log wait for news, ms. */
-const FOLLOW_WAIT_MS = 10_000;
+/** How long a follower lets the log wait for news, ms; a connection that has gone silent hides news this long and a call more. */
+const FOLLOW_WAIT_MS = 900;
 /** Pause of a follower after a failed read, ms. */
 const RETRY_MS = 100;
 /** Batches are forgotten this long after their submission, ms: callers may read for 120 s, and clocks of VMs differ. */
-const KEEP_MS = 180_000;
+export const KEEP_BATCH_MS = 180_000;
 /** Records that are applied before other tasks get a turn. */
 const SLICE_RECORDS = 64;
 
@@ -141,7 +141,7 @@
       this.applyOne(bytes, offset);
       if (index % SLICE_RECORDS === SLICE_RECORDS - 1) await sleep(0);
     }
-    this.ledger.forget(Date.now() - KEEP_MS);
+    this.ledger.forget(Date.now() - KEEP_BATCH_MS);
   }
 
   private applyOne(bytes: Uint8Array, offset: number): void {
--- a/packages/daemon/src/gateway/batch_runner.ts
+++ b/packages/daemon/src/gateway/batch_runner.ts
@@ -16,7 +16,7 @@
 import type {RouteTable} from '@radishyoke/core/routing/route_table';
 import {pickService} from '@radishyoke/core/routing/route_table';
 import type {Logger} from '../logger.js';
-import type {BatchBook, BatchShelf} from './batch_book.js';
+import {type BatchBook, type BatchShelf, KEEP_BATCH_MS} from './batch_book.js';
 import type {ConfigHolder} from './config_holder.js';
 import type {EndpointLinks} from './endpoint_links.js';
 import type {EndpointProtocol} from './endpoint_protocol.js';
@@ -60,15 +60,13 @@
 interface LiveRun {
   readonly run: Run;
   readonly generation: Generation;
-  /** Events that were written down. */
-  written: number;
 }
 
 export class BatchRunner {
   private readonly scheduler: BatchScheduler;
   private readonly fleet: EngineFleet;
   private readonly weights: WeightTask;
-  private readonly live = new Map<number, LiveRun>();
+  private readonly live = new Map<string, LiveRun>();
   private readonly writers = new Map<number, RecordWriter>();
   private readonly abort = new AbortController();
   private readonly listener = (change: LedgerChange) => this.take(change);
@@ -80,7 +78,7 @@
     const {roster, lease, links, protocol, named, vmName, logger} = parts;
     const engine = parts.config.table?.engines[0]?.engine;
     const tokensPerEvent = engine?.tokensPerEvent ?? DEFAULT_TOKENS_PER_EVENT;
-    this.scheduler = new BatchScheduler({tokensPerEvent});
+    this.scheduler = new BatchScheduler({tokensPerEvent, runPrefix: vmName});
     this.fleet = new EngineFleet(roster);
     this.weights = new WeightTask({
       lease,
@@ -185,6 +183,7 @@
 
   private tick(): void {
     const {config, clock} = this.parts;
+    this.scheduler.forget(Date.now() - KEEP_BATCH_MS);
     const {table} = config;
     if (!table) return;
     this.scheduler.setEngines(this.fleet.describe(table.engines, clock.now()));
@@ -261,12 +260,11 @@
         ...(expectVersion === undefined ? {} : {expectVersion}),
       },
       {
-        onEvent: event => this.takeEvent(run, event),
+        onEvent: event => this.takeEvent(run, {...event, run: run.id}),
         onEnd: (end, detail) => this.endRun(run, end, detail),
       },
     );
-    const written = job.transcript.events.length;
-    this.live.set(run.id, {run, generation, written});
+    this.live.set(run.id, {run, generation});
   }
 
   private takeEvent(run: Run, event: OutputEvent): void {
@@ -304,15 +302,18 @@
   private writeEvents(live: LiveRun): void {
     const {job} = live.run;
     const {events} = job.transcript;
-    if (events.length <= live.written || job.state === 'finished') return;
+    const {recorded} = job;
+    if (events.length <= recorded || job.state === 'finished') return;
     const batchId = job.batch.batch.id;
+    const afterRun = events[recorded - 1]?.run;
     this.openWriter(batchId).write({
       kind: 'progress',
       batchId,
       itemId: job.item.id,
-      events: events.slice(live.written),
+      ...(afterRun === undefined ? {} : {afterRun}),
+      events: events.slice(recorded),
     });
-    live.written = events.length;
+    job.recorded = events.length;
   }
 
   private openWriter(batchId: string): RecordWriter {
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -58,7 +58,8 @@
 const ROSTER_GATHER_MS = 350;
 /** The configuration is read at once, bursts aside, ms. */
 const CONFIG_GATHER_MS = 30;
-const FEED_WAIT_MS = 15_000;
+/** A read that the log holds longer than this is given up with its connection: one that has gone silent must not hide a change for longer than a change may take, 2 s. */
+const FEED_WAIT_MS = 700;
 /** An endpoint whose entry vanished is used this much longer, ms; endpoints serve on for 2 s at least, and an entry that was lost with its store is back as soon. */
 const GONE_GRACE_MS = 1200;
 /** Without a word from the log for this long the VM asks the balancer to leave it out, ms; below this every slow answer would do so. */
--- a/packages/daemon/src/gateway/generation.ts
+++ b/packages/daemon/src/gateway/generation.ts
@@ -14,7 +14,7 @@
 import type {EndpointProtocol, GenerationTerms} from './endpoint_protocol.js';
 
 export interface GenerationEvents {
-  onEvent(event: OutputEvent): void;
+  onEvent(event: Omit<OutputEvent, 'run'>): void;
   onEnd(end: RunEnd, detail: string): void;
 }
 
@@ -113,7 +113,10 @@
     this.end(end, `status ${status}`);
   }
 
-  private takeField(field: string | undefined, value: string | undefined): void {
+  private takeField(
+    field: string | undefined,
+    value: string | undefined,
+  ): void {
     if (field !== this.protocol.versionField) return;
     const version = Number(value);
     if (Number.isInteger(version)) this.version = version;
--- a/packages/daemon/src/gateway/lease_task.ts
+++ b/packages/daemon/src/gateway/lease_task.ts
@@ -30,7 +30,7 @@
 /** How often the lease decides, ms. */
 const TICK_MS = 50;
 /** Long polls of the lease's partition wait this long, ms. */
-const WAIT_MS = 5000;
+const WAIT_MS = 600;
 /** Pause of a standby between reads, ms: it needs each renewal, but not at once. */
 const GATHER_MS = 250;
 const RETRY_MS = 100;
