--- a/eslint.config.js
+++ b/eslint.config.js
@@ -18,7 +18,7 @@
   ...gts,
   {files: ['*.js'], languageOptions: {sourceType: 'module'}},
   {
-    files: ['packages/**/*.ts'],
+    files: ['packages/**/*.ts', 'platform/**/*.ts'],
     languageOptions: {sourceType: 'module', parserOptions: {project: null}},
     rules: {
       '@typescript-eslint/no-explicit-any': 'error',
@@ -32,7 +32,7 @@
     },
   },
   {
-    files: ['packages/core/src/*.ts', 'packages/shared/src/*.ts'],
+    files: ['packages/core/src/**/*.ts', 'packages/shared/src/**/*.ts'],
     rules: {
       'no-restricted-globals': ['error', ...ambientGlobals],
       'no-restricted-properties': [
--- /dev/null
+++ b/packages/core/src/batches/__tests__/batch_ledger.spec.ts
@@ -0,0 +1,116 @@
+import test from 'ava';
+import fc from 'fast-check';
+import type {BatchRecord, ItemResult} from '../batch_record.js';
+import {
+  acceptBatch,
+  createBatch,
+  createEvent,
+  createLedger,
+} from './batch_fixtures.js';
+
+const BATCH = createBatch('b0', ['g0a', 'g0b', 'g1a']);
+
+function createResult(itemId: string, output = itemId): ItemResult {
+  return {itemId, state: 'done', output, versions: [1]};
+}
+
+function listResult(itemId: string, output?: string): BatchRecord {
+  return {kind: 'result', batchId: 'b0', result: createResult(itemId, output)};
+}
+
+// A trainer reads two results of one item.
+// 1. A holder lists an item and loses its lease before it reads the record.
+// 2. The next holder runs the item again and lists it with another text.
+// Cause: both results stand in the log.
+test('the first result of an item counts', t => {
+  const ledger = createLedger([BATCH]);
+  for (const record of acceptBatch(BATCH, 0)) ledger.apply(record);
+  t.is(ledger.apply(listResult('g0a'))?.kind, 'listed');
+  t.is(ledger.apply(listResult('g0a', 'other')), undefined);
+  t.is(ledger.apply(listResult('g1a'))?.kind, 'listed');
+  const {results} = ledger.get('b0')!;
+  t.deepEqual(
+    results.map(({output}) => output),
+    ['g0a', 'g1a'],
+  );
+});
+
+test('a batch that is accepted again changes nothing, ended or not', t => {
+  const ledger = createLedger([BATCH]);
+  for (const record of acceptBatch(BATCH, 0)) ledger.apply(record);
+  ledger.apply(listResult('g0a'));
+  ledger.apply({kind: 'ended', batchId: 'b0'});
+  for (const record of acceptBatch(BATCH, 0, 'b0-2')) {
+    t.is(ledger.apply(record), undefined);
+  }
+  t.true(ledger.get('b0')!.isEnded);
+  t.is(ledger.get('b0')!.results.length, 1);
+});
+
+test('a submission that lacks a slice is not accepted', t => {
+  const ledger = createLedger([BATCH]);
+  ledger.apply({kind: 'accepted', batchId: 'b0', submission: 's', slices: 1});
+  t.is(ledger.get('b0'), undefined);
+});
+
+test('results of items or batches that do not exist are ignored', t => {
+  const ledger = createLedger([BATCH]);
+  t.is(ledger.apply(listResult('g0a')), undefined);
+  for (const record of acceptBatch(BATCH, 0)) ledger.apply(record);
+  t.is(ledger.apply(listResult('g9z')), undefined);
+});
+
+test('output that was stored is there for whoever goes on', t => {
+  const ledger = createLedger([BATCH]);
+  for (const record of acceptBatch(BATCH, 0)) ledger.apply(record);
+  const events = [createEvent(1, 'a'), createEvent(2, 'a')];
+  ledger.apply({kind: 'progress', batchId: 'b0', itemId: 'g0a', events});
+  const next = [createEvent(3, 'b')];
+  ledger.apply({
+    kind: 'progress',
+    batchId: 'b0',
+    itemId: 'g0a',
+    afterRun: 'a',
+    events: next,
+  });
+  const {transcript} = ledger.get('b0')!.items.get('g0a')!;
+  t.is(transcript.joinOutput(), '1\n2\n3');
+  ledger.apply(listResult('g0a'));
+  t.is(transcript.events.length, 0, 'what is listed is not kept twice');
+});
+
+test('positions never change and no item has two, whatever is repeated', t => {
+  const items = BATCH.items.map(({id}) => id);
+  const record = fc.oneof(
+    fc
+      .tuple(fc.constantFrom(...items), fc.string({maxLength: 3}))
+      .map(([id, output]) => listResult(id, output)),
+    fc.constant<BatchRecord>({kind: 'ended', batchId: 'b0'}),
+    fc.constantFrom(...acceptBatch(BATCH, 0, 'again')),
+  );
+  fc.assert(
+    fc.property(fc.array(record, {maxLength: 30}), records => {
+      const ledger = createLedger([BATCH]);
+      for (const each of acceptBatch(BATCH, 0)) ledger.apply(each);
+      let before: readonly ItemResult[] = [];
+      for (const each of records) {
+        ledger.apply(each);
+        const {results} = ledger.get('b0')!;
+        t.deepEqual(results.slice(0, before.length), before);
+        before = [...results];
+      }
+      const ids = before.map(({itemId}) => itemId);
+      t.is(new Set(ids).size, ids.length);
+    }),
+    {seed: 11, numRuns: 300},
+  );
+});
+
+test('batches are forgotten when nobody can ask for them any more', t => {
+  const ledger = createLedger([BATCH]);
+  for (const record of acceptBatch(BATCH, 0)) ledger.apply(record);
+  ledger.forget(0);
+  t.truthy(ledger.get('b0'));
+  ledger.forget(1);
+  t.is(ledger.get('b0'), undefined);
+});
--- /dev/null
+++ b/packages/core/src/batches/__tests__/batch_scheduler.spec.ts
@@ -0,0 +1,212 @@
+import test from 'ava';
+import {
+  createBatch,
+  createEngine,
+  createEvent,
+  createItem,
+  createSchedule,
+  createTerms,
+  listStarts,
+  listStops,
+  MODEL,
+} from './batch_fixtures.js';
+
+test('the longest items of the groups that are needed start first', t => {
+  const {scheduler, open} = createSchedule([createEngine('e0', {slots: 3})]);
+  const batch = createBatch('b0', [], {
+    groupsWanted: 2,
+    items: [
+      createItem('g0a', {expectedOutputTokens: 5}),
+      createItem('g0b', {expectedOutputTokens: 50}),
+      createItem('g1a', {expectedOutputTokens: 20}),
+      createItem('g2a', {expectedOutputTokens: 900}),
+    ],
+  });
+  open(batch);
+  const started = listStarts(scheduler.decide(0)).map(({job}) => job.item.id);
+  t.deepEqual(started, ['g0b', 'g1a', 'g0a']);
+});
+
+test('an item goes on after its last event when its connection breaks', t => {
+  const {scheduler, open} = createSchedule([createEngine('e0')]);
+  open(createBatch('b0', ['g0a']));
+  const [run] = listStarts(scheduler.decide(0));
+  scheduler.noteEvent(run, createEvent(1, run.id), 10);
+  scheduler.noteEnd(run, 'broken', 20);
+  const [again] = listStarts(scheduler.decide(30));
+  t.is(again.job.transcript.lastEventId, 1);
+  scheduler.noteEvent(again, createEvent(2, again.id), 40);
+  scheduler.noteEnd(again, 'finished', 50);
+  const [list] = scheduler.decide(50);
+  t.like(list, {kind: 'list', result: {state: 'done', output: '1\n2'}});
+});
+
+test('an event out of order is refused', t => {
+  const {scheduler, open} = createSchedule([createEngine('e0')]);
+  open(createBatch('b0', ['g0a']));
+  const [run] = listStarts(scheduler.decide(0));
+  t.true(scheduler.noteEvent(run, createEvent(1, run.id), 10));
+  t.false(scheduler.noteEvent(run, createEvent(3, run.id), 20));
+});
+
+// A trainer gets samples of weights that are too old.
+// 1. The list says version 3; the engine restarts with version 2.
+// 2. The output arrives whole, made under version 2.
+// Cause: the list's word is older than the engine.
+test('output of weights that are too old is not used', t => {
+  const versions = new Map([[MODEL, 3]]);
+  const {scheduler, open} = createSchedule([createEngine('e0', {versions})]);
+  open(createBatch('b0', ['g0a'], {minVersion: 3}));
+  const [run] = listStarts(scheduler.decide(0));
+  scheduler.noteEvent(run, createEvent(1, run.id, 2), 10);
+  scheduler.noteEnd(run, 'finished', 20);
+  const [again] = listStarts(scheduler.decide(20));
+  t.is(again.job.transcript.events.length, 0);
+});
+
+test('an engine that is too old, loading or leaving gets no item', t => {
+  const versions = new Map([[MODEL, 2]]);
+  const {scheduler, open} = createSchedule([
+    createEngine('old'),
+    createEngine('loading', {versions, loading: new Set([MODEL])}),
+    createEngine('leaving', {versions, isDraining: true}),
+  ]);
+  open(createBatch('b0', ['g0a'], {minVersion: 2}));
+  t.deepEqual(scheduler.decide(0), []);
+});
+
+// A step is as late as the items on one engine that turned slow.
+// 1. Items run on two engines; one becomes four times slower.
+// 2. Its liveness check passes, and its items take four times as long.
+// Cause: nothing but its output tells.
+test('items move from an engine that has become slow to a free place', t => {
+  const engines = [createEngine('fast'), createEngine('slow')];
+  const {scheduler, open} = createSchedule(engines);
+  open(createBatch('b0', ['g0a', 'g1a']));
+  const runs = listStarts(scheduler.decide(0));
+  const slowRun = runs.find(({engineId}) => engineId === 'slow')!;
+  const fastRun = runs.find(({engineId}) => engineId === 'fast')!;
+  for (let i = 0; i < 10; i++) {
+    scheduler.noteEvent(fastRun, createEvent(i, fastRun.id), i * 40);
+    scheduler.noteEvent(slowRun, createEvent(i, slowRun.id), i * 160);
+  }
+  const stops = listStops(scheduler.decide(1460));
+  t.deepEqual(stops, [[slowRun, 'engine_slow']]);
+  scheduler.noteEnd(slowRun, 'stopped', 1461);
+  const [moved] = listStarts(scheduler.decide(1461));
+  t.is(moved.engineId, 'fast');
+  t.is(moved.job.transcript.lastEventId, 9);
+});
+
+// All items of an engine hang with it.
+// 1. An engine goes dark: connections stay open, nothing comes.
+// Cause: without a reset nothing tells but the silence of all its runs.
+test('an engine whose runs are all silent is left', t => {
+  const {scheduler, open} = createSchedule([createEngine('dark')]);
+  open(createBatch('b0', ['g0a', 'g0b']));
+  const runs = listStarts(scheduler.decide(0));
+  t.deepEqual(scheduler.decide(790), []);
+  t.deepEqual(
+    listStops(scheduler.decide(810)).map(([, reason]) => reason),
+    ['engine_silent', 'engine_silent'],
+  );
+  for (const run of runs) scheduler.noteEnd(run, 'stopped', 811);
+  t.deepEqual(scheduler.decide(820), [], 'it rests');
+  t.is(listStarts(scheduler.decide(2100)).length, 2, 'and is tried again');
+});
+
+// One item takes down one engine after the other.
+// 1. An engine that begins to run it crashes; the connection breaks.
+// 2. It is retried at the next engine, which crashes too.
+// Cause: a retry that takes every break for the engine's fault.
+test('an item that breaks off early again and again pauses', t => {
+  const engines = [0, 1, 2, 3, 4].map(i => createEngine(`e${i}`));
+  const {scheduler, open} = createSchedule(engines);
+  open(createBatch('b0', ['g0a']));
+  for (let i = 0; i < 3; i++) {
+    const [run] = listStarts(scheduler.decide(i * 100));
+    scheduler.noteEnd(run, 'broken', i * 100 + 50);
+  }
+  t.deepEqual(scheduler.decide(5000), []);
+  t.is(listStarts(scheduler.decide(15_300)).length, 1);
+});
+
+test('an item is given up after its attempts, and at once if it can never be done', t => {
+  const {scheduler, open} = createSchedule([createEngine('e0')]);
+  open(createBatch('b0', ['g0a', 'g1a']), createTerms({attempts: 2}));
+  const [first, second] = listStarts(scheduler.decide(0));
+  scheduler.noteEnd(first, 'failed', 10);
+  scheduler.noteEnd(second, 'impossible', 10);
+  t.like(scheduler.decide(10)[0], {reason: 'impossible'});
+  const [again] = listStarts(scheduler.decide(100));
+  scheduler.noteEnd(again, 'failed', 110);
+  t.like(scheduler.decide(110)[0], {
+    reason: 'attempts_used_up',
+    result: {state: 'errored'},
+  });
+});
+
+test('items without a result are given up when their retention is over', t => {
+  const {scheduler, open} = createSchedule([]);
+  open(createBatch('b0', ['g0a']), createTerms({giveUpAtMs: 1000}));
+  t.deepEqual(scheduler.decide(1000), []);
+  t.like(scheduler.decide(1001)[0], {reason: 'retention_over'});
+});
+
+// A trainer waits for groups that it asked for before.
+// 1. A step ends with one group incomplete; its text so far is kept.
+// 2. The next step asks for the group again.
+test('a group that comes again goes on from its text and goes first', t => {
+  const {scheduler, open} = createSchedule([createEngine('e0', {slots: 1})]);
+  open(createBatch('b0', ['g0a']));
+  const [run] = listStarts(scheduler.decide(0));
+  scheduler.noteEvent(run, createEvent(1, run.id), 10);
+  scheduler.closeBatch('b0');
+  scheduler.decide(20);
+  scheduler.noteEnd(run, 'stopped', 20);
+  open(createBatch('b1', ['g5a', 'g0a'], {groupsWanted: 1}));
+  const [again] = listStarts(scheduler.decide(30));
+  t.is(again.job.item.id, 'g0a');
+  t.is(again.job.transcript.lastEventId, 1);
+});
+
+test('a result of an earlier batch is used again if its versions fit', t => {
+  const {scheduler, open} = createSchedule([createEngine('e0')]);
+  open(createBatch('b0', ['g0a']));
+  const [run] = listStarts(scheduler.decide(0));
+  scheduler.noteEvent(run, createEvent(1, run.id, 1), 10);
+  scheduler.noteEnd(run, 'finished', 20);
+  scheduler.decide(20);
+  open(createBatch('b1', ['g0a'], {minVersion: 1}));
+  t.like(scheduler.decide(30)[0], {reason: 'known_from_earlier_batch'});
+  open(createBatch('b2', ['g0a'], {minVersion: 2}));
+  t.deepEqual(scheduler.decide(40), []);
+});
+
+test('a run of a group that is not needed makes way', t => {
+  const {scheduler, open} = createSchedule([createEngine('e0', {slots: 2})]);
+  const needed = createItem('g0a', {expectedOutputTokens: 5});
+  const surplus = createItem('g1a', {expectedOutputTokens: 500});
+  open(createBatch('b0', [], {groupsWanted: 1, items: [needed, surplus]}));
+  const runs = listStarts(scheduler.decide(0));
+  t.is(runs.length, 2);
+  open(createBatch('b1', ['g7a']));
+  const [[stopped, reason]] = listStops(scheduler.decide(10));
+  t.is(stopped.job.item.id, 'g1a');
+  t.is(reason, 'made_room');
+  scheduler.noteEnd(stopped, 'stopped', 11);
+  const [started] = listStarts(scheduler.decide(11));
+  t.is(started.job.item.id, 'g7a');
+});
+
+test('single-version items start over on an engine with other weights', t => {
+  const engine = createEngine('e0');
+  const {scheduler, open} = createSchedule([engine]);
+  open(createBatch('b0', ['g0a']), createTerms({singleVersion: true}));
+  const [run] = listStarts(scheduler.decide(0));
+  scheduler.noteEvent(run, createEvent(1, run.id, 1), 10);
+  scheduler.noteEnd(run, 'broken', 20);
+  scheduler.setEngines([createEngine('e0', {versions: new Map([[MODEL, 2]])})]);
+  const [again] = listStarts(scheduler.decide(30));
+  t.is(again.job.transcript.events.length, 0);
+});
--- /dev/null
+++ b/packages/core/src/batches/__tests__/transcript.spec.ts
@@ -0,0 +1,51 @@
+import test from 'ava';
+import {Transcript} from '../transcript.js';
+import {createEvent} from './batch_fixtures.js';
+
+function createText(ids: readonly number[], run: string): Transcript {
+  const text = new Transcript();
+  for (const id of ids) text.append(createEvent(id, run));
+  return text;
+}
+
+test('an event that does not follow is not taken', t => {
+  const text = createText([4, 5], 'a');
+  t.false(text.append(createEvent(5, 'a')));
+  t.false(text.append(createEvent(7, 'a')));
+  t.true(text.append(createEvent(6, 'a')));
+  t.is(text.joinOutput(), '4\n5\n6');
+});
+
+// A trainer gets a text that no engine made.
+// 1. VMs a and b run one item at once, each from event 3 of an earlier run.
+// 2. Both write down what they made; the ids of the events are the same.
+// Cause: texts joined by event number alone.
+test('events of a run join only the text that this run went on from', t => {
+  const text = createText([1, 2, 3], 'first');
+  t.true(text.join('first', [createEvent(4, 'a'), createEvent(5, 'a')]));
+  t.false(text.join('b', [createEvent(6, 'b')]));
+  t.is(text.lastEventId, 5);
+  t.true(text.join('first', [createEvent(4, 'b')]));
+  t.deepEqual(
+    text.events.map(({run}) => run),
+    ['first', 'first', 'first', 'b'],
+  );
+  t.false(text.join('a', [createEvent(6, 'a')]));
+});
+
+test('events that begin a text replace what is there', t => {
+  const text = createText([1, 2, 3], 'old');
+  t.true(text.join(undefined, [createEvent(1, 'new')]));
+  t.is(text.events.length, 1);
+});
+
+test('a text fits where its versions do', t => {
+  const text = new Transcript();
+  text.append(createEvent(1, 'a', 6));
+  t.true(text.isFit({minVersion: 6, singleVersion: true}));
+  t.false(text.isFit({minVersion: 7, singleVersion: false}));
+  text.append(createEvent(2, 'a', 7));
+  t.deepEqual(text.listVersions(), [6, 7]);
+  t.true(text.isFit({minVersion: 6, singleVersion: false}));
+  t.false(text.isFit({minVersion: 6, singleVersion: true}));
+});
--- /dev/null
+++ b/packages/core/src/fleet/__tests__/endpoint_roster.spec.ts
@@ -0,0 +1,83 @@
+import test from 'ava';
+import type {EndpointEntry} from '../endpoint_entry.js';
+import {EndpointRoster} from '../endpoint_roster.js';
+
+const GRACE_MS = 1200;
+
+function createEntry(extra: Partial<EndpointEntry> = {}): EndpointEntry {
+  return {
+    id: 'e1',
+    service: 'app',
+    host: '10.0.0.1',
+    port: 80,
+    dataCentre: 'dc',
+    slots: 6,
+    isDraining: false,
+    models: [],
+    bornMs: 1000,
+    sequence: 1,
+    ...extra,
+  };
+}
+
+function listIds(roster: EndpointRoster, nowMs = 0): readonly string[] {
+  return roster.listUsable('app', nowMs).map(({id}) => id);
+}
+
+test('a draining endpoint gets nothing new', t => {
+  const roster = new EndpointRoster(GRACE_MS);
+  t.is(roster.put(createEntry(), 0).kind, 'joined');
+  const draining = createEntry({sequence: 2, isDraining: true});
+  t.is(roster.put(draining, 1).kind, 'draining');
+  t.deepEqual(listIds(roster), []);
+});
+
+// Work goes to an endpoint that left.
+// 1. The endpoint reports that it drains; an earlier write of it was held up.
+// 2. The earlier write lands behind the later one and says that it is ready.
+// Cause: the newest record is not the newest state.
+test('a write that was held up does not undo a later one', t => {
+  const roster = new EndpointRoster(GRACE_MS);
+  roster.put(createEntry({sequence: 5, isDraining: true}), 1);
+  t.is(roster.put(createEntry({sequence: 4}), 2).kind, 'stale');
+  t.deepEqual(listIds(roster), []);
+});
+
+test('a restart under the same id begins anew, and its former life is over', t => {
+  const roster = new EndpointRoster(GRACE_MS);
+  roster.put(createEntry({sequence: 9, isDraining: true}), 1);
+  const reborn = createEntry({bornMs: 2000, sequence: 0});
+  t.is(roster.put(reborn, 2).kind, 'reborn');
+  t.deepEqual(listIds(roster), ['e1']);
+  t.is(roster.put(createEntry({sequence: 10}), 3).kind, 'stale');
+});
+
+test('an endpoint whose entry vanished is used for the grace time only', t => {
+  const roster = new EndpointRoster(GRACE_MS);
+  roster.put(createEntry(), 1);
+  t.is(roster.remove('e1', 2, 100)?.kind, 'left');
+  t.deepEqual(listIds(roster, 100 + GRACE_MS - 1), ['e1']);
+  t.deepEqual(listIds(roster, 100 + GRACE_MS), []);
+  t.is(roster.sweep(100 + GRACE_MS).length, 1);
+});
+
+test('an entry that is back in time was never gone', t => {
+  const roster = new EndpointRoster(GRACE_MS);
+  roster.put(createEntry(), 1);
+  roster.remove('e1', 2, 100);
+  roster.put(createEntry({sequence: 2}), 3);
+  t.deepEqual(listIds(roster, 100 + 10 * GRACE_MS), ['e1']);
+});
+
+// A removed endpoint comes back from a page of older records.
+// 1. The entry is removed at offset 5.
+// 2. A page of the newest records, read before, still has it at offset 4.
+// Cause: pages are not a snapshot.
+test('an older record does not undo a removal', t => {
+  const roster = new EndpointRoster(0);
+  roster.put(createEntry(), 4);
+  roster.remove('e1', 5, 0);
+  roster.sweep(1);
+  t.is(roster.put(createEntry(), 4).kind, 'stale');
+  t.deepEqual(listIds(roster, 1), []);
+});
--- /dev/null
+++ b/packages/core/src/leases/__tests__/log_lease.spec.ts
@@ -0,0 +1,119 @@
+import test from 'ava';
+import fc from 'fast-check';
+import {type LeaseRecord, type LeaseTiming, LogLease} from '../log_lease.js';
+
+const TIMING: LeaseTiming = {renewMs: 400, trustMs: 1300, silenceMs: 1600};
+
+/** A partition that appends on a condition, with calls that may be carried out late. */
+function createPartition() {
+  const records: LeaseRecord[] = [];
+  return {
+    records,
+    append(record: LeaseRecord, at: number): number | undefined {
+      if (records.length !== at) return undefined;
+      records.push(record);
+      return at;
+    },
+  };
+}
+
+function createLease(self: string, patienceMs = 0): LogLease {
+  return new LogLease(self, TIMING, patienceMs, 0);
+}
+
+test('the first claim stands and its offset is the token', t => {
+  const lease = createLease('a');
+  t.is(lease.decide(1599).kind, 'none');
+  const action = lease.decide(1600);
+  t.deepEqual(action, {
+    kind: 'append',
+    record: {kind: 'claim', holder: 'a'},
+    at: 0,
+  });
+  t.is(lease.decide(1700).kind, 'none', 'one append at a time');
+  lease.noteAppended({kind: 'claim', holder: 'a'}, 0, 1610);
+  t.is(lease.fencingToken, 1);
+  t.true(lease.isHeld(1600 + 1299));
+  t.false(lease.isHeld(1600 + 1300), 'counted from before the claim was sent');
+});
+
+test('a released lease is free for the next VM at once', t => {
+  const lease = createLease('b', 30);
+  lease.observe({kind: 'claim', holder: 'a'}, 0, 0);
+  lease.observe({kind: 'release', holder: 'a'}, 1, 100);
+  t.is(lease.decide(129).kind, 'none');
+  t.is(lease.decide(130).kind, 'append');
+});
+
+// Two VMs give orders to one engine.
+// 1. VM a claims; the call gets no answer and is carried out seconds later.
+// 2. a reads its own claim and counts a fresh lease from then.
+// Cause: a lease counted from when it was seen, not from when it was asked for.
+test('a claim that was carried out late gives no trust until it is renewed', t => {
+  const lease = createLease('a');
+  lease.decide(1600);
+  lease.noteNotAppended();
+  lease.observe({kind: 'claim', holder: 'a'}, 0, 6000);
+  t.true(lease.isNamed());
+  t.false(lease.isHeld(6000));
+  lease.decide(6000);
+  lease.noteAppended({kind: 'renewal', holder: 'a'}, 1, 6010);
+  t.true(lease.isHeld(6010));
+});
+
+/** One thing that happens: to which VM, what, and how much time passes first. */
+const step = fc.record({
+  vm: fc.nat(2),
+  event: fc.constantFrom('decide', 'decide_lost', 'decide_late', 'read'),
+  passMs: fc.integer({min: 0, max: 700}),
+});
+
+test('two VMs never hold the lease at one time, whatever answers are lost or late', t => {
+  fc.assert(
+    fc.property(fc.array(step, {maxLength: 120}), steps => {
+      const partition = createPartition();
+      const leases = ['a', 'b', 'c'].map((name, i) =>
+        createLease(name, i * 50),
+      );
+      const nextRead = [0, 0, 0];
+      const late: Array<{readonly record: LeaseRecord; readonly at: number}> =
+        [];
+      let nowMs = 0;
+      for (const {vm, event, passMs} of steps) {
+        nowMs += passMs;
+        const lease = leases[vm];
+        if (event === 'read') {
+          for (; nextRead[vm] < partition.records.length; nextRead[vm]++) {
+            lease.observe(partition.records[nextRead[vm]], nextRead[vm], nowMs);
+          }
+          const call = late.shift();
+          if (call) partition.append(call.record, call.at);
+          continue;
+        }
+        const action = lease.decide(nowMs);
+        if (action.kind === 'append') {
+          const {record, at} = action;
+          if (event === 'decide_late') late.push(action);
+          const offset =
+            event === 'decide_late' ? undefined : partition.append(record, at);
+          if (event === 'decide' && offset !== undefined) {
+            lease.noteAppended(record, offset, nowMs);
+            nextRead[vm] = Math.max(nextRead[vm], offset + 1);
+          } else {
+            lease.noteNotAppended();
+          }
+        }
+        const holders = leases.filter(each => each.isHeld(nowMs));
+        t.true(holders.length <= 1);
+      }
+      const tokens = partition.records.flatMap(({kind}, offset) =>
+        kind === 'claim' ? [offset + 1] : [],
+      );
+      t.deepEqual(
+        tokens,
+        [...new Set(tokens)].sort((x, y) => x - y),
+      );
+    }),
+    {seed: 7, numRuns: 2000},
+  );
+});
--- /dev/null
+++ b/packages/core/src/routing/__tests__/endpoint_choice.spec.ts
@@ -0,0 +1,44 @@
+import test from 'ava';
+import {chooseEndpoint, type EndpointChoice} from '../endpoint_choice.js';
+
+function createChoice(
+  id: string,
+  extra: Partial<EndpointChoice> = {},
+): EndpointChoice {
+  return {
+    id,
+    slots: 6,
+    dataCentre: 'near',
+    inFlight: 0,
+    reported: 0,
+    failures: 0,
+    failedAtMs: -Infinity,
+    ...extra,
+  };
+}
+
+const NONE: ReadonlySet<string> = new Set();
+
+test('the least loaded endpoint is chosen, near ones first among equals', t => {
+  const busy = createChoice('busy', {inFlight: 3});
+  const far = createChoice('far', {dataCentre: 'far'});
+  const near = createChoice('near');
+  t.is(chooseEndpoint([busy, far, near], NONE, 'near', 0, 0)?.id, 'near');
+  t.is(chooseEndpoint([busy, far], NONE, 'near', 0, 0)?.id, 'far');
+  t.is(chooseEndpoint([busy], new Set(['busy']), 'near', 0, 0), undefined);
+});
+
+// Requests are lost one after another at an endpoint that has crashed.
+// 1. It refuses connections and so has nothing in flight.
+// 2. By load alone it is the best choice for every request.
+// Cause: an endpoint that fails fast looks idle.
+test('an endpoint that fails is avoided for a while, longer each time', t => {
+  const failed = createChoice('failed', {failures: 1, failedAtMs: 1000});
+  const busy = createChoice('busy', {inFlight: 12});
+  const choose = (nowMs: number, failures: number) =>
+    chooseEndpoint([{...failed, failures}, busy], NONE, 'near', 0, nowMs)?.id;
+  t.is(choose(1499, 1), 'busy');
+  t.is(choose(1500, 1), 'failed');
+  t.is(choose(2999, 3), 'busy');
+  t.is(choose(5000, 9), 'failed');
+});
