fix(core): the choice between equal groups stays; runs give way after 800 ms

Change: a chosen group counts as closer to its end; no run gives way in its first 800 ms; the longest surplus run goes first.

--- a/packages/core/src/batches/__tests__/batch_scheduler.spec.ts
+++ b/packages/core/src/batches/__tests__/batch_scheduler.spec.ts
@@ -191,11 +191,13 @@
   const runs = listStarts(scheduler.decide(0));
   t.is(runs.length, 2);
   open(createBatch('b1', ['g7a']));
-  const [[stopped, reason]] = listStops(scheduler.decide(10));
+  t.deepEqual(scheduler.decide(700), [], 'not right after its start');
+  for (const run of runs) scheduler.noteEvent(run, createEvent(1, run.id), 750);
+  const [[stopped, reason]] = listStops(scheduler.decide(810));
   t.is(stopped.job.item.id, 'g1a');
   t.is(reason, 'made_room');
-  scheduler.noteEnd(stopped, 'stopped', 11);
-  const [started] = listStarts(scheduler.decide(11));
+  scheduler.noteEnd(stopped, 'stopped', 811);
+  const [started] = listStarts(scheduler.decide(811));
   t.is(started.job.item.id, 'g7a');
 });
 
@@ -234,3 +236,20 @@
     ['e1', 'e1'],
   );
 });
+
+// Two groups take each other's places and none is finished.
+// 1. A trainer waits for one of two groups of about the same length.
+// 2. Each event makes the group that runs look closer to its end, then not.
+test('the choice between two equal groups stays', t => {
+  const {scheduler, open} = createSchedule([createEngine('e0', {slots: 1})]);
+  const items = ['g0a', 'g1a'].map(id =>
+    createItem(id, {expectedOutputTokens: 20}),
+  );
+  open(createBatch('b0', [], {groupsWanted: 1, items}));
+  const [run] = listStarts(scheduler.decide(0));
+  // It outgrows its guess and is now expected to be as long again.
+  for (let i = 0; i < 21; i++) {
+    scheduler.noteEvent(run, createEvent(i, run.id), i * 50);
+    t.deepEqual(listStops(scheduler.decide(i * 50)), []);
+  }
+});
--- a/packages/core/src/batches/batch_job.ts
+++ b/packages/core/src/batches/batch_job.ts
@@ -44,6 +44,8 @@
   readonly jobs: ReadonlyMap<string, Job>;
   /** Groups that an earlier batch left incomplete; its trainer needs them all. */
   readonly carriedGroups: ReadonlySet<string>;
+  /** Groups that were last chosen to be finished first. */
+  chosenGroups: ReadonlySet<string>;
 }
 
 /** One item on one endpoint. */
--- a/packages/core/src/batches/batch_scheduler.ts
+++ b/packages/core/src/batches/batch_scheduler.ts
@@ -84,6 +84,8 @@
 /** Pause of a suspected item, ms: long enough that it reaches no more than two engines within a usual retention of 40 s. */
 const SUSPECT_PAUSE_MS = 15_000;
 
+/** A run is not made to give way sooner after its start, ms: it would have read its prompt for nothing. */
+const MIN_RUN_MS = 800;
 /** Pause before an item that failed is tried again, ms; most failures of an engine pass within a few requests. */
 const REPEAT_PAUSE_MS = 50;
 
@@ -121,7 +123,13 @@
     if (this.open.has(batch.id)) return;
     const jobs = new Map<string, Job>();
     const carriedGroups = new Set<string>();
-    const open: OpenBatch = {batch, terms, jobs, carriedGroups};
+    const open: OpenBatch = {
+      batch,
+      terms,
+      jobs,
+      carriedGroups,
+      chosenGroups: new Set(),
+    };
     for (const item of batch.items) {
       const known = entry.items.get(item.id)!;
       const earlier = this.lastJobs.get(item.id);
@@ -320,7 +328,7 @@
         continue;
       }
       if (!place.isNeeded(job)) continue;
-      if (!isListed) surplus.push(...this.listSurplus(place));
+      if (!isListed) surplus.push(...this.listSurplus(place, nowMs));
       isListed = true;
       this.makeRoom(job, surplus, place);
     }
@@ -374,14 +382,17 @@
     this.actions.push({kind: 'start', run, reason});
   }
 
-  /** Runs of groups that no trainer waits for, on engines that keep pace. */
-  private listSurplus(place: Placement): readonly Run[] {
-    return [...this.runs.values()].filter(
-      run =>
-        !run.isStopping &&
-        !place.slow.has(run.engineId) &&
-        !place.isNeeded(run.job),
-    );
+  /** Runs of groups that no trainer waits for, on engines that keep pace, longest first. */
+  private listSurplus(place: Placement, nowMs: number): readonly Run[] {
+    return [...this.runs.values()]
+      .filter(
+        run =>
+          !run.isStopping &&
+          nowMs - run.startedMs > MIN_RUN_MS &&
+          !place.slow.has(run.engineId) &&
+          !place.isNeeded(run.job),
+      )
+      .sort((a, b) => place.estimateRun(b) - place.estimateRun(a));
   }
 
   /**
--- a/packages/core/src/batches/group_choice.ts
+++ b/packages/core/src/batches/group_choice.ts
@@ -15,12 +15,15 @@
 
 interface GroupState {
   readonly group: string;
-  /** Tokens of its longest unfinished item; 0 when it is complete. */
+  /** Tokens of its longest unfinished item, less for a chosen group; 0 when it is complete. */
   readonly longest: number;
   readonly isCarried: boolean;
 }
 
-/** Chooses the groups of `open` to finish first. */
+/** A group that was chosen before counts as this much closer to its end, so that two about equal ones do not take each other's places by turns. */
+const CHOSEN_SHARE = 0.6;
+
+/** Chooses the groups of `open` to finish first, and remembers the choice there. */
 export function chooseGroups(
   open: OpenBatch,
   tokensPerEvent: number,
@@ -31,9 +34,11 @@
     (a, b) =>
       Number(b.isCarried) - Number(a.isCarried) || a.longest - b.longest,
   );
-  const needed = ranked.slice(0, wanted);
-  const isSatisfied = needed.every(({longest}) => longest === 0);
-  return {needed: new Set(needed.map(({group}) => group)), isSatisfied};
+  const chosen = ranked.slice(0, wanted);
+  const isSatisfied = chosen.every(({longest}) => longest === 0);
+  const needed = new Set(chosen.map(({group}) => group));
+  open.chosenGroups = needed;
+  return {needed, isSatisfied};
 }
 
 function summarizeGroups(
@@ -48,7 +53,7 @@
   }
   return [...longest].map(([group, tokens]) => ({
     group,
-    longest: tokens,
+    longest: open.chosenGroups.has(group) ? tokens * CHOSEN_SHARE : tokens,
     isCarried: open.carriedGroups.has(group),
   }));
 }
