--- a/packages/core/src/routing/endpoint_choice.ts
+++ b/packages/core/src/routing/endpoint_choice.ts
@@ -23,6 +23,9 @@
 /** An avoided endpoint is worse than any full one, but better than none. */
 const AVOID_COST = 100;
 
+/** Requests that one VM keeps at an endpoint beyond its slots. More would only wait there, and all VMs together must stay below the connections it takes. */
+const QUEUE_ROOM = 2;
+
 /**
  * The least loaded endpoint that `tried` does not hold; undefined where none is
  * left. `draw` in [0, 1) breaks ties, so that VMs with the same view spread.
@@ -39,7 +42,7 @@
   const start = Math.floor(draw * endpoints.length);
   for (let i = 0; i < endpoints.length; i++) {
     const endpoint = endpoints[(start + i) % endpoints.length];
-    if (tried.has(endpoint.id)) continue;
+    if (tried.has(endpoint.id) || isFull(endpoint)) continue;
     const cost = measureCost(endpoint, dataCentre, nowMs);
     if (cost < bestCost) {
       best = endpoint;
@@ -49,6 +52,10 @@
   return best;
 }
 
+function isFull({inFlight, slots}: EndpointChoice): boolean {
+  return inFlight >= slots + QUEUE_ROOM;
+}
+
 function measureCost(
   endpoint: EndpointChoice,
   dataCentre: string,
--- a/packages/core/src/routing/route_table.ts
+++ b/packages/core/src/routing/route_table.ts
@@ -4,7 +4,7 @@
  */
 
 /** What may be done with a request when the outcome of an attempt is unknown. */
-export type RouteKind =
+export type RequestKind =
   | 'idempotent'
   | 'non_idempotent'
   /** One answer that arrives as a series of events. */
@@ -36,7 +36,7 @@
   readonly host: string;
   /** Begins and ends with a slash. */
   readonly pathPrefix: string;
-  readonly kind: RouteKind;
+  readonly kind: RequestKind;
   /** Whether a broken event stream may go on at another endpoint. */
   readonly resumable: boolean;
   readonly services: readonly WeightedService[];
--- a/packages/daemon/src/gateway/batch_api.ts
+++ b/packages/daemon/src/gateway/batch_api.ts
@@ -21,6 +21,7 @@
   CallerProtocol,
   ResultPage,
 } from './caller_protocol.js';
+import type {ConfigHolder} from './config_holder.js';
 import type {GatewayMetrics} from './gateway_metrics.js';
 import type {AppendOutcome, LogStore} from './log_store.js';
 
@@ -28,6 +29,7 @@
   readonly store: LogStore;
   readonly shelf: BatchShelf;
   readonly protocol: CallerProtocol;
+  readonly config: ConfigHolder;
   readonly metrics: GatewayMetrics;
   readonly logger: Logger;
 }
@@ -76,7 +78,7 @@
     }
     this.submissions += 1;
     try {
-      const error = await this.store(attemptId, host, path, body);
+      const error = await this.store(route, attemptId, host, path, body);
       this.finish(res, 'submit', attemptId, route, error);
     } finally {
       this.submissions -= 1;
@@ -108,6 +110,7 @@
   }
 
   private async store(
+    route: Route,
     attemptId: string,
     host: string,
     path: string,
@@ -129,6 +132,8 @@
     if (outcome.kind === 'appended') {
       logger.log('info', 'batch accepted', {
         requestId: attemptId,
+        rule: route.name,
+        configVersion: this.parts.config.version,
         step: batch.value.step,
         model: batch.value.model,
         minVersion: batch.value.minVersion,
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -38,6 +38,8 @@
   readonly readyAddress: string;
   /** Path of the readiness question. */
   readonly readyPath: string;
+  /** `ip:port` of the metrics; none are served without. */
+  readonly metricsAddress?: string;
   /** Between the last order of one coordinator and the first of the next, ms. */
   readonly orderLeaseMs: number;
   /** Whether engines refuse orders with an older token than they have seen. */
@@ -84,6 +86,7 @@
   private readonly lease: LeaseTask;
   private readonly front: FrontServer;
   private readonly readiness: http.Server;
+  private readonly metricsServer: http.Server;
   private readonly feeds: readonly KeyedFeed[];
   private runner: BatchRunner | undefined;
   private contactMs = -Infinity;
@@ -118,6 +121,7 @@
         store,
         shelf: this.shelf,
         protocol: callers,
+        config: this.config,
         metrics: this.metrics,
         logger,
       },
@@ -134,6 +138,11 @@
     this.readiness = http.createServer((req, res) =>
       this.answerReady(req, res),
     );
+    this.metricsServer = http.createServer((req, res) => {
+      req.resume();
+      res.writeHead(200, {'Content-Type': 'text/plain'});
+      res.end(this.metrics.render());
+    });
     this.feeds = [
       this.createFeed(directory.configTopic, CONFIG_GATHER_MS, record =>
         this.takeConfigRecord(record),
@@ -158,6 +167,9 @@
   async start(): Promise<void> {
     const {cfg, parts} = this;
     await listenAt(this.readiness, cfg.readyAddress);
+    if (cfg.metricsAddress) {
+      await listenAt(this.metricsServer, cfg.metricsAddress);
+    }
     await this.front.listen(cfg.frontAddress);
     for (const feed of this.feeds) void feed.run();
     this.lease.start();
@@ -203,6 +215,7 @@
     this.lease.stop();
     this.front.close();
     this.readiness.close();
+    this.metricsServer.close();
     this.links.close();
     this.parts.store.close();
   }
@@ -310,11 +323,6 @@
     res: http.ServerResponse,
   ): void {
     req.resume();
-    if (req.url === '/metrics') {
-      res.writeHead(200, {'Content-Type': 'text/plain'});
-      res.end(this.metrics.render());
-      return;
-    }
     const isAsked = req.url === this.cfg.readyPath;
     res.writeHead(isAsked ? (this.isReady ? 200 : 503) : 404, {
       'Content-Length': 0,
