feat(core): a VM that starts long after the last renewal claims at once

Change: records carry the time of day; at its first read a VM counts silence from it. Orders still wait a whole lease.

--- a/packages/core/src/leases/__tests__/log_lease.spec.ts
+++ b/packages/core/src/leases/__tests__/log_lease.spec.ts
@@ -23,15 +23,15 @@
 
 test('the first claim stands and its offset is the token', t => {
   const lease = createLease('a');
-  t.is(lease.decide(1599).kind, 'none');
-  const action = lease.decide(1600);
+  t.is(lease.decide(1599, 1599).kind, 'none');
+  const action = lease.decide(1600, 1600);
   t.deepEqual(action, {
     kind: 'append',
-    record: {kind: 'claim', holder: 'a'},
+    record: {kind: 'claim', holder: 'a', atMs: 1600},
     at: 0,
   });
-  t.is(lease.decide(1700).kind, 'none', 'one append at a time');
-  lease.noteAppended({kind: 'claim', holder: 'a'}, 0, 1610);
+  t.is(lease.decide(1700, 1700).kind, 'none', 'one append at a time');
+  lease.noteAppended({kind: 'claim', holder: 'a', atMs: 0}, 0, 1610);
   t.is(lease.fencingToken, 1);
   t.true(lease.isHeld(1600 + 1299));
   t.false(lease.isHeld(1600 + 1300), 'counted from before the claim was sent');
@@ -39,13 +39,13 @@
 
 test('a released lease is free for the next VM at once', t => {
   const lease = createLease('b', 30);
-  lease.observe({kind: 'claim', holder: 'a'}, 0, 0);
-  lease.observe({kind: 'release', holder: 'a'}, 1, 100);
-  t.is(lease.decide(129).kind, 'none');
-  t.is(lease.decide(130).kind, 'append');
-  lease.noteAppended({kind: 'claim', holder: 'b'}, 2, 140);
+  lease.observe({kind: 'claim', holder: 'a', atMs: 0}, 0, 0);
+  lease.observe({kind: 'release', holder: 'a', atMs: 0}, 1, 100);
+  t.is(lease.decide(129, 129).kind, 'none');
+  t.is(lease.decide(130, 130).kind, 'append');
+  lease.noteAppended({kind: 'claim', holder: 'b', atMs: 0}, 2, 140);
   t.true(lease.isHandedOver);
-  lease.observe({kind: 'claim', holder: 'c'}, 3, 9000);
+  lease.observe({kind: 'claim', holder: 'c', atMs: 0}, 3, 9000);
   t.false(lease.isHandedOver, 'taken over without a release');
 });
 
@@ -55,16 +55,33 @@
 // Cause: a lease counted from when it was seen, not from when it was asked for.
 test('a claim that was carried out late gives no trust until it is renewed', t => {
   const lease = createLease('a');
-  lease.decide(1600);
+  lease.decide(1600, 1600);
   lease.noteNotAppended();
-  lease.observe({kind: 'claim', holder: 'a'}, 0, 6000);
+  lease.observe({kind: 'claim', holder: 'a', atMs: 0}, 0, 6000);
   t.true(lease.isNamed());
   t.false(lease.isHeld(6000));
-  lease.decide(6000);
-  lease.noteAppended({kind: 'renewal', holder: 'a'}, 1, 6010);
+  lease.decide(6000, 6000);
+  lease.noteAppended({kind: 'renewal', holder: 'a', atMs: 0}, 1, 6010);
   t.true(lease.isHeld(6010));
 });
 
+// No step goes on for seconds after all VMs lost power.
+// 1. The holder and all others are gone; a VM is back after two seconds.
+// 2. It reads the last renewal and waits for a whole silence of the dead.
+// Cause: silence that counts from when a record was read.
+test('a VM that starts long after the last record claims at once', t => {
+  const start = (unixNowMs: number) => {
+    const lease = new LogLease('b', TIMING, 0, 0);
+    lease.observe({kind: 'renewal', holder: 'a', atMs: 10_000}, 0, 0);
+    lease.noteStart(0, unixNowMs);
+    return lease;
+  };
+  t.is(start(12_000).decide(0, 12_000).kind, 'append');
+  t.is(start(10_400).decide(1199, 0).kind, 'none');
+  t.is(start(10_400).decide(1200, 0).kind, 'append');
+  t.is(start(2000).decide(1599, 0).kind, 'none', 'a clock that is behind');
+});
+
 /** One thing that happens: to which VM, what, and how much time passes first. */
 const step = fc.record({
   vm: fc.nat(2),
@@ -94,7 +111,7 @@
           if (call) partition.append(call.record, call.at);
           continue;
         }
-        const action = lease.decide(nowMs);
+        const action = lease.decide(nowMs, nowMs);
         if (action.kind === 'append') {
           const {record, at} = action;
           if (event === 'decide_late') late.push(action);
--- a/packages/core/src/leases/log_lease.ts
+++ b/packages/core/src/leases/log_lease.ts
@@ -13,6 +13,8 @@
   readonly kind: 'claim' | 'renewal' | 'release';
   /** Unique for each start of a process. */
   readonly holder: string;
+  /** Unix ms at which it was written, by the writer's clock. */
+  readonly atMs: number;
 }
 
 export interface LeaseTiming {
@@ -48,6 +50,7 @@
   private isFromRelease = false;
   private inFlight: {readonly sentMs: number} | undefined;
   private lastSentMs = -Infinity;
+  private lastWrittenUnixMs = -Infinity;
 
   /**
    * @param self Name of this process in records.
@@ -97,6 +100,7 @@
   observe(record: LeaseRecord, offset: number, nowMs: number): void {
     this.nextOffset = Math.max(this.nextOffset, offset + 1);
     this.lastRecordMs = nowMs;
+    this.lastWrittenUnixMs = record.atMs;
     switch (record.kind) {
       case 'claim':
         this.holder = record.holder;
@@ -121,21 +125,36 @@
     this.lastRecordMs = Math.max(this.lastRecordMs, nowMs);
   }
 
+  /**
+   * All records there were have been read for the first time.
+   *
+   * After a fault that took down every VM the holder is long dead when the first
+   * of them is back, and work would stand still while it waits for the silence
+   * of a dead one. So silence counts from when the last record was written. A
+   * clock that is wrong at worst costs a holder its term: what it trusts and
+   * when it gives orders does not depend on the time of day.
+   */
+  noteStart(nowMs: number, unixNowMs: number): void {
+    const agedMs = unixNowMs - this.lastWrittenUnixMs;
+    const silentMs = Math.min(Math.max(agedMs, 0), this.timing.silenceMs);
+    this.lastRecordMs = nowMs - silentMs;
+  }
+
   /** Gives up all trust in the lease until it is renewed. */
   distrust(): void {
     this.trustedUntilMs = -Infinity;
   }
 
   /** Says what to append now, if anything. */
-  decide(nowMs: number): LeaseAction {
+  decide(nowMs: number, unixNowMs: number): LeaseAction {
     if (this.inFlight) return NO_ACTION;
     if (this.holder === this.self) {
       if (nowMs - this.lastSentMs < this.timing.renewMs) return NO_ACTION;
-      return this.send('renewal', nowMs);
+      return this.send('renewal', nowMs, unixNowMs);
     }
     const silentMs = nowMs - this.lastRecordMs;
     if (silentMs < this.timing.silenceMs + this.patienceMs) return NO_ACTION;
-    return this.send('claim', nowMs);
+    return this.send('claim', nowMs, unixNowMs);
   }
 
   /** The append that `decide` asked for stands at `offset`. */
@@ -156,12 +175,16 @@
     this.inFlight = undefined;
   }
 
-  private send(kind: 'claim' | 'renewal', nowMs: number): LeaseAction {
+  private send(
+    kind: 'claim' | 'renewal',
+    nowMs: number,
+    atMs: number,
+  ): LeaseAction {
     this.inFlight = {sentMs: nowMs};
     this.lastSentMs = nowMs;
     return {
       kind: 'append',
-      record: {kind, holder: this.self},
+      record: {kind, holder: this.self, atMs},
       at: this.nextOffset,
     };
   }
--- a/packages/daemon/src/gateway/lease_task.ts
+++ b/packages/daemon/src/gateway/lease_task.ts
@@ -58,6 +58,8 @@
   private readonly abort = new AbortController();
   private wasNamed = false;
   private isCaughtUp = false;
+  /** Whether everything was read at some time in this life. */
+  private wasCaughtUp = false;
   private isReleased = false;
   private renewals = 0;
   private contactMs = -Infinity;
@@ -116,7 +118,11 @@
     this.isReleased = true;
     this.noteChange();
     if (!wasNamed) return;
-    const record: LeaseRecord = {kind: 'release', holder: this.cfg.lifeId};
+    const record: LeaseRecord = {
+      kind: 'release',
+      holder: this.cfg.lifeId,
+      atMs: Date.now(),
+    };
     await this.store.append(LEASE_TOPIC, PARTITION, [encodeRecord(record)]);
   }
 
@@ -151,7 +157,9 @@
       const isAtEnd = this.next >= outcome.endOffset;
       if (isAtEnd && !this.isCaughtUp) {
         this.isCaughtUp = true;
-        if (this.next > 0) this.lease.noteContact(nowMs);
+        if (this.wasCaughtUp) this.lease.noteContact(nowMs);
+        else if (this.next > 0) this.lease.noteStart(nowMs, Date.now());
+        this.wasCaughtUp = true;
       }
       if (isAtEnd) await sleep(GATHER_MS);
     }
@@ -174,7 +182,7 @@
       this.checkSuspension(nowMs);
       if (this.isReleased) continue;
       if (!this.isCaughtUp && !this.lease.isNamed()) continue;
-      const action = this.lease.decide(nowMs);
+      const action = this.lease.decide(nowMs, Date.now());
       if (action.kind === 'append') await this.append(action.record, action.at);
     }
   }
