--- a/packages/bench/src/decide.ts
+++ b/packages/bench/src/decide.ts
@@ -3,11 +3,14 @@
  * its work queued, an endpoint chosen, and an earlier work ended.
  */
 
-import type {RuleSet} from '@radishyoke/core/rule';
-import {compileRules, resolveRule} from '@radishyoke/core/rule_matcher';
-import {PolicyScheduler} from '@radishyoke/core/policy_scheduler';
-import {createRandomBits} from '@radishyoke/core/random_bits';
-import type {SchedulerAction, WorkItem} from '@radishyoke/core/scheduler';
+import type {RuleSet} from '@radishyoke/core/rules/rule';
+import {compileRules, resolveRule} from '@radishyoke/core/rules/rule_matcher';
+import {PolicyScheduler} from '@radishyoke/core/scheduling/policy_scheduler';
+import {createRandomBits} from '@radishyoke/core/scheduling/random_bits';
+import type {
+  SchedulerAction,
+  WorkItem,
+} from '@radishyoke/core/scheduling/scheduler';
 import type {EndpointInfo} from '@radishyoke/shared/endpoint';
 import {
   toDataCentreId,
--- a/packages/bench/src/demo.ts
+++ b/packages/bench/src/demo.ts
@@ -7,7 +7,7 @@
 import {writeFile} from 'node:fs/promises';
 import {build as buildHistogram, Histogram} from 'hdr-histogram-js';
 import {Agent, request} from 'undici';
-import {MetricRegistry} from '@radishyoke/core/metrics';
+import {MetricRegistry} from '@radishyoke/core/metrics/metrics';
 import {TrainerClient} from '@radishyoke/client/trainer_client';
 import {HEADERS} from '@radishyoke/shared/header';
 import {toStepId, toTenantId} from '@radishyoke/shared/ids';
--- a/packages/bench/src/herding.ts
+++ b/packages/bench/src/herding.ts
@@ -3,9 +3,9 @@
  * one engine that looks idle get everything until its next report?
  */
 
-import {createRandomBits} from '@radishyoke/core/random_bits';
-import {NaiveScheduler} from '@radishyoke/core/naive_scheduler';
-import {PolicyScheduler} from '@radishyoke/core/policy_scheduler';
+import {createRandomBits} from '@radishyoke/core/scheduling/random_bits';
+import {NaiveScheduler} from '@radishyoke/core/scheduling/naive_scheduler';
+import {PolicyScheduler} from '@radishyoke/core/scheduling/policy_scheduler';
 import {
   EndpointStatus,
   Scheduler,
@@ -13,7 +13,7 @@
   SchedulerConfig,
   SchedulerEvent,
   WorkItem,
-} from '@radishyoke/core/scheduler';
+} from '@radishyoke/core/scheduling/scheduler';
 import type {EndpointInfo, LoadReport} from '@radishyoke/shared/endpoint';
 import {
   EndpointId,
--- a/packages/bench/src/log_outage.ts
+++ b/packages/bench/src/log_outage.ts
@@ -4,7 +4,7 @@
  * task; the engines are a fixed number of slots with seeded lengths.
  */
 
-import {DEFAULT_CLAIM_HORIZON_MS} from '@radishyoke/core/state_fold';
+import {DEFAULT_CLAIM_HORIZON_MS} from '@radishyoke/core/ledger/state_fold';
 import {LogTask} from '@radishyoke/daemon/log_task';
 import {DEFAULT_SESSION_TIMING} from '@radishyoke/daemon/session_keeper';
 import {LogModel} from '@radishyoke/fakes/log_model';
--- a/packages/bench/src/slopes_endpoints.ts
+++ b/packages/bench/src/slopes_endpoints.ts
@@ -1,8 +1,8 @@
 /** What endpoints and the VM list cost a VM, by the number of endpoints. */
 
 import http from 'node:http';
-import {PolicyScheduler} from '@radishyoke/core/policy_scheduler';
-import {createRandomBits} from '@radishyoke/core/random_bits';
+import {PolicyScheduler} from '@radishyoke/core/scheduling/policy_scheduler';
+import {createRandomBits} from '@radishyoke/core/scheduling/random_bits';
 import {startFakeEngine} from '@radishyoke/fakes/fake_engine';
 import {startFakeVmList} from '@radishyoke/fakes/fake_vm_list';
 import type {EndpointInfo, VmInfo} from '@radishyoke/shared/endpoint';
--- a/packages/bench/src/slopes_log.ts
+++ b/packages/bench/src/slopes_log.ts
@@ -6,9 +6,9 @@
 
 import {setFlagsFromString} from 'node:v8';
 import {runInNewContext} from 'node:vm';
-import {AuditChain} from '@radishyoke/core/audit_chain';
-import {ConfigHistory, NO_VERSION} from '@radishyoke/core/config_history';
-import {StateFold} from '@radishyoke/core/state_fold';
+import {AuditChain} from '@radishyoke/core/audit/audit_chain';
+import {ConfigHistory, NO_VERSION} from '@radishyoke/core/rules/config_history';
+import {StateFold} from '@radishyoke/core/ledger/state_fold';
 import {
   toEndpointId,
   toIncarnationId,
--- a/packages/bench/src/slopes_rules.ts
+++ b/packages/bench/src/slopes_rules.ts
@@ -1,7 +1,7 @@
 /** What rules cost a VM, by their number. */
 
-import {parseRuleText} from '@radishyoke/core/rule_text';
-import {compileRules, resolveRule} from '@radishyoke/core/rule_matcher';
+import {parseRuleText} from '@radishyoke/core/rules/rule_text';
+import {compileRules, resolveRule} from '@radishyoke/core/rules/rule_matcher';
 import {toDataCentreId, toTenantId} from '@radishyoke/shared/ids';
 import {
   createSlope,
--- a/packages/bench/src/steps.ts
+++ b/packages/bench/src/steps.ts
@@ -3,14 +3,14 @@
  * promises for each scheduler, in calm and under each fault.
  */
 
-import {NaiveScheduler} from '@radishyoke/core/naive_scheduler';
+import {NaiveScheduler} from '@radishyoke/core/scheduling/naive_scheduler';
 import {
   DEFAULT_POLICY,
   PolicyOptions,
   ROUND_START_POLICY,
-} from '@radishyoke/core/policy_options';
-import {PolicyScheduler} from '@radishyoke/core/policy_scheduler';
-import {createRandomBits} from '@radishyoke/core/random_bits';
+} from '@radishyoke/core/scheduling/policy_options';
+import {PolicyScheduler} from '@radishyoke/core/scheduling/policy_scheduler';
+import {createRandomBits} from '@radishyoke/core/scheduling/random_bits';
 import {DEFAULT_ENGINE_OPTIONS} from '@radishyoke/fakes/engine_options';
 import {toDataCentreId} from '@radishyoke/shared/ids';
 import {computeBound} from './physical_bound.js';
--- a/packages/bench/src/steps_engines.ts
+++ b/packages/bench/src/steps_engines.ts
@@ -5,8 +5,14 @@
 import type {EndpointId} from '@radishyoke/shared/ids';
 import type {LoadReport} from '@radishyoke/shared/endpoint';
 import type {TokenSpan} from '@radishyoke/shared/rollout';
-import type {AttemptOutcome, FailureKind} from '@radishyoke/core/failure';
-import type {LoadOrder, ReportedEngine} from '@radishyoke/core/weight_rollout';
+import type {
+  AttemptOutcome,
+  FailureKind,
+} from '@radishyoke/core/scheduling/failure';
+import type {
+  LoadOrder,
+  ReportedEngine,
+} from '@radishyoke/core/steps/weight_rollout';
 import type {VirtualClock} from './virtual_clock.js';
 
 /** Where one attempt's news go. */
--- a/packages/bench/src/steps_vms.ts
+++ b/packages/bench/src/steps_vms.ts
@@ -4,7 +4,7 @@
   Scheduler,
   SchedulerAction,
   SchedulerEvent,
-} from '@radishyoke/core/scheduler';
+} from '@radishyoke/core/scheduling/scheduler';
 import type {EndpointInfo, LoadReport} from '@radishyoke/shared/endpoint';
 import {toVmId, VmId} from '@radishyoke/shared/ids';
 import type {VirtualClock} from './virtual_clock.js';
--- a/packages/bench/src/steps_world.ts
+++ b/packages/bench/src/steps_world.ts
@@ -7,10 +7,16 @@
 import {DEFAULT_ENGINE_OPTIONS} from '@radishyoke/fakes/engine_options';
 import {EngineModel} from '@radishyoke/fakes/engine_model';
 import {drawOutputTokens} from '@radishyoke/fakes/output_length';
-import {createRandomBits, drawBelow} from '@radishyoke/core/random_bits';
-import type {AttemptOutcome} from '@radishyoke/core/failure';
-import type {SchedulerAction, WorkItem} from '@radishyoke/core/scheduler';
-import {WeightRollout} from '@radishyoke/core/weight_rollout';
+import {
+  createRandomBits,
+  drawBelow,
+} from '@radishyoke/core/scheduling/random_bits';
+import type {AttemptOutcome} from '@radishyoke/core/scheduling/failure';
+import type {
+  SchedulerAction,
+  WorkItem,
+} from '@radishyoke/core/scheduling/scheduler';
+import {WeightRollout} from '@radishyoke/core/steps/weight_rollout';
 import type {EndpointInfo} from '@radishyoke/shared/endpoint';
 import {toDataCentreId, toEndpointId, toTenantId} from '@radishyoke/shared/ids';
 import {measureStaleness, TokenSpan} from '@radishyoke/shared/rollout';
--- a/packages/bench/src/virtual_clock.ts
+++ b/packages/bench/src/virtual_clock.ts
@@ -1,6 +1,6 @@
 /** A clock that jumps from one due event to the next. */
 
-import {BinaryHeap} from '@radishyoke/core/binary_heap';
+import {BinaryHeap} from '@radishyoke/core/scheduling/binary_heap';
 
 interface Due {
   readonly atMs: number;
--- a/packages/cli/src/admin_commands.ts
+++ b/packages/cli/src/admin_commands.ts
@@ -1,8 +1,8 @@
 /** Commands that show what VMs tell over their administration API. */
 
-import type {HistogramName} from '@radishyoke/core/metric_schema';
-import {HISTOGRAMS} from '@radishyoke/core/metric_schema';
-import {EncodedMetrics, MetricRegistry} from '@radishyoke/core/metrics';
+import type {HistogramName} from '@radishyoke/core/metrics/metric_schema';
+import {HISTOGRAMS} from '@radishyoke/core/metrics/metric_schema';
+import {EncodedMetrics, MetricRegistry} from '@radishyoke/core/metrics/metrics';
 import type {Result} from '@radishyoke/shared/result';
 import {AdminClient, AdminFailure, createClients} from './admin_client.js';
 import type {CliIo} from './cli_io.js';
--- a/packages/cli/src/audit_command.ts
+++ b/packages/cli/src/audit_command.ts
@@ -8,7 +8,7 @@
   AuditRecord,
   AuditReport,
   verifyExport,
-} from '@radishyoke/core/audit_export';
+} from '@radishyoke/core/audit/audit_export';
 import {AdminClient, createClients} from './admin_client.js';
 import {AdminRun, reportFailure} from './admin_commands.js';
 import {EXIT_CODES, ExitCode} from './exit_code.js';
--- a/packages/cli/src/check_command.ts
+++ b/packages/cli/src/check_command.ts
@@ -1,6 +1,9 @@
 /** `radishyoke check`: is a settings or rules file valid? */
 
-import {ConfigProblem, formatProblem} from '@radishyoke/core/config_problem';
+import {
+  ConfigProblem,
+  formatProblem,
+} from '@radishyoke/core/rules/config_problem';
 import type {CliIo} from './cli_io.js';
 import {readConfigFile} from './config_file.js';
 import {EXIT_CODES, ExitCode} from './exit_code.js';
--- a/packages/cli/src/config_file.ts
+++ b/packages/cli/src/config_file.ts
@@ -1,10 +1,10 @@
 /** Reads a file that holds either process settings or operators' rules. */
 
 import {readFile} from 'node:fs/promises';
-import type {ConfigProblem} from '@radishyoke/core/config_problem';
-import {IniSection, readIni} from '@radishyoke/core/ini_text';
-import type {RuleSet} from '@radishyoke/core/rule';
-import {parseRuleText} from '@radishyoke/core/rule_text';
+import type {ConfigProblem} from '@radishyoke/core/rules/config_problem';
+import {IniSection, readIni} from '@radishyoke/core/rules/ini_text';
+import type {RuleSet} from '@radishyoke/core/rules/rule';
+import {parseRuleText} from '@radishyoke/core/rules/rule_text';
 import {parseSettings, Settings} from '@radishyoke/daemon/settings';
 import {fail, Result, succeed} from '@radishyoke/shared/result';
 
--- a/packages/cli/src/explain_command.ts
+++ b/packages/cli/src/explain_command.ts
@@ -1,12 +1,12 @@
 /** `radishyoke explain`: which rule decides a request, and why no earlier one. */
 
 import {z} from 'zod';
-import type {RuleFacts, RuleThen} from '@radishyoke/core/rule';
+import type {RuleFacts, RuleThen} from '@radishyoke/core/rules/rule';
 import {
   explainRules,
   RuleExplanation,
   SkippedRule,
-} from '@radishyoke/core/rule_explanation';
+} from '@radishyoke/core/rules/rule_explanation';
 import {toDataCentreId, toTenantId} from '@radishyoke/shared/ids';
 import {reportProblems} from './check_command.js';
 import type {CliIo} from './cli_io.js';
--- a/packages/cli/src/keys_command.ts
+++ b/packages/cli/src/keys_command.ts
@@ -3,7 +3,7 @@
  * docs/CONFIGURATION.md is this output; a test compares the two.
  */
 
-import {KeySpec, SectionSpec} from '@radishyoke/core/key_spec';
+import {KeySpec, SectionSpec} from '@radishyoke/core/rules/key_rule';
 import {
   CONFIG_SPEC,
   GROUP_SPEC,
@@ -11,7 +11,7 @@
   MAX_HEADER_NAMES,
   MAX_RULES,
   RULE_SPEC,
-} from '@radishyoke/core/rule_schema';
+} from '@radishyoke/core/rules/rule_schema';
 import {
   SETTINGS_SPEC,
   TENANT_SPEC,
--- a/packages/cli/src/report_command.ts
+++ b/packages/cli/src/report_command.ts
@@ -5,7 +5,7 @@
 
 import {readFile, writeFile} from 'node:fs/promises';
 import {z} from 'zod';
-import {EncodedMetrics, MetricRegistry} from '@radishyoke/core/metrics';
+import {EncodedMetrics, MetricRegistry} from '@radishyoke/core/metrics/metrics';
 import {ADMIN_ANSWERS} from '@radishyoke/daemon/admin_schema';
 import {createClients} from './admin_client.js';
 import {AdminRun, reportFailure} from './admin_commands.js';
--- a/packages/cli/src/report_page.ts
+++ b/packages/cli/src/report_page.ts
@@ -2,9 +2,12 @@
 
 import {readFileSync} from 'node:fs';
 import {createRequire} from 'node:module';
-import {HISTOGRAMS} from '@radishyoke/core/metric_schema';
+import {HISTOGRAMS} from '@radishyoke/core/metrics/metric_schema';
 import {createTimelinePlot, StepTimeline} from './step_timeline.js';
-import type {HistogramSeries, MetricRegistry} from '@radishyoke/core/metrics';
+import type {
+  HistogramSeries,
+  MetricRegistry,
+} from '@radishyoke/core/metrics/metrics';
 
 /** What a page shows. */
 export interface RunReport {
--- a/packages/core/src/__tests__/config_transfer.spec.ts
+++ b/packages/core/src/__tests__/config_transfer.spec.ts
@@ -5,7 +5,7 @@
   ConfigHistory,
   type ConfigTransfer,
   NO_VERSION,
-} from '../config_history.js';
+} from '../rules/config_history.js';
 import {publishConfig, RecordFixture, TEAM} from './log_fixtures.js';
 
 const RECORDS = 200;
--- a/packages/core/src/__tests__/decoder_fuzz.spec.ts
+++ b/packages/core/src/__tests__/decoder_fuzz.spec.ts
@@ -1,12 +1,12 @@
 import test from 'ava';
 import fc from 'fast-check';
 import {toDataCentreId, toTeamId, toTenantId} from '@radishyoke/shared/ids';
-import {HISTOGRAMS, type HistogramName} from '../metric_schema.js';
-import {MetricRegistry} from '../metrics.js';
-import {explainRules} from '../rule_explanation.js';
-import {compileRules, resolveRule} from '../rule_matcher.js';
-import {canonicalPath} from '../rule_path.js';
-import {checkRuleText, parseRuleText} from '../rule_text.js';
+import {HISTOGRAMS, type HistogramName} from '../metrics/metric_schema.js';
+import {MetricRegistry} from '../metrics/metrics.js';
+import {explainRules} from '../rules/rule_explanation.js';
+import {compileRules, resolveRule} from '../rules/rule_matcher.js';
+import {canonicalPath} from '../rules/rule_path.js';
+import {checkRuleText, parseRuleText} from '../rules/rule_text.js';
 
 const SEED = 20261202;
 const RUNS = 1500;
--- a/packages/core/src/__tests__/log_schedule.ts
+++ b/packages/core/src/__tests__/log_schedule.ts
@@ -5,7 +5,7 @@
 
 import {isDeepStrictEqual} from 'node:util';
 import type {ConfigRecord, StateRecord} from '@radishyoke/shared/log_record';
-import {ConfigHistory, NO_VERSION} from '../config_history.js';
+import {ConfigHistory, NO_VERSION} from '../rules/config_history.js';
 import {TEAM, TENANT, STEP} from './log_fixtures.js';
 import {type AppendFate, ScheduleLog} from './schedule_log.js';
 import {
--- a/packages/core/src/__tests__/membership_fixture.ts
+++ b/packages/core/src/__tests__/membership_fixture.ts
@@ -2,11 +2,19 @@
 
 import type {VmInfo} from '@radishyoke/shared/endpoint';
 import {toDataCentreId, toVmId, VmId} from '@radishyoke/shared/ids';
-import type {ConfigTransfer} from '../config_history.js';
-import type {GossipMessage} from '../gossip_message.js';
-import type {Member} from '../member.js';
-import {Membership, MembershipAction, MembershipEvent} from '../membership.js';
-import {createRandomBits, drawBelow, RandomBits} from '../random_bits.js';
+import type {ConfigTransfer} from '../rules/config_history.js';
+import type {GossipMessage} from '../membership/gossip_message.js';
+import type {Member} from '../membership/member.js';
+import {
+  Membership,
+  MembershipAction,
+  MembershipEvent,
+} from '../membership/membership.js';
+import {
+  createRandomBits,
+  drawBelow,
+  RandomBits,
+} from '../scheduling/random_bits.js';
 
 const TICK_MS = 100;
 
--- a/packages/core/src/__tests__/naive_fair_queue.ts
+++ b/packages/core/src/__tests__/naive_fair_queue.ts
@@ -1,6 +1,6 @@
 /** Fair queueing by a scan of everything; the shortest obviously right version. */
 
-import type {QueueEntry} from '../fair_queue.js';
+import type {QueueEntry} from '../scheduling/fair_queue.js';
 
 interface Tenant<T> {
   start: number;
--- a/packages/core/src/__tests__/naive_rule_matcher.ts
+++ b/packages/core/src/__tests__/naive_rule_matcher.ts
@@ -1,6 +1,6 @@
 /** The shortest right way to find a rule: try each condition of each in turn. */
 
-import type {RuleFacts, RuleSet, RuleWhen} from '../rule.js';
+import type {RuleFacts, RuleSet, RuleWhen} from '../rules/rule.js';
 
 /** Index of the first rule that matches, or -1. Paths must be canonical. */
 export function findRuleNaively(ruleSet: RuleSet, facts: RuleFacts): number {
--- a/packages/core/src/__tests__/schedule_vm.ts
+++ b/packages/core/src/__tests__/schedule_vm.ts
@@ -13,14 +13,14 @@
   LoggedRecord,
   StateRecord,
 } from '@radishyoke/shared/log_record';
-import {CheckpointAssembler, splitCheckpoint} from '../checkpoint.js';
-import {ConfigHistory, NO_VERSION} from '../config_history.js';
-import {nameStepLease} from '../lease_table.js';
+import {CheckpointAssembler, splitCheckpoint} from '../ledger/checkpoint.js';
+import {ConfigHistory, NO_VERSION} from '../rules/config_history.js';
+import {nameStepLease} from '../ledger/lease_table.js';
 import {
   DEFAULT_CLAIM_HORIZON_MS,
   StateFold,
   type StateSnapshot,
-} from '../state_fold.js';
+} from '../ledger/state_fold.js';
 import {openStep, STEP, TEAM, TENANT} from './log_fixtures.js';
 import {type ScheduleLog, ScheduleWriter} from './schedule_log.js';
 
--- a/packages/core/src/__tests__/scheduler_faults.spec.ts
+++ b/packages/core/src/__tests__/scheduler_faults.spec.ts
@@ -1,8 +1,12 @@
 import test from 'ava';
-import type {SchedulerAction, SchedulerEvent, WorkItem} from '../scheduler.js';
-import type {PolicyScheduler} from '../policy_scheduler.js';
+import type {
+  SchedulerAction,
+  SchedulerEvent,
+  WorkItem,
+} from '../scheduling/scheduler.js';
+import type {PolicyScheduler} from '../scheduling/policy_scheduler.js';
 import {toEndpointId, toVmId} from '@radishyoke/shared/ids';
-import type {FailureKind} from '../failure.js';
+import type {FailureKind} from '../scheduling/failure.js';
 import {
   createEndpoint,
   createReport,
--- a/packages/core/src/__tests__/scheduler_fixture.ts
+++ b/packages/core/src/__tests__/scheduler_fixture.ts
@@ -7,9 +7,9 @@
   toTenantId,
   toVmId,
 } from '@radishyoke/shared/ids';
-import {PolicyScheduler} from '../policy_scheduler.js';
-import {createRandomBits} from '../random_bits.js';
-import type {WorkItem} from '../scheduler.js';
+import {PolicyScheduler} from '../scheduling/policy_scheduler.js';
+import {createRandomBits} from '../scheduling/random_bits.js';
+import type {WorkItem} from '../scheduling/scheduler.js';
 
 export const GROUP = 'tutors';
 
--- a/packages/core/src/audit_chain.ts
+++ b/packages/core/src/audit/audit_chain.ts
@@ -2,8 +2,8 @@
 
 import type {Stamp} from '@radishyoke/shared/log_record';
 import type {AuditEntry} from './audit_entry.js';
-import {canonicalizeJson} from './canonical_json.js';
-import {computeDigest} from './digest.js';
+import {canonicalizeJson} from '../ledger/canonical_json.js';
+import {computeDigest} from '../ledger/digest.js';
 
 /** Where a writer's chain stands. */
 export interface ChainHead {
--- a/packages/core/src/audit_entry.ts
+++ b/packages/core/src/audit/audit_entry.ts
@@ -9,7 +9,7 @@
   TenantId,
 } from '@radishyoke/shared/ids';
 import type {TokenSpan} from '@radishyoke/shared/rollout';
-import type {FailureKind} from './failure.js';
+import type {FailureKind} from '../scheduling/failure.js';
 
 /** How an attempt ended, as far as the writer knows. */
 export type AuditAttemptEnd =
--- a/packages/core/src/audit_export.ts
+++ b/packages/core/src/audit/audit_export.ts
@@ -11,7 +11,7 @@
   hashBlock,
   type PlacedHead,
 } from './audit_chain.js';
-import {computeDigest} from './digest.js';
+import {computeDigest} from '../ledger/digest.js';
 
 export type AuditRecord = LoggedRecord<AuditBlock>;
 
--- a/packages/core/src/recorded_request.ts
+++ b/packages/core/src/audit/recorded_request.ts
@@ -4,7 +4,7 @@
  */
 
 import type {TenantId} from '@radishyoke/shared/ids';
-import type {RuleFacts} from './rule.js';
+import type {RuleFacts} from '../rules/rule.js';
 
 /** One request as the rules saw it. */
 export interface RecordedRequest {
--- a/packages/core/src/__tests__/naive_state_fold.spec.ts
+++ b/packages/core/src/ledger/__tests__/naive_state_fold.spec.ts
@@ -14,8 +14,11 @@
   type StateBody,
   STEP,
   TENANT,
-} from './log_fixtures.js';
-import {judgeNaively, type NaiveVerdict} from './naive_state_fold.js';
+} from '../../__tests__/log_fixtures.js';
+import {
+  judgeNaively,
+  type NaiveVerdict,
+} from '../../__tests__/naive_state_fold.js';
 
 const CLAIM_HORIZON_MS = 4000;
 const TTL_MS = 3000;
--- a/packages/core/src/__tests__/state_fold.spec.ts
+++ b/packages/core/src/ledger/__tests__/state_fold.spec.ts
@@ -9,7 +9,7 @@
   type StateBody,
   STEP,
   TENANT,
-} from './log_fixtures.js';
+} from '../../__tests__/log_fixtures.js';
 
 const TTL_MS = 5000;
 const LEASE = `step:${TENANT}/${STEP}`;
--- a/packages/core/src/state_fold.ts
+++ b/packages/core/src/ledger/state_fold.ts
@@ -16,8 +16,8 @@
   type StepOpening,
   StepLedger,
   type StepSnapshot,
-} from './step_ledger.js';
-import {type SuspectEntry, SuspectTable} from './suspect_table.js';
+} from '../steps/step_ledger.js';
+import {type SuspectEntry, SuspectTable} from '../membership/suspect_table.js';
 import {ACCEPTED, type Verdict, voidBecause} from './verdict.js';
 import {nameWriter, type WriterEntry, WriterTable} from './writer_table.js';
 
--- a/packages/core/src/gossip_message.ts
+++ b/packages/core/src/membership/gossip_message.ts
@@ -1,7 +1,7 @@
 /** What VMs tell one another. The codec in `wire` fixes the bytes. */
 
 import type {EndpointId, VmId} from '@radishyoke/shared/ids';
-import type {ConfigTransfer} from './config_history.js';
+import type {ConfigTransfer} from '../rules/config_history.js';
 import type {Member} from './member.js';
 
 /** News that travels from VM to VM until all have it. */
--- a/packages/core/src/membership.ts
+++ b/packages/core/src/membership/membership.ts
@@ -10,8 +10,8 @@
 
 import type {VmInfo} from '@radishyoke/shared/endpoint';
 import type {EndpointId, VmId} from '@radishyoke/shared/ids';
-import {ConfigExchange} from './config_exchange.js';
-import type {ConfigTransfer} from './config_history.js';
+import {ConfigExchange} from '../rules/config_exchange.js';
+import type {ConfigTransfer} from '../rules/config_history.js';
 import {Contact, ProbeStep} from './contact.js';
 import {Directory} from './directory.js';
 import type {GossipMessage, GossipPayload, Rumour} from './gossip_message.js';
@@ -25,7 +25,7 @@
   drawBelow,
   drawSome,
   RandomBits,
-} from './random_bits.js';
+} from '../scheduling/random_bits.js';
 
 export type MembershipEvent =
   /** Sent every 100 ms or so. */
--- a/packages/core/src/metrics.ts
+++ b/packages/core/src/metrics/metrics.ts
@@ -12,7 +12,7 @@
 import {createError} from '@radishyoke/shared/error_kind';
 import {fail, Result, succeed} from '@radishyoke/shared/result';
 import {CounterName, HistogramName, HISTOGRAMS} from './metric_schema.js';
-import type {WorkClass} from './scheduler.js';
+import type {WorkClass} from '../scheduling/scheduler.js';
 
 /** What a series belongs to. */
 export interface SeriesKey {
--- a/packages/core/src/__tests__/config_history.spec.ts
+++ b/packages/core/src/rules/__tests__/config_history.spec.ts
@@ -1,7 +1,11 @@
 import test from 'ava';
 import type {ConfigRecord} from '@radishyoke/shared/log_record';
 import {ConfigHistory, NO_VERSION} from '../config_history.js';
-import {publishConfig, RecordFixture, TEAM} from './log_fixtures.js';
+import {
+  publishConfig,
+  RecordFixture,
+  TEAM,
+} from '../../__tests__/log_fixtures.js';
 
 const checkText = (text: string) => (text === 'bad' ? 'is bad' : undefined);
 
--- a/packages/core/src/__tests__/rule_matcher.spec.ts
+++ b/packages/core/src/rules/__tests__/rule_matcher.spec.ts
@@ -5,7 +5,7 @@
 import {explainRules} from '../rule_explanation.js';
 import {compileRules, resolveRule} from '../rule_matcher.js';
 import {canonicalPath} from '../rule_path.js';
-import {findRuleNaively} from './naive_rule_matcher.js';
+import {findRuleNaively} from '../../__tests__/naive_rule_matcher.js';
 
 const SEED = 20261202;
 
--- a/packages/core/src/config_exchange.ts
+++ b/packages/core/src/rules/config_exchange.ts
@@ -5,7 +5,7 @@
  */
 
 import type {VmId} from '@radishyoke/shared/ids';
-import {MEMBERSHIP_TIMING} from './membership_timing.js';
+import {MEMBERSHIP_TIMING} from '../membership/membership_timing.js';
 
 export class ConfigExchange {
   private next = 0;
--- a/packages/core/src/config_history.ts
+++ b/packages/core/src/rules/config_history.ts
@@ -11,8 +11,12 @@
   PublishedConfig,
   Stamp,
 } from '@radishyoke/shared/log_record';
-import {LogClock, type LogClockSnapshot} from './log_clock.js';
-import {nameWriter, type WriterEntry, WriterTable} from './writer_table.js';
+import {LogClock, type LogClockSnapshot} from '../ledger/log_clock.js';
+import {
+  nameWriter,
+  type WriterEntry,
+  WriterTable,
+} from '../ledger/writer_table.js';
 
 /** Says what is wrong with a rule set that `team` publishes; undefined if nothing is. */
 export type CheckConfig = (text: string, team: TeamId) => string | undefined;
--- a/packages/core/src/rule.ts
+++ b/packages/core/src/rules/rule.ts
@@ -7,7 +7,7 @@
   TeamId,
   TenantId,
 } from '@radishyoke/shared/ids';
-import type {WorkClass} from './scheduler.js';
+import type {WorkClass} from '../scheduling/scheduler.js';
 
 /** What is known of a request when its rule is looked for. */
 export interface RuleFacts {
--- a/packages/core/src/rule_comparison.ts
+++ b/packages/core/src/rules/rule_comparison.ts
@@ -1,6 +1,6 @@
 /** What another rule set would have decided for recorded requests. */
 
-import type {RecordedRequest} from './recorded_request.js';
+import type {RecordedRequest} from '../audit/recorded_request.js';
 import type {RuleDecision, RuleFacts, RuleSet} from './rule.js';
 import {compileRules, resolveRule} from './rule_matcher.js';
 
--- a/packages/core/src/rule_schema.ts
+++ b/packages/core/src/rules/rule_schema.ts
@@ -12,8 +12,8 @@
   required,
   switchType,
   withDefault,
-} from './key_spec.js';
-import type {WorkClass} from './scheduler.js';
+} from './key_rule.js';
+import type {WorkClass} from '../scheduling/scheduler.js';
 
 /** Most rules in one rule set. */
 export const MAX_RULES = 1024;
--- a/packages/core/src/rule_text.ts
+++ b/packages/core/src/rules/rule_text.ts
@@ -7,7 +7,7 @@
 import {fail, Result, succeed} from '@radishyoke/shared/result';
 import {ConfigProblem, formatProblem} from './config_problem.js';
 import {IniSection, readIni} from './ini_text.js';
-import {readSection, SectionValues} from './key_spec.js';
+import {readSection, SectionValues} from './key_rule.js';
 import type {Rule, RuleGroup, RuleSet, RuleThen, RuleWhen} from './rule.js';
 import {
   CONFIG_SPEC,
--- a/packages/core/src/__tests__/concurrency_limit.spec.ts
+++ b/packages/core/src/scheduling/__tests__/concurrency_limit.spec.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import fc from 'fast-check';
 import {ConcurrencyLimit, divideLimit} from '../concurrency_limit.js';
-import {createReport} from './scheduler_fixture.js';
+import {createReport} from '../../__tests__/scheduler_fixture.js';
 
 test('the parts of all VMs add up to the limit and no more', t => {
   fc.assert(
--- a/packages/core/src/__tests__/fair_queue.spec.ts
+++ b/packages/core/src/scheduling/__tests__/fair_queue.spec.ts
@@ -2,7 +2,7 @@
 import fc from 'fast-check';
 import {toTenantId} from '@radishyoke/shared/ids';
 import {FairQueue, QueueEntry} from '../fair_queue.js';
-import {NaiveFairQueue} from './naive_fair_queue.js';
+import {NaiveFairQueue} from '../../__tests__/naive_fair_queue.js';
 
 const SEED = 6;
 
--- a/packages/core/src/__tests__/policy_scheduler.spec.ts
+++ b/packages/core/src/scheduling/__tests__/policy_scheduler.spec.ts
@@ -10,7 +10,7 @@
   createReport,
   createScheduler,
   createWork,
-} from './scheduler_fixture.js';
+} from '../../__tests__/scheduler_fixture.js';
 
 const ENGINES = ['a', 'b', 'c'] as const;
 const FAILURES = Object.keys(RETRY_TABLE) as FailureKind[];
--- a/packages/core/src/step_machine.ts
+++ b/packages/core/src/steps/step_machine.ts
@@ -20,7 +20,7 @@
   StepRequest,
   TokenSpan,
 } from '@radishyoke/shared/rollout';
-import {computeDigest} from './digest.js';
+import {computeDigest} from '../ledger/digest.js';
 
 /** Which sample of the step, both from 0. */
 export interface SampleRef {
--- a/packages/core/src/weight_rollout.ts
+++ b/packages/core/src/steps/weight_rollout.ts
@@ -8,7 +8,7 @@
  */
 
 import type {EndpointId} from '@radishyoke/shared/ids';
-import {TokenBucket} from './token_bucket.js';
+import {TokenBucket} from '../scheduling/token_bucket.js';
 
 /** One engine as its latest report shows it. */
 export interface ReportedEngine {
--- a/packages/daemon/src/__tests__/audit_task.spec.ts
+++ b/packages/daemon/src/__tests__/audit_task.spec.ts
@@ -1,7 +1,7 @@
-import type {AuditBlock} from '@radishyoke/core/audit_chain';
-import type {AuditEntry} from '@radishyoke/core/audit_entry';
-import {AuditExporter, verifyExport} from '@radishyoke/core/audit_export';
-import {DEFAULT_CLAIM_HORIZON_MS} from '@radishyoke/core/state_fold';
+import type {AuditBlock} from '@radishyoke/core/audit/audit_chain';
+import type {AuditEntry} from '@radishyoke/core/audit/audit_entry';
+import {AuditExporter, verifyExport} from '@radishyoke/core/audit/audit_export';
+import {DEFAULT_CLAIM_HORIZON_MS} from '@radishyoke/core/ledger/state_fold';
 import {type FakeLog, startFakeLog} from '@radishyoke/fakes/fake_log';
 import {HttpLogClient} from '@radishyoke/stores/http_log_client';
 import {
--- a/packages/daemon/src/__tests__/fake_admin_backend.ts
+++ b/packages/daemon/src/__tests__/fake_admin_backend.ts
@@ -1,8 +1,11 @@
 /** A backend with two teams' data, none of which is asked of a real VM. */
 
-import {type ConfigVersion, NO_VERSION} from '@radishyoke/core/config_history';
-import {MetricRegistry} from '@radishyoke/core/metrics';
-import type {RecordedRequest} from '@radishyoke/core/recorded_request';
+import {
+  type ConfigVersion,
+  NO_VERSION,
+} from '@radishyoke/core/rules/config_history';
+import {MetricRegistry} from '@radishyoke/core/metrics/metrics';
+import type {RecordedRequest} from '@radishyoke/core/audit/recorded_request';
 import {createError} from '@radishyoke/shared/error_kind';
 import {
   TeamId,
--- a/packages/daemon/src/__tests__/log_task.spec.ts
+++ b/packages/daemon/src/__tests__/log_task.spec.ts
@@ -1,4 +1,4 @@
-import {DEFAULT_CLAIM_HORIZON_MS} from '@radishyoke/core/state_fold';
+import {DEFAULT_CLAIM_HORIZON_MS} from '@radishyoke/core/ledger/state_fold';
 import {type FakeLog, startFakeLog} from '@radishyoke/fakes/fake_log';
 import {HttpLogClient} from '@radishyoke/stores/http_log_client';
 import {
--- a/packages/daemon/src/__tests__/peer_task.spec.ts
+++ b/packages/daemon/src/__tests__/peer_task.spec.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import type {ConfigTransfer} from '@radishyoke/core/config_history';
+import type {ConfigTransfer} from '@radishyoke/core/rules/config_history';
 import type {ConfigRecord, LoggedRecord} from '@radishyoke/shared/log_record';
 import {
   toDataCentreId,
--- a/packages/daemon/src/__tests__/settings.spec.ts
+++ b/packages/daemon/src/__tests__/settings.spec.ts
@@ -1,7 +1,7 @@
 import {readFileSync} from 'node:fs';
 import test from 'ava';
-import {formatProblem} from '@radishyoke/core/config_problem';
-import {parseRuleText} from '@radishyoke/core/rule_text';
+import {formatProblem} from '@radishyoke/core/rules/config_problem';
+import {parseRuleText} from '@radishyoke/core/rules/rule_text';
 import {toTenantId} from '@radishyoke/shared/ids';
 import {loadSettings, parseSettings} from '../settings.js';
 
--- a/packages/daemon/src/__tests__/vm_audit.spec.ts
+++ b/packages/daemon/src/__tests__/vm_audit.spec.ts
@@ -1,6 +1,6 @@
-import type {AuditBlock} from '@radishyoke/core/audit_chain';
-import {concernsSubject} from '@radishyoke/core/audit_entry';
-import {AuditExporter, verifyExport} from '@radishyoke/core/audit_export';
+import type {AuditBlock} from '@radishyoke/core/audit/audit_chain';
+import {concernsSubject} from '@radishyoke/core/audit/audit_entry';
+import {AuditExporter, verifyExport} from '@radishyoke/core/audit/audit_export';
 import {HEADERS} from '@radishyoke/shared/header';
 import {toStepId} from '@radishyoke/shared/ids';
 import type {LoggedRecord} from '@radishyoke/shared/log_record';
--- a/packages/daemon/src/admin_backend.ts
+++ b/packages/daemon/src/admin_backend.ts
@@ -1,8 +1,8 @@
 /** What a VM offers to its administration API. */
 
-import type {ConfigVersion} from '@radishyoke/core/config_history';
-import type {MetricRegistry} from '@radishyoke/core/metrics';
-import type {RecordedRequest} from '@radishyoke/core/recorded_request';
+import type {ConfigVersion} from '@radishyoke/core/rules/config_history';
+import type {MetricRegistry} from '@radishyoke/core/metrics/metrics';
+import type {RecordedRequest} from '@radishyoke/core/audit/recorded_request';
 import type {TeamId, TenantId} from '@radishyoke/shared/ids';
 import type {Result} from '@radishyoke/shared/result';
 import type {
--- a/packages/daemon/src/admin_route.ts
+++ b/packages/daemon/src/admin_route.ts
@@ -2,11 +2,14 @@
 
 import {createTwoFilesPatch} from 'diff';
 import type {z} from 'zod';
-import {type ConfigVersion, NO_VERSION} from '@radishyoke/core/config_history';
-import type {SeriesKey} from '@radishyoke/core/metrics';
-import {OVERFLOW_SERIES} from '@radishyoke/core/metrics';
-import {compareRuleSets} from '@radishyoke/core/rule_comparison';
-import {checkRuleText, parseRuleText} from '@radishyoke/core/rule_text';
+import {
+  type ConfigVersion,
+  NO_VERSION,
+} from '@radishyoke/core/rules/config_history';
+import type {SeriesKey} from '@radishyoke/core/metrics/metrics';
+import {OVERFLOW_SERIES} from '@radishyoke/core/metrics/metrics';
+import {compareRuleSets} from '@radishyoke/core/rules/rule_comparison';
+import {checkRuleText, parseRuleText} from '@radishyoke/core/rules/rule_text';
 import {createError} from '@radishyoke/shared/error_kind';
 import type {TenantId} from '@radishyoke/shared/ids';
 import {fail, Result, succeed} from '@radishyoke/shared/result';
--- a/packages/daemon/src/admin_server.ts
+++ b/packages/daemon/src/admin_server.ts
@@ -8,7 +8,7 @@
 import {
   METRICS_CONTENT_TYPE,
   renderMetricsText,
-} from '@radishyoke/core/metrics_text';
+} from '@radishyoke/core/metrics/metrics_text';
 import {createError, ErrorKind} from '@radishyoke/shared/error_kind';
 import type {TeamId, TenantId} from '@radishyoke/shared/ids';
 import {fail, Result, succeed} from '@radishyoke/shared/result';
--- a/packages/daemon/src/app_api.ts
+++ b/packages/daemon/src/app_api.ts
@@ -3,8 +3,8 @@
 import {randomUUID} from 'node:crypto';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Dispatcher as HttpDispatcher} from 'undici';
-import {computeDigest} from '@radishyoke/core/digest';
-import type {WorkItem} from '@radishyoke/core/scheduler';
+import {computeDigest} from '@radishyoke/core/ledger/digest';
+import type {WorkItem} from '@radishyoke/core/scheduling/scheduler';
 import {
   createError,
   RadishyokeError,
--- a/packages/daemon/src/app_runner.ts
+++ b/packages/daemon/src/app_runner.ts
@@ -2,7 +2,10 @@
 
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Dispatcher as HttpDispatcher} from 'undici';
-import type {AttemptOutcome, FailureKind} from '@radishyoke/core/failure';
+import type {
+  AttemptOutcome,
+  FailureKind,
+} from '@radishyoke/core/scheduling/failure';
 import type {EndpointInfo} from '@radishyoke/shared/endpoint';
 import {createError, RadishyokeError} from '@radishyoke/shared/error_kind';
 import type {EndpointId} from '@radishyoke/shared/ids';
--- a/packages/daemon/src/audit_recorder.ts
+++ b/packages/daemon/src/audit_recorder.ts
@@ -1,10 +1,13 @@
 /** Turns what happens on this VM into audit entries. */
 
-import type {AuditAttempt, AuditEntry} from '@radishyoke/core/audit_entry';
-import type {ConfigVersion} from '@radishyoke/core/config_history';
-import {computeDigest} from '@radishyoke/core/digest';
-import type {StepLedger} from '@radishyoke/core/step_ledger';
-import {formatSampleKey, SampleRef} from '@radishyoke/core/step_machine';
+import type {
+  AuditAttempt,
+  AuditEntry,
+} from '@radishyoke/core/audit/audit_entry';
+import type {ConfigVersion} from '@radishyoke/core/rules/config_history';
+import {computeDigest} from '@radishyoke/core/ledger/digest';
+import type {StepLedger} from '@radishyoke/core/steps/step_ledger';
+import {formatSampleKey, SampleRef} from '@radishyoke/core/steps/step_machine';
 import {toTeamId, type TeamId, type TenantId} from '@radishyoke/shared/ids';
 import type {
   CommittedSample,
--- a/packages/daemon/src/audit_task.ts
+++ b/packages/daemon/src/audit_task.ts
@@ -7,9 +7,9 @@
   AuditChain,
   type AuditBlock,
   type PlacedHead,
-} from '@radishyoke/core/audit_chain';
-import type {AuditEntry} from '@radishyoke/core/audit_entry';
-import {nameWriter} from '@radishyoke/core/writer_table';
+} from '@radishyoke/core/audit/audit_chain';
+import type {AuditEntry} from '@radishyoke/core/audit/audit_entry';
+import {nameWriter} from '@radishyoke/core/ledger/writer_table';
 import type {LogClient} from '@radishyoke/stores/log_client';
 import {LOG_WRITER_DEFAULTS, LogWriter} from '@radishyoke/stores/log_writer';
 import type {IncarnationId, VmId} from '@radishyoke/shared/ids';
--- a/packages/daemon/src/caller.ts
+++ b/packages/daemon/src/caller.ts
@@ -1,8 +1,8 @@
 /** What every request of a caller goes through before its own handler. */
 
 import type {IncomingMessage} from 'node:http';
-import type {RuleFacts} from '@radishyoke/core/rule';
-import type {WorkClass} from '@radishyoke/core/scheduler';
+import type {RuleFacts} from '@radishyoke/core/rules/rule';
+import type {WorkClass} from '@radishyoke/core/scheduling/scheduler';
 import {createError} from '@radishyoke/shared/error_kind';
 import {HEADERS} from '@radishyoke/shared/header';
 import type {DataCentreId, TeamId, TenantId} from '@radishyoke/shared/ids';
--- a/packages/daemon/src/dispatcher.ts
+++ b/packages/daemon/src/dispatcher.ts
@@ -9,7 +9,7 @@
   SchedulerEvent,
   WorkClass,
   WorkItem,
-} from '@radishyoke/core/scheduler';
+} from '@radishyoke/core/scheduling/scheduler';
 import type {EndpointInfo} from '@radishyoke/shared/endpoint';
 import {createError, RadishyokeError} from '@radishyoke/shared/error_kind';
 import type {EndpointId, TenantId} from '@radishyoke/shared/ids';
--- a/packages/daemon/src/endpoint_task.ts
+++ b/packages/daemon/src/endpoint_task.ts
@@ -4,7 +4,7 @@
  */
 
 import type {Dispatcher as HttpDispatcher} from 'undici';
-import type {RuleGroup} from '@radishyoke/core/rule';
+import type {RuleGroup} from '@radishyoke/core/rules/rule';
 import type {VmListClient} from '@radishyoke/stores/vm_list_client';
 import {
   EndpointInfo,
--- a/packages/daemon/src/lease_holder.ts
+++ b/packages/daemon/src/lease_holder.ts
@@ -1,8 +1,8 @@
 /** The leases of this VM: claims, its session, and whether it may act on them. */
 
-import type {StateFold} from '@radishyoke/core/state_fold';
-import type {JudgedRecord} from '@radishyoke/core/verdict';
-import {nameWriter} from '@radishyoke/core/writer_table';
+import type {StateFold} from '@radishyoke/core/ledger/state_fold';
+import type {JudgedRecord} from '@radishyoke/core/ledger/verdict';
+import {nameWriter} from '@radishyoke/core/ledger/writer_table';
 import type {Unstamped} from '@radishyoke/stores/log_writer';
 import {createError} from '@radishyoke/shared/error_kind';
 import type {IncarnationId, VmId} from '@radishyoke/shared/ids';
--- a/packages/daemon/src/log_task.ts
+++ b/packages/daemon/src/log_task.ts
@@ -10,21 +10,21 @@
   type ConfigSnapshot,
   type ConfigTransfer,
   type JudgedConfig,
-} from '@radishyoke/core/config_history';
+} from '@radishyoke/core/rules/config_history';
 import {
   type Currency,
   CurrencyTracker,
   DEFAULT_CURRENCY_TIMING,
-} from '@radishyoke/core/currency';
-import {splitCheckpoint} from '@radishyoke/core/checkpoint';
+} from '@radishyoke/core/ledger/currency';
+import {splitCheckpoint} from '@radishyoke/core/ledger/checkpoint';
 import {
   createEmptySnapshot,
   measureStateSpanMs,
   StateFold,
   type StateSnapshot,
-} from '@radishyoke/core/state_fold';
-import type {JudgedRecord} from '@radishyoke/core/verdict';
-import {nameWriter} from '@radishyoke/core/writer_table';
+} from '@radishyoke/core/ledger/state_fold';
+import type {JudgedRecord} from '@radishyoke/core/ledger/verdict';
+import {nameWriter} from '@radishyoke/core/ledger/writer_table';
 import {AppendBudget} from '@radishyoke/stores/append_budget';
 import type {LogClient} from '@radishyoke/stores/log_client';
 import {
--- a/packages/daemon/src/order_task.ts
+++ b/packages/daemon/src/order_task.ts
@@ -4,13 +4,13 @@
  */
 
 import type {Dispatcher as HttpDispatcher} from 'undici';
-import {nameOrdersLease} from '@radishyoke/core/lease_table';
+import {nameOrdersLease} from '@radishyoke/core/ledger/lease_table';
 import {
   DEFAULT_ROLLOUT_OPTIONS,
   LoadOrder,
   OrderOutcome,
   WeightRollout,
-} from '@radishyoke/core/weight_rollout';
+} from '@radishyoke/core/steps/weight_rollout';
 import type {WeightStoreClient} from '@radishyoke/stores/weight_store_client';
 import type {EndpointInfo} from '@radishyoke/shared/endpoint';
 import type {EndpointTask} from './endpoint_task.js';
--- a/packages/daemon/src/peer_links.ts
+++ b/packages/daemon/src/peer_links.ts
@@ -1,7 +1,7 @@
 /** The open connections to other VMs, by VM; opens them when there is need. */
 
-import type {GossipMessage} from '@radishyoke/core/gossip_message';
-import type {Member} from '@radishyoke/core/member';
+import type {GossipMessage} from '@radishyoke/core/membership/gossip_message';
+import type {Member} from '@radishyoke/core/membership/member';
 import type {VmId} from '@radishyoke/shared/ids';
 import {
   openPeerLink,
--- a/packages/daemon/src/peer_task.ts
+++ b/packages/daemon/src/peer_task.ts
@@ -4,14 +4,14 @@
  * `events` what others told.
  */
 
-import type {ConfigTransfer} from '@radishyoke/core/config_history';
-import type {InFlight} from '@radishyoke/core/load_digest';
-import type {Member} from '@radishyoke/core/member';
+import type {ConfigTransfer} from '@radishyoke/core/rules/config_history';
+import type {InFlight} from '@radishyoke/core/membership/load_digest';
+import type {Member} from '@radishyoke/core/membership/member';
 import {
   Membership,
   MembershipAction,
   MembershipEvent,
-} from '@radishyoke/core/membership';
+} from '@radishyoke/core/membership/membership';
 import type {DataCentreId, EndpointId, VmId} from '@radishyoke/shared/ids';
 import {PeerCounters} from '@radishyoke/wire/peer_counters';
 import type {PeerLinkOptions} from '@radishyoke/wire/peer_link';
--- a/packages/daemon/src/rule_book.ts
+++ b/packages/daemon/src/rule_book.ts
@@ -1,18 +1,18 @@
 /** The rules in force for each team, compiled once per version. */
 
-import type {ConfigHistory} from '@radishyoke/core/config_history';
+import type {ConfigHistory} from '@radishyoke/core/rules/config_history';
 import type {
   RouteAction,
   RuleFacts,
   RuleGroup,
   RuleSet,
-} from '@radishyoke/core/rule';
+} from '@radishyoke/core/rules/rule';
 import {
   CompiledRules,
   compileRules,
   resolveRule,
-} from '@radishyoke/core/rule_matcher';
-import {parseRuleText} from '@radishyoke/core/rule_text';
+} from '@radishyoke/core/rules/rule_matcher';
+import {parseRuleText} from '@radishyoke/core/rules/rule_text';
 import {createError} from '@radishyoke/shared/error_kind';
 import type {TeamId, TenantId} from '@radishyoke/shared/ids';
 import {fail, Result, succeed} from '@radishyoke/shared/result';
--- a/packages/daemon/src/sample_runner.ts
+++ b/packages/daemon/src/sample_runner.ts
@@ -1,9 +1,15 @@
 /** Runs one sample of a step on engines and gathers its output. */
 
 import type {Dispatcher as HttpDispatcher} from 'undici';
-import type {AttemptOutcome, FailureKind} from '@radishyoke/core/failure';
-import type {WorkItem} from '@radishyoke/core/scheduler';
-import type {SampleOutput, SampleRef} from '@radishyoke/core/step_machine';
+import type {
+  AttemptOutcome,
+  FailureKind,
+} from '@radishyoke/core/scheduling/failure';
+import type {WorkItem} from '@radishyoke/core/scheduling/scheduler';
+import type {
+  SampleOutput,
+  SampleRef,
+} from '@radishyoke/core/steps/step_machine';
 import type {EndpointInfo} from '@radishyoke/shared/endpoint';
 import type {RadishyokeError} from '@radishyoke/shared/error_kind';
 import type {EndpointId} from '@radishyoke/shared/ids';
--- a/packages/daemon/src/serve.ts
+++ b/packages/daemon/src/serve.ts
@@ -1,7 +1,7 @@
 /** Runs one entry VM as a process, from a settings file to its drained end. */
 
 import {randomInt} from 'node:crypto';
-import {formatProblem} from '@radishyoke/core/config_problem';
+import {formatProblem} from '@radishyoke/core/rules/config_problem';
 import {createLogger} from './logger.js';
 import {loadSettings} from './settings.js';
 import {Vm} from './vm.js';
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -4,13 +4,13 @@
  */
 
 import {readFile} from 'node:fs/promises';
-import type {ConfigProblem} from '@radishyoke/core/config_problem';
-import {IniSection, readIni} from '@radishyoke/core/ini_text';
+import type {ConfigProblem} from '@radishyoke/core/rules/config_problem';
+import {IniSection, readIni} from '@radishyoke/core/rules/ini_text';
 import {
   readSection,
   SectionSpec,
   SectionValues,
-} from '@radishyoke/core/key_spec';
+} from '@radishyoke/core/rules/key_rule';
 import {
   DataCentreId,
   TeamId,
--- a/packages/daemon/src/settings_schema.ts
+++ b/packages/daemon/src/settings_schema.ts
@@ -12,7 +12,7 @@
   required,
   sizeType,
   withDefault,
-} from '@radishyoke/core/key_spec';
+} from '@radishyoke/core/rules/key_rule';
 
 export const LOG_LEVELS = ['debug', 'info', 'warn', 'error'] as const;
 
--- a/packages/daemon/src/step_directory.ts
+++ b/packages/daemon/src/step_directory.ts
@@ -4,10 +4,13 @@
  */
 
 import type {Dispatcher as HttpDispatcher} from 'undici';
-import {computeDigest} from '@radishyoke/core/digest';
-import {nameStepLease} from '@radishyoke/core/lease_table';
-import type {StepLedger} from '@radishyoke/core/step_ledger';
-import type {SampleOutput, SampleRef} from '@radishyoke/core/step_machine';
+import {computeDigest} from '@radishyoke/core/ledger/digest';
+import {nameStepLease} from '@radishyoke/core/ledger/lease_table';
+import type {StepLedger} from '@radishyoke/core/steps/step_ledger';
+import type {
+  SampleOutput,
+  SampleRef,
+} from '@radishyoke/core/steps/step_machine';
 import {createError} from '@radishyoke/shared/error_kind';
 import type {StepId, TenantId, VmId} from '@radishyoke/shared/ids';
 import {fail, Result, succeed} from '@radishyoke/shared/result';
--- a/packages/daemon/src/step_task.ts
+++ b/packages/daemon/src/step_task.ts
@@ -5,11 +5,11 @@
 
 import type {ServerResponse} from 'node:http';
 import type {Dispatcher as HttpDispatcher} from 'undici';
-import {computeDigest, computePrefixKey} from '@radishyoke/core/digest';
-import {nameStepLease} from '@radishyoke/core/lease_table';
-import type {RouteAction} from '@radishyoke/core/rule';
-import type {WorkItem} from '@radishyoke/core/scheduler';
-import type {StepLedger} from '@radishyoke/core/step_ledger';
+import {computeDigest, computePrefixKey} from '@radishyoke/core/ledger/digest';
+import {nameStepLease} from '@radishyoke/core/ledger/lease_table';
+import type {RouteAction} from '@radishyoke/core/rules/rule';
+import type {WorkItem} from '@radishyoke/core/scheduling/scheduler';
+import type {StepLedger} from '@radishyoke/core/steps/step_ledger';
 import {
   formatSampleKey,
   SampleOutput,
@@ -19,7 +19,7 @@
   StepMachine,
   StepOutput,
   StepProgress,
-} from '@radishyoke/core/step_machine';
+} from '@radishyoke/core/steps/step_machine';
 import type {EndpointId} from '@radishyoke/shared/ids';
 import type {
   CommittedSample,
--- a/packages/daemon/src/stream_follower.ts
+++ b/packages/daemon/src/stream_follower.ts
@@ -8,7 +8,7 @@
   CheckpointAssembler,
   type CheckpointTiming,
   isCheckpointDue,
-} from '@radishyoke/core/checkpoint';
+} from '@radishyoke/core/ledger/checkpoint';
 import type {LogClient} from '@radishyoke/stores/log_client';
 import {LOG_READER_DEFAULTS, LogReader} from '@radishyoke/stores/log_reader';
 import type {
--- a/packages/daemon/src/vm.ts
+++ b/packages/daemon/src/vm.ts
@@ -2,11 +2,11 @@
 
 import {setTimeout as sleep} from 'node:timers/promises';
 import {randomUUID} from 'node:crypto';
-import {PolicyScheduler} from '@radishyoke/core/policy_scheduler';
-import {createRandomBits} from '@radishyoke/core/random_bits';
-import {checkRuleText} from '@radishyoke/core/rule_text';
-import type {Scheduler} from '@radishyoke/core/scheduler';
-import type {StepLedger} from '@radishyoke/core/step_ledger';
+import {PolicyScheduler} from '@radishyoke/core/scheduling/policy_scheduler';
+import {createRandomBits} from '@radishyoke/core/scheduling/random_bits';
+import {checkRuleText} from '@radishyoke/core/rules/rule_text';
+import type {Scheduler} from '@radishyoke/core/scheduling/scheduler';
+import type {StepLedger} from '@radishyoke/core/steps/step_ledger';
 import {HttpLogClient} from '@radishyoke/stores/http_log_client';
 import {HttpVmListClient} from '@radishyoke/stores/http_vm_list_client';
 import {HttpWeightStoreClient} from '@radishyoke/stores/http_weight_store_client';
--- a/packages/daemon/src/vm_admin_backend.ts
+++ b/packages/daemon/src/vm_admin_backend.ts
@@ -1,11 +1,11 @@
 /** The administration API's view of a running VM. */
 
 import {z} from 'zod';
-import type {ConfigVersion} from '@radishyoke/core/config_history';
-import type {MetricRegistry} from '@radishyoke/core/metrics';
-import type {RecordedRequest} from '@radishyoke/core/recorded_request';
-import {nameStepLease} from '@radishyoke/core/lease_table';
-import type {StepLedger} from '@radishyoke/core/step_ledger';
+import type {ConfigVersion} from '@radishyoke/core/rules/config_history';
+import type {MetricRegistry} from '@radishyoke/core/metrics/metrics';
+import type {RecordedRequest} from '@radishyoke/core/audit/recorded_request';
+import {nameStepLease} from '@radishyoke/core/ledger/lease_table';
+import type {StepLedger} from '@radishyoke/core/steps/step_ledger';
 import type {LogClient} from '@radishyoke/stores/log_client';
 import {createError} from '@radishyoke/shared/error_kind';
 import {
--- a/packages/daemon/src/vm_metrics.ts
+++ b/packages/daemon/src/vm_metrics.ts
@@ -1,10 +1,10 @@
 /** Turns what happens on a VM into its histograms and counters. */
 
-import {MetricRegistry} from '@radishyoke/core/metrics';
-import {RequestRecorder} from '@radishyoke/core/recorded_request';
-import type {RuleFacts} from '@radishyoke/core/rule';
-import type {SampleOutput} from '@radishyoke/core/step_machine';
-import type {StepLedger} from '@radishyoke/core/step_ledger';
+import {MetricRegistry} from '@radishyoke/core/metrics/metrics';
+import {RequestRecorder} from '@radishyoke/core/audit/recorded_request';
+import type {RuleFacts} from '@radishyoke/core/rules/rule';
+import type {SampleOutput} from '@radishyoke/core/steps/step_machine';
+import type {StepLedger} from '@radishyoke/core/steps/step_ledger';
 import type {Result} from '@radishyoke/shared/result';
 import {measureStaleness} from '@radishyoke/shared/rollout';
 import type {AppRecord} from './app_api.js';
--- a/packages/wire/src/__tests__/peer_fixture.ts
+++ b/packages/wire/src/__tests__/peer_fixture.ts
@@ -1,7 +1,7 @@
 /** Members and messages for tests of the connections between VMs. */
 
-import type {GossipMessage} from '@radishyoke/core/gossip_message';
-import {Member, MEMBER_STATES} from '@radishyoke/core/member';
+import type {GossipMessage} from '@radishyoke/core/membership/gossip_message';
+import {Member, MEMBER_STATES} from '@radishyoke/core/membership/member';
 import {
   toDataCentreId,
   toEndpointId,
--- a/packages/wire/src/__tests__/peer_link.spec.ts
+++ b/packages/wire/src/__tests__/peer_link.spec.ts
@@ -1,8 +1,8 @@
 import {createServer, Socket} from 'node:net';
 import type {AddressInfo} from 'node:net';
 import test from 'ava';
-import type {GossipMessage} from '@radishyoke/core/gossip_message';
-import type {Member} from '@radishyoke/core/member';
+import type {GossipMessage} from '@radishyoke/core/membership/gossip_message';
+import type {Member} from '@radishyoke/core/membership/member';
 import {toVmId} from '@radishyoke/shared/ids';
 import {WebSocket} from 'ws';
 import {PeerCounters} from '../peer_counters.js';
--- a/packages/wire/src/engine_stream.ts
+++ b/packages/wire/src/engine_stream.ts
@@ -8,7 +8,7 @@
 import {createParser} from 'eventsource-parser';
 import type {Dispatcher} from 'undici';
 import {z} from 'zod';
-import type {FailureKind} from '@radishyoke/core/failure';
+import type {FailureKind} from '@radishyoke/core/scheduling/failure';
 import {isNotConnected, isSilence} from './connection_error.js';
 import {renewConnections} from './renewing_agent.js';
 
--- a/packages/wire/src/forward.ts
+++ b/packages/wire/src/forward.ts
@@ -6,7 +6,7 @@
 import type {IncomingHttpHeaders, ServerResponse} from 'node:http';
 import type {Readable} from 'node:stream';
 import type {Dispatcher} from 'undici';
-import type {FailureKind} from '@radishyoke/core/failure';
+import type {FailureKind} from '@radishyoke/core/scheduling/failure';
 import {isNotConnected, isSilence} from './connection_error.js';
 import {renewConnections} from './renewing_agent.js';
 
--- a/packages/wire/src/peer_handshake.ts
+++ b/packages/wire/src/peer_handshake.ts
@@ -7,7 +7,7 @@
  */
 
 import {createHmac, timingSafeEqual} from 'node:crypto';
-import type {Member} from '@radishyoke/core/member';
+import type {Member} from '@radishyoke/core/membership/member';
 import type {Result} from '@radishyoke/shared/result';
 import {z} from 'zod';
 import {decodeBy, memberSchema, packr, toMemberWire} from './peer_message.js';
--- a/packages/wire/src/peer_link.ts
+++ b/packages/wire/src/peer_link.ts
@@ -4,8 +4,8 @@
  */
 
 import {randomBytes} from 'node:crypto';
-import type {GossipMessage} from '@radishyoke/core/gossip_message';
-import type {Member} from '@radishyoke/core/member';
+import type {GossipMessage} from '@radishyoke/core/membership/gossip_message';
+import type {Member} from '@radishyoke/core/membership/member';
 import {WebSocket} from 'ws';
 import {PeerCounters} from './peer_counters.js';
 import {
--- a/packages/wire/src/peer_message.ts
+++ b/packages/wire/src/peer_message.ts
@@ -7,14 +7,14 @@
 import type {
   ConfigTransfer,
   ConfigVersion,
-} from '@radishyoke/core/config_history';
+} from '@radishyoke/core/rules/config_history';
 import type {
   GossipMessage,
   GossipPayload,
   LoadDelta,
   Rumour,
-} from '@radishyoke/core/gossip_message';
-import {Member, MEMBER_STATES} from '@radishyoke/core/member';
+} from '@radishyoke/core/membership/gossip_message';
+import {Member, MEMBER_STATES} from '@radishyoke/core/membership/member';
 import {createError} from '@radishyoke/shared/error_kind';
 import {
   toDataCentreId,
--- a/tools/list_exports.mjs
+++ b/tools/list_exports.mjs
@@ -12,7 +12,11 @@
 const publicModules = {
   client: ['step_progress', 'trainer_client'],
   daemon: ['serve', 'vm'],
-  core: ['naive_scheduler', 'policy_scheduler', 'step_machine'],
+  core: [
+    'scheduling/naive_scheduler',
+    'scheduling/policy_scheduler',
+    'steps/step_machine',
+  ],
 };
 
 const importPattern = /['"]@radishyoke\/([a-z]+)\/([a-z0-9_/]+)['"]/g;
