--- a/packages/daemon/src/gateway/front_server.ts
+++ b/packages/daemon/src/gateway/front_server.ts
@@ -10,6 +10,7 @@
   ERROR_ANSWERS,
   type RadishyokeError,
 } from '@radishyoke/shared/error_kind';
+import {isHopByHop} from '@radishyoke/wire/hop_by_hop';
 import {listenAt} from '@radishyoke/wire/listen';
 import {readBody} from '@radishyoke/wire/request_body';
 import type {Logger} from '../logger.js';
@@ -40,18 +41,6 @@
 /** The answer leaves this long before the caller stops waiting, ms. */
 const ANSWER_MS = 5;
 
-/** Headers that concern one connection only; never passed on. */
-const CONNECTION_HEADERS = new Set([
-  'connection',
-  'keep-alive',
-  'proxy-connection',
-  'te',
-  'trailer',
-  'transfer-encoding',
-  'upgrade',
-  'content-length',
-]);
-
 export class FrontServer {
   private readonly server: http.Server;
   private heldBytes = 0;
@@ -228,7 +217,8 @@
     const {rawHeaders} = answer;
     for (let i = 0; i < rawHeaders.length; i += 2) {
       const name = rawHeaders[i];
-      if (CONNECTION_HEADERS.has(name.toLowerCase())) continue;
+      const key = name.toLowerCase();
+      if (isHopByHop(key) || key === 'content-length') continue;
       res.appendHeader(name, rawHeaders[i + 1]);
     }
     res.statusCode = answer.status;
--- a/packages/wire/src/forward.ts
+++ b/packages/wire/src/forward.ts
@@ -8,23 +8,9 @@
 import type {Dispatcher} from 'undici';
 import type {FailureKind} from '@radishyoke/core/scheduling/failure';
 import {isNotConnected, isSilence} from './connection_error.js';
+import {isHopByHop} from './hop_by_hop.js';
 import {renewConnections} from './renewing_agent.js';
 
-/** Headers that concern one connection only (RFC 9110, section 7.6.1). */
-const hopByHopHeaders: ReadonlySet<string> = new Set([
-  'connection',
-  'keep-alive',
-  'proxy-authenticate',
-  'proxy-authorization',
-  'proxy-connection',
-  'te',
-  'trailer',
-  'transfer-encoding',
-  'upgrade',
-  'expect',
-  'host',
-]);
-
 export interface ForwardRequest {
   readonly origin: string;
   readonly method: string;
@@ -134,7 +120,7 @@
   const selected: Record<string, string | string[]> = {};
   for (const name in headers) {
     const value = headers[name];
-    if (value === undefined || hopByHopHeaders.has(name)) continue;
+    if (value === undefined || name === 'host' || isHopByHop(name)) continue;
     selected[name] = value;
   }
   return selected;
