--- /dev/null
+++ b/packages/daemon/src/gateway/__tests__/endpoint_exchange.spec.ts
@@ -0,0 +1,128 @@
+import http from 'node:http';
+import test from 'ava';
+import {EndpointExchange, type ExchangeOutcome} from '../endpoint_exchange.js';
+import {
+  createEntry,
+  type Ending,
+  PlainProtocol,
+  startRawServer,
+} from './gateway_fixtures.js';
+
+const HEAD = 'HTTP/1.1 200 OK\r\nId: a1\r\nStamp: s\r\n';
+
+interface FaultCase {
+  readonly name: string;
+  readonly text: string;
+  readonly ending: Ending;
+  readonly expected: ExchangeOutcome['kind'];
+}
+
+const CASES: readonly FaultCase[] = [
+  {
+    name: 'a whole answer is taken',
+    text: `${HEAD}Content-Length: 4\r\n\r\nbody`,
+    ending: 'keep',
+    expected: 'answered',
+  },
+  {
+    name: 'an answer without a length ends with its connection',
+    text: `${HEAD}Connection: close\r\n\r\nbody`,
+    ending: 'end',
+    expected: 'answered',
+  },
+  {
+    name: 'an answer without a length that is reset is not whole',
+    text: `${HEAD}Connection: close\r\n\r\nbo`,
+    ending: 'reset',
+    expected: 'unknown',
+  },
+  {
+    name: 'an answer that is shorter than it says is not whole',
+    text: `${HEAD}Content-Length: 9\r\n\r\nbody`,
+    ending: 'end',
+    expected: 'unknown',
+  },
+  {
+    name: 'chunks without their end are not whole',
+    text: `${HEAD}Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n`,
+    ending: 'end',
+    expected: 'unknown',
+  },
+  {
+    name: 'an answer to another request is not taken',
+    text: 'HTTP/1.1 200 OK\r\nId: other\r\nStamp: s\r\nContent-Length: 4\r\n\r\nbody',
+    ending: 'keep',
+    expected: 'unknown',
+  },
+  {
+    name: 'a success without proof of origin is not taken',
+    text: 'HTTP/1.1 200 OK\r\nId: a1\r\nContent-Length: 4\r\n\r\nbody',
+    ending: 'keep',
+    expected: 'unknown',
+  },
+  {
+    name: 'an encoded body is not the one that was asked for',
+    text: `${HEAD}Content-Encoding: gzip\r\nContent-Length: 4\r\n\r\nbody`,
+    ending: 'keep',
+    expected: 'unknown',
+  },
+  {
+    name: 'bytes that are no answer are not taken',
+    text: 'what is this\r\n\r\n',
+    ending: 'keep',
+    expected: 'unknown',
+  },
+  {
+    name: 'a failure of the endpoint is its answer',
+    text: 'HTTP/1.1 500 No\r\nId: a1\r\nStamp: s\r\nContent-Length: 0\r\n\r\n',
+    ending: 'keep',
+    expected: 'answered',
+  },
+  {
+    name: 'an endpoint that did not run the request says so',
+    text: 'HTTP/1.1 503 Full\r\nId: a1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n',
+    ending: 'keep',
+    expected: 'not_executed',
+  },
+  {
+    name: 'another endpoint at the address did not run it',
+    text: 'HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n',
+    ending: 'keep',
+    expected: 'not_executed',
+  },
+];
+
+function runExchange(port: number): Promise<ExchangeOutcome> {
+  const entry = createEntry(port);
+  const agent = new http.Agent({keepAlive: false});
+  const exchange = new EndpointExchange(agent, new PlainProtocol(), entry);
+  return exchange.run({
+    method: 'POST',
+    path: '/x',
+    headers: {host: 'h'},
+    body: Buffer.from('ask'),
+    attemptId: 'a1',
+    deadlineMs: 1000,
+  });
+}
+
+// A caller gets half a body, or the answer to another request, as a success.
+// 1. An endpoint breaks off, spoils, doubles or mixes up its answer.
+// 2. Whatever has the look of an answer is passed on.
+for (const {name, text, ending, expected} of CASES) {
+  test(name, async t => {
+    const server = await startRawServer(text, ending);
+    t.teardown(() => server.close());
+    const outcome = await runExchange(server.entry.port);
+    t.is(outcome.kind, expected);
+    if (outcome.kind === 'answered' && outcome.answer.status === 200) {
+      t.is(outcome.answer.body.toString(), 'body');
+    }
+  });
+}
+
+test('a request that found no connection was not sent', async t => {
+  const server = await startRawServer('', 'keep');
+  await server.close();
+  t.is((await runExchange(server.entry.port)).kind, 'unsent');
+});
--- /dev/null
+++ b/packages/daemon/src/gateway/__tests__/gateway_fixtures.ts
@@ -0,0 +1,213 @@
+/** Stand-ins for what the gateway's tasks talk to. */
+
+import type {IncomingHttpHeaders, OutgoingHttpHeaders} from 'node:http';
+import net from 'node:net';
+import type {BatchItem} from '@radishyoke/core/batches/batch_record';
+import type {EndpointEntry} from '@radishyoke/core/fleet/endpoint_entry';
+import {createError} from '@radishyoke/shared/error_kind';
+import {fail, type Result} from '@radishyoke/shared/result';
+import {
+  type AnswerFacts,
+  type EndpointCall,
+  EndpointProtocol,
+  type EngineReport,
+  type ForwardTerms,
+  type GenerationTerms,
+  type OrderAnswer,
+} from '../endpoint_protocol.js';
+import {
+  type AppendOptions,
+  type AppendOutcome,
+  type KeyedReadOutcome,
+  type KeyedRecord,
+  LogStore,
+  type ReadOptions,
+  type ReadOutcome,
+} from '../log_store.js';
+
+/** A protocol with the shortest names. */
+export class PlainProtocol extends EndpointProtocol {
+  readonly versionField = 'version';
+
+  forwardHeaders(
+    received: IncomingHttpHeaders,
+    terms: ForwardTerms,
+  ): OutgoingHttpHeaders {
+    return {...received, 'for-endpoint': terms.endpointId};
+  }
+
+  generationHeaders(
+    item: BatchItem,
+    terms: GenerationTerms,
+  ): OutgoingHttpHeaders {
+    const {lastEventId} = terms;
+    const resume = lastEventId === undefined ? {} : {'last-id': lastEventId};
+    return {id: item.id, ...resume};
+  }
+
+  readAnswer(headers: IncomingHttpHeaders): AnswerFacts {
+    const version = headers['version'];
+    return {
+      attemptId: headers['id'] as string | undefined,
+      isStamped: headers['stamp'] !== undefined,
+      isNotExecuted: headers['not-run'] !== undefined,
+      weightVersion: version === undefined ? undefined : Number(version),
+      load: undefined,
+    };
+  }
+
+  reportCall(): EndpointCall {
+    return {method: 'GET', path: '/report', headers: {}};
+  }
+
+  decodeReport(): Result<EngineReport> {
+    return fail(createError('bad_request'));
+  }
+
+  orderCall(): EndpointCall {
+    return {method: 'POST', path: '/order', headers: {}};
+  }
+
+  judgeOrder(): OrderAnswer {
+    return 'refused';
+  }
+}
+
+/** A server that answers each connection's first bytes with fixed text. */
+export interface RawServer {
+  readonly entry: EndpointEntry;
+  close(): Promise<void>;
+}
+
+/** How a raw server leaves a connection after its text. */
+export type Ending = 'keep' | 'end' | 'reset';
+
+/** Starts a server that answers every request with `text`, whatever was asked. */
+export async function startRawServer(
+  text: string,
+  ending: Ending,
+): Promise<RawServer> {
+  const sockets = new Set<net.Socket>();
+  const server = net.createServer(socket => {
+    sockets.add(socket);
+    socket.on('error', () => undefined);
+    socket.on('data', () => {
+      socket.write(text, () => {
+        if (ending === 'end') socket.end();
+        // What was sent must arrive before the reset does.
+        if (ending === 'reset') setTimeout(() => socket.resetAndDestroy(), 20);
+      });
+    });
+  });
+  await new Promise<void>(resolve =>
+    server.listen(0, '127.0.0.1', () => resolve()),
+  );
+  const {port} = server.address() as net.AddressInfo;
+  return {
+    entry: createEntry(port),
+    close: () => {
+      for (const socket of sockets) socket.destroy();
+      return new Promise(resolve => server.close(() => resolve()));
+    },
+  };
+}
+
+export function createEntry(port: number): EndpointEntry {
+  return {
+    id: 'e1',
+    service: 'app',
+    host: '127.0.0.1',
+    port,
+    dataCentre: 'dc',
+    slots: 4,
+    isDraining: false,
+    models: [],
+    bornMs: 0,
+    sequence: 0,
+  };
+}
+
+/** A log in memory whose next appends can be told how to end. */
+export class MemoryStore extends LogStore {
+  readonly partitions = 2;
+  readonly maxRecordBytes = 4096;
+  readonly maxAppendBytes = 16_384;
+  readonly records: Uint8Array[] = [];
+  /** Outcomes of the next appends; a plan that is used up appends. */
+  readonly plan: Array<'refused' | 'unknown' | 'unknown_but_done'> = [];
+  /** Answers of the next reads of the newest records; the last one stays. */
+  readonly newest: KeyedReadOutcome[] = [];
+  /** Answers of the next reads of a keyed topic; then nothing comes. */
+  readonly keyedReads: KeyedReadOutcome[] = [];
+  appends = 0;
+
+  async append(
+    _topic: string,
+    _partition: number,
+    records: readonly Uint8Array[],
+    {at}: AppendOptions = {},
+  ): Promise<AppendOutcome> {
+    this.appends += 1;
+    const step = this.plan.shift();
+    const error = createError('log_unavailable');
+    if (step === 'refused') return {kind: 'refused', error};
+    if (step === 'unknown') return {kind: 'unknown', error};
+    const offset = this.records.length;
+    if (at !== undefined && at !== offset) {
+      return {kind: 'conflict', endOffset: offset};
+    }
+    this.records.push(...records);
+    if (step === 'unknown_but_done') return {kind: 'unknown', error};
+    return {kind: 'appended', offset};
+  }
+
+  async read(
+    _topic: string,
+    _partition: number,
+    from: number,
+  ): Promise<ReadOutcome> {
+    const records = this.records
+      .slice(from)
+      .map((bytes, i) => ({offset: from + i, bytes}));
+    const endOffset = this.records.length;
+    return {kind: 'page', records, endOffset, firstOffset: 0};
+  }
+
+  async readKeyed(
+    _topic: string,
+    _from: number,
+    options: ReadOptions,
+  ): Promise<KeyedReadOutcome> {
+    const next = this.keyedReads.shift();
+    if (next) return next;
+    return new Promise(resolve => {
+      options.signal?.addEventListener('abort', () =>
+        resolve({kind: 'failed', error: createError('cancelled')}),
+      );
+    });
+  }
+
+  async readNewest(): Promise<KeyedReadOutcome> {
+    const next = this.newest.length > 1 ? this.newest.shift() : this.newest[0];
+    return next ?? {kind: 'page', records: [], endOffset: 0};
+  }
+
+  async trim(): Promise<boolean> {
+    return true;
+  }
+
+  close(): void {}
+}
+
+/** A keyed record with a short value; without one the key is removed. */
+export function createKeyed(
+  key: string,
+  offset: number,
+  value?: string,
+): KeyedRecord {
+  return {
+    key,
+    offset,
+    value: value === undefined ? undefined : Buffer.from(value),
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/__tests__/generation.spec.ts
@@ -0,0 +1,118 @@
+import http from 'node:http';
+import test from 'ava';
+import type {BatchItem} from '@radishyoke/core/batches/batch_record';
+import type {RunEnd} from '@radishyoke/core/batches/batch_scheduler';
+import {Generation} from '../generation.js';
+import {
+  type Ending,
+  PlainProtocol,
+  startRawServer,
+} from './gateway_fixtures.js';
+
+const ITEM: BatchItem = {
+  id: 'a1',
+  group: 'g',
+  path: '/x',
+  headers: {},
+  body: Buffer.from('ask'),
+  promptTokens: 1,
+  maxOutputTokens: 10,
+  expectedOutputTokens: 5,
+};
+
+const HEAD =
+  'HTTP/1.1 200 OK\r\nId: a1\r\nStamp: s\r\nVersion: 6\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n';
+
+interface GenerationCase {
+  readonly name: string;
+  readonly text: string;
+  readonly ending: Ending;
+  readonly events: readonly string[];
+  readonly end: RunEnd;
+}
+
+const CASES: readonly GenerationCase[] = [
+  {
+    name: 'events come with the version that made them',
+    text: `${HEAD}id: 1\ndata: x\n\nversion: 7\nid: 2\ndata: y\n\n`,
+    ending: 'end',
+    events: ['1:x@6', '2:y@7'],
+    end: 'finished',
+  },
+  {
+    name: 'an event that was cut off is not handed on',
+    text: `${HEAD}id: 1\ndata: x\n\nid: 2\ndata: half`,
+    ending: 'reset',
+    events: ['1:x@6'],
+    end: 'broken',
+  },
+  {
+    name: 'an event without a number breaks the run',
+    text: `${HEAD}data: x\n\n`,
+    ending: 'end',
+    events: [],
+    end: 'broken',
+  },
+  {
+    name: 'a failure is told from what can never be done',
+    text: 'HTTP/1.1 422 No\r\nId: a1\r\nContent-Length: 0\r\n\r\n',
+    ending: 'keep',
+    events: [],
+    end: 'impossible',
+  },
+  {
+    name: 'a failed attempt is told',
+    text: 'HTTP/1.1 500 No\r\nId: a1\r\nContent-Length: 0\r\n\r\n',
+    ending: 'keep',
+    events: [],
+    end: 'failed',
+  },
+  {
+    name: 'an engine that is full did not run it',
+    text: 'HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n',
+    ending: 'keep',
+    events: [],
+    end: 'refused',
+  },
+  {
+    name: 'another engine has the address',
+    text: 'HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n',
+    ending: 'keep',
+    events: [],
+    end: 'misdirected',
+  },
+  {
+    name: 'the output of another item is not taken',
+    text: HEAD.replace('Id: a1', 'Id: b2') + 'id: 1\ndata: x\n\n',
+    ending: 'end',
+    events: [],
+    end: 'broken',
+  },
+];
+
+// A sample has pieces of another text, or ends before its end.
+// 1. An engine breaks off in the middle of an event, or answers for another.
+// 2. What came so far is taken for whole.
+for (const {name, text, ending, events, end} of CASES) {
+  test(name, async t => {
+    const server = await startRawServer(text, ending);
+    t.teardown(() => server.close());
+    const seen: string[] = [];
+    const ended = await new Promise<RunEnd>(resolve => {
+      new Generation(
+        new http.Agent(),
+        new PlainProtocol(),
+        server.entry,
+        ITEM,
+        {endpointId: 'e1', host: 'h', deadlineMs: 1000},
+        {
+          onEvent: ({id, data, version}) =>
+            seen.push(`${id}:${data}@${version}`),
+          onEnd: resolve,
+        },
+      );
+    });
+    t.deepEqual(seen, events);
+    t.is(ended, end);
+  });
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/__tests__/keyed_feed.spec.ts
@@ -0,0 +1,91 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import test from 'ava';
+import {createError} from '@radishyoke/shared/error_kind';
+import {silentLogger} from '../../logger.js';
+import {KeyedFeed} from '../keyed_feed.js';
+import type {KeyedReadOutcome} from '../log_store.js';
+import {createKeyed, MemoryStore} from './gateway_fixtures.js';
+
+/** Runs a feed until it has told `last`, and returns all that it told. */
+async function follow(
+  store: MemoryStore,
+  last: string,
+): Promise<readonly string[]> {
+  const told: string[] = [];
+  const feed = new KeyedFeed(
+    store,
+    {topic: 'keys', waitMs: 10, gatherMs: 0},
+    {
+      onRecord: ({key, value, offset}) =>
+        told.push(
+          `${key}=${value ? Buffer.from(value).toString() : '-'}@${offset}`,
+        ),
+      onCaughtUp: () => told.push('caught up'),
+      onContact: () => undefined,
+      onLost: () => told.push('lost'),
+    },
+    silentLogger,
+  );
+  const running = feed.run();
+  for (let i = 0; i < 2000 && !told.includes(last); i++) await sleep(5);
+  feed.stop();
+  await running;
+  return told;
+}
+
+function createPage(
+  records: ReturnType<typeof createKeyed>[],
+  endOffset: number,
+): KeyedReadOutcome {
+  return {kind: 'page', records, endOffset};
+}
+
+test('the newest records come first, then what follows them', async t => {
+  const store = new MemoryStore();
+  store.newest.push(createPage([createKeyed('a', 3, 'x')], 4));
+  store.keyedReads.push(createPage([createKeyed('a', 4, 'y')], 5));
+  t.deepEqual(await follow(store, 'a=y@4'), ['a=x@3', 'caught up', 'a=y@4']);
+});
+
+// Work goes to endpoints that left while history was dropped.
+// 1. A reader falls behind; the records it would go on from are gone.
+// 2. A key was removed meanwhile: no record of the removal is left.
+// Cause: reading anew tells what is there, not what went.
+test('keys that are missing after history was dropped are removed', async t => {
+  const store = new MemoryStore();
+  store.newest.push(
+    createPage([createKeyed('a', 3, 'x'), createKeyed('b', 4, 'x')], 5),
+    createPage([createKeyed('b', 4, 'x')], 50),
+  );
+  store.keyedReads.push({kind: 'expired', firstOffset: 40});
+  t.deepEqual((await follow(store, 'a=-@49')).slice(0, 4), [
+    'a=x@3',
+    'b=x@4',
+    'caught up',
+    'a=-@49',
+  ]);
+});
+
+// A VM goes back to a configuration that was replaced.
+// 1. It has read to offset 50; history is dropped and it reads anew.
+// 2. That read lags behind and ends at 40.
+test('newest records that are older than what was read are not taken', async t => {
+  const store = new MemoryStore();
+  store.newest.push(
+    createPage([createKeyed('a', 49, 'new')], 50),
+    createPage([createKeyed('a', 39, 'old')], 40),
+  );
+  store.keyedReads.push({kind: 'expired', firstOffset: 60});
+  const told = await follow(store, 'lost');
+  t.false(told.includes('a=old@39'));
+  t.true(told.includes('lost'));
+});
+
+test('a failed read is told and tried again', async t => {
+  const store = new MemoryStore();
+  store.keyedReads.push(
+    {kind: 'failed', error: createError('log_unavailable')},
+    createPage([createKeyed('a', 0, 'x')], 1),
+  );
+  t.deepEqual(await follow(store, 'a=x@0'), ['caught up', 'lost', 'a=x@0']);
+});
