fix(daemon): a connection to an endpoint that is not made in 250 ms is given up

Cause: a machine without power never refuses a connection, so a request that may not be repeated waited out its deadline though nothing had been sent. Change: after 250 ms it counts as unsent and goes to another endpoint.

--- a/packages/daemon/src/gateway/endpoint_exchange.ts
+++ b/packages/daemon/src/gateway/endpoint_exchange.ts
@@ -5,6 +5,7 @@
  */
 
 import http from 'node:http';
+import type {Socket} from 'node:net';
 import type {EndpointEntry} from '@radishyoke/core/fleet/endpoint_entry';
 import type {AnswerFacts, EndpointProtocol} from './endpoint_protocol.js';
 
@@ -38,6 +39,8 @@
 /** Answers of plain services are held in memory whole; longer ones are refused, bytes. */
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
 const MISDIRECTED = 421;
+/** A connection must be made within this time, ms; distances are a few ms. A machine without power never refuses one, and the request can still go elsewhere. */
+const CONNECT_MS = 250;
 
 export class EndpointExchange {
   private req: http.ClientRequest | undefined;
@@ -94,14 +97,24 @@
       headers,
       setHost: false,
     });
-    req.on('socket', socket => {
-      if (!socket.connecting) this.isConnected = true;
-      else socket.once('connect', () => (this.isConnected = true));
-    });
+    req.on('socket', socket => this.watchConnect(socket));
     req.end(sent.body);
     return req;
   }
 
+  private watchConnect(socket: Socket): void {
+    if (!socket.connecting) {
+      this.isConnected = true;
+      return;
+    }
+    const timer = setTimeout(() => this.req?.destroy(), CONNECT_MS);
+    socket.once('close', () => clearTimeout(timer));
+    socket.once('connect', () => {
+      clearTimeout(timer);
+      this.isConnected = true;
+    });
+  }
+
   private receive(
     res: http.IncomingMessage,
     sent: ExchangeRequest,
--- a/packages/daemon/src/gateway/generation.ts
+++ b/packages/daemon/src/gateway/generation.ts
@@ -4,6 +4,7 @@
  */
 
 import http from 'node:http';
+import type {Socket} from 'node:net';
 import type {
   BatchItem,
   OutputEvent,
@@ -68,7 +69,7 @@
     this.req.destroy();
   }
 
-  private watchConnect(socket: import('node:net').Socket): void {
+  private watchConnect(socket: Socket): void {
     if (!socket.connecting) {
       this.isConnected = true;
       return;
