--- /dev/null
+++ b/packages/daemon/src/gateway/__tests__/batch_api.spec.ts
@@ -0,0 +1,152 @@
+import http from 'node:http';
+import type {AddressInfo} from 'node:net';
+import test, {type ExecutionContext} from 'ava';
+import type {Batch} from '@radishyoke/core/batches/batch_record';
+import {type Result, succeed} from '@radishyoke/shared/result';
+import type {Route} from '@radishyoke/core/routing/route_table';
+import {silentLogger} from '../../logger.js';
+import {BatchApi} from '../batch_api.js';
+import {BatchShelf} from '../batch_book.js';
+import {
+  type CallerAttempt,
+  type CallerCall,
+  CallerProtocol,
+  type ResultPage,
+  type Submission,
+} from '../caller_protocol.js';
+import {ConfigHolder} from '../config_holder.js';
+import {GatewayMetrics} from '../gateway_metrics.js';
+import {MemoryStore} from './gateway_fixtures.js';
+
+/** Callers who send one item and name their call in the path. */
+class PlainCallers extends CallerProtocol {
+  decodeCall(method: string, path: string): Result<CallerCall> {
+    const batchId = path.slice(1);
+    if (method === 'DELETE') return succeed({kind: 'end_batch', batchId});
+    return succeed({kind: 'read_results', batchId, after: 0, waitMs: 0});
+  }
+
+  readAttempt(headers: http.IncomingHttpHeaders): CallerAttempt {
+    return {id: headers['id'] as string | undefined, deadlineMs: undefined};
+  }
+
+  decodeBatch(_body: Uint8Array, submission: Submission): Result<Batch> {
+    return succeed({
+      id: submission.attemptId,
+      host: 'h',
+      path: '/r/',
+      step: 0,
+      model: 'm',
+      minVersion: 0,
+      groupsWanted: 1,
+      items: [],
+      submittedAtMs: Date.now(),
+    });
+  }
+
+  encodePage(page: ResultPage): Uint8Array {
+    return Buffer.from(JSON.stringify(page));
+  }
+
+  answerHeaders(retryAfterMs: number | undefined): http.OutgoingHttpHeaders {
+    return retryAfterMs === undefined
+      ? {}
+      : {'retry-after': retryAfterMs / 1000};
+  }
+}
+
+const ROUTE: Route = {
+  name: 'r',
+  host: 'h',
+  pathPrefix: '/r/',
+  kind: 'batch',
+  resumable: true,
+  services: [{service: 's', weight: 1}],
+  attempts: 3,
+  timeoutMs: 1000,
+  objectiveMs: 400,
+  priority: 0,
+};
+
+/** Serves a batch API before `store` and returns a way to call it. */
+async function startApi(t: ExecutionContext, store: MemoryStore) {
+  const protocol = new PlainCallers();
+  const parts = {
+    store,
+    shelf: new BatchShelf(store, silentLogger),
+    protocol,
+    config: new ConfigHolder(silentLogger),
+    metrics: new GatewayMetrics(),
+    logger: silentLogger,
+  };
+  const api = new BatchApi(parts, 'life');
+  const server = http.createServer((req, res) => {
+    if (req.method === 'POST') {
+      void api.submit(ROUTE, 'h', '/r/', Buffer.from(''), req, res);
+      return;
+    }
+    const call = protocol.decodeCall(req.method ?? '', req.url ?? '');
+    if (call.ok && call.value.kind !== 'request')
+      void api.answer(call.value, res);
+  });
+  await new Promise<void>(resolve =>
+    server.listen(0, '127.0.0.1', () => resolve()),
+  );
+  t.teardown(() => server.close());
+  const {port} = server.address() as AddressInfo;
+  return async (method: string, path: string): Promise<Response> => {
+    const headers = {id: 'b1', connection: 'close'};
+    return fetch(`http://127.0.0.1:${port}${path}`, {method, headers});
+  };
+}
+
+test('a batch is acknowledged once it stands in the log', async t => {
+  const store = new MemoryStore();
+  const call = await startApi(t, store);
+  t.is((await call('POST', '/r/')).status, 202);
+  t.is(store.records.length, 2);
+  t.is((await call('GET', '/b1')).status, 200);
+  t.is((await call('GET', '/b2')).status, 404);
+});
+
+test('a batch is ended once, however often it is asked', async t => {
+  const store = new MemoryStore();
+  const call = await startApi(t, store);
+  await call('POST', '/r/');
+  t.is((await call('DELETE', '/b1')).status, 200);
+  t.is((await call('DELETE', '/b1')).status, 200);
+  t.is(store.records.length, 3);
+});
+
+// A trainer gets 503, which says that nothing will run, and the batch runs.
+// 1. The log does not answer an append; it may be carried out seconds later.
+// 2. The tries after it are refused.
+// Cause: the last outcome taken for the whole.
+test('a batch is refused only if no append can stand', async t => {
+  const refused = new MemoryStore();
+  for (let i = 0; i < 1000; i++) refused.plan.push('refused');
+  const callRefused = await startApi(t, refused);
+  const unsure = new MemoryStore();
+  unsure.plan.push('unknown');
+  for (let i = 0; i < 1000; i++) unsure.plan.push('refused');
+  const callUnsure = await startApi(t, unsure);
+  const [first, second] = await Promise.all([
+    callRefused('POST', '/r/'),
+    callUnsure('POST', '/r/'),
+  ]);
+  t.is(first.status, 503);
+  t.truthy(first.headers.get('retry-after'));
+  t.is(second.status, 502);
+});
+
+// A batch is taken twice.
+// 1. The answer to an append is lost; the append is made again.
+test('an append whose answer was lost accepts the batch once', async t => {
+  const store = new MemoryStore();
+  store.plan.push('unknown_but_done');
+  const call = await startApi(t, store);
+  t.is((await call('POST', '/r/')).status, 202);
+  t.is(store.records.length, 4);
+  const page = (await (await call('GET', '/b1')).json()) as {total: number};
+  t.is(page.total, 0);
+});
