--- a/packages/daemon/src/gateway/__tests__/batch_api.spec.ts
+++ b/packages/daemon/src/gateway/__tests__/batch_api.spec.ts
@@ -51,7 +51,7 @@
   answerHeaders(retryAfterMs: number | undefined): http.OutgoingHttpHeaders {
     return retryAfterMs === undefined
       ? {}
-      : {'retry-after': retryAfterMs / 1000};
+      : {'retry-after': String(retryAfterMs / 1000)};
   }
 }
 
