perf(daemon): items go to an engine when its load should be done

Change: after the usual length of a load, learned from reports, items are tried; events say which version an engine has, and a run whose events are too old stops at the first. A stream without an event is no output.

--- a/packages/core/src/batches/__tests__/batch_scheduler.spec.ts
+++ b/packages/core/src/batches/__tests__/batch_scheduler.spec.ts
@@ -58,9 +58,10 @@
   const {scheduler, open} = createSchedule([createEngine('e0', {versions})]);
   open(createBatch('b0', ['g0a'], {minVersion: 3}));
   const [run] = listStarts(scheduler.decide(0));
-  scheduler.noteEvent(run, createEvent(1, run.id, 2), 10);
+  t.false(scheduler.noteEvent(run, createEvent(1, run.id, 2), 10));
   scheduler.noteEnd(run, 'finished', 20);
-  const [again] = listStarts(scheduler.decide(20));
+  t.deepEqual(scheduler.decide(20), [], 'no text is no result');
+  const [again] = listStarts(scheduler.decide(100));
   t.is(again.job.transcript.events.length, 0);
 });
 
--- a/packages/core/src/batches/batch_scheduler.ts
+++ b/packages/core/src/batches/batch_scheduler.ts
@@ -216,9 +216,13 @@
     return count;
   }
 
-  /** An event of `run` arrived. Says whether it follows the text so far. */
+  /** An event of `run` arrived. Says whether it can be used and follows the text so far. */
   noteEvent(run: Run, event: OutputEvent, nowMs: number): boolean {
     if (!this.runs.has(run.id) || run.isStopping) return true;
+    // The engine has older weights than it was taken to have; the rest of the
+    // text would be made for nothing.
+    const minVersion = run.job.batch.terms?.minVersion ?? 0;
+    if (event.version < minVersion) return false;
     if (!run.job.transcript.append(event)) return false;
     if (run.events > 0) {
       const gapMs = nowMs - run.lastEventMs;
@@ -245,7 +249,7 @@
     job.state = 'waiting';
     switch (end) {
       case 'finished':
-        this.takeOutput(job);
+        this.takeOutput(job, nowMs);
         return;
       case 'failed':
         this.countFailure(job, nowMs);
@@ -435,8 +439,13 @@
     this.actions.push({kind: 'stop', run, reason});
   }
 
-  private takeOutput(job: Job): void {
+  private takeOutput(job: Job, nowMs: number): void {
     const {terms} = job.batch;
+    // A stream that ends well without one event is no output of a generation.
+    if (job.transcript.events.length === 0) {
+      job.notBeforeMs = nowMs + REPEAT_PAUSE_MS;
+      return;
+    }
     // Weights can be older than the engine's last word said when it restarted
     // meanwhile; such a text is not used.
     if (terms && !job.transcript.isFit(terms)) {
--- a/packages/daemon/src/gateway/engine_fleet.ts
+++ b/packages/daemon/src/gateway/engine_fleet.ts
@@ -63,10 +63,19 @@
     }
   }
 
-  /** An event of a run was made under `version`. */
+  /** An event of a run was made under `version`: nothing is more certain. */
   noteVersion(engineId: string, model: string, version: number): void {
-    const state = this.states.get(engineId);
-    if (state) this.raise(state, model, version);
+    this.states.get(engineId)?.versions.set(model, version);
+  }
+
+  /**
+   * The engine should have finished a load by now. Its report says so some
+   * hundred ms later; until then items are tried, and refused where it has not.
+   */
+  assumeLoaded(entry: EndpointEntry, model: string, version: number): void {
+    const state = this.open(entry);
+    this.raise(state, model, version);
+    state.loading.delete(model);
   }
 
   /** The engine is about to load `model`, or does. */
--- a/packages/daemon/src/gateway/weight_task.ts
+++ b/packages/daemon/src/gateway/weight_task.ts
@@ -53,9 +53,17 @@
 const REPORT_MS = 400;
 /** An engine answers an order in a few ms; without an answer the same order is sent again, which is void if the first was accepted. */
 const ORDER_MS = 150;
-/** A load takes about a second: the first look at its end, and the pause between looks, ms. */
-const FIRST_LOOK_MS = 850;
+/** How long a load is taken to last until one was seen, ms. */
+const FIRST_LOAD_MS = 950;
+/** Reports tell of the end of a load about this much late, ms. */
+const REPORT_BEHIND_MS = 250;
+/** Pause between looks at the end of a load, ms. */
 const LOOK_MS = 150;
+/** After this many looks a report that shows no load and no new version is believed: it has caught up. */
+const SETTLED_LOOKS = 4;
+/** Bounds on what is learned of the length of loads, ms. */
+const MIN_LOAD_MS = 100;
+const MAX_LOAD_MS = 5000;
 /** Looks until a load is given up and begun anew. */
 const MAX_LOOKS = 24;
 /** Reports lag by some hundred ms, so an order in conflict with another is judged this long after it, ms. */
@@ -70,6 +78,8 @@
   private readonly working = new Set<string>();
   private readonly restUntilMs = new Map<string, number>();
   private isStopped = false;
+  /** How long the last load took, ms. */
+  private loadMs = FIRST_LOAD_MS;
 
   constructor(private readonly parts: WeightParts) {}
 
@@ -197,7 +207,7 @@
         await sleep(LOOK_MS);
         continue;
       }
-      if (fleet.getVersion(entry.id, model) >= version) return;
+      if (hasVersion(report, model, version)) return;
       if (report.isBusy) {
         if (await this.watchLoad(entry, model, version)) return;
         continue;
@@ -223,25 +233,44 @@
     this.restUntilMs.set(entry.id, performance.now() + REST_MS);
   }
 
-  /** Looks until the engine has `version`; false where it does not come. */
+  /**
+   * Waits for the end of a load; false where it does not come. Items go to the
+   * engine as soon as it should be done: to wait for its report would leave it
+   * idle for a third of the time that the load took.
+   */
   private async watchLoad(
     entry: EndpointEntry,
     model: string,
     version: number,
   ): Promise<boolean> {
-    await sleep(FIRST_LOOK_MS);
+    const {fleet} = this.parts;
+    const startedMs = performance.now();
+    await sleep(this.loadMs);
+    if (this.isOutOfDate(entry)) return true;
+    fleet.assumeLoaded(entry, model, version);
     for (let looks = 0; looks < MAX_LOOKS; looks++) {
+      await sleep(LOOK_MS);
       if (this.isOutOfDate(entry)) return true;
-      if (this.parts.fleet.getVersion(entry.id, model) >= version) return true;
       const report = await this.fetchReport(entry);
-      if (report && !report.isBusy && looks > 4) {
-        return this.parts.fleet.getVersion(entry.id, model) >= version;
+      if (!report) continue;
+      if (hasVersion(report, model, version)) {
+        this.learnLoad(performance.now() - startedMs - REPORT_BEHIND_MS);
+        return true;
+      }
+      if (!report.isBusy && looks >= SETTLED_LOOKS) {
+        fleet.noteVersion(entry.id, model, findVersion(report, model));
+        return false;
       }
-      await sleep(LOOK_MS);
     }
     return false;
   }
 
+  /** Loads of one deployment take about the same time. */
+  private learnLoad(tookMs: number): void {
+    const bounded = Math.min(Math.max(tookMs, MIN_LOAD_MS), MAX_LOAD_MS);
+    this.loadMs += (bounded - this.loadMs) / 4;
+  }
+
   private isOutOfDate(entry: EndpointEntry): boolean {
     const now = this.parts.roster.get(entry.id);
     return this.isStopped || !now || now.bornMs !== entry.bornMs;
@@ -317,6 +346,18 @@
   }
 }
 
+function findVersion(report: EngineReport, model: string): number {
+  return report.models.find(each => each.model === model)?.version ?? 0;
+}
+
+function hasVersion(
+  report: EngineReport,
+  model: string,
+  version: number,
+): boolean {
+  return findVersion(report, model) >= version;
+}
+
 function isSingleVersion(model: string, table: RouteTable): boolean {
   return table.cfg.routes.some(({batch, services}) => {
     if (!batch?.singleVersion) return false;
