refactor(core,daemon): the scheduler's words and small judgements in files of their own

Change: schedule_action.ts holds what the scheduler is told and asks, job_rules.ts its judgements; a load is a target with steps. An engine that is busy with another order is waited for and no longer taken to load ours.

--- a/packages/core/src/batches/__tests__/batch_fixtures.ts
+++ b/packages/core/src/batches/__tests__/batch_fixtures.ts
@@ -8,7 +8,8 @@
   BatchRecord,
   OutputEvent,
 } from '../batch_record.js';
-import {BatchScheduler, type ScheduleAction} from '../batch_scheduler.js';
+import {BatchScheduler} from '../batch_scheduler.js';
+import type {ScheduleAction} from '../schedule_action.js';
 import type {EngineView} from '../engine_board.js';
 
 export const MODEL = 'm0';
--- a/packages/core/src/batches/batch_scheduler.ts
+++ b/packages/core/src/batches/batch_scheduler.ts
@@ -20,65 +20,27 @@
 import type {BatchEntry} from './batch_ledger.js';
 import type {ItemResult, OutputEvent} from './batch_record.js';
 import {EngineBoard, type EngineView} from './engine_board.js';
+import {
+  chooseText,
+  clearText,
+  compareRanks,
+  copyText,
+  isAllSilent,
+  judgeEngine,
+  judgeOverdue,
+} from './job_rules.js';
 import {Placement} from './placement.js';
-import {Transcript} from './transcript.js';
-
-/** How a run ended. */
-export type RunEnd =
-  /** The whole output was received. */
-  | 'finished'
-  /** The engine answered that the attempt failed. */
-  | 'failed'
-  /** The engine answered that the item can never be done. */
-  | 'impossible'
-  /** The engine did not run it: it was full or loading. */
-  | 'refused'
-  /** Another engine has the address, or it has another version. */
-  | 'misdirected'
-  /** No connection could be made. */
-  | 'unreachable'
-  /** The connection broke, or what came was no proper output. */
-  | 'broken'
-  /** Ended on the scheduler's word. */
-  | 'stopped';
-
-/** What the owner of the scheduler is to do. */
-export type ScheduleAction =
-  | {readonly kind: 'start'; readonly run: Run; readonly reason: StartReason}
-  | {readonly kind: 'stop'; readonly run: Run; readonly reason: StopReason}
-  | {
-      readonly kind: 'list';
-      readonly batchId: string;
-      readonly result: ItemResult;
-      readonly reason: ListReason;
-    };
-
-export type StartReason = 'first' | 'resume' | 'again';
-export type StopReason =
-  | 'ended'
-  | 'stalled'
-  | 'engine_silent'
-  | 'engine_slow'
-  | 'engine_draining'
-  | 'engine_loading'
-  | 'made_room'
-  | 'stale_text';
-export type ListReason =
-  | 'finished'
-  | 'known_from_earlier_batch'
-  | 'impossible'
-  | 'attempts_used_up'
-  | 'retention_over'
-  | 'route_removed';
+import type {
+  ListReason,
+  RunEnd,
+  ScheduleAction,
+  StopReason,
+} from './schedule_action.js';
 
 /** A run without an event for this long goes on elsewhere, ms. Events come every 30 to 150 ms, a load pauses them for about 900. */
 const STALL_MS = 1500;
 /** The same while the engine loads: several loads at once take longer. */
 const LOADING_STALL_MS = 4000;
-/** All runs of an engine without an event for this long: it is silent, ms. Well over the gaps of a slow engine (4 times 40 ms) and the start of a full batch. */
-const SILENCE_MS = 800;
-/** Runs that must be silent together; one alone may be read in behind a long prompt. */
-const MIN_SILENT_RUNS = 2;
 /** Early breaks after which an item is suspected of crashing engines. */
 const MAX_EARLY_BREAKS = 3;
 /** Pause of a suspected item, ms: long enough that it reaches no more than two engines within a usual retention of 40 s. */
@@ -511,48 +473,3 @@
     job.notBeforeMs = nowMs + SUSPECT_PAUSE_MS;
   }
 }
-
-function clearText(job: Job): void {
-  job.transcript.clear();
-  job.recorded = 0;
-}
-
-/** The longer of what the log keeps and what an earlier batch made. */
-function chooseText(stored: Transcript, earlier: Job | undefined): Transcript {
-  if (!earlier) return stored;
-  const {transcript} = earlier;
-  return transcript.events.length > stored.events.length ? transcript : stored;
-}
-
-function copyText(source: Transcript): Transcript {
-  const copy = new Transcript();
-  for (const event of source.events) copy.append(event);
-  return copy;
-}
-
-function judgeEngine(run: Run, place: Placement): StopReason | undefined {
-  if (place.slow.has(run.engineId)) return 'engine_slow';
-  const engine = place.getEngine(run.engineId);
-  if (!engine || engine.isDraining) return 'engine_draining';
-  const {model} = run.job.batch.batch;
-  // A load would stop the run for about a second; to go on elsewhere costs it
-  // the reading of its text, some 25 ms for the longest.
-  return engine.loading.has(model) ? 'engine_loading' : undefined;
-}
-
-function judgeOverdue(open: OpenBatch, nowMs: number): ListReason | undefined {
-  if (!open.terms) return 'route_removed';
-  return nowMs > open.terms.giveUpAtMs ? 'retention_over' : undefined;
-}
-
-function isAllSilent(runs: readonly Run[], nowMs: number): boolean {
-  if (runs.length < MIN_SILENT_RUNS) return false;
-  return runs.every(({lastEventMs}) => nowMs - lastEventMs > SILENCE_MS);
-}
-
-function compareRanks(a: readonly number[], b: readonly number[]): number {
-  for (let i = 0; i < a.length; i++) {
-    if (a[i] !== b[i]) return a[i] - b[i];
-  }
-  return 0;
-}
--- /dev/null
+++ b/packages/core/src/batches/schedule_action.ts
@@ -0,0 +1,52 @@
+/** What the batch scheduler is told of runs, and what it asks of its owner. */
+
+import type {ItemResult} from './batch_record.js';
+import type {Run} from './batch_job.js';
+
+/** How a run ended. */
+export type RunEnd =
+  /** The whole output was received. */
+  | 'finished'
+  /** The engine answered that the attempt failed. */
+  | 'failed'
+  /** The engine answered that the item can never be done. */
+  | 'impossible'
+  /** The engine did not run it: it was full or loading. */
+  | 'refused'
+  /** Another engine has the address, or it has another version. */
+  | 'misdirected'
+  /** No connection could be made. */
+  | 'unreachable'
+  /** The connection broke, or what came was no proper output. */
+  | 'broken'
+  /** Ended on the scheduler's word. */
+  | 'stopped';
+
+/** What the owner of the scheduler is to do. */
+export type ScheduleAction =
+  | {readonly kind: 'start'; readonly run: Run; readonly reason: StartReason}
+  | {readonly kind: 'stop'; readonly run: Run; readonly reason: StopReason}
+  | {
+      readonly kind: 'list';
+      readonly batchId: string;
+      readonly result: ItemResult;
+      readonly reason: ListReason;
+    };
+
+export type StartReason = 'first' | 'resume' | 'again';
+export type StopReason =
+  | 'ended'
+  | 'stalled'
+  | 'engine_silent'
+  | 'engine_slow'
+  | 'engine_draining'
+  | 'engine_loading'
+  | 'made_room'
+  | 'stale_text';
+export type ListReason =
+  | 'finished'
+  | 'known_from_earlier_batch'
+  | 'impossible'
+  | 'attempts_used_up'
+  | 'retention_over'
+  | 'route_removed';
--- a/packages/daemon/src/gateway/__tests__/generation.spec.ts
+++ b/packages/daemon/src/gateway/__tests__/generation.spec.ts
@@ -1,7 +1,7 @@
 import http from 'node:http';
 import test from 'ava';
 import type {BatchItem} from '@radishyoke/core/batches/batch_record';
-import type {RunEnd} from '@radishyoke/core/batches/batch_scheduler';
+import type {RunEnd} from '@radishyoke/core/batches/schedule_action';
 import {Generation} from '../generation.js';
 import {
   type Ending,
--- a/packages/daemon/src/gateway/batch_runner.ts
+++ b/packages/daemon/src/gateway/batch_runner.ts
@@ -4,11 +4,11 @@
  * came of it.
  */
 
-import {
-  BatchScheduler,
-  type RunEnd,
-  type ScheduleAction,
-} from '@radishyoke/core/batches/batch_scheduler';
+import {BatchScheduler} from '@radishyoke/core/batches/batch_scheduler';
+import type {
+  RunEnd,
+  ScheduleAction,
+} from '@radishyoke/core/batches/schedule_action';
 import type {OpenBatchTerms, Run} from '@radishyoke/core/batches/batch_job';
 import type {LedgerChange} from '@radishyoke/core/batches/batch_ledger';
 import type {Batch, OutputEvent} from '@radishyoke/core/batches/batch_record';
--- a/packages/daemon/src/gateway/generation.ts
+++ b/packages/daemon/src/gateway/generation.ts
@@ -9,7 +9,7 @@
   BatchItem,
   OutputEvent,
 } from '@radishyoke/core/batches/batch_record';
-import type {RunEnd} from '@radishyoke/core/batches/batch_scheduler';
+import type {RunEnd} from '@radishyoke/core/batches/schedule_action';
 import type {EndpointEntry} from '@radishyoke/core/fleet/endpoint_entry';
 import {createParser, type EventSourceParser} from 'eventsource-parser';
 import type {EndpointProtocol, GenerationTerms} from './endpoint_protocol.js';
--- a/packages/daemon/src/gateway/weight_task.ts
+++ b/packages/daemon/src/gateway/weight_task.ts
@@ -44,6 +44,19 @@
   readonly logger: Logger;
 }
 
+/** One engine that is to have one version. */
+interface LoadTarget {
+  readonly entry: EndpointEntry;
+  readonly model: string;
+  readonly version: number;
+  readonly mode: LoadMode;
+  /** Whether an order got no answer, and so may be carried out any time. */
+  isUnanswered: boolean;
+}
+
+/** What follows one try to load. */
+type LoadStep = 'again' | 'over' | 'hopeless';
+
 /** Engines that serve one model at least: one alone would stop its trainer when it loads or fails. */
 const MIN_ENGINES = 2;
 /** Engines that load at once at most, as a share of all and at least; more slow each other down (2 of 6, 10 of 34 and 9 of 31 do not). */
@@ -148,7 +161,13 @@
       const entry = roster.get(id);
       if (!entry) continue;
       const mode = isSingleVersion(model, table) ? 'wait' : 'keep';
-      void this.load(entry, model, newest, mode);
+      void this.load({
+        entry,
+        model,
+        version: newest,
+        mode,
+        isUnanswered: false,
+      });
     }
   }
 
@@ -176,93 +195,102 @@
     return this.parts.fleet.describe(table.engines, nowMs).length;
   }
 
-  private async load(
-    entry: EndpointEntry,
-    model: string,
-    version: number,
-    mode: LoadMode,
-  ): Promise<void> {
+  private async load(target: LoadTarget): Promise<void> {
+    const {entry, model} = target;
     this.working.add(entry.id);
     // Before the order: what runs there moves away first.
     this.parts.fleet.noteLoading(entry, model, performance.now());
     try {
-      await this.loadUntilDone(entry, model, version, mode);
+      await this.loadUntilDone(target);
     } finally {
       this.working.delete(entry.id);
       this.parts.fleet.noteLoaded(entry.id, model);
     }
   }
 
-  private async loadUntilDone(
-    entry: EndpointEntry,
-    model: string,
-    version: number,
-    mode: LoadMode,
-  ): Promise<void> {
-    const {lease, fleet} = this.parts;
+  private async loadUntilDone(target: LoadTarget): Promise<void> {
     for (let tries = 0; tries < MAX_TRIES; tries++) {
-      const report = await this.fetchReport(entry);
-      if (this.isOutOfDate(entry)) return;
-      if (!report) {
-        await sleep(LOOK_MS);
-        continue;
-      }
-      if (hasVersion(report, model, version)) return;
-      if (report.isBusy) {
-        if (await this.watchLoad(entry, model, version)) return;
-        continue;
-      }
-      if (!lease.mayOrder()) return;
-      const answer = await this.order(entry, model, version, mode);
-      if (answer === 'accepted') {
+      const step = await this.tryLoad(target);
+      if (step === 'over') return;
+      if (step === 'hopeless') break;
+    }
+    this.restUntilMs.set(target.entry.id, performance.now() + REST_MS);
+  }
+
+  /** One look at the engine, and one order if it is due. */
+  private async tryLoad(target: LoadTarget): Promise<LoadStep> {
+    const {entry, model, version} = target;
+    const report = await this.fetchReport(entry);
+    if (this.isOutOfDate(entry)) return 'over';
+    if (!report) {
+      await sleep(LOOK_MS);
+      return 'again';
+    }
+    if (hasVersion(report, model, version)) return 'over';
+    if (report.isBusy) {
+      // An order of ours that got no answer, or one for another model.
+      if (target.isUnanswered) return this.watchLoad(target);
+      await sleep(REPORT_LAG_MS);
+      return 'again';
+    }
+    if (!this.parts.lease.mayOrder()) return 'over';
+    return this.judgeAnswer(target, await this.order(target));
+  }
+
+  private async judgeAnswer(
+    target: LoadTarget,
+    answer: OrderAnswer | 'none',
+  ): Promise<LoadStep> {
+    const {lease, fleet} = this.parts;
+    const {entry, model, version} = target;
+    switch (answer) {
+      case 'accepted':
         fleet.countOrder(entry);
-        if (await this.watchLoad(entry, model, version)) return;
-        continue;
-      }
-      if (answer === 'holds_already') {
+        return this.watchLoad(target);
+      case 'holds_already':
         fleet.noteVersion(entry.id, model, version);
-        return;
-      }
-      if (answer === 'fenced') {
+        return 'over';
+      case 'fenced':
         lease.lease.distrust();
-        return;
-      }
-      if (answer === 'refused' || answer === 'misdirected') break;
-      if (answer !== 'none') await sleep(REPORT_LAG_MS);
+        return 'over';
+      case 'refused':
+      case 'misdirected':
+        return 'hopeless';
+      case 'conflict':
+        await sleep(REPORT_LAG_MS);
+        return 'again';
+      case 'none':
+        target.isUnanswered = true;
+        return 'again';
     }
-    this.restUntilMs.set(entry.id, performance.now() + REST_MS);
   }
 
   /**
-   * Waits for the end of a load; false where it does not come. Items go to the
-   * engine as soon as it should be done: to wait for its report would leave it
+   * Waits for the end of a load. Items go to the engine as soon as it should be done: to wait for its report would leave it
    * idle for a third of the time that the load took.
    */
-  private async watchLoad(
-    entry: EndpointEntry,
-    model: string,
-    version: number,
-  ): Promise<boolean> {
+  private async watchLoad(target: LoadTarget): Promise<LoadStep> {
     const {fleet} = this.parts;
+    const {entry, model, version} = target;
     const startedMs = performance.now();
     await sleep(this.loadMs);
-    if (this.isOutOfDate(entry)) return true;
+    if (this.isOutOfDate(entry)) return 'over';
     fleet.assumeLoaded(entry, model, version);
     for (let looks = 0; looks < MAX_LOOKS; looks++) {
       await sleep(LOOK_MS);
-      if (this.isOutOfDate(entry)) return true;
+      if (this.isOutOfDate(entry)) return 'over';
       const report = await this.fetchReport(entry);
       if (!report) continue;
       if (hasVersion(report, model, version)) {
         this.learnLoad(performance.now() - startedMs - REPORT_BEHIND_MS);
-        return true;
+        return 'over';
       }
       if (!report.isBusy && looks >= SETTLED_LOOKS) {
         fleet.noteVersion(entry.id, model, findVersion(report, model));
-        return false;
+        return 'again';
       }
     }
-    return false;
+    return 'again';
   }
 
   /** Loads of one deployment take about the same time. */
@@ -305,12 +333,8 @@
     return report.value;
   }
 
-  private async order(
-    entry: EndpointEntry,
-    model: string,
-    version: number,
-    mode: LoadMode,
-  ): Promise<OrderAnswer | 'none'> {
+  private async order(target: LoadTarget): Promise<OrderAnswer | 'none'> {
+    const {entry, model, version, mode} = target;
     const {protocol, links, lease, fleet, vmName, logger} = this.parts;
     const {fencingToken} = lease.lease;
     const expectedOrders = fleet.getOrders(entry);
