fix(daemon): a flush of the log waits for lines that came during a write

Cause: flush resolved at once while a write was under way, so a process that ended then lost its last lines. Found by reading; the test failed before.

--- /dev/null
+++ b/packages/daemon/src/gateway/__tests__/log_sink.spec.ts
@@ -0,0 +1,39 @@
+import {closeSync, openSync, readFileSync, rmSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import test, {type ExecutionContext} from 'ava';
+import {LogSink} from '../log_sink.js';
+
+function createSink(t: ExecutionContext) {
+  const file = path.join(tmpdir(), `log-sink-${process.pid}-${t.title.length}`);
+  const fd = openSync(file, 'w');
+  t.teardown(() => {
+    closeSync(fd);
+    rmSync(file);
+  });
+  const readLines = () => readFileSync(file, 'utf8').trim().split('\n');
+  return {sink: new LogSink(fd), readLines};
+}
+
+// The last lines of a process are missing, just those that tell why it ended.
+// 1. A write is under way when the process says its last words.
+// 2. It waits for that write only and ends.
+test('a flush writes the lines that came during a write too', async t => {
+  const {sink, readLines} = createSink(t);
+  sink.write('first');
+  const writing = sink.flush();
+  sink.write('last');
+  await Promise.all([writing, sink.flush()]);
+  t.deepEqual(readLines(), ['first', 'last']);
+});
+
+// A VM runs out of memory, or waits, when nobody reads its log.
+test('lines over the limit are dropped and counted', async t => {
+  const {sink, readLines} = createSink(t);
+  const long = 'x'.repeat(100 * 1024);
+  for (let i = 0; i < 8; i++) sink.write(long);
+  await sink.flush();
+  const lines = readLines();
+  t.is(lines.length, 6);
+  t.deepEqual(JSON.parse(lines[5]), {message: 'log lines dropped', dropped: 3});
+});
--- a/packages/daemon/src/gateway/log_sink.ts
+++ b/packages/daemon/src/gateway/log_sink.ts
@@ -17,7 +17,8 @@
   private chars = 0;
   private dropped = 0;
   private timer: NodeJS.Timeout | undefined;
-  private isWriting = false;
+  /** The write under way. */
+  private writing: Promise<void> | undefined;
 
   /** @param fd Where lines go; 1 is standard output. */
   constructor(private readonly fd: number) {}
@@ -29,20 +30,26 @@
     }
     this.waiting.push(line);
     this.chars += line.length + 1;
-    this.timer ??= setTimeout(() => this.flush(), GATHER_MS);
+    this.schedule();
   };
 
-  /** Writes what waits; resolves when it is written. */
-  flush(): Promise<void> {
+  /** Writes what waits; resolves when all of it is written. */
+  async flush(): Promise<void> {
     clearTimeout(this.timer);
     this.timer = undefined;
-    if (this.isWriting || this.waiting.length === 0) return Promise.resolve();
+    // Lines that came during a write would be lost with the process otherwise.
+    while (this.writing) await this.writing;
+    if (this.waiting.length === 0) return;
     if (this.dropped > 0) this.reportDropped();
     const text = Buffer.from(`${this.waiting.join('\n')}\n`);
     this.waiting = [];
     this.chars = 0;
-    this.isWriting = true;
-    return new Promise(resolve => this.writeAll(text, resolve));
+    this.writing = new Promise(resolve => this.writeAll(text, resolve));
+    await this.writing;
+  }
+
+  private schedule(): void {
+    this.timer ??= setTimeout(() => void this.flush(), GATHER_MS);
   }
 
   private writeAll(bytes: Buffer, resolve: () => void): void {
@@ -55,10 +62,8 @@
         setTimeout(() => this.writeAll(left, resolve), err ? GATHER_MS : 0);
         return;
       }
-      this.isWriting = false;
-      if (this.waiting.length > 0) {
-        this.timer ??= setTimeout(() => this.flush(), GATHER_MS);
-      }
+      this.writing = undefined;
+      if (this.waiting.length > 0) this.schedule();
       resolve();
     });
   }
