fix(core): an item with output may break off more often before it is suspected

Cause: an item that had made output and then met three engines that broke off paused for 15 s, as one that crashes engines would (platform test with broken streams: 18 s in place of 3). Ruled out: load (the pause is the constant's). Change: six early breaks where there is output, three where there is none.

--- a/packages/core/src/batches/__tests__/batch_scheduler.spec.ts
+++ b/packages/core/src/batches/__tests__/batch_scheduler.spec.ts
@@ -132,6 +132,26 @@
   t.is(listStarts(scheduler.decide(15_300)).length, 1);
 });
 
+// A step waits 15 s for an item that did nothing wrong.
+// 1. An engine makes part of its output and breaks off.
+// 2. Three engines after it break off too before they make an event.
+// Cause: an item that has made output taken for one that crashes engines.
+test('an item with output may break off more often before it is suspected', t => {
+  const engines = [0, 1, 2, 3, 4, 5, 6].map(i => createEngine(`e${i}`));
+  const {scheduler, open} = createSchedule(engines);
+  open(createBatch('b0', ['g0a']));
+  const [run] = listStarts(scheduler.decide(0));
+  scheduler.noteEvent(run, createEvent(0, run.id), 10);
+  scheduler.noteEnd(run, 'broken', 20);
+  for (let i = 1; i <= 5; i++) {
+    const [again] = listStarts(scheduler.decide(i * 20));
+    scheduler.noteEnd(again, 'broken', i * 20 + 10);
+  }
+  const [sixth] = listStarts(scheduler.decide(120));
+  scheduler.noteEnd(sixth, 'broken', 130);
+  t.deepEqual(scheduler.decide(2000), [], 'now it is');
+});
+
 test('an item is given up after its attempts, and at once if it can never be done', t => {
   const {scheduler, open} = createSchedule([createEngine('e0')]);
   open(createBatch('b0', ['g0a', 'g1a']), createTerms({attempts: 2}));
--- a/packages/core/src/batches/batch_scheduler.ts
+++ b/packages/core/src/batches/batch_scheduler.ts
@@ -41,8 +41,9 @@
 const STALL_MS = 1500;
 /** The same while the engine loads: several loads at once take longer. */
 const LOADING_STALL_MS = 4000;
-/** Early breaks after which an item is suspected of crashing engines. */
+/** Early breaks after which an item is suspected of crashing engines. One that has made output before did not crash the engine that made it, so it may have been unlucky more often. */
 const MAX_EARLY_BREAKS = 3;
+const MAX_EARLY_BREAKS_WITH_TEXT = 6;
 /** Pause of a suspected item, ms: long enough that it reaches no more than two engines within a usual retention of 40 s. */
 const SUSPECT_PAUSE_MS = 15_000;
 
@@ -469,7 +470,9 @@
     if (run.events > 0) return;
     job.earlyBreaks += 1;
     this.board.noteUnreachable(run.engineId, nowMs);
-    if (job.earlyBreaks < MAX_EARLY_BREAKS) return;
+    const hasText = job.transcript.events.length > 0;
+    const limit = hasText ? MAX_EARLY_BREAKS_WITH_TEXT : MAX_EARLY_BREAKS;
+    if (job.earlyBreaks < limit) return;
     job.notBeforeMs = nowMs + SUSPECT_PAUSE_MS;
   }
 }
