fix(core): a term begins once the holder before has lost its trust

Cause: a VM that starts with a clock that is ahead takes the last renewal for old and claims while the holder still trusts its lease for up to 900 ms. Its first order then came up to 0.85 s less than a lease after that holder's last one, though the comment said that orders do not depend on the time of day. Change: the term, from which the wait for orders counts, begins no sooner than trust after the last record was read; a release needs no wait. After a loss of all VMs orders wait up to 0.9 s more.

--- a/packages/core/src/leases/__tests__/log_lease.spec.ts
+++ b/packages/core/src/leases/__tests__/log_lease.spec.ts
@@ -82,6 +82,20 @@
   t.is(start(2000).decide(1599, 0).kind, 'none', 'a clock that is behind');
 });
 
+// Two VMs give orders to one engine within a lease.
+// 1. VM a has just renewed and trusts its lease for 900 ms more.
+// 2. VM b starts with a clock that is ahead, takes the renewal for old and
+//    claims at once; its term begins while a still trusts its own.
+// Cause: a term counted from a claim that only the time of day allowed.
+test('a term begins once the holder before has lost its trust', t => {
+  const lease = createLease('b');
+  lease.observe({kind: 'renewal', holder: 'a', atMs: 0}, 0, 100);
+  lease.noteStart(100, 60_000);
+  lease.decide(100, 60_000);
+  lease.noteAppended({kind: 'claim', holder: 'b', atMs: 60_000}, 1, 110);
+  t.is(lease.measureTermMs(100 + TIMING.trustMs + 500), 500);
+});
+
 /** One thing that happens: to which VM, what, and how much time passes first. */
 const step = fc.record({
   vm: fc.nat(2),
--- a/packages/core/src/leases/log_lease.ts
+++ b/packages/core/src/leases/log_lease.ts
@@ -43,7 +43,10 @@
   /** Offset of the claim that began the present term. */
   private claimOffset = -1;
   private nextOffset = 0;
+  /** Steady ms from which silence counts. */
   private lastRecordMs: number;
+  /** Steady ms at which the last record was read. */
+  private lastReadMs = -Infinity;
   private trustedUntilMs = -Infinity;
   private heldSinceMs = -Infinity;
   private isReleased = false;
@@ -105,19 +108,30 @@
       case 'claim':
         this.holder = record.holder;
         this.claimOffset = offset;
-        this.heldSinceMs = nowMs;
+        this.heldSinceMs = this.findTermStart(nowMs);
         this.isFromRelease = this.isReleased;
         this.isReleased = false;
-        return;
+        break;
       case 'renewal':
-        return;
+        break;
       case 'release':
-        if (this.holder !== record.holder) return;
+        if (this.holder !== record.holder) break;
         this.holder = undefined;
         this.isReleased = true;
         // Nothing is left to wait for but the VM's own patience.
         this.lastRecordMs = nowMs - this.timing.silenceMs;
     }
+    this.lastReadMs = nowMs;
+  }
+
+  /**
+   * A claim that came after a whole silence finds the holder before without
+   * trust. One that only the time of day allowed may not, where a clock is
+   * wrong; the term then begins when that trust is over by the steady clock.
+   */
+  private findTermStart(nowMs: number): number {
+    if (this.isReleased) return nowMs;
+    return Math.max(nowMs, this.lastReadMs + this.timing.trustMs);
   }
 
   /** Reads failed until now: silence counts from here. */
