refactor(daemon): one writer of refusals, one watch of connections, one way to drop idle ones

The front and the batch API each wrote errors as the wire package already does; three modules watched their connection and two closed an agent's idle ones, each in its own copy.

--- a/packages/daemon/src/gateway/__tests__/batch_api.spec.ts
+++ b/packages/daemon/src/gateway/__tests__/batch_api.spec.ts
@@ -48,7 +48,9 @@
     return Buffer.from(JSON.stringify(page));
   }
 
-  answerHeaders(retryAfterMs: number | undefined): http.OutgoingHttpHeaders {
+  answerHeaders(
+    retryAfterMs: number | undefined,
+  ): Readonly<Record<string, string>> {
     return retryAfterMs === undefined
       ? {}
       : {'retry-after': String(retryAfterMs / 1000)};
--- a/packages/daemon/src/gateway/batch_api.ts
+++ b/packages/daemon/src/gateway/batch_api.ts
@@ -6,16 +6,13 @@
 import type {BatchRecord} from '@radishyoke/core/batches/batch_record';
 import type {BatchEntry} from '@radishyoke/core/batches/batch_ledger';
 import type {Route} from '@radishyoke/core/routing/route_table';
-import {
-  createError,
-  ERROR_ANSWERS,
-  type RadishyokeError,
-} from '@radishyoke/shared/error_kind';
+import {createError, type RadishyokeError} from '@radishyoke/shared/error_kind';
 import type http from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {Logger} from '../logger.js';
 import {encodeRecord, encodeSubmission} from './batch_codec.js';
 import {BATCH_TOPIC, type BatchBook, type BatchShelf} from './batch_book.js';
+import {answerError} from './caller_answer.js';
 import type {
   CallerCall,
   CallerProtocol,
@@ -281,13 +278,7 @@
   }
 
   private sendError(res: http.ServerResponse, error: RadishyokeError): void {
-    const body = JSON.stringify({error: error.kind, detail: error.detail});
-    if (res.destroyed) return;
-    res.writeHead(ERROR_ANSWERS[error.kind].status, {
-      ...this.parts.protocol.answerHeaders(error.retryAfterMs),
-      'Content-Length': Buffer.byteLength(body),
-    });
-    res.end(body);
+    answerError(res, this.parts.protocol, error);
   }
 
   private send(
--- a/packages/daemon/src/gateway/caller_protocol.ts
+++ b/packages/daemon/src/gateway/caller_protocol.ts
@@ -3,7 +3,7 @@
  * turns that platform's calls into these.
  */
 
-import type {IncomingHttpHeaders, OutgoingHttpHeaders} from 'node:http';
+import type {IncomingHttpHeaders} from 'node:http';
 import type {Batch, ItemResult} from '@radishyoke/core/batches/batch_record';
 import type {Result} from '@radishyoke/shared/result';
 
@@ -64,6 +64,8 @@
 
   abstract encodePage(page: ResultPage): Uint8Array;
 
-  /** Headers of an answer of the gateway's own. */
-  abstract answerHeaders(retryAfterMs: number | undefined): OutgoingHttpHeaders;
+  /** Headers of a refusal or failure, beside those of its body. */
+  abstract answerHeaders(
+    retryAfterMs: number | undefined,
+  ): Readonly<Record<string, string>>;
 }
--- a/packages/daemon/src/gateway/endpoint_exchange.ts
+++ b/packages/daemon/src/gateway/endpoint_exchange.ts
@@ -5,8 +5,8 @@
  */
 
 import http from 'node:http';
-import type {Socket} from 'node:net';
 import type {EndpointEntry} from '@radishyoke/core/fleet/endpoint_entry';
+import {watchConnection} from './connections.js';
 import type {AnswerFacts, EndpointProtocol} from './endpoint_protocol.js';
 
 export interface ExchangeRequest {
@@ -97,24 +97,15 @@
       headers,
       setHost: false,
     });
-    req.on('socket', socket => this.watchConnect(socket));
+    const events = {
+      onConnected: () => (this.isConnected = true),
+      onTimeout: () => req.destroy(),
+    };
+    watchConnection(req, events, CONNECT_MS);
     req.end(sent.body);
     return req;
   }
 
-  private watchConnect(socket: Socket): void {
-    if (!socket.connecting) {
-      this.isConnected = true;
-      return;
-    }
-    const timer = setTimeout(() => this.req?.destroy(), CONNECT_MS);
-    socket.once('close', () => clearTimeout(timer));
-    socket.once('connect', () => {
-      clearTimeout(timer);
-      this.isConnected = true;
-    });
-  }
-
   private receive(
     res: http.IncomingMessage,
     sent: ExchangeRequest,
--- a/packages/daemon/src/gateway/endpoint_links.ts
+++ b/packages/daemon/src/gateway/endpoint_links.ts
@@ -5,6 +5,7 @@
 
 import http from 'node:http';
 import type {EndpointEntry} from '@radishyoke/core/fleet/endpoint_entry';
+import {closeIdle} from './connections.js';
 
 /** An idle connection is given up after this long, ms; below the shortest idle time-out that endpoints were seen to state. */
 const IDLE_MS = 4000;
@@ -35,19 +36,10 @@
     return agent;
   }
 
-  /**
-   * Gives up the idle connections to an endpoint.
-   *
-   * Something between the two ends can lose track of connections: they go
-   * silent for good while new ones work. A request that met one takes all idle
-   * ones with it, so that no other request meets the next.
-   */
+  /** Gives up the idle connections to an endpoint: they may all be silent. */
   renew(endpointId: string): void {
-    const {agent} = this.links.get(endpointId) ?? {};
-    if (!agent) return;
-    for (const sockets of Object.values(agent.freeSockets)) {
-      for (const socket of sockets ?? []) socket.destroy();
-    }
+    const agent = this.links.get(endpointId)?.agent;
+    if (agent) closeIdle(agent);
   }
 
   /** Closes all connections to an endpoint that is gone. */
--- a/packages/daemon/src/gateway/front_server.ts
+++ b/packages/daemon/src/gateway/front_server.ts
@@ -5,16 +5,13 @@
 
 import http from 'node:http';
 import {canonicalHost, type Route} from '@radishyoke/core/routing/route_table';
-import {
-  createError,
-  ERROR_ANSWERS,
-  type RadishyokeError,
-} from '@radishyoke/shared/error_kind';
+import {createError, type RadishyokeError} from '@radishyoke/shared/error_kind';
 import {isHopByHop} from '@radishyoke/wire/hop_by_hop';
 import {listenAt} from '@radishyoke/wire/listen';
 import {readBody} from '@radishyoke/wire/request_body';
 import type {Logger} from '../logger.js';
 import type {BatchApi} from './batch_api.js';
+import {answerError} from './caller_answer.js';
 import type {CallerProtocol} from './caller_protocol.js';
 import type {ConfigHolder} from './config_holder.js';
 import type {EndpointAnswer} from './endpoint_exchange.js';
@@ -242,17 +239,7 @@
   }
 
   private sendError(res: http.ServerResponse, error: RadishyokeError): void {
-    if (res.headersSent || res.destroyed) {
-      res.destroy();
-      return;
-    }
-    const {status} = ERROR_ANSWERS[error.kind];
-    const body = JSON.stringify({error: error.kind, detail: error.detail});
-    res.writeHead(status, {
-      ...this.parts.protocol.answerHeaders(error.retryAfterMs),
-      'Content-Length': Buffer.byteLength(body),
-    });
-    res.end(body);
+    answerError(res, this.parts.protocol, error);
   }
 
   private report(
--- a/packages/daemon/src/gateway/generation.ts
+++ b/packages/daemon/src/gateway/generation.ts
@@ -4,7 +4,6 @@
  */
 
 import http from 'node:http';
-import type {Socket} from 'node:net';
 import type {
   BatchItem,
   OutputEvent,
@@ -12,6 +11,7 @@
 import type {RunEnd} from '@radishyoke/core/batches/schedule_action';
 import type {EndpointEntry} from '@radishyoke/core/fleet/endpoint_entry';
 import {createParser, type EventSourceParser} from 'eventsource-parser';
+import {watchConnection} from './connections.js';
 import type {EndpointProtocol, GenerationTerms} from './endpoint_protocol.js';
 
 export interface GenerationEvents {
@@ -28,12 +28,11 @@
   private isOver = false;
   private version: number | undefined;
   private readonly parser: EventSourceParser;
-  private connectTimer: NodeJS.Timeout | undefined;
 
   constructor(
     agent: http.Agent,
     private readonly protocol: EndpointProtocol,
-    private readonly entry: EndpointEntry,
+    entry: EndpointEntry,
     private readonly item: BatchItem,
     terms: GenerationTerms,
     private readonly events: GenerationEvents,
@@ -56,7 +55,11 @@
       headers,
       setHost: false,
     });
-    this.req.on('socket', socket => this.watchConnect(socket));
+    const connection = {
+      onConnected: () => (this.isConnected = true),
+      onTimeout: () => this.giveUpConnecting(),
+    };
+    watchConnection(this.req, connection, CONNECT_MS);
     this.req.on('error', err => this.breakOff(err.message));
     this.req.on('close', () => this.breakOff('the connection closed'));
     this.req.on('response', res => this.receive(res));
@@ -69,19 +72,8 @@
     this.req.destroy();
   }
 
-  private watchConnect(socket: Socket): void {
-    if (!socket.connecting) {
-      this.isConnected = true;
-      return;
-    }
-    this.connectTimer = setTimeout(() => {
-      this.end('unreachable', `no connection in ${CONNECT_MS} ms`);
-      this.req.destroy();
-    }, CONNECT_MS);
-    socket.once('connect', () => {
-      this.isConnected = true;
-      clearTimeout(this.connectTimer);
-    });
+  private giveUpConnecting(): void {
+    this.reject('unreachable', `no connection in ${CONNECT_MS} ms`);
   }
 
   private receive(res: http.IncomingMessage): void {
@@ -147,14 +139,8 @@
   private end(end: RunEnd, detail: string): void {
     if (this.isOver) return;
     this.isOver = true;
-    clearTimeout(this.connectTimer);
     this.events.onEnd(end, detail);
   }
-
-  /** The engine this runs on. */
-  get endpointId(): string {
-    return this.entry.id;
-  }
 }
 
 function judgeStatus(status: number, isNotExecuted: boolean): RunEnd {
--- a/packages/daemon/src/gateway/http_call.ts
+++ b/packages/daemon/src/gateway/http_call.ts
@@ -1,6 +1,7 @@
 /** One HTTP call with a bound on its time, told apart by what may have happened. */
 
 import http from 'node:http';
+import {watchConnection} from './connections.js';
 
 export interface CallRequest {
   readonly host: string;
@@ -57,10 +58,7 @@
       path: call.path,
       headers: {...call.headers, 'Content-Length': call.body?.length ?? 0},
     });
-    req.on('socket', socket => {
-      if (!socket.connecting) isConnected = true;
-      else socket.once('connect', () => (isConnected = true));
-    });
+    watchConnection(req, {onConnected: () => (isConnected = true)});
     req.on('error', err => settle(err.message));
     req.on('response', res => {
       const chunks: Buffer[] = [];
