refactor(core,daemon): engines described once a tick; what nothing calls is gone

The coordinator described its engines five times each 60 ms and walked all items of the last 180 s for ones to forget; now once, and with the progress. Removed for want of a caller: activeRuns, the start reason 'again', the tally's pending, a book's last contact.

--- a/packages/core/src/batches/batch_scheduler.ts
+++ b/packages/core/src/batches/batch_scheduler.ts
@@ -76,10 +76,6 @@
     return this.open.values();
   }
 
-  get activeRuns(): IterableIterator<Run> {
-    return this.runs.values();
-  }
-
   /** Takes a batch from the log, with the results and output it has. */
   openBatch(entry: BatchEntry, terms: OpenBatchTerms | undefined): void {
     const {batch} = entry;
--- a/packages/core/src/batches/schedule_action.ts
+++ b/packages/core/src/batches/schedule_action.ts
@@ -33,7 +33,7 @@
       readonly reason: ListReason;
     };
 
-export type StartReason = 'first' | 'resume' | 'again';
+export type StartReason = 'first' | 'resume';
 export type StopReason =
   | 'ended'
   | 'stalled'
--- a/packages/core/src/routing/__tests__/attempt_policy.spec.ts
+++ b/packages/core/src/routing/__tests__/attempt_policy.spec.ts
@@ -84,7 +84,7 @@
 
 for (const {name, terms, end, tally, expected} of CASES) {
   test(name, t => {
-    const full = {ran: 0, notRun: 0, pending: 0, ...tally};
+    const full = {ran: 0, notRun: 0, ...tally};
     t.is(decideNext(terms, end, full).kind, expected);
   });
 }
--- a/packages/core/src/routing/attempt_policy.ts
+++ b/packages/core/src/routing/attempt_policy.ts
@@ -41,8 +41,6 @@
   readonly ran: number;
   /** Attempts that an endpoint refused or that found none. */
   readonly notRun: number;
-  /** Attempts that are still out. */
-  readonly pending: number;
 }
 
 /** Decides after an attempt ended; `tally` counts it already. */
--- a/packages/daemon/src/gateway/batch_book.ts
+++ b/packages/daemon/src/gateway/batch_book.ts
@@ -38,7 +38,6 @@
   private running: Promise<SyncOutcome> | undefined;
   private queued: Promise<SyncOutcome> | undefined;
   private readonly listeners = new Set<Listener>();
-  private contactMs = -Infinity;
 
   constructor(
     private readonly store: LogStore,
@@ -46,11 +45,6 @@
     private readonly logger: Logger,
   ) {}
 
-  /** Steady ms of the last read that succeeded. */
-  get lastContactMs(): number {
-    return this.contactMs;
-  }
-
   listen(listener: Listener): void {
     this.listeners.add(listener);
   }
@@ -127,7 +121,6 @@
         this.next = Math.max(this.next, outcome.firstOffset);
         return {kind: 'read', isAtEnd: false};
       case 'page':
-        this.contactMs = performance.now();
         await this.applyAll(outcome.records);
         return {kind: 'read', isAtEnd: this.next >= outcome.endOffset};
     }
--- a/packages/daemon/src/gateway/batch_runner.ts
+++ b/packages/daemon/src/gateway/batch_runner.ts
@@ -113,7 +113,10 @@
       void book.follow(this.abort.signal);
     }
     this.tickTimer = setInterval(() => this.tick(), TICK_MS);
-    this.progressTimer = setInterval(() => this.writeProgress(), PROGRESS_MS);
+    this.progressTimer = setInterval(() => {
+      this.writeProgress();
+      this.scheduler.forget(Date.now() - KEEP_BATCH_MS);
+    }, PROGRESS_MS);
   }
 
   /** Stops all runs; what they made so far is written down first where it can be. */
@@ -188,11 +191,11 @@
 
   private tick(): void {
     const {config, clock} = this.parts;
-    this.scheduler.forget(Date.now() - KEEP_BATCH_MS);
     const {table} = config;
     if (!table) return;
-    this.scheduler.setEngines(this.fleet.describe(table.engines, clock.now()));
-    this.weights.tick(table);
+    const engines = this.fleet.describe(table.engines, clock.now());
+    this.scheduler.setEngines(engines);
+    this.weights.tick(table, engines);
     this.decide();
   }
 
@@ -248,9 +251,9 @@
     const terms = job.batch.terms!;
     const {lastEventId} = job.transcript;
     const deadlineMs = Math.max(Math.floor(terms.giveUpAtMs - clock.now()), 1);
-    const [expectVersion] = terms.singleVersion
-      ? [this.fleet.getVersion(entry.id, job.batch.batch.model)]
-      : [];
+    const expectVersion = terms.singleVersion
+      ? this.fleet.getVersion(entry.id, job.batch.batch.model)
+      : undefined;
     this.logRun(run, 'run started', reason);
     const generation = new Generation(
       links.open(entry),
--- a/packages/daemon/src/gateway/engine_fleet.ts
+++ b/packages/daemon/src/gateway/engine_fleet.ts
@@ -23,7 +23,7 @@
 
   constructor(private readonly roster: EndpointRoster) {}
 
-  /** All engines of `services`, draining ones included. */
+  /** Engines of `services` that may get work; leaving ones are not among them. */
   describe(
     services: readonly ServiceSpec[],
     nowMs: number,
--- a/packages/daemon/src/gateway/forwarder.ts
+++ b/packages/daemon/src/gateway/forwarder.ts
@@ -179,11 +179,7 @@
       this.ran -= 1;
       this.notRun += 1;
     }
-    const tally = {
-      ran: this.ran,
-      notRun: this.notRun,
-      pending: this.pending.size,
-    };
+    const tally = {ran: this.ran, notRun: this.notRun};
     const next = decideNext(this.terms, toAttemptEnd(outcome), tally);
     switch (next.kind) {
       case 'pass_on':
--- a/packages/daemon/src/gateway/weight_task.ts
+++ b/packages/daemon/src/gateway/weight_task.ts
@@ -5,6 +5,7 @@
  */
 
 import type {BatchScheduler} from '@radishyoke/core/batches/batch_scheduler';
+import type {EngineView} from '@radishyoke/core/batches/engine_board';
 import type {EndpointEntry} from '@radishyoke/core/fleet/endpoint_entry';
 import type {EndpointRoster} from '@radishyoke/core/fleet/endpoint_roster';
 import {
@@ -106,22 +107,26 @@
   }
 
   /** Starts whatever loads are due; called often. */
-  tick(table: RouteTable): void {
+  tick(table: RouteTable, engines: readonly EngineView[]): void {
     if (this.isStopped) return;
     const nowMs = performance.now();
-    for (const service of table.engines) this.plan(service, nowMs);
+    for (const service of table.engines) this.plan(service, engines, nowMs);
     if (!this.parts.lease.mayOrder()) return;
     for (const service of table.engines) {
       for (const model of service.engine!.models)
-        this.startLoads(model, table, nowMs);
+        this.startLoads(model, table, engines.length, nowMs);
     }
   }
 
-  private plan(service: ServiceSpec, nowMs: number): void {
-    const {fleet, scheduler} = this.parts;
+  private plan(
+    service: ServiceSpec,
+    views: readonly EngineView[],
+    nowMs: number,
+  ): void {
+    const {scheduler} = this.parts;
     const slow = scheduler.board.speeds.listSlow(nowMs);
-    const engines: PlannedEngine[] = fleet
-      .describe([service], nowMs)
+    const engines: PlannedEngine[] = views
+      .filter(view => view.service === service.name)
       .map(({id, versions}) => ({
         id,
         versions,
@@ -146,16 +151,18 @@
     }
   }
 
-  private startLoads(model: string, table: RouteTable, nowMs: number): void {
+  private startLoads(
+    model: string,
+    table: RouteTable,
+    engineCount: number,
+    nowMs: number,
+  ): void {
     const newest = this.parts.named.get(model);
     if (newest === undefined) return;
     const {scheduler, roster} = this.parts;
     const candidates = this.listCandidates(model, nowMs);
     const need = {newest, ...scheduler.measureNeed(model)};
-    const maxLoads = Math.max(
-      MIN_LOADS,
-      Math.floor(this.countEngines(table, nowMs) * LOAD_SHARE),
-    );
+    const maxLoads = Math.max(MIN_LOADS, Math.floor(engineCount * LOAD_SHARE));
     const loads = pickLoads(candidates, need, maxLoads - this.working.size);
     for (const id of loads) {
       const entry = roster.get(id);
@@ -191,10 +198,6 @@
     return candidates;
   }
 
-  private countEngines(table: RouteTable, nowMs: number): number {
-    return this.parts.fleet.describe(table.engines, nowMs).length;
-  }
-
   private async load(target: LoadTarget): Promise<void> {
     const {entry, model} = target;
     this.working.add(entry.id);
