refactor(core): the scheduler as parts with one job each

policy_scheduler.ts had 890 lines with six matters side by side. It now takes events only; queues, attempts, ends, dispatch and the straggler scan are modules of their own over one shared state. An endpoint no longer holds attempts and works: endpoint_state and work_state imported each other.

--- /dev/null
+++ b/packages/core/src/scheduling/attempt_table.ts
@@ -0,0 +1,181 @@
+/** The attempts that run: how they begin, what they show, how they are closed. */
+
+import type {EndpointState} from './endpoint_state.js';
+import type {SchedulerState} from './scheduler_state.js';
+import type {WorkQueues} from './work_queues.js';
+import type {Attempt, WorkState} from './work_state.js';
+
+/** An endpoint this many times slower than others is not taken as ordinary. */
+const ODD_SLOWNESS = 1.5;
+/** A suspect has its endpoint to itself for this long, ms. */
+const QUARANTINE_MS = 3000;
+
+const noAttempts: ReadonlySet<Attempt> = new Set();
+
+export class AttemptTable {
+  private readonly byEndpoint = new Map<EndpointState, Set<Attempt>>();
+
+  constructor(
+    private readonly state: SchedulerState,
+    private readonly queues: WorkQueues,
+  ) {}
+
+  /** Own attempts in flight at an endpoint. */
+  listAt(endpoint: EndpointState): ReadonlySet<Attempt> {
+    return this.byEndpoint.get(endpoint) ?? noAttempts;
+  }
+
+  find(workId: string, number: number): Attempt | undefined {
+    const running = this.state.works.get(workId)?.running;
+    return running?.find(attempt => attempt.number === number);
+  }
+
+  /** Starts the next attempt, going on from what an earlier one left. */
+  start(work: WorkState, endpoint: EndpointState): void {
+    const {options, retries, stragglers} = this.state;
+    const number = ++work.attempts;
+    const partial = options.resuming ? work.partial : undefined;
+    const resumedTokens = partial?.tokens ?? 0;
+    const attempt = this.open(work, endpoint, number, resumedTokens);
+    attempt.oldestVersion = partial?.oldestVersion ?? Infinity;
+    retries.noteStart(work.tenant, endpoint.id);
+    if (number === 1) stragglers.noteStart(work.tenant);
+    this.state.emit({
+      kind: 'start',
+      workId: work.item.id,
+      attempt: number,
+      endpoint: endpoint.id,
+      resumeTokens: resumedTokens,
+      resumeAttempt: partial?.attempt ?? 0,
+    });
+  }
+
+  /** Counts an attempt as running. */
+  open(
+    work: WorkState,
+    endpoint: EndpointState,
+    number: number,
+    resumedTokens = 0,
+  ): Attempt {
+    const {nowMs, directory} = this.state;
+    const {item} = work;
+    const attempt: Attempt = {
+      work,
+      number,
+      endpoint,
+      startedAtMs: nowMs,
+      resumedTokens,
+      tokens: resumedTokens,
+      progressAtMs: nowMs,
+      oldestVersion: Infinity,
+      isCrashCounted: false,
+      isPromptPending: true,
+    };
+    work.phase = 'running';
+    work.running.push(attempt);
+    work.lastEndpoint = undefined;
+    this.queues.noteStart(work);
+    this.indexAt(endpoint).add(attempt);
+    endpoint.running[item.workClass]++;
+    endpoint.pendingPromptTokens += item.promptTokens;
+    if (item.prefixKey !== '') directory.notePrefix(endpoint, item.prefixKey);
+    directory.refresh(endpoint, nowMs);
+    return attempt;
+  }
+
+  noteProgress(attempt: Attempt, tokens: number, weightVersion: number): void {
+    const {endpoint} = attempt;
+    this.settlePrompt(attempt);
+    const isFirst = attempt.tokens === attempt.resumedTokens;
+    if (!isFirst && tokens > attempt.tokens) {
+      this.noteSpeed(attempt, tokens - attempt.tokens);
+    }
+    this.endQuarantine(attempt);
+    attempt.tokens = Math.max(attempt.tokens, tokens);
+    attempt.progressAtMs = this.state.nowMs;
+    if (weightVersion > 0) {
+      attempt.oldestVersion = Math.min(attempt.oldestVersion, weightVersion);
+      endpoint.noteWeightVersion(weightVersion, this.state.nowMs);
+    }
+    const wasSuspected = endpoint.health.suspected;
+    endpoint.health.noteAlive();
+    if (wasSuspected) this.state.noteChanged(endpoint);
+  }
+
+  /** The attempt runs no more; what it held is free for others. */
+  close(attempt: Attempt): void {
+    const {work, endpoint} = attempt;
+    work.running = work.running.filter(other => other !== attempt);
+    this.settlePrompt(attempt);
+    this.dropAt(attempt);
+    this.queues.noteEnd(work);
+    const group = this.state.groupOf(work);
+    if (group.quarantineRunning.delete(work)) {
+      endpoint.suspect = undefined;
+      endpoint.quarantined = false;
+    }
+    this.state.noteChanged(endpoint);
+    this.state.markDirty(group);
+  }
+
+  /** Closes the attempt and has its endpoint stop it. */
+  stop(attempt: Attempt): void {
+    this.close(attempt);
+    this.state.emit({
+      kind: 'stop',
+      workId: attempt.work.item.id,
+      attempt: attempt.number,
+      endpoint: attempt.endpoint.id,
+    });
+  }
+
+  stopAll(work: WorkState): void {
+    for (const attempt of [...work.running]) this.stop(attempt);
+  }
+
+  private noteSpeed(attempt: Attempt, tokens: number): void {
+    const {endpoint, work} = attempt;
+    const elapsedMs = this.state.nowMs - attempt.progressAtMs;
+    if (elapsedMs <= 0) return;
+    endpoint.noteSpeed(tokens, elapsedMs);
+    const {speed} = this.state.groupOf(work);
+    const tokenMs = elapsedMs / tokens;
+    const streams = endpoint.totalInFlight;
+    endpoint.noteSlowness(tokenMs / speed.predictMs(streams), elapsedMs);
+    // Endpoints that are out of the ordinary say nothing of the others.
+    if (endpoint.slowness < ODD_SLOWNESS) speed.note(streams, tokenMs);
+  }
+
+  /** A suspect that shows output doesn't crash at once: others may join it. */
+  private endQuarantine(attempt: Attempt): void {
+    const {endpoint, work} = attempt;
+    if (!endpoint.quarantined) return;
+    if (endpoint.suspect?.workId !== work.item.id) return;
+    if (this.state.nowMs - attempt.startedAtMs < QUARANTINE_MS) return;
+    endpoint.quarantined = false;
+    this.state.noteChanged(endpoint);
+  }
+
+  private settlePrompt(attempt: Attempt): void {
+    if (!attempt.isPromptPending) return;
+    attempt.isPromptPending = false;
+    attempt.endpoint.pendingPromptTokens -= attempt.work.item.promptTokens;
+  }
+
+  private indexAt(endpoint: EndpointState): Set<Attempt> {
+    let attempts = this.byEndpoint.get(endpoint);
+    if (!attempts) {
+      attempts = new Set();
+      this.byEndpoint.set(endpoint, attempts);
+    }
+    return attempts;
+  }
+
+  private dropAt(attempt: Attempt): void {
+    const {endpoint, work} = attempt;
+    const attempts = this.byEndpoint.get(endpoint);
+    if (!attempts?.delete(attempt)) return;
+    endpoint.running[work.item.workClass]--;
+    if (attempts.size === 0) this.byEndpoint.delete(endpoint);
+  }
+}
--- a/packages/core/src/scheduling/crash_tracker.ts
+++ b/packages/core/src/scheduling/crash_tracker.ts
@@ -16,17 +16,21 @@
 export class CrashTracker {
   constructor(private readonly suspects: SuspectList) {}
 
-  /** Takes the end of an attempt, before the attempt is closed. */
+  /**
+   * Takes the end of an attempt, before the attempt is closed; `here` is all
+   * that runs on the same endpoint, the attempt included.
+   */
   noteFailure(
     attempt: Attempt,
+    here: Iterable<Attempt>,
     failure: FailureKind,
     nowMs: number,
   ): CrashReport | undefined {
     switch (failure) {
       case 'crashed':
-        return this.noteCrash(attempt, nowMs);
+        return this.noteCrash(attempt, here, nowMs);
       case 'connection_lost':
-        return this.noteLostConnection(attempt, nowMs);
+        return this.noteLostConnection(attempt, here, nowMs);
       case 'connect_failed':
         return this.noteRefusal(attempt.endpoint, nowMs);
       default:
@@ -35,17 +39,21 @@
   }
 
   /** Counts a crash once, with all that ran there then. */
-  private noteCrash(attempt: Attempt, nowMs: number): CrashReport | undefined {
+  private noteCrash(
+    attempt: Attempt,
+    here: Iterable<Attempt>,
+    nowMs: number,
+  ): CrashReport | undefined {
     if (attempt.isCrashCounted) return undefined;
     const {endpoint} = attempt;
     const running: string[] = [];
-    for (const other of endpoint.attempts) {
+    for (const other of here) {
       if (other.isCrashCounted) continue;
       other.isCrashCounted = true;
       running.push(other.work.item.fingerprint);
     }
     const accused = endpoint.quarantined
-      ? endpoint.suspect?.item.fingerprint
+      ? endpoint.suspect?.fingerprint
       : undefined;
     return this.report(endpoint, accused ? [accused] : running, nowMs, accused);
   }
@@ -56,11 +64,13 @@
    */
   private noteLostConnection(
     attempt: Attempt,
+    here: Iterable<Attempt>,
     nowMs: number,
   ): CrashReport | undefined {
     const {endpoint, work} = attempt;
-    if (endpoint.quarantined && endpoint.suspect === work) {
-      return this.noteCrash(attempt, nowMs);
+    const isSuspect = endpoint.suspect?.workId === work.item.id;
+    if (endpoint.quarantined && isSuspect) {
+      return this.noteCrash(attempt, here, nowMs);
     }
     endpoint.noteLost(work.item.fingerprint, nowMs);
     return undefined;
--- a/packages/core/src/scheduling/endpoint_state.ts
+++ b/packages/core/src/scheduling/endpoint_state.ts
@@ -5,7 +5,6 @@
 import {ConcurrencyLimit, divideLimit} from './concurrency_limit.js';
 import {EndpointHealth} from './endpoint_health.js';
 import type {WorkClass} from './scheduler.js';
-import type {Attempt, WorkState} from './work_state.js';
 
 /** Part of an endpoint's limit that rollouts leave to interactive requests. */
 const INTERACTIVE_RESERVE = 0.1;
@@ -20,6 +19,12 @@
   readonly vms: readonly VmId[];
 }
 
+/** A request under suspicion that runs on an endpoint. */
+export interface RunningSuspect {
+  readonly workId: string;
+  readonly fingerprint: string;
+}
+
 /** Figures and guesses about one endpoint, kept up to date by events. */
 export class EndpointState {
   readonly id: EndpointId;
@@ -27,14 +32,12 @@
   readonly health = new EndpointHealth();
   report?: LoadReport;
   weightVersion = 0;
-  /** Own attempts in flight here. */
-  readonly attempts = new Set<Attempt>();
-  /** Their number, by class. */
+  /** Own attempts in flight here, by class. */
   readonly running: Record<WorkClass, number> = {interactive: 0, rollout: 0};
   /** Prompt tokens of own attempts that have shown no output yet. */
   pendingPromptTokens = 0;
   /** The suspect that runs here; no other suspect goes there. */
-  suspect?: WorkState;
+  suspect?: RunningSuspect;
   /** Whether nothing at all goes there, as the suspect has yet to show output. */
   quarantined = false;
   private readonly peers = new Map<VmId, number>();
--- /dev/null
+++ b/packages/core/src/scheduling/scheduler_state.ts
@@ -0,0 +1,117 @@
+/**
+ * What the parts of the scheduler share while one event is handled: the works,
+ * the endpoints, what is known of both, and the actions decided so far.
+ */
+
+import type {SchedulerAction, SchedulerConfig, WorkItem} from './scheduler.js';
+import {EndpointDirectory, EndpointGroup} from './endpoint_directory.js';
+import type {ScoreView} from './endpoint_score.js';
+import type {EndpointState} from './endpoint_state.js';
+import {Freshness} from './freshness.js';
+import {LengthEstimate} from './length_estimate.js';
+import type {PolicyOptions} from './policy_options.js';
+import type {RandomBits} from './random_bits.js';
+import {RetryBudget} from './retry_policy.js';
+import {StepPace} from './step_pace.js';
+import {StragglerPolicy} from './straggler.js';
+import {SuspectList} from './suspect_list.js';
+import type {Attempt, WorkState} from './work_state.js';
+
+export class SchedulerState {
+  readonly directory: EndpointDirectory;
+  readonly works = new Map<string, WorkState>();
+  readonly freshness = new Freshness();
+  readonly suspects = new SuspectList();
+  readonly retries = new RetryBudget();
+  readonly stragglers = new StragglerPolicy();
+  readonly lengths = new LengthEstimate();
+  readonly pace: StepPace;
+  /** Unix ms of the event that is handled. */
+  nowMs = 0;
+  private readonly dirty = new Set<EndpointGroup>();
+  private actions: SchedulerAction[] = [];
+
+  constructor(
+    readonly config: SchedulerConfig,
+    readonly options: PolicyOptions,
+    random: RandomBits,
+  ) {
+    this.directory = new EndpointDirectory(config.vm, random);
+    this.pace = new StepPace(this.lengths, options.pacing);
+  }
+
+  /** Begins an event: what was decided for the one before has been taken. */
+  begin(nowMs: number): void {
+    this.nowMs = nowMs;
+    this.actions = [];
+  }
+
+  emit(action: SchedulerAction): void {
+    this.actions.push(action);
+  }
+
+  get emitted(): readonly SchedulerAction[] {
+    return this.actions;
+  }
+
+  /** Asks for the group to be looked through at the end of this event. */
+  markDirty(group: EndpointGroup): void {
+    this.dirty.add(group);
+  }
+
+  markAllDirty(): void {
+    for (const group of this.directory.groups.values()) this.dirty.add(group);
+  }
+
+  /** Goes through the groups in which something may start now, each once. */
+  visitDirty(visit: (group: EndpointGroup) => void): void {
+    for (const group of this.dirty) visit(group);
+    this.dirty.clear();
+  }
+
+  /** To be called after the room or the health of an endpoint changed. */
+  noteChanged(endpoint: EndpointState | undefined): void {
+    if (!endpoint) return;
+    endpoint.markAllowanceStale();
+    this.directory.refresh(endpoint, this.nowMs);
+    for (const group of this.directory.groupsOf(endpoint)) {
+      this.dirty.add(group);
+    }
+  }
+
+  groupOf(work: WorkState): EndpointGroup {
+    return this.directory.getGroup(work.item.group);
+  }
+
+  /** Tokens that the whole output will have, `tokens` of it being there. */
+  estimateLength(item: WorkItem, tokens: number): number {
+    if (!this.options.longestFirst) return item.maxTokens;
+    return this.lengths.estimate(item.groupKey, item.maxTokens, tokens);
+  }
+
+  /** Oldest version of the weights that the work's output may come from now. */
+  findMinVersion(work: WorkState): number {
+    const {stepKey, minWeightVersion} = work.item;
+    return this.freshness.findMin(stepKey, minWeightVersion);
+  }
+
+  /** The bound holds against what the trainer has at this very moment. */
+  isStale(attempt: Attempt): boolean {
+    return attempt.oldestVersion < this.findMinVersion(attempt.work);
+  }
+
+  isPartialStale(work: WorkState): boolean {
+    const {partial} = work;
+    if (!partial) return false;
+    return partial.oldestVersion < this.findMinVersion(work);
+  }
+
+  getView(group: EndpointGroup): ScoreView {
+    return {
+      dataCentre: this.config.dataCentre,
+      newestVersion: group.pool.newestVersion,
+      nowMs: this.nowMs,
+      speed: this.options.speedModel ? group.speed : undefined,
+    };
+  }
+}
--- /dev/null
+++ b/packages/core/src/scheduling/work_dispatch.ts
@@ -0,0 +1,122 @@
+/** Starts what waits in a group, in the order of its queues, where it ends soonest. */
+
+import type {EndpointId} from '@radishyoke/shared/ids';
+import type {AttemptTable} from './attempt_table.js';
+import type {EndpointGroup} from './endpoint_directory.js';
+import type {Choice} from './endpoint_pool.js';
+import type {EndpointState} from './endpoint_state.js';
+import type {WorkClass} from './scheduler.js';
+import type {SchedulerState} from './scheduler_state.js';
+import type {WorkEnds} from './work_ends.js';
+import type {WorkQueues} from './work_queues.js';
+import type {WorkState} from './work_state.js';
+
+export class WorkDispatch {
+  constructor(
+    private readonly state: SchedulerState,
+    private readonly queues: WorkQueues,
+    private readonly attempts: AttemptTable,
+    private readonly ends: WorkEnds,
+  ) {}
+
+  /** Starts what has room now. */
+  dispatch(group: EndpointGroup): void {
+    this.dispatchQuarantined(group);
+    this.dispatchClass(group, 'interactive');
+    if (!group.isGathering) this.dispatchClass(group, 'rollout');
+  }
+
+  /** The endpoint at which the work ends soonest, other than `avoid` if it can. */
+  chooseEndpoint(
+    group: EndpointGroup,
+    work: WorkState,
+    avoid: EndpointId | undefined = work.lastEndpoint,
+  ): EndpointState | undefined {
+    const {item} = work;
+    const {directory, options} = this.state;
+    const madeTokens = work.partial?.tokens ?? 0;
+    const choice: Choice = {
+      workClass: item.workClass,
+      isRollout: item.workClass === 'rollout',
+      minWeightVersion: this.state.findMinVersion(work),
+      model: item.model,
+      promptTokens: item.promptTokens + madeTokens,
+      expectedTokens: work.expectedTokens - madeTokens,
+      prefixKey: options.prefixAffinity ? item.prefixKey : '',
+      isSuspect: work.phase === 'quarantined',
+      avoid,
+    };
+    return group.pool.choose(choice, directory.view, this.state.getView(group));
+  }
+
+  private dispatchClass(group: EndpointGroup, workClass: WorkClass): void {
+    const {pool} = group;
+    const queue = group.queues[workClass];
+    if (queue.size === 0) return;
+    let drained = 0;
+    while (workClass === 'rollout' ? pool.hasOpen : pool.hasUsable) {
+      const work = queue.peek();
+      if (!work) break;
+      if (this.queues.holdBack(work)) {
+        queue.pop();
+        continue;
+      }
+      const endpoint = this.chooseEndpoint(group, work);
+      if (endpoint) {
+        queue.pop();
+        drained += work.cost;
+        this.attempts.start(work, endpoint);
+        continue;
+      }
+      if (!this.isChoosy(work)) break;
+      // The endpoints with room have older weights than this work needs, or
+      // another model; others behind it may be content with them.
+      queue.pop();
+      this.queues.park(group, work);
+    }
+    group.drains[workClass].note(this.state.nowMs, drained, queue.size > 0);
+  }
+
+  /** Whether some endpoints may not do for the work. */
+  private isChoosy(work: WorkState): boolean {
+    if (work.item.model !== undefined) return true;
+    return this.state.findMinVersion(work) > 0;
+  }
+
+  /**
+   * Runs suspects with at most one on an endpoint, which gets nothing else until
+   * the suspect shows output, so that a crash there has only one suspect.
+   */
+  private dispatchQuarantined(group: EndpointGroup): void {
+    const waiting = group.quarantined;
+    group.quarantined = [];
+    for (const work of waiting) this.dispatchSuspect(group, work);
+  }
+
+  private dispatchSuspect(group: EndpointGroup, work: WorkState): void {
+    const {suspects, options} = this.state;
+    if (suspects.classify(work.item.fingerprint) === 'convicted') {
+      return this.ends.giveUpSuspect(work);
+    }
+    const isAnotherRunning =
+      !options.parallelQuarantine && group.quarantineRunning.size > 0;
+    const endpoint = isAnotherRunning
+      ? undefined
+      : this.chooseEndpoint(group, work);
+    if (endpoint) this.startSuspect(group, work, endpoint);
+    else group.quarantined.push(work);
+  }
+
+  private startSuspect(
+    group: EndpointGroup,
+    work: WorkState,
+    endpoint: EndpointState,
+  ): void {
+    const {id, fingerprint} = work.item;
+    group.quarantineRunning.add(work);
+    this.attempts.start(work, endpoint);
+    endpoint.suspect = {workId: id, fingerprint};
+    endpoint.quarantined = true;
+    this.state.directory.refresh(endpoint, this.state.nowMs);
+  }
+}
--- /dev/null
+++ b/packages/core/src/scheduling/work_queues.ts
@@ -0,0 +1,158 @@
+/**
+ * Where works wait: in the queue of their group, under suspicion, for weights,
+ * for a retry, or until fewer of their tenant or step run.
+ */
+
+import type {EndpointGroup} from './endpoint_directory.js';
+import {RunCap} from './run_cap.js';
+import type {SchedulerState} from './scheduler_state.js';
+import type {WorkState} from './work_state.js';
+import {WorkTimers} from './work_timers.js';
+
+/** Parked works that may try again at one scan; a large step waits for weights as a whole. */
+const MAX_UNPARKED = 200;
+
+export class WorkQueues {
+  private readonly delayed = new WorkTimers();
+  private readonly tenantCap = new RunCap();
+  private readonly stepCap = new RunCap();
+
+  constructor(private readonly state: SchedulerState) {}
+
+  queue(work: WorkState): void {
+    const group = this.state.groupOf(work);
+    const {item} = work;
+    work.setExpected(
+      this.state.estimateLength(item, work.partial?.tokens ?? 0),
+    );
+    if (this.state.suspects.classify(item.fingerprint) !== 'none') {
+      work.phase = 'quarantined';
+      group.quarantined.push(work);
+    } else {
+      work.phase = 'queued';
+      group.queues[item.workClass].push(work);
+    }
+    this.state.markDirty(group);
+  }
+
+  /** Holds a work back if enough of its tenant or its step run. */
+  holdBack(work: WorkState): boolean {
+    const {maxInFlight, stepKey} = work.item;
+    const ofTenant = this.tenantCap.countRunning(work.tenant);
+    if (maxInFlight !== undefined && ofTenant >= maxInFlight) {
+      work.phase = 'held_by_tenant';
+      this.tenantCap.hold(work.tenant, work);
+      return true;
+    }
+    if (stepKey === '' || this.measureStepRoom(stepKey) > 0) return false;
+    work.phase = 'held_by_step';
+    this.stepCap.hold(stepKey, work);
+    return true;
+  }
+
+  /** No endpoint with room has the weights that the work needs. */
+  park(group: EndpointGroup, work: WorkState): void {
+    work.phase = 'parked';
+    group.parked.push(work);
+  }
+
+  /** Queues the work after `waitMs`, or at once for 0. */
+  delay(work: WorkState, waitMs: number): void {
+    if (waitMs <= 0) return this.queue(work);
+    work.phase = 'delayed';
+    work.notBeforeMs = this.state.nowMs + waitMs;
+    this.delayed.add(work, work.notBeforeMs);
+  }
+
+  /** Takes the work out of where it waits, if it does. */
+  remove(work: WorkState): void {
+    const group = this.state.groupOf(work);
+    switch (work.phase) {
+      case 'queued':
+        group.queues[work.item.workClass].remove(work);
+        return;
+      case 'held_by_tenant':
+        return this.tenantCap.remove(work.tenant, work);
+      case 'held_by_step':
+        return this.stepCap.remove(work.item.stepKey, work);
+      case 'parked':
+        group.parked = group.parked.filter(other => other !== work);
+        return;
+      case 'quarantined':
+        group.quarantined = group.quarantined.filter(other => other !== work);
+        return;
+      case 'delayed':
+      case 'running':
+      case 'over':
+        return;
+    }
+  }
+
+  /** Counts an attempt of the work as running. */
+  noteStart(work: WorkState): void {
+    const {stepKey} = work.item;
+    this.tenantCap.noteStart(work.tenant);
+    if (stepKey !== '') this.stepCap.noteStart(stepKey);
+  }
+
+  /** Counts one fewer and queues what was held back for it. */
+  noteEnd(work: WorkState): void {
+    const {tenant, stepKey} = work.item;
+    this.tenantCap.noteEnd(tenant);
+    const ofTenant = this.tenantCap.release(tenant);
+    if (ofTenant) this.queue(ofTenant);
+    if (stepKey === '') return;
+    this.stepCap.noteEnd(stepKey);
+    const ofStep = this.stepCap.release(stepKey);
+    if (ofStep) this.queue(ofStep);
+  }
+
+  releaseDelayed(): void {
+    const {nowMs} = this.state;
+    for (const work of this.delayed.takeDue(nowMs)) {
+      if (work.phase === 'delayed' && work.notBeforeMs <= nowMs) {
+        this.queue(work);
+      }
+    }
+  }
+
+  /** Lets parked works try again, a few at a time. */
+  releaseParked(group: EndpointGroup): void {
+    if (group.parked.length === 0) return;
+    let room = MAX_UNPARKED;
+    const {parked} = group;
+    group.parked = [];
+    for (const work of parked) {
+      const min = this.state.findMinVersion(work);
+      if (room === 0 || min > group.pool.newestVersion) {
+        group.parked.push(work);
+        continue;
+      }
+      room--;
+      this.queue(work);
+    }
+  }
+
+  /** Works out how many samples of each step may run, and queues these. */
+  updatePace(): void {
+    const {pace} = this.state;
+    for (const stepKey of pace.stepKeys) {
+      const [work] = pace.listWorks(stepKey);
+      pace.update(stepKey, this.state.groupOf(work).pool.usableCount);
+      this.releaseStep(stepKey);
+    }
+  }
+
+  private releaseStep(stepKey: string): void {
+    for (let room = this.measureStepRoom(stepKey); room > 0; room--) {
+      const work = this.stepCap.release(stepKey);
+      if (!work) return;
+      this.queue(work);
+    }
+  }
+
+  private measureStepRoom(stepKey: string): number {
+    const target = this.state.pace.targetOf(stepKey);
+    return target - this.stepCap.countRunning(stepKey);
+  }
+}
--- a/packages/core/src/scheduling/work_state.ts
+++ b/packages/core/src/scheduling/work_state.ts
@@ -1,7 +1,7 @@
 /** What the scheduler keeps of one work and its attempts. */
 
 import type {RadishyokeError} from '@radishyoke/shared/error_kind';
-import type {TenantId} from '@radishyoke/shared/ids';
+import type {EndpointId, TenantId} from '@radishyoke/shared/ids';
 import type {EndpointState} from './endpoint_state.js';
 import type {QueueEntry} from './fair_queue.js';
 import type {WorkItem} from './scheduler.js';
@@ -59,7 +59,8 @@
   /** The failure that a retry follows, for the answer if no retry comes. */
   lastError?: RadishyokeError;
   notBeforeMs = 0;
-  lastEndpoint?: EndpointState;
+  /** Where it failed last; a retry goes elsewhere if it can. */
+  lastEndpoint?: EndpointId;
   expectedTokens: number;
   cost: number;
 
