refactor(core): a step's samples, its delivery and its messages as modules

Samples are kept with their reference, so that no key is split into numbers again. The specs pass unchanged but for imports.

--- a/packages/core/src/steps/__tests__/step_machine.spec.ts
+++ b/packages/core/src/steps/__tests__/step_machine.spec.ts
@@ -1,12 +1,8 @@
 import test from 'ava';
 import {toEndpointId, toStepId} from '@radishyoke/shared/ids';
 import type {StepRequest} from '@radishyoke/shared/rollout';
-import {
-  StepInput,
-  StepMachine,
-  StepMachineOptions,
-  StepOutput,
-} from '../step_machine.js';
+import {StepMachine, StepMachineOptions} from '../step_machine.js';
+import type {StepInput, StepOutput} from '../step_message.js';
 
 function createStepRequest(samples: number): StepRequest {
   return {
--- a/packages/core/src/steps/step_machine.ts
+++ b/packages/core/src/steps/step_machine.ts
@@ -7,7 +7,7 @@
 
 import type {ErrorKind, RadishyokeError} from '@radishyoke/shared/error_kind';
 import {createError} from '@radishyoke/shared/error_kind';
-import type {EndpointId, StepId} from '@radishyoke/shared/ids';
+import type {StepId} from '@radishyoke/shared/ids';
 import {toEndpointId, toRolloutId} from '@radishyoke/shared/ids';
 import type {
   CommittedSample,
@@ -21,87 +21,29 @@
   TokenSpan,
 } from '@radishyoke/shared/rollout';
 import {computeDigest} from '../ledger/digest.js';
+import {Delivery} from './delivery.js';
+import {SampleStates, SettledState} from './sample_states.js';
+import {
+  formatSampleKey,
+  SampleOutput,
+  SampleRef,
+  StepHistory,
+  StepInput,
+  StepOutput,
+  StepProgress,
+} from './step_message.js';
 
-/** Which sample of the step, both from 0. */
-export interface SampleRef {
-  readonly group: number;
-  readonly sample: number;
-}
-
-/** The output of the attempt that won. */
-export interface SampleOutput extends SampleRef {
-  readonly attempt: number;
-  readonly endpoint: EndpointId;
-  readonly text: string;
-  readonly spans: readonly TokenSpan[];
-  readonly finishReason: string;
-}
-
-export type StepInput =
-  | {readonly kind: 'finished'; readonly output: SampleOutput}
-  | ({readonly kind: 'failed'; readonly error: RadishyokeError} & SampleRef)
-  /** The partial output of a running sample is already over the bound. */
-  | ({readonly kind: 'outdated'} & SampleRef)
-  /** The log holds these winners and no newer owner existed before them. */
-  | {
-      readonly kind: 'committed';
-      readonly samples: readonly CommittedSample[];
-    }
-  /** The log did not take these; they are committed again. */
-  | {readonly kind: 'commit_failed'; readonly samples: readonly SampleRef[]}
-  | {
-      readonly kind: 'attached';
-      readonly cursor: number;
-      readonly weightVersion: number;
-    }
-  | {readonly kind: 'detached'}
-  | {
-      readonly kind: 'acknowledged';
-      readonly cursor: number;
-      readonly weightVersion: number;
-    }
-  /** The text of an earlier owner's winner was had from its engine, or not. */
-  | {
-      readonly kind: 'recovered';
-      readonly cursor: number;
-      readonly output?: SampleOutput;
-    }
-  | {readonly kind: 'cancel'}
-  | {readonly kind: 'tick'};
-
-export type StepOutput =
-  | ({
-      readonly kind: 'run';
-      /** Number of the first attempt; later ones count on. */
-      readonly firstAttempt: number;
-      readonly minWeightVersion: number;
-    } & SampleRef)
-  | ({readonly kind: 'abandon'} & SampleRef)
-  | {readonly kind: 'min_version'; readonly minWeightVersion: number}
-  | {readonly kind: 'commit'; readonly samples: readonly SampleCommit[]}
-  | {readonly kind: 'void'; readonly cursors: readonly number[]}
-  | {readonly kind: 'send'; readonly event: StepEvent}
-  | {readonly kind: 'recover'; readonly committed: CommittedSample}
-  | {
-      readonly kind: 'acknowledge';
-      readonly cursor: number;
-      readonly weightVersion: number;
-    }
-  | {
-      readonly kind: 'close';
-      readonly reason: 'complete' | 'cancelled' | 'timed_out';
-    };
-
-/** What the log already holds of the step when this owner takes it. */
-export interface StepHistory {
-  readonly committed: readonly CommittedSample[];
-  readonly acknowledgedCursor: number;
-  /** Highest cursor ever committed, voided ones included. */
-  readonly highestCursor: number;
-  readonly weightVersion: number;
-  /** Attempts begun so far, by sample, for numbering. */
-  readonly attempts: ReadonlyMap<string, number>;
-}
+/** Refusals that pass by themselves. */
+const passingKinds: ReadonlySet<ErrorKind> = new Set<ErrorKind>([
+  'no_endpoint',
+  'overloaded',
+]);
+/** Pause before such a sample runs again, where the refusal names none, ms. */
+const retryPauseMs = 500;
+/** How long a new owner waits for an engine to give back a winner's text, ms. */
+const recoveryTimeoutMs = 5000;
+/** How long a finished step waits for the trainer's last acknowledgement, ms. */
+const lastAckGraceMs = 60_000;
 
 export interface StepMachineOptions {
   readonly step: StepId;
@@ -114,65 +56,11 @@
   readonly history?: StepHistory;
 }
 
-/** Counts for status pages. */
-export interface StepProgress {
-  readonly samples: number;
-  readonly settled: number;
-  readonly acknowledged: number;
-  readonly attached: boolean;
-}
-
-type SampleState =
-  | {readonly kind: 'running'}
-  /** No endpoint could take it; it runs again then. */
-  | {readonly kind: 'waiting'; readonly untilMs: number}
-  /** Text and error wait here for the log, then for the trainer. */
-  | {
-      readonly kind: 'settled';
-      /** Position in the trainer's stream; absent until the log holds it. */
-      readonly cursor?: number;
-      readonly output?: SampleOutput;
-      readonly shortfall?: RadishyokeError;
-    }
-  | {
-      readonly kind: 'recovering';
-      readonly committed: CommittedSample;
-      /** No engine has the text any more. */
-      readonly lost: boolean;
-    }
-  | {readonly kind: 'acknowledged'; readonly shortfall: boolean};
-
-/** Refusals that pass by themselves. */
-const passingKinds: ReadonlySet<ErrorKind> = new Set<ErrorKind>([
-  'no_endpoint',
-  'overloaded',
-]);
-/** Pause before such a sample runs again, where the refusal names none. */
-const retryPauseMs = 500;
-
-type SettledState = Extract<SampleState, {readonly kind: 'settled'}>;
-
-/** How long a new owner waits for an engine to give back a winner's text. */
-const recoveryTimeoutMs = 5000;
-
-/** How long a finished step waits for the trainer's last acknowledgement. */
-const lastAckGraceMs = 60_000;
-
-/** Names a sample within its step. */
-export function formatSampleKey(ref: SampleRef): string {
-  return `${ref.group}/${ref.sample}`;
-}
-
 export class StepMachine {
-  private readonly states = new Map<string, SampleState>();
-  private readonly attempts = new Map<string, number>();
-  private readonly cursors = new Map<number, SampleRef>();
+  private readonly states = new SampleStates();
+  private readonly delivery: Delivery;
+  private readonly attempts: Map<string, number>;
   private readonly deadlineAtMs: number;
-  private highestCursor: number;
-  /** Cursors up to here were given out before this owner; some were voided. */
-  private readonly adoptedCursor: number;
-  private acknowledgedCursor: number;
-  private sentCursor = 0;
   private attached = false;
   private weightVersion: number;
   private closed = false;
@@ -181,16 +69,16 @@
   constructor(private readonly options: StepMachineOptions) {
     const {req, history, openedAtMs} = options;
     this.deadlineAtMs = openedAtMs + req.timeoutMs;
-    this.highestCursor = history?.highestCursor ?? 0;
-    this.adoptedCursor = this.highestCursor;
-    this.acknowledgedCursor = history?.acknowledgedCursor ?? 0;
+    this.delivery = new Delivery(
+      this.states,
+      history?.highestCursor ?? 0,
+      history?.acknowledgedCursor ?? 0,
+    );
     this.weightVersion = Math.max(
       req.weightVersion,
       history?.weightVersion ?? 0,
     );
-    for (const [key, count] of history?.attempts ?? []) {
-      this.attempts.set(key, count);
-    }
+    this.attempts = new Map(history?.attempts);
   }
 
   /** Begins the step: what is not settled runs, what is, is recovered. */
@@ -202,7 +90,7 @@
     this.options.req.groups.forEach((group, index) => {
       for (let sample = 0; sample < group.samples; sample++) {
         const ref = {group: index, sample};
-        if (!this.states.has(formatSampleKey(ref))) this.run(ref, out);
+        if (!this.states.get(ref)) this.run(ref, out);
       }
     });
     return out;
@@ -222,14 +110,16 @@
         this.rerun(input, out);
         break;
       case 'committed':
-        this.markCommitted(input.samples);
+        for (const {cursor, ...ref} of input.samples) {
+          this.delivery.commit(cursor, ref);
+        }
         break;
       case 'commit_failed':
         this.commitAgain(input.samples, out);
         break;
       case 'attached':
         this.attached = true;
-        this.sentCursor = this.boundCursor(input.cursor);
+        this.delivery.restartAt(input.cursor);
         this.endSent = false;
         this.moveTrainer(input.cursor, input.weightVersion, out);
         this.rerunLost(out);
@@ -265,45 +155,29 @@
   }
 
   describe(): StepProgress {
-    let settled = 0;
-    let acknowledged = 0;
-    for (const state of this.states.values()) {
-      if (state.kind === 'settled') settled++;
-      if (state.kind === 'acknowledged') acknowledged++;
-    }
-    return {
-      samples: this.states.size,
-      settled: settled + acknowledged,
-      acknowledged,
-      attached: this.attached,
-    };
+    return this.states.describe(this.attached);
   }
 
   private adopt(committed: CommittedSample, out: StepOutput[]): void {
-    const key = formatSampleKey(committed);
-    this.cursors.set(committed.cursor, committed);
-    if (committed.cursor <= this.acknowledgedCursor) {
-      this.states.set(key, {
-        kind: 'acknowledged',
-        shortfall: committed.shortfall !== undefined,
-      });
+    const {cursor, shortfall} = committed;
+    this.delivery.adopt(cursor, committed);
+    if (cursor <= this.delivery.acknowledgedCursor) {
+      const isShort = shortfall !== undefined;
+      this.states.set(committed, {kind: 'acknowledged', shortfall: isShort});
       return;
     }
-    if (committed.shortfall) {
-      this.states.set(key, {
-        kind: 'settled',
-        cursor: committed.cursor,
-        shortfall: createError(committed.shortfall),
-      });
+    if (shortfall) {
+      const error = createError(shortfall);
+      this.states.set(committed, {kind: 'settled', cursor, shortfall: error});
       return;
     }
-    this.states.set(key, {kind: 'recovering', committed, lost: false});
+    this.states.set(committed, {kind: 'recovering', committed, lost: false});
     out.push({kind: 'recover', committed});
   }
 
   private run(ref: SampleRef, out: StepOutput[]): void {
     const key = formatSampleKey(ref);
-    this.states.set(key, {kind: 'running'});
+    this.states.set(ref, {kind: 'running'});
     out.push({
       kind: 'run',
       group: ref.group,
@@ -321,7 +195,7 @@
   }
 
   private rerun(ref: SampleRef, out: StepOutput[]): void {
-    if (this.states.get(formatSampleKey(ref))?.kind !== 'running') return;
+    if (!this.states.isRunning(ref)) return;
     out.push({kind: 'abandon', group: ref.group, sample: ref.sample});
     this.run(ref, out);
   }
@@ -334,12 +208,12 @@
     },
     out: StepOutput[],
   ): void {
-    if (this.states.get(formatSampleKey(ref))?.kind !== 'running') return;
+    if (!this.states.isRunning(ref)) return;
     if (result.output && this.isStale(result.output.spans)) {
       this.run(ref, out);
       return;
     }
-    this.states.set(formatSampleKey(ref), {kind: 'settled', ...result});
+    this.states.set(ref, {kind: 'settled', ...result});
     out.push({kind: 'commit', samples: [this.buildCommit(ref)]});
   }
 
@@ -357,14 +231,13 @@
       this.settle(ref, {shortfall: error}, out);
       return;
     }
-    const key = formatSampleKey(ref);
-    if (this.states.get(key)?.kind !== 'running') return;
+    if (!this.states.isRunning(ref)) return;
     const untilMs = nowMs + (error.retryAfterMs ?? retryPauseMs);
-    this.states.set(key, {kind: 'waiting', untilMs});
+    this.states.set(ref, {kind: 'waiting', untilMs});
   }
 
   private buildCommit(ref: SampleRef): SampleCommit {
-    const state = this.states.get(formatSampleKey(ref));
+    const state = this.states.get(ref);
     if (state?.kind !== 'settled') throw new Error('sample is not settled');
     const {output, shortfall} = state;
     return {
@@ -378,21 +251,9 @@
     };
   }
 
-  private markCommitted(samples: readonly CommittedSample[]): void {
-    for (const {group, sample, cursor} of samples) {
-      const ref = {group, sample};
-      const key = formatSampleKey(ref);
-      const state = this.states.get(key);
-      this.cursors.set(cursor, ref);
-      this.highestCursor = Math.max(this.highestCursor, cursor);
-      if (state?.kind !== 'settled') continue;
-      this.states.set(key, {...state, cursor});
-    }
-  }
-
   private commitAgain(samples: readonly SampleRef[], out: StepOutput[]): void {
     const open = samples.filter(ref => {
-      const state = this.states.get(formatSampleKey(ref));
+      const state = this.states.get(ref);
       return state?.kind === 'settled' && state.cursor === undefined;
     });
     if (open.length === 0) return;
@@ -404,10 +265,8 @@
     weightVersion: number,
     out: StepOutput[],
   ): void {
-    const known = this.boundCursor(cursor);
-    const moved = known > this.acknowledgedCursor;
+    const moved = this.delivery.acknowledge(cursor);
     const newer = weightVersion > this.weightVersion;
-    if (moved) this.acknowledgeUpTo(known);
     if (newer) {
       this.weightVersion = weightVersion;
       out.push({kind: 'min_version', minWeightVersion: this.minWeightVersion});
@@ -415,60 +274,34 @@
     if (moved || newer) {
       out.push({
         kind: 'acknowledge',
-        cursor: this.acknowledgedCursor,
+        cursor: this.delivery.acknowledgedCursor,
         weightVersion: this.weightVersion,
       });
     }
   }
 
-  /**
-   * A trainer can have read no further than was ever committed. Taking its word
-   * for more would skip what is yet to come, and a huge number would keep this
-   * process busy with cursors that do not exist.
-   */
-  private boundCursor(cursor: number): number {
-    return Math.min(cursor, this.highestCursor);
-  }
-
-  private acknowledgeUpTo(cursor: number): void {
-    for (let at = this.acknowledgedCursor + 1; at <= cursor; at++) {
-      const ref = this.cursors.get(at);
-      if (!ref) continue;
-      const key = formatSampleKey(ref);
-      const state = this.states.get(key);
-      const holds =
-        (state?.kind === 'settled' && state.cursor === at) ||
-        (state?.kind === 'recovering' && state.committed.cursor === at);
-      if (!holds) continue;
-      const shortfall = state.kind === 'settled' && !!state.shortfall;
-      this.states.set(key, {kind: 'acknowledged', shortfall});
-    }
-    this.acknowledgedCursor = cursor;
-  }
-
   private recover(
     cursor: number,
     output: SampleOutput | undefined,
     out: StepOutput[],
   ): void {
-    const ref = this.cursors.get(cursor);
+    const ref = this.delivery.find(cursor);
     if (!ref) return;
-    const key = formatSampleKey(ref);
-    const state = this.states.get(key);
+    const state = this.states.get(ref);
     if (state?.kind !== 'recovering') return;
     const intact =
       output && computeDigest(output.text) === state.committed.digest;
     if (intact) {
-      this.states.set(key, {kind: 'settled', cursor, output});
+      this.states.set(ref, {kind: 'settled', cursor, output});
       return;
     }
-    this.states.set(key, {...state, lost: true});
+    this.states.set(ref, {...state, lost: true});
     this.rerunLost(out);
   }
 
   private handOver(out: StepOutput[]): void {
     if (!this.attached) return;
-    for (const {ref, state, cursor} of this.listDeliverable()) {
+    for (const {ref, state, cursor} of this.delivery.listDeliverable()) {
       if (state.output && this.isStale(state.output.spans)) {
         // The trainer moved on while this output waited for the log or for a
         // connection. Handing it over would break the staleness bound; the
@@ -477,36 +310,12 @@
         this.run(ref, out);
         continue;
       }
-      this.sentCursor = Math.max(this.sentCursor, cursor);
+      this.delivery.noteSent(cursor);
       out.push({kind: 'send', event: this.buildEvent(ref, state, cursor)});
     }
     this.sendEnd(out);
   }
 
-  /**
-   * Committed samples the trainer has not been sent, in cursor order, up to the
-   * first that is not at hand: a cursor must never be passed by a higher one.
-   */
-  private listDeliverable() {
-    const deliverable: Array<{
-      readonly ref: SampleRef;
-      readonly state: SettledState;
-      readonly cursor: number;
-    }> = [];
-    for (let at = this.sentCursor + 1; at <= this.highestCursor; at++) {
-      const ref = this.cursors.get(at);
-      if (!ref) {
-        if (at <= this.adoptedCursor) continue;
-        break;
-      }
-      const state = this.states.get(formatSampleKey(ref));
-      if (state?.kind === 'recovering' && state.committed.cursor === at) break;
-      if (state?.kind !== 'settled' || state.cursor !== at) continue;
-      deliverable.push({ref, state, cursor: at});
-    }
-    return deliverable;
-  }
-
   private buildEvent(
     ref: SampleRef,
     state: SettledState,
@@ -518,41 +327,17 @@
       const error = state.shortfall ?? createError('internal');
       return {kind: 'shortfall', cursor, fencing, rolloutId: id, error};
     }
-    const {attempt, endpoint, text, spans, finishReason} = state.output;
-    const rollout: Rollout = {
-      id,
-      step,
-      group: ref.group,
-      sample: ref.sample,
-      attempt,
-      endpoint,
-      text,
-      spans,
-      finishReason,
-    };
+    const rollout: Rollout = {id, step, ...state.output};
     return {kind: 'rollout', cursor, fencing, rollout};
   }
 
   private sendEnd(out: StepOutput[]): void {
     if (this.endSent) return;
-    let rollouts = 0;
-    let shortfalls = 0;
-    for (const state of this.states.values()) {
-      if (state.kind === 'running' || state.kind === 'waiting') return;
-      if (state.kind === 'recovering') return;
-      if (state.kind === 'settled') {
-        if (state.cursor === undefined) return;
-        if (state.cursor > this.sentCursor) return;
-      }
-      if (state.shortfall) shortfalls++;
-      else rollouts++;
-    }
+    const totals = this.states.countIfAllSent(this.delivery.sentCursor);
+    if (!totals) return;
     this.endSent = true;
     const {fencing} = this.options;
-    out.push({
-      kind: 'send',
-      event: {kind: 'end', fencing, rollouts, shortfalls},
-    });
+    out.push({kind: 'send', event: {kind: 'end', fencing, ...totals}});
   }
 
   private isStale(spans: readonly TokenSpan[]): boolean {
@@ -563,24 +348,19 @@
   private expire(nowMs: number, out: StepOutput[]): void {
     this.expireRecoveries(nowMs, out);
     const isLate = nowMs >= this.deadlineAtMs;
-    for (const [key, state] of [...this.states]) {
-      const [group, sample] = key.split('/').map(Number);
+    for (const {ref, state} of this.states.list()) {
       if (state.kind === 'waiting' && (isLate || nowMs >= state.untilMs)) {
-        this.run({group, sample}, out);
+        this.run(ref, out);
       }
-      if (!isLate || this.states.get(key)?.kind !== 'running') continue;
-      out.push({kind: 'abandon', group, sample});
-      const shortfall = createError('deadline_passed');
-      this.settle({group, sample}, {shortfall}, out);
+      if (!isLate || !this.states.isRunning(ref)) continue;
+      out.push({kind: 'abandon', ...ref});
+      this.settle(ref, {shortfall: createError('deadline_passed')}, out);
     }
   }
 
   private expireRecoveries(nowMs: number, out: StepOutput[]): void {
     if (nowMs - this.options.ownedFromMs < recoveryTimeoutMs) return;
-    for (const [key, state] of this.states) {
-      if (state.kind !== 'recovering') continue;
-      this.states.set(key, {...state, lost: true});
-    }
+    this.states.markAllLost();
     this.rerunLost(out);
   }
 
@@ -589,7 +369,7 @@
     // Running the sample again before the trainer has said how far it read
     // would show as a rollout received twice, so nothing runs until it has.
     if (!this.attached) return;
-    for (const state of [...this.states.values()]) {
+    for (const {state} of this.states.list()) {
       if (state.kind !== 'recovering' || !state.lost) continue;
       const {committed} = state;
       out.push({kind: 'void', cursors: [committed.cursor]});
@@ -613,10 +393,8 @@
     out: StepOutput[],
   ): void {
     this.closed = true;
-    for (const [key, state] of this.states) {
-      if (state.kind !== 'running') continue;
-      const [group, sample] = key.split('/').map(Number);
-      out.push({kind: 'abandon', group, sample});
+    for (const {ref, state} of this.states.list()) {
+      if (state.kind === 'running') out.push({kind: 'abandon', ...ref});
     }
     out.push({kind: 'close', reason});
   }
--- a/packages/daemon/src/audit_recorder.ts
+++ b/packages/daemon/src/audit_recorder.ts
@@ -7,7 +7,7 @@
 import type {ConfigVersion} from '@radishyoke/core/rules/config_history';
 import {computeDigest} from '@radishyoke/core/ledger/digest';
 import type {StepLedger} from '@radishyoke/core/steps/step_ledger';
-import {formatSampleKey, SampleRef} from '@radishyoke/core/steps/step_machine';
+import {formatSampleKey, SampleRef} from '@radishyoke/core/steps/step_message';
 import {toTeamId, type TeamId, type TenantId} from '@radishyoke/shared/ids';
 import type {
   CommittedSample,
--- a/packages/daemon/src/sample_runner.ts
+++ b/packages/daemon/src/sample_runner.ts
@@ -9,7 +9,7 @@
 import type {
   SampleOutput,
   SampleRef,
-} from '@radishyoke/core/steps/step_machine';
+} from '@radishyoke/core/steps/step_message';
 import type {EndpointInfo} from '@radishyoke/shared/endpoint';
 import type {RadishyokeError} from '@radishyoke/shared/error_kind';
 import type {EndpointId} from '@radishyoke/shared/ids';
--- a/packages/daemon/src/step_directory.ts
+++ b/packages/daemon/src/step_directory.ts
@@ -10,7 +10,7 @@
 import type {
   SampleOutput,
   SampleRef,
-} from '@radishyoke/core/steps/step_machine';
+} from '@radishyoke/core/steps/step_message';
 import {createError} from '@radishyoke/shared/error_kind';
 import type {StepId, TenantId, VmId} from '@radishyoke/shared/ids';
 import {fail, Result, succeed} from '@radishyoke/shared/result';
--- a/packages/daemon/src/step_task.ts
+++ b/packages/daemon/src/step_task.ts
@@ -16,10 +16,10 @@
   SampleRef,
   StepHistory,
   StepInput,
-  StepMachine,
   StepOutput,
   StepProgress,
-} from '@radishyoke/core/steps/step_machine';
+} from '@radishyoke/core/steps/step_message';
+import {StepMachine} from '@radishyoke/core/steps/step_machine';
 import type {EndpointId} from '@radishyoke/shared/ids';
 import type {
   CommittedSample,
--- a/packages/daemon/src/vm_metrics.ts
+++ b/packages/daemon/src/vm_metrics.ts
@@ -3,7 +3,7 @@
 import {MetricRegistry} from '@radishyoke/core/metrics/metrics';
 import {RequestRecorder} from '@radishyoke/core/audit/recorded_request';
 import type {RuleFacts} from '@radishyoke/core/rules/rule';
-import type {SampleOutput} from '@radishyoke/core/steps/step_machine';
+import type {SampleOutput} from '@radishyoke/core/steps/step_message';
 import type {StepLedger} from '@radishyoke/core/steps/step_ledger';
 import type {Result} from '@radishyoke/shared/result';
 import {measureStaleness} from '@radishyoke/shared/rollout';
