--- a/packages/core/src/__tests__/membership_fixture.ts
+++ b/packages/core/src/__tests__/membership_fixture.ts
@@ -5,11 +5,11 @@
 import type {ConfigTransfer} from '../rules/config_history.js';
 import type {GossipMessage} from '../membership/gossip_message.js';
 import type {Member} from '../membership/member.js';
-import {
-  Membership,
+import {Membership} from '../membership/membership.js';
+import type {
   MembershipAction,
   MembershipEvent,
-} from '../membership/membership.js';
+} from '../membership/membership_message.js';
 import {
   createRandomBits,
   drawBelow,
--- a/packages/core/src/membership/membership.ts
+++ b/packages/core/src/membership/membership.ts
@@ -8,104 +8,41 @@
  * offsets ride on the same messages.
  */
 
-import type {VmInfo} from '@radishyoke/shared/endpoint';
-import type {EndpointId, VmId} from '@radishyoke/shared/ids';
+import type {VmId} from '@radishyoke/shared/ids';
 import {ConfigExchange} from '../rules/config_exchange.js';
-import type {ConfigTransfer} from '../rules/config_history.js';
-import {Contact, ProbeStep} from './contact.js';
-import {Directory} from './directory.js';
-import type {GossipMessage, GossipPayload, Rumour} from './gossip_message.js';
-import {applyLoadDelta, InFlight} from './load_digest.js';
-import {isServing, Member, supersedes} from './member.js';
-import {MEMBERSHIP_LIMITS, MEMBERSHIP_TIMING} from './membership_timing.js';
-import {selectNeighbours} from './neighbour_view.js';
-import {toRumourKey} from './outbox.js';
 import {
   createRandomBits,
   drawBelow,
   drawSome,
   RandomBits,
 } from '../scheduling/random_bits.js';
-
-export type MembershipEvent =
-  /** Sent every 100 ms or so. */
-  | {readonly kind: 'tick'}
-  | {
-      readonly kind: 'message';
-      readonly from: VmId;
-      readonly message: GossipMessage;
-    }
-  /** A connection to a VM began, whichever side opened it. */
-  | {readonly kind: 'linked'; readonly member: Member}
-  | {readonly kind: 'vm_list'; readonly vms: readonly VmInfo[]}
-  /** This VM's own works in flight. */
-  | {readonly kind: 'own_load'; readonly inFlight: InFlight}
-  | {readonly kind: 'own_suspects'; readonly fingerprints: readonly string[]}
-  | {readonly kind: 'own_silent_endpoint'; readonly endpoint: EndpointId}
-  /** This VM folded the config stream up to `next`. */
-  | {readonly kind: 'config_offset'; readonly next: number}
-  /** Records read for a VM that asked by `serve_config`. */
-  | {
-      readonly kind: 'config_read';
-      readonly to: VmId;
-      readonly transfer: ConfigTransfer;
-    }
-  | {readonly kind: 'leave'};
-
-export type MembershipAction =
-  | {
-      readonly kind: 'send';
-      readonly to: VmId;
-      readonly address: string;
-      readonly message: GossipMessage;
-    }
-  /** Drop the connections to this VM; the next send opens another. */
-  | {readonly kind: 'relink'; readonly vm: VmId}
-  | {readonly kind: 'dial'; readonly address: string}
-  /** Serving VMs, this one included unless it leaves. */
-  | {readonly kind: 'vms'; readonly vms: readonly VmId[]}
-  | {
-      readonly kind: 'peer_load';
-      readonly vm: VmId;
-      readonly inFlight: InFlight;
-    }
-  | {readonly kind: 'suspects'; readonly fingerprints: readonly string[]}
-  | {readonly kind: 'silent_endpoint'; readonly endpoint: EndpointId}
-  /** Answer by the event `config_read`. */
-  | {readonly kind: 'serve_config'; readonly to: VmId; readonly from: number}
-  | {
-      readonly kind: 'config_transfer';
-      readonly transfer: ConfigTransfer;
-    }
-  /** Greatest config offset that any VM told of. */
-  | {readonly kind: 'config_seen'; readonly next: number};
-
-export interface MembershipConfig {
-  /** This VM; its incarnation, the Unix ms of its start, grows with each life. */
-  readonly self: Member;
-  /** Addresses of VMs from the settings. */
-  readonly seeds: readonly string[];
-}
+import type {Contact, ProbeStep} from './contact.js';
+import {ContactTable} from './contact_table.js';
+import {Directory} from './directory.js';
+import type {GossipMessage, GossipPayload, Rumour} from './gossip_message.js';
+import {applyLoadDelta, InFlight} from './load_digest.js';
+import {isServing, Member, supersedes} from './member.js';
+import type {
+  MembershipAction,
+  MembershipConfig,
+  MembershipEvent,
+} from './membership_message.js';
+import {MEMBERSHIP_LIMITS, MEMBERSHIP_TIMING} from './membership_timing.js';
+import {RelayTable} from './relay_table.js';
+import {RumourFilter} from './rumour_filter.js';
 
 /** One in so many messages without news carries a belief. */
 const FILLER_EVERY = 4;
 
-interface Relay {
-  readonly requester: VmId;
-  readonly untilMs: number;
-}
-
 export class Membership {
   private self: Member;
   private readonly directory: Directory;
-  private readonly contacts = new Map<VmId, Contact>();
-  private readonly seenRumours = new Set<string>();
-  private readonly relays = new Map<VmId, Relay>();
+  private readonly contacts: ContactTable;
+  private readonly rumours = new RumourFilter();
+  private readonly relays = new RelayTable();
   private readonly configs = new ConfigExchange();
   private readonly random: RandomBits;
   private inFlight: InFlight = new Map();
-  private neighbours: readonly VmId[] = [];
-  private viewStale = true;
   private servingStale = true;
   private servingKey = '';
   private seq = 0;
@@ -128,6 +65,7 @@
   ) {
     this.self = cfg.self;
     this.directory = new Directory(cfg.self.id);
+    this.contacts = new ContactTable(cfg.self.id);
     this.random = createRandomBits(seed);
     this.lastTickMs = nowMs;
     this.lastHeardMs = nowMs;
@@ -149,7 +87,7 @@
   }
 
   listNeighbours(): readonly VmId[] {
-    return this.neighbours;
+    return this.contacts.neighbours;
   }
 
   private apply(event: MembershipEvent, nowMs: number): void {
@@ -196,8 +134,8 @@
       this.resume(nowMs);
     }
     this.lastTickMs = nowMs;
-    this.refreshView(nowMs);
-    for (const id of this.neighbours) this.probe(id, nowMs);
+    this.contacts.refresh(this.self, () => this.directory.list(), nowMs);
+    for (const id of this.contacts.neighbours) this.probe(id, nowMs);
     this.failSuspects(nowMs);
     this.revive(nowMs);
     this.dialSeeds(nowMs);
@@ -211,27 +149,13 @@
    * failed; so every neighbour gets a whole new probe.
    */
   private resume(nowMs: number): void {
-    for (const contact of this.contacts.values()) {
-      contact.hear(nowMs - MEMBERSHIP_TIMING.periodMs);
-    }
+    this.contacts.restartProbes(nowMs);
     this.directory.restartSuspicions(nowMs);
     this.lastHeardMs = nowMs;
   }
 
-  private refreshView(nowMs: number): void {
-    for (const [id, contact] of this.contacts) {
-      const idleMs = nowMs - contact.lastHeardMs;
-      if (idleMs < MEMBERSHIP_TIMING.contactIdleMs) continue;
-      if (!this.neighbours.includes(id)) this.contacts.delete(id);
-    }
-    if (!this.viewStale) return;
-    this.viewStale = false;
-    const live = this.directory.list().filter(m => m.state !== 'failed');
-    this.neighbours = selectNeighbours(this.self, live);
-  }
-
   private probe(id: VmId, nowMs: number): void {
-    const contact = this.touch(id, nowMs);
+    const contact = this.contacts.touch(id, nowMs);
     const step = contact?.advance(nowMs);
     if (!contact || !step) return;
     this.takeProbeStep(id, step, nowMs);
@@ -255,7 +179,7 @@
 
   private askHelpers(target: VmId): void {
     const address = this.directory.get(target)!.peerAddress;
-    const others = this.neighbours.filter(id => id !== target);
+    const others = this.contacts.neighbours.filter(id => id !== target);
     const helpers = drawSome(this.random, others, MEMBERSHIP_LIMITS.helpers);
     for (const helper of helpers) {
       this.send(helper, {kind: 'probe_request', target, address});
@@ -304,7 +228,7 @@
 
   private receive(from: VmId, message: GossipMessage, nowMs: number): void {
     this.lastHeardMs = nowMs;
-    this.touch(from, nowMs)?.hear(nowMs);
+    this.contacts.touch(from, nowMs)?.hear(nowMs);
     this.answerRelay(from, nowMs);
     switch (message.kind) {
       case 'ping':
@@ -352,7 +276,7 @@
     for (const rumour of payload.rumours) {
       this.hearRumour(rumour, from, nowMs);
     }
-    const contact = this.touch(from, nowMs);
+    const contact = this.contacts.touch(from, nowMs);
     if (!contact) return;
     contact.exchange(nowMs);
     contact.configNext = payload.configNext;
@@ -396,17 +320,10 @@
 
   /** Passes news on that is not about a VM; false when it was known. */
   private spread(rumour: Rumour, source?: VmId): boolean {
-    const occasion = rumour.kind === 'silent_endpoint' ? rumour.seenAtMs : '';
-    const key = `${toRumourKey(rumour)}:${occasion}`;
-    if (this.seenRumours.has(key)) return false;
-    this.seenRumours.add(key);
-    if (this.seenRumours.size > MEMBERSHIP_LIMITS.seenRumours) {
-      const [oldest] = this.seenRumours;
-      this.seenRumours.delete(oldest);
-    }
+    if (!this.rumours.note(rumour)) return false;
     // A resent request that crashes endpoints must not outrun the warning.
     this.newsPending = true;
-    this.tell(rumour, source);
+    this.contacts.tell(rumour, source);
     return true;
   }
 
@@ -417,7 +334,7 @@
     if (result === 'ignored') return;
     // That a VM on the VM list was heard of is no news to anybody.
     const first = known?.incarnation === 0 && result === 'refreshed';
-    if (!first) this.tell({kind: 'member', member: news}, source);
+    if (!first) this.contacts.tell({kind: 'member', member: news}, source);
     if (result === 'changed') this.noteChange(news);
   }
 
@@ -430,43 +347,35 @@
     if (!supersedes(news, this.self)) return;
     this.self = {...this.self, incarnation: news.incarnation + 1};
     this.newsPending = true;
-    this.tell({kind: 'member', member: this.self});
+    this.contacts.tell({kind: 'member', member: this.self});
   }
 
   private noteChange(member: Member): void {
-    this.viewStale = true;
+    this.contacts.markViewStale();
     this.servingStale = true;
     if (member.state !== 'alive') this.newsPending = true;
     if (member.state !== 'failed') return;
-    const contact = this.contacts.get(member.id);
-    this.contacts.delete(member.id);
+    const contact = this.contacts.remove(member.id);
     if (!contact || contact.received.size === 0) return;
     const inFlight: InFlight = new Map();
     this.actions.push({kind: 'peer_load', vm: member.id, inFlight});
   }
 
   private relay(requester: VmId, target: VmId, nowMs: number): void {
-    if (this.relays.size >= MEMBERSHIP_LIMITS.relays) this.relays.clear();
-    const untilMs = nowMs + MEMBERSHIP_TIMING.suspectAfterMs;
-    this.relays.set(target, {requester, untilMs});
+    this.relays.add(requester, target, nowMs);
     this.ping(target, nowMs);
   }
 
   private answerRelay(target: VmId, nowMs: number): void {
-    const relay = this.relays.get(target);
-    if (!relay) return;
-    this.relays.delete(target);
-    if (nowMs > relay.untilMs) return;
-    this.send(relay.requester, {kind: 'probe_heard', target});
+    const requester = this.relays.take(target, nowMs);
+    if (!requester) return;
+    this.send(requester, {kind: 'probe_heard', target});
   }
 
   private requestConfig(nowMs: number): void {
     const from = this.configs.ownNext();
     if (this.configs.seenNext() <= from) return;
-    const ahead = [...this.contacts]
-      .filter(([, contact]) => contact.configNext > from)
-      .sort(([, a], [, b]) => b.lastHeardMs - a.lastHeardMs)
-      .map(([id]) => id);
+    const ahead = this.contacts.listAhead(from);
     const source = this.configs.chooseSource(ahead, nowMs);
     if (source) this.send(source, {kind: 'config_request', from});
   }
@@ -477,7 +386,7 @@
     if (!due || nowMs < this.announceAtMs) return;
     this.announceAtMs = nowMs + MEMBERSHIP_TIMING.announceEveryMs;
     const next = this.configs.ownNext();
-    for (const [id, contact] of this.contacts) {
+    for (const [id, contact] of this.contacts.entries()) {
       const behind = this.offsetPending && contact.configNext < next;
       if (this.newsPending || behind) this.ping(id, nowMs);
     }
@@ -490,7 +399,7 @@
     const incarnation = this.self.incarnation + 1;
     this.self = {...this.self, incarnation, state: 'leaving'};
     this.servingStale = true;
-    this.tell({kind: 'member', member: this.self});
+    this.contacts.tell({kind: 'member', member: this.self});
     this.newsPending = true;
     this.announce(nowMs);
   }
@@ -501,7 +410,7 @@
   }
 
   private buildPayload(to: VmId, nowMs: number): GossipPayload {
-    const contact = this.touch(to, nowMs);
+    const contact = this.contacts.touch(to, nowMs);
     const load = contact?.encoder.encode(this.inFlight, nowMs);
     const self = contact ? contact.introduce(this.self) : this.self;
     return {
@@ -535,23 +444,6 @@
     return member?.id === to ? undefined : member;
   }
 
-  private tell(rumour: Rumour, source?: VmId): void {
-    for (const [id, contact] of this.contacts) {
-      if (id !== source) contact.outbox.add(rumour);
-    }
-  }
-
-  private touch(id: VmId, nowMs: number): Contact | undefined {
-    const held = this.contacts.get(id);
-    if (held) return held;
-    const full = this.contacts.size >= MEMBERSHIP_LIMITS.contacts;
-    if (full && !this.neighbours.includes(id)) return undefined;
-    const patienceMs = id > this.self.id ? MEMBERSHIP_TIMING.patienceMs : 0;
-    const contact = new Contact(nowMs, patienceMs);
-    this.contacts.set(id, contact);
-    return contact;
-  }
-
   private send(to: VmId, message: GossipMessage): void {
     const member = this.directory.get(to);
     if (!member) return;
--- /dev/null
+++ b/packages/core/src/membership/relay_table.ts
@@ -0,0 +1,26 @@
+/** Probes that this VM sends for others, which could not reach their target. */
+
+import type {VmId} from '@radishyoke/shared/ids';
+import {MEMBERSHIP_LIMITS, MEMBERSHIP_TIMING} from './membership_timing.js';
+
+interface Relay {
+  readonly requester: VmId;
+  readonly untilMs: number;
+}
+
+export class RelayTable {
+  private readonly relays = new Map<VmId, Relay>();
+
+  add(requester: VmId, target: VmId, nowMs: number): void {
+    if (this.relays.size >= MEMBERSHIP_LIMITS.relays) this.relays.clear();
+    const untilMs = nowMs + MEMBERSHIP_TIMING.suspectAfterMs;
+    this.relays.set(target, {requester, untilMs});
+  }
+
+  /** Takes out who is to be told that `target` was heard, if in time. */
+  take(target: VmId, nowMs: number): VmId | undefined {
+    const relay = this.relays.get(target);
+    this.relays.delete(target);
+    return relay && nowMs <= relay.untilMs ? relay.requester : undefined;
+  }
+}
--- /dev/null
+++ b/packages/core/src/membership/rumour_filter.ts
@@ -0,0 +1,22 @@
+/** Tells news that is heard for the first time from news that went round already. */
+
+import type {Rumour} from './gossip_message.js';
+import {MEMBERSHIP_LIMITS} from './membership_timing.js';
+import {toRumourKey} from './outbox.js';
+
+export class RumourFilter {
+  private readonly seen = new Set<string>();
+
+  /** Whether the rumour is new; it is not the next time. */
+  note(rumour: Rumour): boolean {
+    const occasion = rumour.kind === 'silent_endpoint' ? rumour.seenAtMs : '';
+    const key = `${toRumourKey(rumour)}:${occasion}`;
+    if (this.seen.has(key)) return false;
+    this.seen.add(key);
+    if (this.seen.size > MEMBERSHIP_LIMITS.seenRumours) {
+      const [oldest] = this.seen;
+      this.seen.delete(oldest);
+    }
+    return true;
+  }
+}
--- a/packages/daemon/src/peer_task.ts
+++ b/packages/daemon/src/peer_task.ts
@@ -7,11 +7,11 @@
 import type {ConfigTransfer} from '@radishyoke/core/rules/config_history';
 import type {InFlight} from '@radishyoke/core/membership/load_digest';
 import type {Member} from '@radishyoke/core/membership/member';
-import {
-  Membership,
+import {Membership} from '@radishyoke/core/membership/membership';
+import type {
   MembershipAction,
   MembershipEvent,
-} from '@radishyoke/core/membership/membership';
+} from '@radishyoke/core/membership/membership_message';
 import type {DataCentreId, EndpointId, VmId} from '@radishyoke/shared/ids';
 import {PeerCounters} from '@radishyoke/wire/peer_counters';
 import type {PeerLinkOptions} from '@radishyoke/wire/peer_link';
