--- a/packages/core/src/audit/audit_entry.ts
+++ b/packages/core/src/audit/audit_entry.ts
@@ -87,16 +87,18 @@
       readonly atMs: number;
     };
 
+/** What an audit entry names; each kind of entry has some of these. */
+export interface AuditNames {
+  readonly kind?: string;
+  readonly request?: string;
+  readonly step?: string;
+  readonly group?: number;
+  readonly sample?: number;
+}
+
 /** Whether an entry tells of a request, a step or a rollout by this name. */
-export function concernsSubject(entry: AuditEntry, subject: string): boolean {
-  switch (entry.kind) {
-    case 'request':
-      return entry.request === subject;
-    case 'rollout': {
-      const rollout = `${entry.step}/${entry.group}/${entry.sample}`;
-      return entry.step === subject || rollout === subject;
-    }
-    default:
-      return false;
-  }
+export function concernsSubject(names: AuditNames, subject: string): boolean {
+  const {request, step, group, sample} = names;
+  if (request === subject || step === subject) return true;
+  return group !== undefined && `${step}/${group}/${sample}` === subject;
 }
--- /dev/null
+++ b/packages/daemon/src/step_runs.ts
@@ -0,0 +1,203 @@
+/** The samples of a step that run at its owner, each with its runner. */
+
+import type {Dispatcher as HttpDispatcher} from 'undici';
+import {computeDigest, computePrefixKey} from '@radishyoke/core/ledger/digest';
+import type {RouteAction} from '@radishyoke/core/rules/rule';
+import type {WorkItem} from '@radishyoke/core/scheduling/scheduler';
+import type {StepLedger} from '@radishyoke/core/steps/step_ledger';
+import {
+  formatSampleKey,
+  SampleOutput,
+  SampleRef,
+  StepOutput,
+} from '@radishyoke/core/steps/step_message';
+import type {RadishyokeError} from '@radishyoke/shared/error_kind';
+import type {EndpointId} from '@radishyoke/shared/ids';
+import type {TokenSpan} from '@radishyoke/shared/rollout';
+import type {Dispatcher} from './dispatcher.js';
+import {EndedSampleAttempt, SampleRunner} from './sample_runner.js';
+
+/** Characters a token stands for when a prompt's length is estimated. */
+const charsPerToken = 4;
+
+export type RunOrder = Extract<StepOutput, {readonly kind: 'run'}>;
+
+export interface StepRunsOptions {
+  readonly ledger: StepLedger;
+  readonly fencing: number;
+  readonly action: RouteAction;
+  readonly dispatcher: Dispatcher;
+  readonly http: HttpDispatcher;
+  /** Unix ms at which the step's work is worth nothing any more. */
+  readonly findDeadline: () => number;
+  readonly onAttempt: (
+    ref: SampleRef,
+    attempt: number,
+    endpoint: EndpointId,
+  ) => void;
+  readonly onOutput: (output: SampleOutput) => void;
+  readonly onGiveUp: (ref: SampleRef, error: RadishyokeError) => void;
+  /** Told of a run's attempts when it is over, however it ended. */
+  readonly onAttempts: (
+    ref: SampleRef,
+    attempts: readonly EndedSampleAttempt[],
+  ) => void;
+  /** Told of generated tokens that no trainer will receive. */
+  readonly onWasted: (tokens: number) => void;
+}
+
+interface Run {
+  readonly ref: SampleRef;
+  readonly runner: SampleRunner;
+}
+
+export class StepRuns {
+  private readonly runs = new Map<string, Run>();
+  /** Samples whose attempt by an earlier owner was already gone on from. */
+  private readonly inherited = new Set<string>();
+  private round = 0;
+
+  constructor(private readonly options: StepRunsOptions) {}
+
+  run(order: RunOrder): void {
+    const {group, sample} = order;
+    const ref: SampleRef = {group, sample};
+    const inherited = this.findInherited(ref);
+    const runner = this.createRunner(
+      order,
+      ref,
+      inherited?.attempt ?? order.firstAttempt,
+    );
+    this.runs.set(formatSampleKey(ref), {ref, runner});
+    if (!inherited) {
+      runner.submit();
+      return;
+    }
+    const prefix = this.buildRequestPrefix(ref, inherited.fencing);
+    runner.adopt(inherited.endpoint, `${prefix}.${inherited.attempt}`);
+  }
+
+  abandon(ref: SampleRef): void {
+    const run = this.runs.get(formatSampleKey(ref));
+    if (!run) return;
+    this.options.dispatcher.cancel(run.runner.workId);
+    run.runner.stopAll();
+    this.forget(ref);
+  }
+
+  /** Samples that already hold output of weights older than `version`. */
+  listOutdated(version: number): readonly SampleRef[] {
+    return [...this.runs.values()]
+      .filter(({runner}) => runner.isOutdated(version))
+      .map(({ref}) => ref);
+  }
+
+  /** Leaves the engines at their work, for the next owner to go on from. */
+  detachAll(): void {
+    for (const {runner} of this.runs.values()) runner.detachAll();
+  }
+
+  /** Has the scheduler forget all samples, without stopping their engines. */
+  forgetAll(): void {
+    for (const {runner} of this.runs.values()) {
+      this.options.dispatcher.forget(runner.workId);
+    }
+  }
+
+  /** What engines know an owner's attempts of a sample by, less the number. */
+  buildRequestPrefix(ref: SampleRef, fencing: number): string {
+    const {tenant, step} = this.options.ledger.opening;
+    return `${tenant}/${step}/${ref.group}.${ref.sample}.${fencing}`;
+  }
+
+  private createRunner(
+    order: RunOrder,
+    ref: SampleRef,
+    firstAttempt: number,
+  ): SampleRunner {
+    const {ledger, dispatcher, http, fencing} = this.options;
+    const {model, groups} = ledger.opening.req;
+    const {prompt, maxTokens} = groups[ref.group];
+    return new SampleRunner({
+      ...ref,
+      requestPrefix: this.buildRequestPrefix(ref, fencing),
+      work: this.buildWork(order),
+      firstAttempt,
+      model,
+      prompt,
+      maxTokens,
+      seed: hashSeed(`${ledger.key}/${formatSampleKey(ref)}`),
+      http,
+      dispatcher,
+      onAttempt: (attempt, endpoint) =>
+        this.options.onAttempt(ref, attempt, endpoint),
+      onOutput: output => {
+        this.forget(ref, sumTokens(output.spans));
+        this.options.onOutput(output);
+      },
+      onGiveUp: error => {
+        this.forget(ref);
+        this.options.onGiveUp(ref, error);
+      },
+    });
+  }
+
+  /** The last attempt of an earlier owner, if its endpoint is still there. */
+  private findInherited(ref: SampleRef) {
+    const {ledger, dispatcher, fencing} = this.options;
+    const last = ledger.listAttempts(ref.group, ref.sample).at(-1);
+    if (!last || last.fencing === fencing) return undefined;
+    if (this.inherited.has(formatSampleKey(ref))) return undefined;
+    this.inherited.add(formatSampleKey(ref));
+    const endpoint = dispatcher.findEndpoint(last.endpoint);
+    return endpoint && {...last, endpoint};
+  }
+
+  private buildWork(order: RunOrder): WorkItem {
+    const {ledger, action, findDeadline} = this.options;
+    const {tenant, req} = ledger.opening;
+    const {prompt, maxTokens} = req.groups[order.group];
+    return {
+      id: `${ledger.key}/${formatSampleKey(order)}#${++this.round}`,
+      tenant,
+      workClass: 'rollout',
+      group: action.group,
+      model: req.model,
+      priority: action.priority,
+      deadlineAtMs: findDeadline(),
+      promptTokens: Math.ceil(prompt.length / charsPerToken),
+      maxTokens,
+      prefixKey: computePrefixKey(prompt),
+      stepKey: ledger.key,
+      groupKey: `${ledger.key}/${order.group}`,
+      minWeightVersion: order.minWeightVersion,
+      idempotent: true,
+      maxAttempts: action.maxAttempts,
+      hedge: action.hedge,
+      maxInFlight: action.maxInFlight,
+      // Prompts of one trainer often begin alike; a fingerprint of the beginning
+      // would blame all of them for the one that crashes engines.
+      fingerprint: computeDigest(prompt),
+    };
+  }
+
+  /** The run is over; of what it received, `usedTokens` are handed over. */
+  private forget(ref: SampleRef, usedTokens = 0): void {
+    const key = formatSampleKey(ref);
+    const run = this.runs.get(key);
+    if (!run) return;
+    this.runs.delete(key);
+    this.options.onAttempts(ref, run.runner.listAttempts());
+    const received = run.runner.receivedTokens;
+    if (received > usedTokens) this.options.onWasted(received - usedTokens);
+  }
+}
+
+function sumTokens(spans: readonly TokenSpan[]): number {
+  return spans.reduce((sum, span) => sum + span.tokens, 0);
+}
+
+/** A seed that is the same on every VM, so that a rerun draws the same sample. */
+function hashSeed(text: string): number {
+  return parseInt(computePrefixKey(text).slice(0, 8), 16);
+}
--- a/packages/daemon/src/vm_admin_backend.ts
+++ b/packages/daemon/src/vm_admin_backend.ts
@@ -1,6 +1,7 @@
 /** The administration API's view of a running VM. */
 
 import {z} from 'zod';
+import {concernsSubject} from '@radishyoke/core/audit/audit_entry';
 import type {ConfigVersion} from '@radishyoke/core/rules/config_history';
 import type {MetricRegistry} from '@radishyoke/core/metrics/metrics';
 import type {RecordedRequest} from '@radishyoke/core/audit/recorded_request';
@@ -279,9 +280,5 @@
 ): boolean {
   const parsed = auditedSchema.safeParse(entry);
   if (!parsed.success || parsed.data.team !== team) return false;
-  const {request, step, group, sample} = parsed.data;
-  return (
-    subject === undefined ||
-    [request, step, `${step}/${group}/${sample}`].includes(subject)
-  );
+  return subject === undefined || concernsSubject(parsed.data, subject);
 }
