refactor(daemon,core): a folder for each matter; simulations outside __tests__; one wait for readiness

The simulated logs and networks of core, which the soak and the slopes import too, are modules of core/simulation and no longer tests. The deployment fixture and the demonstration wait for readiness by one function.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -49,7 +49,7 @@
         {
           patterns: [
             {
-              group: ['node:*', '!node:crypto'],
+              group: ['node:*', '!node:crypto', '!node:util'],
               message: 'core does no input or output',
             },
           ],
--- a/packages/bench/src/demo_deployment.ts
+++ b/packages/bench/src/demo_deployment.ts
@@ -5,20 +5,20 @@
 
 import {readFile} from 'node:fs/promises';
 import {fileURLToPath} from 'node:url';
-import {request} from 'undici';
-import {hashToken, mintToken} from '@radishyoke/daemon/admin_token';
+import {hashToken, mintToken} from '@radishyoke/daemon/admin/admin_token';
 import {createLogger, Logger, silentLogger} from '@radishyoke/daemon/logger';
 import {
   parseSettings,
   Settings,
   TokenSettings,
-} from '@radishyoke/daemon/settings';
+} from '@radishyoke/daemon/settings/settings';
 import {Vm} from '@radishyoke/daemon/vm';
 import {
   publishFirstRules,
   StandIns,
   startStandIns,
 } from '@radishyoke/fakes/stand_ins';
+import {waitUntilReady} from '@radishyoke/fakes/wait_until_ready';
 import {toDataCentreId, toTeamId, toVmId} from '@radishyoke/shared/ids';
 
 /** Model that the demonstration's engines serve. */
@@ -29,7 +29,6 @@
 const tokenLifeMs = 86_400_000;
 const dataCentres = ['gebze-a', 'gebze-b', 'kartal'];
 const vmDataCentres = ['gebze-a', 'kartal'];
-const readyPollMs = 50;
 
 /** Ports of one VM; 0 takes a free one. */
 export interface DemoPorts {
@@ -167,16 +166,6 @@
   return createLogger('info', {vm}, line => process.stderr.write(`${line}\n`));
 }
 
-/** Waits as a balancer does before it sends callers to a VM. */
-async function waitUntilReady(origin: string): Promise<void> {
-  for (;;) {
-    const res = await request(`${origin}/readyz`);
-    await res.body.dump();
-    if (res.statusCode === 200) return;
-    await new Promise(resolve => setTimeout(resolve, readyPollMs));
-  }
-}
-
 async function readExample(name: string): Promise<string> {
   const url = new URL(`../../../examples/${name}`, import.meta.url);
   return readFile(fileURLToPath(url), 'utf8');
--- a/packages/bench/src/overhead_worker.ts
+++ b/packages/bench/src/overhead_worker.ts
@@ -2,7 +2,7 @@
 
 import type {AddressInfo} from 'node:net';
 import {silentLogger} from '@radishyoke/daemon/logger';
-import {parseSettings} from '@radishyoke/daemon/settings';
+import {parseSettings} from '@radishyoke/daemon/settings/settings';
 import {Vm} from '@radishyoke/daemon/vm';
 import {publishFirstRules, startStandIns} from '@radishyoke/fakes/stand_ins';
 import {toDataCentreId, toEndpointId} from '@radishyoke/shared/ids';
--- a/packages/bench/src/slopes_peers.ts
+++ b/packages/bench/src/slopes_peers.ts
@@ -1,6 +1,6 @@
 /** What membership and the peer messages cost a VM, by the number of VMs. */
 
-import {MembershipNetwork} from '@radishyoke/core/__tests__/membership_fixture';
+import {MembershipNetwork} from '@radishyoke/core/simulation/membership_network';
 import type {VmInfo} from '@radishyoke/shared/endpoint';
 import {toEndpointId} from '@radishyoke/shared/ids';
 import {
--- a/packages/bench/src/soak.ts
+++ b/packages/bench/src/soak.ts
@@ -8,7 +8,7 @@
   runSchedule,
   SCHEDULE_ARG_MAX,
   SCHEDULE_OP_CODES,
-} from '@radishyoke/core/__tests__/log_schedule';
+} from '@radishyoke/core/simulation/log_schedule';
 import fc from 'fast-check';
 
 const OPS_MAX = 400;
--- a/packages/cli/src/__tests__/admin_commands.spec.ts
+++ b/packages/cli/src/__tests__/admin_commands.spec.ts
@@ -7,7 +7,7 @@
 import type {AuditEntry} from '@radishyoke/core/audit/audit_entry';
 import {MetricRegistry} from '@radishyoke/core/metrics/metrics';
 import {silentLogger} from '@radishyoke/daemon/logger';
-import {parseSettings, Settings} from '@radishyoke/daemon/settings';
+import {parseSettings, Settings} from '@radishyoke/daemon/settings/settings';
 import {Vm} from '@radishyoke/daemon/vm';
 import {startStandIns} from '@radishyoke/fakes/stand_ins';
 import {HEADERS} from '@radishyoke/shared/header';
--- a/packages/cli/src/admin_client.ts
+++ b/packages/cli/src/admin_client.ts
@@ -5,7 +5,7 @@
   ADMIN_ANSWERS,
   AdminAnswer,
   AdminAnswerName,
-} from '@radishyoke/daemon/admin_schema';
+} from '@radishyoke/daemon/admin/admin_schema';
 import {fail, Result, succeed} from '@radishyoke/shared/result';
 import type {CliIo} from './cli_io.js';
 import {EXIT_CODES, ExitCode} from './exit_code.js';
--- a/packages/cli/src/config_file.ts
+++ b/packages/cli/src/config_file.ts
@@ -5,7 +5,7 @@
 import {IniSection, readIni} from '@radishyoke/core/rules/ini_text';
 import type {RuleSet} from '@radishyoke/core/rules/rule';
 import {parseRuleText} from '@radishyoke/core/rules/rule_text';
-import {parseSettings, Settings} from '@radishyoke/daemon/settings';
+import {parseSettings, Settings} from '@radishyoke/daemon/settings/settings';
 import {fail, Result, succeed} from '@radishyoke/shared/result';
 
 export type ConfigFile =
--- a/packages/cli/src/keys_command.ts
+++ b/packages/cli/src/keys_command.ts
@@ -16,7 +16,7 @@
   SETTINGS_SPEC,
   TENANT_SPEC,
   TOKEN_SPEC,
-} from '@radishyoke/daemon/settings_schema';
+} from '@radishyoke/daemon/settings/settings_schema';
 import type {CliIo} from './cli_io.js';
 import {EXIT_CODES, ExitCode} from './exit_code.js';
 
--- a/packages/cli/src/report_command.ts
+++ b/packages/cli/src/report_command.ts
@@ -6,7 +6,7 @@
 import {readFile, writeFile} from 'node:fs/promises';
 import {z} from 'zod';
 import {EncodedMetrics, MetricRegistry} from '@radishyoke/core/metrics/metrics';
-import {ADMIN_ANSWERS} from '@radishyoke/daemon/admin_schema';
+import {ADMIN_ANSWERS} from '@radishyoke/daemon/admin/admin_schema';
 import {createClients} from './admin_client.js';
 import {AdminRun, reportFailure} from './admin_commands.js';
 import {EXIT_CODES, ExitCode} from './exit_code.js';
--- a/packages/cli/src/token_command.ts
+++ b/packages/cli/src/token_command.ts
@@ -1,7 +1,7 @@
 /** `radishyoke token hash`: mints a token and the section that admits it. */
 
-import {hashToken, mintToken} from '@radishyoke/daemon/admin_token';
-import {ROLES} from '@radishyoke/daemon/settings_schema';
+import {hashToken, mintToken} from '@radishyoke/daemon/admin/admin_token';
+import {ROLES} from '@radishyoke/daemon/settings/settings_schema';
 import type {CliIo} from './cli_io.js';
 import {EXIT_CODES, ExitCode} from './exit_code.js';
 import {readOption, requireOption} from './raw_option.js';
--- a/packages/core/src/__tests__/config_transfer.spec.ts
+++ b/packages/core/src/__tests__/config_transfer.spec.ts
@@ -6,7 +6,11 @@
   type ConfigTransfer,
   NO_VERSION,
 } from '../rules/config_history.js';
-import {publishConfig, RecordFixture, TEAM} from './log_fixtures.js';
+import {
+  publishConfig,
+  RecordFixture,
+  TEAM,
+} from '../simulation/log_fixtures.js';
 
 const RECORDS = 200;
 const VMS = 4;
--- a/packages/core/src/__tests__/log_promises.spec.ts
+++ b/packages/core/src/__tests__/log_promises.spec.ts
@@ -5,8 +5,8 @@
   SCHEDULE_ARG_MAX,
   SCHEDULE_OP_CODES,
   type ScheduleOp,
-} from './log_schedule.js';
-import type {MissingGuard} from './schedule_vm.js';
+} from '../simulation/log_schedule.js';
+import type {MissingGuard} from '../simulation/schedule_vm.js';
 
 const SCHEDULES = 2000;
 const OPS_MAX = 150;
--- a/packages/core/src/audit/__tests__/audit_export.spec.ts
+++ b/packages/core/src/audit/__tests__/audit_export.spec.ts
@@ -14,7 +14,7 @@
   type AuditRecord,
   verifyExport,
 } from '../audit_export.js';
-import {createStamp} from '../../__tests__/log_fixtures.js';
+import {createStamp} from '../../simulation/log_fixtures.js';
 
 const WRITERS = ['a/i1', 'b/i1', 'c/i1'] as const;
 const BLOCKS = 12;
--- a/packages/core/src/ledger/__tests__/checkpoint.spec.ts
+++ b/packages/core/src/ledger/__tests__/checkpoint.spec.ts
@@ -2,7 +2,7 @@
 import type {CheckpointPart} from '@radishyoke/shared/log_record';
 import test from 'ava';
 import {CheckpointAssembler, splitCheckpoint} from '../checkpoint.js';
-import {createStamp, RecordFixture} from '../../__tests__/log_fixtures.js';
+import {createStamp, RecordFixture} from '../../simulation/log_fixtures.js';
 
 // Two VMs write checkpoints at once and one of them dies half way: its parts
 // must neither count as whole nor be mixed with the other's.
--- a/packages/core/src/ledger/__tests__/naive_state_fold.spec.ts
+++ b/packages/core/src/ledger/__tests__/naive_state_fold.spec.ts
@@ -14,7 +14,7 @@
   type StateBody,
   STEP,
   TENANT,
-} from '../../__tests__/log_fixtures.js';
+} from '../../simulation/log_fixtures.js';
 import {
   judgeNaively,
   type NaiveVerdict,
--- a/packages/core/src/ledger/__tests__/state_fold.spec.ts
+++ b/packages/core/src/ledger/__tests__/state_fold.spec.ts
@@ -9,7 +9,7 @@
   type StateBody,
   STEP,
   TENANT,
-} from '../../__tests__/log_fixtures.js';
+} from '../../simulation/log_fixtures.js';
 
 const TTL_MS = 5000;
 const LEASE = `step:${TENANT}/${STEP}`;
--- a/packages/core/src/membership/__tests__/membership.spec.ts
+++ b/packages/core/src/membership/__tests__/membership.spec.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import fc from 'fast-check';
 import type {EndpointId} from '@radishyoke/shared/ids';
-import {MembershipNetwork, Node} from '../../__tests__/membership_fixture.js';
+import {MembershipNetwork, Node} from '../../simulation/membership_network.js';
 
 const SEED = 20261202;
 const SETTLE_MS = 4000;
--- a/packages/core/src/rules/__tests__/config_history.spec.ts
+++ b/packages/core/src/rules/__tests__/config_history.spec.ts
@@ -5,7 +5,7 @@
   publishConfig,
   RecordFixture,
   TEAM,
-} from '../../__tests__/log_fixtures.js';
+} from '../../simulation/log_fixtures.js';
 
 const checkText = (text: string) => (text === 'bad' ? 'is bad' : undefined);
 
--- a/packages/daemon/src/__tests__/deployment_fixture.ts
+++ b/packages/daemon/src/__tests__/deployment_fixture.ts
@@ -6,6 +6,7 @@
   StandIns,
   startStandIns,
 } from '@radishyoke/fakes/stand_ins';
+import {waitUntilReady} from '@radishyoke/fakes/wait_until_ready';
 import {
   toDataCentreId,
   toTeamId,
@@ -14,7 +15,7 @@
 } from '@radishyoke/shared/ids';
 import type {StepRequest} from '@radishyoke/shared/rollout';
 import {silentLogger} from '../logger.js';
-import {parseSettings, Settings} from '../settings.js';
+import {parseSettings, Settings} from '../settings/settings.js';
 import {Vm} from '../vm.js';
 
 const rules = `[config]
@@ -141,11 +142,6 @@
   };
 }
 
-/** Waits as a balancer does before it sends callers. */
-export async function waitUntilReady(origin: string): Promise<void> {
-  while (!(await fetch(`${origin}/readyz`)).ok) await sleep(20);
-}
-
 /** A step of `groups` groups with four samples each. */
 export function createStepRequest(groups: number): StepRequest {
   return {
--- a/packages/daemon/src/__tests__/vm.spec.ts
+++ b/packages/daemon/src/__tests__/vm.spec.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import {waitUntilReady} from '@radishyoke/fakes/wait_until_ready';
 import {HEADERS} from '@radishyoke/shared/header';
 import {toDataCentreId, toEndpointId, toStepId} from '@radishyoke/shared/ids';
 import type {Rollout} from '@radishyoke/shared/rollout';
@@ -7,7 +8,6 @@
   Deployment,
   sleep,
   startDeployment,
-  waitUntilReady,
 } from './deployment_fixture.js';
 
 /** Runs a step to its end and returns what the trainer got, in order. */
--- a/packages/daemon/src/__tests__/admin_route.spec.ts
+++ b/packages/daemon/src/admin/__tests__/admin_route.spec.ts
@@ -5,7 +5,7 @@
 // An operator looks for a call and finds another role, or no such call.
 // Cause: a route was added or changed and the page was forgotten.
 test('docs/ADMINISTRATION.md lists every call with its role', t => {
-  const url = new URL('../../../../docs/ADMINISTRATION.md', import.meta.url);
+  const url = new URL('../../../../../docs/ADMINISTRATION.md', import.meta.url);
   const lines = readFileSync(url, 'utf8').split('\n');
   for (const {method, path, role, platformOnly, answer} of ADMIN_ROUTES) {
     const call = `| \`${method} ${path}`;
--- a/packages/daemon/src/__tests__/admin_server.spec.ts
+++ b/packages/daemon/src/admin/__tests__/admin_server.spec.ts
@@ -4,7 +4,7 @@
 import {Authenticator} from '../admin_auth.js';
 import {AdminAccess, AdminServer} from '../admin_server.js';
 import {hashToken, mintToken} from '../admin_token.js';
-import type {Role, TokenSettings} from '../settings.js';
+import type {Role, TokenSettings} from '../../settings/settings.js';
 import {
   CASTELLANOS,
   createRules,
--- a/packages/daemon/src/admin_auth.ts
+++ b/packages/daemon/src/admin/admin_auth.ts
@@ -5,7 +5,7 @@
 import type {TeamId} from '@radishyoke/shared/ids';
 import {fail, Result, succeed} from '@radishyoke/shared/result';
 import {matchesHash, readTokenName} from './admin_token.js';
-import type {Role, TokenSettings} from './settings.js';
+import type {Role, TokenSettings} from '../settings/settings.js';
 
 /** The holder of a valid token. */
 export interface Principal {
--- a/packages/daemon/src/admin_route.ts
+++ b/packages/daemon/src/admin/admin_route.ts
@@ -23,7 +23,7 @@
   dryRunBodySchema,
   publishBodySchema,
 } from './admin_schema.js';
-import type {Role} from './settings.js';
+import type {Role} from '../settings/settings.js';
 
 /** One request whose sender is known. */
 export interface AdminCall {
--- a/packages/daemon/src/admin_server.ts
+++ b/packages/daemon/src/admin/admin_server.ts
@@ -25,7 +25,7 @@
   mayShowSeries,
 } from './admin_route.js';
 import {ADMIN_ANSWERS, AdminAnswerName} from './admin_schema.js';
-import type {Settings} from './settings.js';
+import type {Settings} from '../settings/settings.js';
 
 /** One request, for the log of accesses. Holds no part of any token. */
 export interface AdminAccess {
--- a/packages/daemon/src/vm_admin_backend.ts
+++ b/packages/daemon/src/admin/vm_admin_backend.ts
@@ -26,12 +26,12 @@
   StepEntry,
   VmEntry,
 } from './admin_schema.js';
-import type {Dispatcher} from './dispatcher.js';
-import type {EndpointTask} from './endpoint_task.js';
-import type {LogTask} from './log_task.js';
-import type {PeerTask} from './peer_task.js';
-import type {Settings} from './settings.js';
-import type {VmMetrics} from './vm_metrics.js';
+import type {Dispatcher} from '../scheduling/dispatcher.js';
+import type {EndpointTask} from '../scheduling/endpoint_task.js';
+import type {LogTask} from '../log/log_task.js';
+import type {PeerTask} from '../peers/peer_task.js';
+import type {Settings} from '../settings/settings.js';
+import type {VmMetrics} from '../vm_metrics.js';
 
 export interface VmAdminBackendOptions {
   readonly settings: Settings;
--- a/packages/daemon/src/app_api.ts
+++ b/packages/daemon/src/apps/app_api.ts
@@ -22,11 +22,11 @@
   identifyCaller,
   readFacts,
   readSingleHeader,
-} from './caller.js';
-import type {Dispatcher} from './dispatcher.js';
-import type {LogTask} from './log_task.js';
-import type {Logger} from './logger.js';
-import type {Route, RuleBook} from './rule_book.js';
+} from '../callers/caller.js';
+import type {Dispatcher} from '../scheduling/dispatcher.js';
+import type {LogTask} from '../log/log_task.js';
+import type {Logger} from '../logger.js';
+import type {Route, RuleBook} from '../rule_book.js';
 
 /** Methods that may be repeated (RFC 9110, section 9.2.2). */
 const idempotentMethods: ReadonlySet<string> = new Set([
--- a/packages/daemon/src/app_runner.ts
+++ b/packages/daemon/src/apps/app_runner.ts
@@ -12,7 +12,7 @@
 import {HEADERS} from '@radishyoke/shared/header';
 import {sendError} from '@radishyoke/wire/error_answer';
 import {Forward, ForwardEnd} from '@radishyoke/wire/forward';
-import {Dispatcher, StartAction, WorkRunner} from './dispatcher.js';
+import {Dispatcher, StartAction, WorkRunner} from '../scheduling/dispatcher.js';
 
 export interface AppRunnerOptions {
   readonly workId: string;
--- a/packages/daemon/src/audit_recorder.ts
+++ b/packages/daemon/src/audit/audit_recorder.ts
@@ -14,9 +14,9 @@
   LoggedRecord,
   StateRecord,
 } from '@radishyoke/shared/log_record';
-import type {AppRecord} from './app_api.js';
-import type {EndedSampleAttempt} from './sample_runner.js';
-import type {LogChange, LogTask} from './log_task.js';
+import type {AppRecord} from '../apps/app_api.js';
+import type {EndedSampleAttempt} from '../steps/sample_runner.js';
+import type {LogChange, LogTask} from '../log/log_task.js';
 
 export interface AuditRecorderOptions {
   readonly log: LogTask;
--- a/packages/daemon/src/audit_task.ts
+++ b/packages/daemon/src/audit/audit_task.ts
@@ -13,7 +13,7 @@
 import type {LogClient} from '@radishyoke/stores/log_client';
 import {LOG_WRITER_DEFAULTS, LogWriter} from '@radishyoke/stores/log_writer';
 import type {IncarnationId, VmId} from '@radishyoke/shared/ids';
-import type {LogChange, LogTask} from './log_task.js';
+import type {LogChange, LogTask} from '../log/log_task.js';
 
 export interface AuditTaskConfig {
   readonly vm: VmId;
--- a/packages/daemon/src/caller.ts
+++ b/packages/daemon/src/callers/caller.ts
@@ -8,7 +8,7 @@
 import type {DataCentreId, TeamId, TenantId} from '@radishyoke/shared/ids';
 import {toTenantId} from '@radishyoke/shared/ids';
 import {fail, Result, succeed} from '@radishyoke/shared/result';
-import type {Route, RuleBook} from './rule_book.js';
+import type {Route, RuleBook} from '../rule_book.js';
 
 /** Who calls. */
 export interface Caller {
--- a/packages/daemon/src/caller_server.ts
+++ b/packages/daemon/src/callers/caller_server.ts
@@ -4,10 +4,10 @@
 import {createError, RadishyokeError} from '@radishyoke/shared/error_kind';
 import {sendError, sendJson} from '@radishyoke/wire/error_answer';
 import {listenAt} from '@radishyoke/wire/listen';
-import type {AppApi} from './app_api.js';
-import type {Logger} from './logger.js';
-import type {LimitSettings} from './settings.js';
-import {StepApi} from './step_api.js';
+import type {AppApi} from '../apps/app_api.js';
+import type {Logger} from '../logger.js';
+import type {LimitSettings} from '../settings/settings.js';
+import {StepApi} from '../steps/step_api.js';
 
 export interface CallerServerOptions {
   /** `ip:port`; port 0 takes a free one. */
--- a/packages/daemon/src/gateway/__tests__/gateway_fixtures.ts
+++ b/packages/daemon/src/gateway/__tests__/gateway_fixtures.ts
@@ -14,7 +14,7 @@
   type ForwardTerms,
   type GenerationTerms,
   type OrderAnswer,
-} from '../endpoint_protocol.js';
+} from '../endpoints/endpoint_protocol.js';
 import {
   type AppendOptions,
   type AppendOutcome,
@@ -23,7 +23,7 @@
   LogStore,
   type ReadOptions,
   type ReadOutcome,
-} from '../log_store.js';
+} from '../store/log_store.js';
 
 /** A protocol with the shortest names. */
 export class PlainProtocol extends EndpointProtocol {
--- a/packages/daemon/src/gateway/__tests__/batch_api.spec.ts
+++ b/packages/daemon/src/gateway/batches/__tests__/batch_api.spec.ts
@@ -4,7 +4,7 @@
 import type {Batch} from '@radishyoke/core/batches/batch_record';
 import {type Result, succeed} from '@radishyoke/shared/result';
 import type {Route} from '@radishyoke/core/routing/route_table';
-import {silentLogger} from '../../logger.js';
+import {silentLogger} from '../../../logger.js';
 import {BatchApi} from '../batch_api.js';
 import {BatchShelf} from '../batch_book.js';
 import {
@@ -13,10 +13,10 @@
   CallerProtocol,
   type ResultPage,
   type Submission,
-} from '../caller_protocol.js';
-import {ConfigHolder} from '../config_holder.js';
-import {GatewayMetrics} from '../gateway_metrics.js';
-import {MemoryStore} from './gateway_fixtures.js';
+} from '../../requests/caller_protocol.js';
+import {ConfigHolder} from '../../store/config_holder.js';
+import {GatewayMetrics} from '../../gateway_metrics.js';
+import {MemoryStore} from '../../__tests__/gateway_fixtures.js';
 
 /** Callers who send one item and name their call in the path. */
 class PlainCallers extends CallerProtocol {
--- a/packages/daemon/src/gateway/__tests__/generation.spec.ts
+++ b/packages/daemon/src/gateway/batches/__tests__/generation.spec.ts
@@ -7,7 +7,7 @@
   type Ending,
   PlainProtocol,
   startRawServer,
-} from './gateway_fixtures.js';
+} from '../../__tests__/gateway_fixtures.js';
 
 const ITEM: BatchItem = {
   id: 'a1',
--- a/packages/daemon/src/gateway/__tests__/record_writer.spec.ts
+++ b/packages/daemon/src/gateway/batches/__tests__/record_writer.spec.ts
@@ -2,7 +2,7 @@
 import test from 'ava';
 import {decodeBatchRecord} from '../batch_codec.js';
 import {RecordWriter} from '../record_writer.js';
-import {MemoryStore} from './gateway_fixtures.js';
+import {MemoryStore} from '../../__tests__/gateway_fixtures.js';
 
 async function waitFor(isDone: () => boolean): Promise<void> {
   for (let i = 0; i < 200 && !isDone(); i++) await sleep(10);
--- a/packages/daemon/src/gateway/batch_api.ts
+++ b/packages/daemon/src/gateway/batches/batch_api.ts
@@ -9,18 +9,18 @@
 import {createError, type RadishyokeError} from '@radishyoke/shared/error_kind';
 import type http from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
-import type {Logger} from '../logger.js';
+import type {Logger} from '../../logger.js';
 import {encodeRecord, encodeSubmission} from './batch_codec.js';
 import {BATCH_TOPIC, type BatchBook, type BatchShelf} from './batch_book.js';
-import {answerError} from './caller_answer.js';
+import {answerError} from '../requests/caller_answer.js';
 import type {
   CallerCall,
   CallerProtocol,
   ResultPage,
-} from './caller_protocol.js';
-import type {ConfigHolder} from './config_holder.js';
-import type {GatewayMetrics} from './gateway_metrics.js';
-import type {AppendOutcome, LogStore} from './log_store.js';
+} from '../requests/caller_protocol.js';
+import type {ConfigHolder} from '../store/config_holder.js';
+import type {GatewayMetrics} from '../gateway_metrics.js';
+import type {AppendOutcome, LogStore} from '../store/log_store.js';
 
 export interface BatchApiParts {
   readonly store: LogStore;
--- a/packages/daemon/src/gateway/batch_book.ts
+++ b/packages/daemon/src/gateway/batches/batch_book.ts
@@ -11,9 +11,9 @@
 import type {BatchRecord} from '@radishyoke/core/batches/batch_record';
 import type {RadishyokeError} from '@radishyoke/shared/error_kind';
 import {setTimeout as sleep} from 'node:timers/promises';
-import type {Logger} from '../logger.js';
+import type {Logger} from '../../logger.js';
 import {decodeBatch, decodeBatchRecord} from './batch_codec.js';
-import type {LogStore, StoredRecord} from './log_store.js';
+import type {LogStore, StoredRecord} from '../store/log_store.js';
 
 export const BATCH_TOPIC = 'batches';
 
--- a/packages/daemon/src/gateway/generation.ts
+++ b/packages/daemon/src/gateway/batches/generation.ts
@@ -11,8 +11,11 @@
 import type {RunEnd} from '@radishyoke/core/batches/schedule_action';
 import type {EndpointEntry} from '@radishyoke/core/fleet/endpoint_entry';
 import {createParser, type EventSourceParser} from 'eventsource-parser';
-import {watchConnection} from './connections.js';
-import type {EndpointProtocol, GenerationTerms} from './endpoint_protocol.js';
+import {watchConnection} from '../endpoints/connections.js';
+import type {
+  EndpointProtocol,
+  GenerationTerms,
+} from '../endpoints/endpoint_protocol.js';
 
 export interface GenerationEvents {
   onEvent(event: Omit<OutputEvent, 'run'>): void;
--- a/packages/daemon/src/gateway/record_writer.ts
+++ b/packages/daemon/src/gateway/batches/record_writer.ts
@@ -8,7 +8,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {encodeRecord} from './batch_codec.js';
 import {BATCH_TOPIC} from './batch_book.js';
-import type {LogStore} from './log_store.js';
+import type {LogStore} from '../store/log_store.js';
 
 /** Records are gathered this long before a call, ms: short against the 500 ms between two reads of a trainer. */
 const GATHER_MS = 30;
--- a/packages/daemon/src/gateway/__tests__/endpoint_exchange.spec.ts
+++ b/packages/daemon/src/gateway/endpoints/__tests__/endpoint_exchange.spec.ts
@@ -6,7 +6,7 @@
   type Ending,
   PlainProtocol,
   startRawServer,
-} from './gateway_fixtures.js';
+} from '../../__tests__/gateway_fixtures.js';
 
 const HEAD = 'HTTP/1.1 200 OK\r\nId: a1\r\nStamp: s\r\n';
 
--- a/packages/daemon/src/gateway/engine_fleet.ts
+++ b/packages/daemon/src/gateway/engines/engine_fleet.ts
@@ -4,7 +4,7 @@
 import type {EndpointEntry} from '@radishyoke/core/fleet/endpoint_entry';
 import type {EndpointRoster} from '@radishyoke/core/fleet/endpoint_roster';
 import type {ServiceSpec} from '@radishyoke/core/routing/route_table';
-import type {EngineReport} from './endpoint_protocol.js';
+import type {EngineReport} from '../endpoints/endpoint_protocol.js';
 
 /** An engine that is not heard to have finished a load for this long is taken to have, ms. */
 const MAX_LOAD_MS = 6000;
--- a/packages/daemon/src/gateway/lease_task.ts
+++ b/packages/daemon/src/gateway/engines/lease_task.ts
@@ -9,10 +9,10 @@
   LogLease,
 } from '@radishyoke/core/leases/log_lease';
 import {setTimeout as sleep} from 'node:timers/promises';
-import type {Logger} from '../logger.js';
-import {decodeLeaseRecord, encodeRecord} from './batch_codec.js';
-import type {LogStore, StoredRecord} from './log_store.js';
-import type {VmClock} from './vm_clock.js';
+import type {Logger} from '../../logger.js';
+import {decodeLeaseRecord, encodeRecord} from '../batches/batch_codec.js';
+import type {LogStore, StoredRecord} from '../store/log_store.js';
+import type {VmClock} from '../vm_clock.js';
 
 const LEASE_TOPIC = 'coordinator';
 const PARTITION = 0;
--- a/packages/daemon/src/gateway/weight_task.ts
+++ b/packages/daemon/src/gateway/engines/weight_task.ts
@@ -20,16 +20,16 @@
   ServiceSpec,
 } from '@radishyoke/core/routing/route_table';
 import {setTimeout as sleep} from 'node:timers/promises';
-import type {Logger} from '../logger.js';
-import type {EndpointLinks} from './endpoint_links.js';
+import type {Logger} from '../../logger.js';
+import type {EndpointLinks} from '../endpoints/endpoint_links.js';
 import type {
   EndpointProtocol,
   EngineReport,
   LoadMode,
   OrderAnswer,
-} from './endpoint_protocol.js';
+} from '../endpoints/endpoint_protocol.js';
 import type {EngineFleet} from './engine_fleet.js';
-import {callOnce} from './http_call.js';
+import {callOnce} from '../endpoints/http_call.js';
 import type {LeaseTask} from './lease_task.js';
 
 export interface WeightParts {
--- a/packages/daemon/src/gateway/forwarder.ts
+++ b/packages/daemon/src/gateway/requests/forwarder.ts
@@ -15,15 +15,15 @@
 import {pickService, type Route} from '@radishyoke/core/routing/route_table';
 import {createError, type RadishyokeError} from '@radishyoke/shared/error_kind';
 import type {IncomingHttpHeaders} from 'node:http';
-import type {Logger} from '../logger.js';
+import type {Logger} from '../../logger.js';
 import {
   type EndpointAnswer,
   EndpointExchange,
   type ExchangeOutcome,
-} from './endpoint_exchange.js';
-import type {EndpointLinks} from './endpoint_links.js';
-import type {EndpointProtocol} from './endpoint_protocol.js';
-import type {EndpointView} from './endpoint_view.js';
+} from '../endpoints/endpoint_exchange.js';
+import type {EndpointLinks} from '../endpoints/endpoint_links.js';
+import type {EndpointProtocol} from '../endpoints/endpoint_protocol.js';
+import type {EndpointView} from '../endpoints/endpoint_view.js';
 
 export interface ForwardRequest {
   readonly method: string;
--- a/packages/daemon/src/gateway/front_server.ts
+++ b/packages/daemon/src/gateway/requests/front_server.ts
@@ -9,14 +9,14 @@
 import {isHopByHop} from '@radishyoke/wire/hop_by_hop';
 import {listenAt} from '@radishyoke/wire/listen';
 import {readBody} from '@radishyoke/wire/request_body';
-import type {Logger} from '../logger.js';
-import type {BatchApi} from './batch_api.js';
+import type {Logger} from '../../logger.js';
+import type {BatchApi} from '../batches/batch_api.js';
 import {answerError} from './caller_answer.js';
 import type {CallerProtocol} from './caller_protocol.js';
-import type {ConfigHolder} from './config_holder.js';
-import type {EndpointAnswer} from './endpoint_exchange.js';
+import type {ConfigHolder} from '../store/config_holder.js';
+import type {EndpointAnswer} from '../endpoints/endpoint_exchange.js';
 import type {Forwarder, ForwardOutcome} from './forwarder.js';
-import type {GatewayMetrics} from './gateway_metrics.js';
+import type {GatewayMetrics} from '../gateway_metrics.js';
 
 export interface FrontParts {
   readonly protocol: CallerProtocol;
--- a/packages/daemon/src/gateway/__tests__/keyed_feed.spec.ts
+++ b/packages/daemon/src/gateway/store/__tests__/keyed_feed.spec.ts
@@ -1,10 +1,10 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import test from 'ava';
 import {createError} from '@radishyoke/shared/error_kind';
-import {silentLogger} from '../../logger.js';
+import {silentLogger} from '../../../logger.js';
 import {KeyedFeed} from '../keyed_feed.js';
 import type {KeyedReadOutcome} from '../log_store.js';
-import {createKeyed, MemoryStore} from './gateway_fixtures.js';
+import {createKeyed, MemoryStore} from '../../__tests__/gateway_fixtures.js';
 
 /** Runs a feed until it has told `last`, and returns all that it told. */
 async function follow(
--- a/packages/daemon/src/gateway/config_holder.ts
+++ b/packages/daemon/src/gateway/store/config_holder.ts
@@ -4,7 +4,7 @@
   type Configuration,
   RouteTable,
 } from '@radishyoke/core/routing/route_table';
-import type {Logger} from '../logger.js';
+import type {Logger} from '../../logger.js';
 
 export class ConfigHolder {
   private current: RouteTable | undefined;
--- a/packages/daemon/src/gateway/keyed_feed.ts
+++ b/packages/daemon/src/gateway/store/keyed_feed.ts
@@ -5,7 +5,7 @@
  */
 
 import {setTimeout as sleep} from 'node:timers/promises';
-import type {Logger} from '../logger.js';
+import type {Logger} from '../../logger.js';
 import type {KeyedRecord, LogStore} from './log_store.js';
 
 export interface FeedConfig {
--- a/packages/daemon/src/peer_task.ts
+++ b/packages/daemon/src/peers/peer_task.ts
@@ -17,7 +17,7 @@
 import type {PeerLinkOptions} from '@radishyoke/wire/peer_link';
 import {PeerServer} from '@radishyoke/wire/peer_server';
 import type {Stream} from 'most';
-import {createMailbox, Mailbox} from './mailbox.js';
+import {createMailbox, Mailbox} from '../mailbox.js';
 import {PeerLinks} from './peer_links.js';
 
 /** What the rest of the daemon hears. */
--- a/packages/daemon/src/peer_wiring.ts
+++ b/packages/daemon/src/peers/peer_wiring.ts
@@ -5,11 +5,11 @@
 
 import type {VmInfo} from '@radishyoke/shared/endpoint';
 import type {VmId} from '@radishyoke/shared/ids';
-import type {Dispatcher} from './dispatcher.js';
-import type {EndpointTask} from './endpoint_task.js';
-import type {LogTask, PeerView} from './log_task.js';
+import type {Dispatcher} from '../scheduling/dispatcher.js';
+import type {EndpointTask} from '../scheduling/endpoint_task.js';
+import type {LogTask, PeerView} from '../log/log_task.js';
 import type {PeerEvent, PeerTask} from './peer_task.js';
-import type {StepDirectory} from './step_directory.js';
+import type {StepDirectory} from '../steps/step_directory.js';
 
 /** How often the other VMs are told what this one has in flight, ms. */
 const ownLoadMs = 500;
--- a/packages/daemon/src/__tests__/order_task.spec.ts
+++ b/packages/daemon/src/scheduling/__tests__/order_task.spec.ts
@@ -15,11 +15,11 @@
 } from '@radishyoke/shared/ids';
 import {Agent} from 'undici';
 import type {EndpointTask} from '../endpoint_task.js';
-import type {HeldLease} from '../lease_holder.js';
-import {LogTask} from '../log_task.js';
-import {createLogger} from '../logger.js';
+import type {HeldLease} from '../../log/lease_holder.js';
+import {LogTask} from '../../log/log_task.js';
+import {createLogger} from '../../logger.js';
 import {OrderTask} from '../order_task.js';
-import {DEFAULT_SESSION_TIMING} from '../session_keeper.js';
+import {DEFAULT_SESSION_TIMING} from '../../log/session_keeper.js';
 
 const MODEL = 'tutor';
 const POLL_MS = 20;
--- a/packages/daemon/src/dispatcher.ts
+++ b/packages/daemon/src/scheduling/dispatcher.ts
@@ -13,7 +13,7 @@
 import type {EndpointInfo} from '@radishyoke/shared/endpoint';
 import {createError, RadishyokeError} from '@radishyoke/shared/error_kind';
 import type {EndpointId, TenantId} from '@radishyoke/shared/ids';
-import {createMailbox} from './mailbox.js';
+import {createMailbox} from '../mailbox.js';
 
 /** Where and how an attempt is to be made. */
 export type StartAction = Extract<SchedulerAction, {readonly kind: 'start'}>;
--- a/packages/daemon/src/endpoint_task.ts
+++ b/packages/daemon/src/scheduling/endpoint_task.ts
@@ -14,8 +14,8 @@
 } from '@radishyoke/shared/endpoint';
 import type {EndpointId} from '@radishyoke/shared/ids';
 import type {Dispatcher} from './dispatcher.js';
-import type {Logger} from './logger.js';
-import {createMailbox} from './mailbox.js';
+import type {Logger} from '../logger.js';
+import {createMailbox} from '../mailbox.js';
 
 /** Time between two looks at the VM list and at each endpoint, ms. */
 const pollMs = 1000;
--- a/packages/daemon/src/order_task.ts
+++ b/packages/daemon/src/scheduling/order_task.ts
@@ -14,9 +14,9 @@
 import type {WeightStoreClient} from '@radishyoke/stores/weight_store_client';
 import type {EndpointInfo} from '@radishyoke/shared/endpoint';
 import type {EndpointTask} from './endpoint_task.js';
-import type {HeldLease} from './lease_holder.js';
-import type {LogTask} from './log_task.js';
-import type {Logger} from './logger.js';
+import type {HeldLease} from '../log/lease_holder.js';
+import type {LogTask} from '../log/log_task.js';
+import type {Logger} from '../logger.js';
 
 const pollMs = 500;
 const callTimeoutMs = 1000;
--- a/packages/daemon/src/serve.ts
+++ b/packages/daemon/src/serve.ts
@@ -3,7 +3,7 @@
 import {randomInt} from 'node:crypto';
 import {formatProblem} from '@radishyoke/core/rules/config_problem';
 import {createLogger} from './logger.js';
-import {loadSettings} from './settings.js';
+import {loadSettings} from './settings/settings.js';
 import {Vm} from './vm.js';
 
 const exitOk = 0;
--- a/packages/daemon/src/__tests__/settings.spec.ts
+++ b/packages/daemon/src/settings/__tests__/settings.spec.ts
@@ -5,7 +5,7 @@
 import {toTenantId} from '@radishyoke/shared/ids';
 import {loadSettings, parseSettings} from '../settings.js';
 
-const EXAMPLES = new URL('../../../../examples/', import.meta.url);
+const EXAMPLES = new URL('../../../../../examples/', import.meta.url);
 
 function readExample(name: string): string {
   return readFileSync(new URL(name, EXAMPLES), 'utf8');
--- a/packages/daemon/src/sample_runner.ts
+++ b/packages/daemon/src/steps/sample_runner.ts
@@ -20,7 +20,7 @@
   GenerationEnd,
   GenerationRequest,
 } from '@radishyoke/wire/engine_stream';
-import {Dispatcher, StartAction, WorkRunner} from './dispatcher.js';
+import {Dispatcher, StartAction, WorkRunner} from '../scheduling/dispatcher.js';
 
 /** Number within the work of an attempt taken over from an earlier owner. */
 const adoptedAttempt = 1;
--- a/packages/daemon/src/step_api.ts
+++ b/packages/daemon/src/steps/step_api.ts
@@ -17,9 +17,9 @@
   identifyCaller,
   readFacts,
   readSingleHeader,
-} from './caller.js';
-import type {Route, RuleBook} from './rule_book.js';
-import type {LimitSettings} from './settings.js';
+} from '../callers/caller.js';
+import type {Route, RuleBook} from '../rule_book.js';
+import type {LimitSettings} from '../settings/settings.js';
 import type {StepDirectory, StepPlace} from './step_directory.js';
 import {HEARTBEAT_MS} from './step_stream.js';
 
--- a/packages/daemon/src/step_directory.ts
+++ b/packages/daemon/src/steps/step_directory.ts
@@ -15,10 +15,10 @@
 import type {StepId, TenantId, VmId} from '@radishyoke/shared/ids';
 import {fail, Result, succeed} from '@radishyoke/shared/result';
 import type {StepRequest} from '@radishyoke/shared/rollout';
-import type {Dispatcher} from './dispatcher.js';
-import type {LogTask} from './log_task.js';
-import type {Logger} from './logger.js';
-import type {Route} from './rule_book.js';
+import type {Dispatcher} from '../scheduling/dispatcher.js';
+import type {LogTask} from '../log/log_task.js';
+import type {Logger} from '../logger.js';
+import type {Route} from '../rule_book.js';
 import type {EndedSampleAttempt} from './sample_runner.js';
 import {StepEnd, StepTask} from './step_task.js';
 
--- a/packages/daemon/src/step_records.ts
+++ b/packages/daemon/src/steps/step_records.ts
@@ -10,7 +10,7 @@
   CommittedSample,
   SampleCommit,
 } from '@radishyoke/shared/log_record';
-import type {LogTask, StateBody} from './log_task.js';
+import type {LogTask, StateBody} from '../log/log_task.js';
 
 /** How long records wait for others to share an append with, ms. */
 const batchMs = 20;
--- a/packages/daemon/src/step_runs.ts
+++ b/packages/daemon/src/steps/step_runs.ts
@@ -14,7 +14,7 @@
 import type {RadishyokeError} from '@radishyoke/shared/error_kind';
 import type {EndpointId} from '@radishyoke/shared/ids';
 import type {TokenSpan} from '@radishyoke/shared/rollout';
-import type {Dispatcher} from './dispatcher.js';
+import type {Dispatcher} from '../scheduling/dispatcher.js';
 import {EndedSampleAttempt, SampleRunner} from './sample_runner.js';
 
 /** Characters a token stands for when a prompt's length is estimated. */
--- a/packages/daemon/src/step_task.ts
+++ b/packages/daemon/src/steps/step_task.ts
@@ -19,10 +19,10 @@
 } from '@radishyoke/core/steps/step_message';
 import {StepMachine} from '@radishyoke/core/steps/step_machine';
 import type {CommittedSample} from '@radishyoke/shared/log_record';
-import type {Dispatcher} from './dispatcher.js';
-import type {LogTask} from './log_task.js';
-import type {Logger} from './logger.js';
-import {createMailbox} from './mailbox.js';
+import type {Dispatcher} from '../scheduling/dispatcher.js';
+import type {LogTask} from '../log/log_task.js';
+import type {Logger} from '../logger.js';
+import {createMailbox} from '../mailbox.js';
 import type {EndedSampleAttempt} from './sample_runner.js';
 import {StepRecords} from './step_records.js';
 import {StepRuns} from './step_runs.js';
--- a/packages/daemon/src/vm_metrics.ts
+++ b/packages/daemon/src/vm_metrics.ts
@@ -7,10 +7,10 @@
 import type {StepLedger} from '@radishyoke/core/steps/step_ledger';
 import type {Result} from '@radishyoke/shared/result';
 import {measureStaleness} from '@radishyoke/shared/rollout';
-import type {AppRecord} from './app_api.js';
-import type {FirstOutput, WorkStart} from './dispatcher.js';
+import type {AppRecord} from './apps/app_api.js';
+import type {FirstOutput, WorkStart} from './scheduling/dispatcher.js';
 import type {Route} from './rule_book.js';
-import type {StepEnd} from './step_task.js';
+import type {StepEnd} from './steps/step_task.js';
 
 const FIRST_ATTEMPT = 1;
 
