perf(daemon): the gateway loads only the histogram that it uses

Cause: the histogram package's main module runs a number formatter (28 ms of ICU) and brings a compressor; the profile of a start named it first.

--- a/packages/daemon/src/gateway/gateway_metrics.ts
+++ b/packages/daemon/src/gateway/gateway_metrics.ts
@@ -1,12 +1,21 @@
 /** Counters and latency histograms of the gateway, as text for a scraper. */
 
-import {build, type Histogram} from 'hdr-histogram-js';
+// The package's main module also loads its log writer, a number formatter and a
+// compressor; without them a start takes 0.18 s of processor time in place of
+// 0.24 s and 47 MB in place of 56 MB (/usr/bin/time over the bundle, 5 starts).
+import histograms from 'hdr-histogram-js/dist/Int16Histogram.js';
+
+type LatencyHistogram = InstanceType<typeof histograms.default>;
 
 interface RouteStats {
   readonly results: Map<string, number>;
-  readonly latency: Histogram;
+  readonly latency: LatencyHistogram;
 }
 
+/** Latencies up to here are told apart; a route's own time limit is far below. */
+const LONGEST_LATENCY_MS = 60_000;
+/** Significant digits kept: 1 in 100 is finer than any threshold on them. */
+const LATENCY_DIGITS = 2;
 const QUANTILES: readonly number[] = [50, 90, 99];
 
 export class GatewayMetrics {
@@ -17,13 +26,12 @@
   noteRequest(route: string, result: string, tookMs: number): void {
     let stats = this.routes.get(route);
     if (!stats) {
-      const latency = build({
-        lowestDiscernibleValue: 1,
-        highestTrackableValue: 60_000,
-        numberOfSignificantValueDigits: 2,
-        bitBucketSize: 16,
-        useWebAssembly: false,
-      });
+      const latency = new histograms.default(
+        1,
+        LONGEST_LATENCY_MS,
+        LATENCY_DIGITS,
+      );
+      latency.autoResize = true;
       stats = {results: new Map(), latency};
       this.routes.set(route, stats);
     }
