--- a/packages/daemon/src/gateway/batches/batch_api.ts
+++ b/packages/daemon/src/gateway/batches/batch_api.ts
@@ -9,7 +9,7 @@
 import {createError, type RadishyokeError} from '@radishyoke/shared/error_kind';
 import type http from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
-import type {Logger} from '../../logger.js';
+import type {EventLogger} from '../../logger.js';
 import {encodeRecord, encodeSubmission} from './batch_codec.js';
 import {BATCH_TOPIC, type BatchBook, type BatchShelf} from './batch_book.js';
 import {answerError} from '../requests/caller_answer.js';
@@ -28,7 +28,7 @@
   readonly protocol: CallerProtocol;
   readonly config: ConfigHolder;
   readonly metrics: GatewayMetrics;
-  readonly logger: Logger;
+  readonly logger: EventLogger;
 }
 
 /** An append is tried for this long, ms; the caller goes to another VM after about as long. */
--- a/packages/daemon/src/gateway/batches/batch_book.ts
+++ b/packages/daemon/src/gateway/batches/batch_book.ts
@@ -11,7 +11,7 @@
 import type {BatchRecord} from '@radishyoke/core/batches/batch_record';
 import type {RadishyokeError} from '@radishyoke/shared/error_kind';
 import {setTimeout as sleep} from 'node:timers/promises';
-import type {Logger} from '../../logger.js';
+import type {EventLogger} from '../../logger.js';
 import {decodeBatch, decodeBatchRecord} from './batch_codec.js';
 import type {LogStore, StoredRecord} from '../store/log_store.js';
 
@@ -42,7 +42,7 @@
   constructor(
     private readonly store: LogStore,
     readonly partition: number,
-    private readonly logger: Logger,
+    private readonly logger: EventLogger,
   ) {}
 
   listen(listener: Listener): void {
@@ -161,7 +161,7 @@
 
   constructor(
     private readonly store: LogStore,
-    private readonly logger: Logger,
+    private readonly logger: EventLogger,
   ) {}
 
   /** The partition that keeps `batchId`; the same on every VM. */
--- a/packages/daemon/src/gateway/batches/batch_runner.ts
+++ b/packages/daemon/src/gateway/batches/batch_runner.ts
@@ -13,10 +13,11 @@
 import type {LedgerChange} from '@radishyoke/core/batches/batch_ledger';
 import type {Batch, OutputEvent} from '@radishyoke/core/batches/batch_record';
 import {setMaxListeners} from 'node:events';
+import type {LogEventName} from '@radishyoke/shared/log_event';
 import type {EndpointRoster} from '@radishyoke/core/fleet/endpoint_roster';
 import type {RouteTable} from '@radishyoke/core/routing/route_table';
 import {pickService} from '@radishyoke/core/routing/route_table';
-import type {Logger} from '../../logger.js';
+import type {EventLogger} from '../../logger.js';
 import {type BatchBook, type BatchShelf, KEEP_BATCH_MS} from './batch_book.js';
 import type {ConfigHolder} from '../store/config_holder.js';
 import type {EndpointLinks} from '../endpoints/endpoint_links.js';
@@ -42,7 +43,7 @@
   readonly clock: VmClock;
   readonly metrics: GatewayMetrics;
   readonly vmName: string;
-  readonly logger: Logger;
+  readonly logger: EventLogger;
 }
 
 /** How often the scheduler decides beside each event that it waits for, ms. */
@@ -60,6 +61,9 @@
 /** Output tokens of one event until the configuration says. */
 const DEFAULT_TOKENS_PER_EVENT = 1;
 
+/** What the log tells of a run. */
+type RunEvent = Extract<LogEventName, `run ${string}`>;
+
 interface LiveRun {
   readonly run: Run;
   readonly generation: Generation;
@@ -335,7 +339,7 @@
     return writer;
   }
 
-  private logRun(run: Run, message: string, reason: string): void {
+  private logRun(run: Run, message: RunEvent, reason: string): void {
     const {job} = run;
     this.parts.logger.log('info', message, {
       requestId: job.item.id,
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -5,11 +5,14 @@
  */
 
 import type {EndpointEntry} from '@radishyoke/core/fleet/endpoint_entry';
-import {EndpointRoster} from '@radishyoke/core/fleet/endpoint_roster';
+import {
+  EndpointRoster,
+  type RosterChange,
+} from '@radishyoke/core/fleet/endpoint_roster';
 import http from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {listenAt} from '@radishyoke/wire/listen';
-import type {Logger} from '../logger.js';
+import type {EventLogger} from '../logger.js';
 import {BatchApi} from './batches/batch_api.js';
 import {BatchShelf} from './batches/batch_book.js';
 import {BatchRunner} from './batches/batch_runner.js';
@@ -55,7 +58,7 @@
   readonly directory: PlatformDirectory;
   readonly callers: CallerProtocol;
   readonly endpoints: EndpointProtocol;
-  readonly logger: Logger;
+  readonly logger: EventLogger;
 }
 
 /** The list of endpoints is read this long after its last news, ms: endpoints write all the time, and a change may take 2 s to count. */
@@ -281,7 +284,7 @@
     const {kind, entry} = this.roster.put(decoded.value, offset);
     if (kind === 'reborn') this.forget(entry);
     if (kind !== 'stale') this.runner?.noteEndpoint(entry.id);
-    if (kind !== 'updated') this.logEndpoint(kind, entry, offset);
+    this.logEndpoint(kind, entry, offset);
   }
 
   private sweep(): void {
@@ -331,10 +334,11 @@
   }
 
   private logEndpoint(
-    change: string,
+    change: RosterChange['kind'],
     entry: EndpointEntry,
     offset: number,
   ): void {
+    if (change === 'updated') return;
     this.parts.logger.log('info', `endpoint ${change}`, {
       endpoint: entry.id,
       service: entry.service,
--- a/packages/daemon/src/gateway/requests/forwarder.ts
+++ b/packages/daemon/src/gateway/requests/forwarder.ts
@@ -15,7 +15,7 @@
 import {pickService, type Route} from '@radishyoke/core/routing/route_table';
 import {createError, type RadishyokeError} from '@radishyoke/shared/error_kind';
 import type {IncomingHttpHeaders} from 'node:http';
-import type {Logger} from '../../logger.js';
+import type {EventLogger} from '../../logger.js';
 import {
   type EndpointAnswer,
   EndpointExchange,
@@ -47,7 +47,7 @@
   readonly view: EndpointView;
   readonly protocol: EndpointProtocol;
   readonly dataCentre: string;
-  readonly logger: Logger;
+  readonly logger: EventLogger;
 }
 
 /** An endpoint gets this much less than is left, ms: its answer has to travel back. */
--- a/packages/daemon/src/gateway/requests/front_server.ts
+++ b/packages/daemon/src/gateway/requests/front_server.ts
@@ -9,7 +9,7 @@
 import {isHopByHop} from '@radishyoke/wire/hop_by_hop';
 import {listenAt} from '@radishyoke/wire/listen';
 import {readBody} from '@radishyoke/wire/request_body';
-import type {Logger} from '../../logger.js';
+import type {EventLogger} from '../../logger.js';
 import type {BatchApi} from '../batches/batch_api.js';
 import {answerError} from './caller_answer.js';
 import type {CallerProtocol} from './caller_protocol.js';
@@ -24,7 +24,7 @@
   readonly forwarder: Forwarder;
   readonly batches: BatchApi;
   readonly metrics: GatewayMetrics;
-  readonly logger: Logger;
+  readonly logger: EventLogger;
 }
 
 /** Limits until the operator's are known. */
--- a/packages/daemon/src/gateway/store/config_holder.ts
+++ b/packages/daemon/src/gateway/store/config_holder.ts
@@ -4,13 +4,13 @@
   type Configuration,
   RouteTable,
 } from '@radishyoke/core/routing/route_table';
-import type {Logger} from '../../logger.js';
+import type {EventLogger} from '../../logger.js';
 
 export class ConfigHolder {
   private current: RouteTable | undefined;
   private readonly listeners: Array<(table: RouteTable) => void> = [];
 
-  constructor(private readonly logger: Logger) {}
+  constructor(private readonly logger: EventLogger) {}
 
   get table(): RouteTable | undefined {
     return this.current;
--- a/packages/daemon/src/gateway/store/keyed_feed.ts
+++ b/packages/daemon/src/gateway/store/keyed_feed.ts
@@ -5,7 +5,7 @@
  */
 
 import {setTimeout as sleep} from 'node:timers/promises';
-import type {Logger} from '../../logger.js';
+import type {EventLogger} from '../../logger.js';
 import type {KeyedRecord, LogStore} from './log_store.js';
 
 export interface FeedConfig {
@@ -41,7 +41,7 @@
     private readonly store: LogStore,
     private readonly cfg: FeedConfig,
     private readonly events: FeedEvents,
-    private readonly logger: Logger,
+    private readonly logger: EventLogger,
   ) {}
 
   /** Runs until `stop`. */
--- a/packages/daemon/src/logger.ts
+++ b/packages/daemon/src/logger.ts
@@ -2,6 +2,7 @@
 
 import './enable_roarr.js';
 import {ROARR, Roarr} from 'roarr';
+import type {LogEventFields, LogEventName} from '@radishyoke/shared/log_event';
 
 export type LogLevel = 'debug' | 'info' | 'warn' | 'error';
 
@@ -28,6 +29,15 @@
   log(level: LogLevel, message: string, fields?: LogFields): void;
 }
 
+/** A logger that takes the lines of the closed list only. */
+export interface EventLogger {
+  log<E extends LogEventName>(
+    level: LogLevel,
+    event: E,
+    fields: LogEventFields[E],
+  ): void;
+}
+
 /** Creates a logger that drops lines below `level` and hands others to `write`. */
 export function createLogger(
   level: LogLevel,
--- /dev/null
+++ b/packages/shared/src/log_event.ts
@@ -0,0 +1,163 @@
+/**
+ * The closed list of what the gateway writes to its log, with the fields of each
+ * line. Whoever reads logs can rely on it: a line has one of these messages.
+ */
+
+/** Names a request, a batch or an item of a batch. */
+type Subject = {
+  readonly requestId: string | undefined;
+};
+
+/** The rule and configuration that a decision followed. */
+type Decided = {
+  readonly rule: string | undefined;
+  readonly configVersion: number;
+};
+
+/** An endpoint's entry in the platform's list. */
+type EndpointFields = {
+  readonly endpoint: string;
+  readonly service: string;
+  readonly address: string;
+  /** Position of the entry in the list's history; the same on every VM. */
+  readonly offset: number;
+};
+
+/** One generation of an item on an engine. */
+type RunFields = Subject & {
+  readonly batch: string;
+  readonly endpoint: string;
+  readonly reason: string;
+  /** Last event that is kept; -1 for none. */
+  readonly from: number;
+  readonly configVersion: number;
+};
+
+type BatchFailure = Subject & {
+  readonly rule: string | undefined;
+  readonly outcome: string;
+  readonly detail: string | undefined;
+};
+
+/** Fields by message. Times are in ms, `tookMs` from the start of what it tells of. */
+export interface LogEventFields {
+  readonly started: {
+    readonly vm: string;
+    readonly life: string;
+    readonly front: string;
+  };
+  readonly stopping: {readonly vm: string};
+  readonly stopped: {readonly vm: string};
+  readonly 'settings reloaded': {readonly detail: string};
+  readonly 'configuration in force': {
+    readonly configVersion: number;
+    readonly routes: number;
+  };
+  readonly 'weights named': {readonly model: string; readonly version: number};
+  readonly 'record skipped': {
+    readonly key: string;
+    readonly offset: number;
+    readonly detail: string;
+  };
+  readonly 'record can not be read and is skipped': {
+    readonly partition: number;
+    readonly offset: number;
+    readonly detail: string;
+  };
+  readonly 'topic can not be read': {
+    readonly topic: string;
+    readonly detail: string;
+  };
+  readonly 'topic is read again': {readonly topic: string};
+  readonly 'history of a topic is gone, reading anew': {
+    readonly topic: string;
+    readonly from: number;
+    readonly first: number;
+  };
+  readonly 'start of a partition is gone': {
+    readonly partition: number;
+    readonly from: number;
+    readonly first: number;
+  };
+  readonly 'the VM was suspended or its clock was set': {
+    readonly driftMs: number;
+  };
+  readonly 'coordinator now': {
+    readonly fencingToken: number;
+    readonly holder: string | undefined;
+  };
+  readonly 'coordinator no more': {
+    readonly fencingToken: number;
+    readonly holder: string | undefined;
+  };
+  readonly 'endpoint joined': EndpointFields;
+  readonly 'endpoint reborn': EndpointFields;
+  readonly 'endpoint draining': EndpointFields;
+  readonly 'endpoint stale': EndpointFields;
+  readonly 'endpoint left': EndpointFields;
+  readonly 'report of an engine can not be read': {
+    readonly endpoint: string;
+    readonly detail: string | undefined;
+  };
+  readonly 'order to an engine': {
+    readonly endpoint: string;
+    readonly model: string;
+    readonly version: number;
+    readonly mode: string;
+    readonly fencingToken: number;
+    readonly expectedOrders: number;
+    readonly outcome: string;
+  };
+  readonly request: Subject &
+    Decided & {readonly outcome: string; readonly tookMs: number};
+  readonly 'request refused': Subject & {
+    readonly configVersion: number;
+    readonly host: string | undefined;
+    readonly path: string | undefined;
+    readonly outcome: string;
+  };
+  readonly 'request failed inside': Subject & {readonly detail: string};
+  readonly 'attempt failed': Subject &
+    Decided & {
+      readonly endpoint: string;
+      readonly tookMs: number;
+      readonly outcome: string;
+      readonly detail: string;
+    };
+  readonly 'batch accepted': Subject &
+    Decided & {
+      readonly step: number;
+      readonly model: string;
+      readonly minVersion: number;
+      readonly items: number;
+      readonly partition: number;
+      readonly offset: number;
+    };
+  readonly 'batch end': Subject;
+  readonly 'batch submit failed': BatchFailure;
+  readonly 'batch end failed': BatchFailure;
+  readonly 'batch call refused': Subject & {
+    readonly call: string;
+    readonly outcome: string;
+    readonly detail: string | undefined;
+  };
+  readonly 'run started': RunFields;
+  readonly 'run stopped': RunFields;
+  readonly 'run out of order': RunFields;
+  readonly 'run finished': RunFields;
+  readonly 'run failed': RunFields;
+  readonly 'run impossible': RunFields;
+  readonly 'run refused': RunFields;
+  readonly 'run misdirected': RunFields;
+  readonly 'run unreachable': RunFields;
+  readonly 'run broken': RunFields;
+  readonly 'item has a result': Subject & {
+    readonly batch: string;
+    readonly outcome: string;
+    readonly reason: string;
+    readonly versions: string;
+  };
+  readonly 'log lines dropped': {readonly dropped: number};
+}
+
+export type LogEventName = keyof LogEventFields;
