feat(core): versions go round the engines, and the model that waits loads first

Cause: each model had two engines that loaded every version, so a step found none with its weights for a second when it was asked for late, and its runs were stopped by the next load. Ruled out: speed of engines, slots. Change: a version is loaded by a part of the engines, those whose weights are too old for the next step; the others serve on, so that a step finds twice as many as load each version, for the same number of loads. Models load in the order of their need: first the one whose step no engine may run.

--- a/packages/core/src/fleet/__tests__/weight_plan.spec.ts
+++ b/packages/core/src/fleet/__tests__/weight_plan.spec.ts
@@ -1,125 +1,260 @@
 import test from 'ava';
 import fc from 'fast-check';
 import {
-  type Assignment,
-  assignEngines,
+  computeShare,
+  type LoadCandidate,
   pickLoads,
-  type PlannedEngine,
+  rankModels,
+  type VersionNeed,
 } from '../weight_plan.js';
 
 const MODELS = ['m0', 'm1', 'm2'];
-const NOTHING: Assignment = new Map();
-
-function createEngines(
-  count: number,
-  unsound: readonly number[] = [],
-): readonly PlannedEngine[] {
-  return Array.from({length: count}, (_, i) => ({
-    id: `e${i}`,
-    versions: new Map(),
-    isSound: !unsound.includes(i),
-  }));
+const MAX_LOADS = 2;
+
+function createCandidate(
+  id: string,
+  extra: Partial<LoadCandidate> = {},
+): LoadCandidate {
+  return {
+    id,
+    version: 4,
+    isBusy: false,
+    isSound: true,
+    running: 0,
+    free: 8,
+    gapMs: 35,
+    ...extra,
+  };
+}
+
+function createNeed(extra: Partial<VersionNeed> = {}): VersionNeed {
+  return {newest: 5, minVersion: 4, waiting: 0, share: 2, ...extra};
 }
 
-test('six engines serve three models two each', t => {
-  const plan = assignEngines(MODELS, createEngines(6), NOTHING, 2);
-  const ids = MODELS.flatMap(model => plan.get(model)!);
-  t.is(new Set(ids).size, 6);
-  for (const model of MODELS) t.is(plan.get(model)!.length, 2);
+/** Engines that carry out each load at once, for the rounds of a whole day. */
+class LoadingFleet {
+  readonly versions = new Map<string, Map<string, number>>();
+  readonly loads = new Map<string, number>();
+
+  constructor(readonly count: number) {
+    for (const model of MODELS) {
+      const ids = Array.from({length: count}, (_, i) => `e${i}`);
+      this.versions.set(model, new Map(ids.map(id => [id, 1])));
+    }
+  }
+
+  describe(
+    model: string,
+    unsound: ReadonlySet<string> = new Set(),
+  ): readonly LoadCandidate[] {
+    return [...this.versions.get(model)!].map(([id, version]) =>
+      createCandidate(id, {
+        version,
+        isSound: !unsound.has(id),
+        gapMs: 35 + (this.loads.get(id) ?? 0),
+      }),
+    );
+  }
+
+  /** Loads `newest` as the plan says until it wants no more; returns who did. */
+  loadAll(
+    model: string,
+    newest: number,
+    unsound: ReadonlySet<string> = new Set(),
+  ): readonly string[] {
+    const share = computeShare(this.count, MODELS.length, 2);
+    const need = createNeed({newest, minVersion: newest - 1, share});
+    const loaded: string[] = [];
+    for (;;) {
+      const ids = pickLoads(this.describe(model, unsound), need, MAX_LOADS);
+      if (ids.length === 0) return loaded;
+      for (const id of ids) {
+        this.versions.get(model)!.set(id, newest);
+        this.loads.set(id, (this.loads.get(id) ?? 0) + 1);
+        loaded.push(id);
+      }
+    }
+  }
+
+  /** Engines that may serve a step that allows `oldest`. */
+  countFit(model: string, oldest: number): number {
+    const versions = [...this.versions.get(model)!.values()];
+    return versions.filter(version => version >= oldest).length;
+  }
+}
+
+test('each model has an equal part of the engines load a version', t => {
+  t.is(computeShare(6, 3, 2), 2);
+  t.is(computeShare(34, 3, 2), 11);
+  t.is(computeShare(4, 3, 2), 2);
+  t.is(computeShare(1, 3, 2), 1);
+  t.is(computeShare(0, 3, 2), 0);
+});
+
+test('nothing loads while as many engines as wanted have the newest version', t => {
+  const engines = [
+    createCandidate('e0', {version: 5}),
+    createCandidate('e1', {loadingVersion: 5, isBusy: true}),
+    createCandidate('e2', {version: 3}),
+  ];
+  t.deepEqual(pickLoads(engines, createNeed(), MAX_LOADS), []);
 });
 
-test('nothing moves while nothing changes', t => {
-  const engines = createEngines(7);
-  const first = assignEngines(MODELS, engines, NOTHING, 2);
-  t.deepEqual(assignEngines(MODELS, engines, first, 2), first);
+// A step waits for the engines that it uses while others hold weights that no
+// step may use any more.
+// 1. The newest version is named while a step runs on the version before.
+// 2. The engines of that step load and stop its items for a second.
+// Cause: a version loaded where the one before is in use.
+test('engines whose weights are too old for the next step load first', t => {
+  const engines = [
+    createCandidate('e0', {version: 4, gapMs: 20}),
+    createCandidate('e1', {version: 4, gapMs: 20}),
+    createCandidate('e2', {version: 3}),
+    createCandidate('e3', {version: 2, gapMs: 50}),
+  ];
+  const need = createNeed({waiting: 7});
+  t.deepEqual(pickLoads(engines, need, MAX_LOADS), ['e2', 'e3']);
 });
 
-test('a slow engine is replaced, and only its model moves', t => {
-  const before = assignEngines(MODELS, createEngines(6), NOTHING, 2);
-  const [slow] = before.get('m1')!;
-  const unsound = [Number(slow.slice(1))];
-  const after = assignEngines(MODELS, createEngines(6, unsound), before, 2);
-  t.false(after.get('m1')!.includes(slow));
-  t.is(after.get('m1')!.length, 2);
-  t.deepEqual(after.get('m0'), before.get('m0'));
-  t.deepEqual(after.get('m2'), before.get('m2'));
+test('of those the idle and the fast ones load', t => {
+  const engines = [
+    createCandidate('e0', {version: 3, running: 1, gapMs: 20}),
+    createCandidate('e1', {version: 3, gapMs: 46}),
+    createCandidate('e2', {version: 3, gapMs: 34}),
+    createCandidate('e3', {version: 3, gapMs: 38}),
+  ];
+  t.deepEqual(pickLoads(engines, createNeed(), MAX_LOADS), ['e2', 'e3']);
 });
 
 // All trainers wait for two engines while four are idle.
-// 1. The coordinator starts when two engines are listed; all models go there.
-// 2. The others are listed a second later and never get a model.
-// Cause: an assignment that is kept as long as its engines live.
-test('engines that are listed later take their part', t => {
-  const early = assignEngines(MODELS, createEngines(2), NOTHING, 2);
-  const later = assignEngines(MODELS, createEngines(6), early, 2);
-  t.is(new Set(MODELS.flatMap(model => later.get(model)!)).size, 6);
+// 1. The coordinator starts when two engines are listed; both load.
+// 2. The others are listed a second later and never get a version.
+test('engines that are listed later load the next version', t => {
+  const early = [0, 1].map(i => createCandidate(`e${i}`, {version: 5}));
+  const later = [2, 3].map(i => createCandidate(`e${i}`, {version: 1}));
+  const need = createNeed({newest: 6, minVersion: 5});
+  t.deepEqual(pickLoads([...early, ...later], need, MAX_LOADS), ['e2', 'e3']);
 });
 
-test('each model has engines whatever fails, and no engine has far more than its part', t => {
-  fc.assert(
-    fc.property(
-      fc.integer({min: 1, max: 12}),
-      fc.array(fc.array(fc.nat(11), {maxLength: 4}), {maxLength: 6}),
-      (count, rounds) => {
-        let plan = NOTHING;
-        for (const unsound of rounds) {
-          plan = assignEngines(MODELS, createEngines(count, unsound), plan, 2);
-          const uses = new Map<string, number>();
-          for (const model of MODELS) {
-            const ids = plan.get(model)!;
-            t.true(ids.length >= 1);
-            t.is(new Set(ids).size, ids.length);
-            for (const id of ids) uses.set(id, (uses.get(id) ?? 0) + 1);
-          }
-          const most = Math.max(...uses.values());
-          t.true(most <= MODELS.length);
-        }
-      },
-    ),
-    {seed: 3, numRuns: 300},
-  );
+test('a slow engine is replaced and does not load', t => {
+  const engines = [
+    createCandidate('e0', {version: 5}),
+    createCandidate('e1', {version: 5, isSound: false}),
+    createCandidate('e2', {version: 3, isSound: false}),
+    createCandidate('e3', {version: 3}),
+  ];
+  t.deepEqual(pickLoads(engines, createNeed(), MAX_LOADS), ['e3']);
 });
 
-const IDLE = {id: 'e0', version: 4, isLoading: false, running: 0, free: 8};
-const OTHER = {...IDLE, id: 'e1', running: 8, free: 0};
+test('with no sound engine the others load', t => {
+  const engines = [0, 1].map(i =>
+    createCandidate(`e${i}`, {version: 3, isSound: false}),
+  );
+  t.deepEqual(pickLoads(engines, createNeed(), MAX_LOADS), ['e0', 'e1']);
+});
 
-test('engines load one after the other while they can serve the step', t => {
-  const need = {newest: 5, minVersion: 4, waiting: 0};
-  t.deepEqual(pickLoads([IDLE, OTHER], need, 2), ['e0']);
-  const loading = {...IDLE, isLoading: true};
-  t.deepEqual(pickLoads([loading, OTHER], need, 2), []);
-  t.deepEqual(pickLoads([IDLE, OTHER], {...need, waiting: 3}, 2), []);
+test('where all engines serve the step they load one after the other', t => {
+  const busy = createCandidate('e1', {running: 8, free: 0});
+  const idle = createCandidate('e0');
+  t.deepEqual(pickLoads([idle, busy], createNeed(), MAX_LOADS), ['e0']);
+  const loading = createCandidate('e0', {loadingVersion: 5, isBusy: true});
+  t.deepEqual(pickLoads([loading, busy], createNeed(), MAX_LOADS), []);
+  const need = createNeed({waiting: 3});
+  t.deepEqual(pickLoads([idle, busy], need, MAX_LOADS), []);
 });
 
 test('an engine with work loads once the others have room for it', t => {
-  const need = {newest: 5, minVersion: 4, waiting: 0};
-  const done = {...IDLE, version: 5, running: 4, free: 4};
-  const busy = {...OTHER, running: 5};
-  t.deepEqual(pickLoads([done, busy], need, 2), []);
-  t.deepEqual(pickLoads([done, {...busy, running: 4}], need, 2), ['e1']);
+  const done = createCandidate('e0', {version: 5, running: 4, free: 4});
+  const busy = createCandidate('e1', {running: 5});
+  t.deepEqual(pickLoads([done, busy], createNeed(), MAX_LOADS), []);
+  const fits = {...busy, running: 4};
+  t.deepEqual(pickLoads([done, fits], createNeed(), MAX_LOADS), ['e1']);
 });
 
 // A step waits for a second while no engine can serve it.
 // 1. Each engine goes on with the last step and none has loaded since.
 // 2. The next step may not use their weights.
-test('where no engine can serve the step the least busy one loads at once', t => {
-  const need = {newest: 6, minVersion: 5, waiting: 3};
-  const busy = [3, 1].map((running, i) => ({...IDLE, id: `e${i}`, running}));
-  t.deepEqual(pickLoads(busy, need, 2), ['e1']);
-  const loading = {...IDLE, id: 'e2', isLoading: true};
-  t.deepEqual(pickLoads([...busy, loading], need, 2), []);
-  t.deepEqual(pickLoads([IDLE, {...IDLE, id: 'e3'}], need, 2), ['e0', 'e3']);
+test('where no engine can serve the step they load at once, idle ones first', t => {
+  const need = createNeed({newest: 6, minVersion: 5, waiting: 3, share: 1});
+  const engines = [3, 0, 1].map((running, i) =>
+    createCandidate(`e${i}`, {running}),
+  );
+  t.deepEqual(pickLoads(engines, need, MAX_LOADS), ['e1']);
+  const both = {...need, share: 2};
+  t.deepEqual(pickLoads(engines, both, MAX_LOADS), ['e1', 'e2']);
+});
+
+test('no more engines load at once than are allowed, and none that is busy', t => {
+  const engines = [0, 1, 2, 3].map(i =>
+    createCandidate(`e${i}`, {version: 2, isBusy: i === 0}),
+  );
+  t.deepEqual(pickLoads(engines, createNeed(), 1), ['e1']);
+  t.deepEqual(pickLoads(engines, createNeed(), 0), []);
+  t.deepEqual(pickLoads(engines, createNeed(), -1), []);
 });
 
-test('an engine that can not serve the step loads though items wait', t => {
-  const need = {newest: 6, minVersion: 5, waiting: 3};
-  const fit = {...IDLE, version: 5};
-  t.deepEqual(pickLoads([fit, OTHER], need, 2), ['e1']);
+test('versions go round: a step finds twice as many engines as load', t => {
+  const fleet = new LoadingFleet(6);
+  for (let version = 2; version <= 12; version++) {
+    for (const model of MODELS) {
+      t.is(fleet.loadAll(model, version).length, 2);
+      t.true(fleet.countFit(model, version - 1) >= 4);
+    }
+  }
+  const loads = [...fleet.loads.values()];
+  t.is(loads.length, 6, 'every engine takes part');
+  t.true(Math.max(...loads) - Math.min(...loads) <= 3);
+});
+
+test('each model gets its newest version whatever engines fail', t => {
+  fc.assert(
+    fc.property(
+      fc.integer({min: 1, max: 12}),
+      fc.array(fc.array(fc.nat(11), {maxLength: 4}), {maxLength: 6}),
+      (count, rounds) => {
+        const fleet = new LoadingFleet(count);
+        rounds.forEach((failed, round) => {
+          const newest = round + 2;
+          const unsound = new Set(failed.map(i => `e${i}`));
+          for (const model of MODELS) {
+            const loaded = fleet.loadAll(model, newest, unsound);
+            t.true(loaded.length <= computeShare(count, MODELS.length, 2));
+            t.true(fleet.countFit(model, newest) >= 1);
+            const sound = fleet
+              .describe(model, unsound)
+              .filter(({isSound}) => isSound);
+            if (sound.length > 0) {
+              t.true(sound.some(({version}) => version === newest));
+            }
+          }
+        });
+      },
+    ),
+    {seed: 3, numRuns: 300},
+  );
 });
 
-test('no more engines load at once than are allowed', t => {
-  const engines = [0, 1, 2, 3].map(i => ({...IDLE, id: `e${i}`}));
-  const need = {newest: 6, minVersion: 5, waiting: 0};
-  t.is(pickLoads(engines, need, 1).length, 1);
-  t.deepEqual(pickLoads(engines, need, -1), []);
+// A step waits for seconds though engines could load for it.
+// 1. A coordinator is replaced; three models are behind and two engines may
+//    load at once.
+// 2. Models load in a fixed order; the last one has a step that no engine may
+//    run.
+test('a model whose step no engine may run loads first', t => {
+  const behind = {
+    model: 'behind',
+    candidates: [createCandidate('e0', {version: 4})],
+    need: createNeed({newest: 6, minVersion: 4, waiting: 3}),
+  };
+  const calm = {
+    model: 'calm',
+    candidates: [createCandidate('e0', {version: 5})],
+    need: createNeed({newest: 6, minVersion: 5}),
+  };
+  const stuck = {
+    model: 'stuck',
+    candidates: [createCandidate('e0', {version: 4})],
+    need: createNeed({newest: 6, minVersion: 5, waiting: 3}),
+  };
+  const ranked = rankModels([calm, behind, stuck]).map(({model}) => model);
+  t.deepEqual(ranked, ['stuck', 'behind', 'calm']);
 });
--- a/packages/core/src/fleet/weight_plan.ts
+++ b/packages/core/src/fleet/weight_plan.ts
@@ -1,94 +1,31 @@
 /**
- * Which engines serve which model, and when each of them loads a new version.
+ * Which engines load a new version of a model, and when.
  *
- * Loading stops an engine for about a second and empties its cache, so a model
- * lives on its share of the engines and not on all. The share follows what is
- * known of the engines: one that is slow, silent or leaving is replaced.
+ * A load stops an engine's runs of that model for about a second and empties its
+ * cache. A step may use the weights of the version before its own, so a model's
+ * versions go round the engines: each new one is loaded by a part of them, by
+ * those that hold weights too old for the next step. The engines with the
+ * version before go on undisturbed, and a step finds twice as many engines as
+ * load each version.
  */
 
-/** An engine as the plan sees it. */
-export interface PlannedEngine {
-  readonly id: string;
-  /** Versions by model. */
-  readonly versions: ReadonlyMap<string, number>;
-  /** Whether it answers and keeps pace. */
-  readonly isSound: boolean;
-}
-
-export type Assignment = ReadonlyMap<string, readonly string[]>;
-
-/**
- * Assigns engines to models so that each model has an equal share of the sound
- * ones. Engines stay where they are as long as that holds: a move costs a load.
- * Where the share would fall below `minPerModel`, engines serve several models.
- *
- * @param previous What was assigned before.
- */
-export function assignEngines(
-  models: readonly string[],
-  engines: readonly PlannedEngine[],
-  previous: Assignment,
-  minPerModel: number,
-): Assignment {
-  const sound = engines.filter(({isSound}) => isSound);
-  // With no sound engine at all the unsound are better than none.
-  const pool = sound.length > 0 ? sound : engines;
-  const ids = new Set(pool.map(({id}) => id));
-  const load = new Map<string, number>(pool.map(({id}) => [id, 0]));
-  const share = Math.floor(pool.length / Math.max(models.length, 1));
-  const wanted = Math.min(Math.max(share, minPerModel), pool.length);
-  // Engines that are new or back take over from those that serve more than
-  // their part; an assignment made while few were known would last otherwise.
-  const limit = Math.ceil((models.length * wanted) / Math.max(pool.length, 1));
-  const result = new Map<string, string[]>();
-  for (const model of models) {
-    const kept = (previous.get(model) ?? [])
-      .filter(id => ids.has(id) && load.get(id)! < limit)
-      .slice(0, wanted);
-    for (const id of kept) addLoad(load, id);
-    result.set(model, kept);
-  }
-  for (let round = 0; round < wanted; round++) {
-    for (const model of models) {
-      const kept = result.get(model)!;
-      if (kept.length > round) continue;
-      const id = pickEngine(model, kept, pool, load);
-      if (id === undefined) continue;
-      kept.push(id);
-      addLoad(load, id);
-    }
-  }
-  return result;
-}
-
-/** The engine with the fewest models; among equals the one with the newest version of `model`. */
-function pickEngine(
-  model: string,
-  taken: readonly string[],
-  pool: readonly PlannedEngine[],
-  load: ReadonlyMap<string, number>,
-): string | undefined {
-  const free = pool.filter(({id}) => !taken.includes(id));
-  const rank = (engine: PlannedEngine) =>
-    load.get(engine.id)! * 1e6 - (engine.versions.get(model) ?? 0);
-  return free.sort((a, b) => rank(a) - rank(b) || (a.id < b.id ? -1 : 1))[0]
-    ?.id;
-}
-
-function addLoad(load: Map<string, number>, id: string): void {
-  load.set(id, (load.get(id) ?? 0) + 1);
-}
-
-/** An engine's state with regard to one model it is assigned to. */
+/** An engine as one model's plan sees it. */
 export interface LoadCandidate {
   readonly id: string;
+  /** Version of the model that it has. */
   readonly version: number;
+  /** Version of the model that it loads now, if it does. */
+  readonly loadingVersion?: number;
   /** Whether it is carrying out an order, for any model. */
-  readonly isLoading: boolean;
+  readonly isBusy: boolean;
+  /** Whether it answers and keeps pace. */
+  readonly isSound: boolean;
   /** Generations of the model that run there. */
   readonly running: number;
   /** Further generations that it could take. */
   readonly free: number;
+  /** Gap between events that a further run would see there, ms. */
+  readonly gapMs: number;
 }
 
 /** What the open work of a model asks for. */
@@ -99,17 +36,23 @@
   readonly minVersion: number;
   /** Items that wait for an engine. */
   readonly waiting: number;
+  /** Engines that should have the newest version. */
+  readonly share: number;
+}
+
+/** Engines of a service that load each version of a model: an equal part for each model. */
+export function computeShare(
+  engineCount: number,
+  modelCount: number,
+  minPerModel: number,
+): number {
+  const part = Math.floor(engineCount / Math.max(modelCount, 1));
+  return Math.min(Math.max(part, minPerModel), engineCount);
 }
 
 /**
  * Picks the engines of one model that should load the newest version now.
  *
- * A load stops an engine for about a second. What runs there moves to the other
- * engines of the model meanwhile, so engines load one after the other, and as
- * soon as the others have room: a step that is asked for later finds weights
- * that it may use, and samples come from newer ones. While items wait for a
- * place only an engine that can not serve them loads.
- *
  * @param maxMore Loads that may begin beside those of other models.
  */
 export function pickLoads(
@@ -117,43 +60,94 @@
   need: VersionNeed,
   maxMore: number,
 ): readonly string[] {
-  const outdated = candidates
-    .filter(({isLoading, version}) => !isLoading && version < need.newest)
-    .sort((a, b) => a.version - b.version || a.running - b.running);
-  const isFit = (candidate: LoadCandidate) =>
-    !candidate.isLoading && candidate.version >= need.minVersion;
-  const picked = candidates.some(isFit)
-    ? pickSpare(outdated, candidates, need)
-    : pickFirst(outdated, candidates);
-  return picked.slice(0, Math.max(maxMore, 0)).map(({id}) => id);
+  const usable = chooseUsable(candidates);
+  const missing = need.share - usable.filter(c => isNewest(c, need)).length;
+  if (missing <= 0 || maxMore <= 0) return [];
+  const outdated = usable.filter(c => !c.isBusy && !isNewest(c, need));
+  const unfit = outdated.filter(c => !isFitForNext(c, need));
+  const picked =
+    unfit.length > 0
+      ? unfit.sort(compareUnfit)
+      : pickSpare(outdated, usable, need);
+  return picked.slice(0, Math.min(missing, maxMore)).map(({id}) => id);
 }
 
-/** One engine that the others can do without. */
-function pickSpare(
-  outdated: readonly LoadCandidate[],
+/** The engines and the need of one model, to compare with those of others. */
+export interface ModelPlan {
+  readonly model: string;
+  readonly candidates: readonly LoadCandidate[];
+  readonly need: VersionNeed;
+}
+
+/**
+ * The models in the order in which they should load. Few engines load at once,
+ * so a model whose step waits with no engine that may run it goes before all
+ * others: in a fixed order the last of three models waited for 3.6 s behind
+ * loads that nobody waited for, after a coordinator had been replaced.
+ */
+export function rankModels(plans: readonly ModelPlan[]): readonly ModelPlan[] {
+  return [...plans].sort(
+    (a, b) =>
+      Number(isStuck(b)) - Number(isStuck(a)) ||
+      countFitForNext(a) - countFitForNext(b),
+  );
+}
+
+/** Whether items wait while no engine may run them. */
+function isStuck({candidates, need}: ModelPlan): boolean {
+  if (need.waiting === 0) return false;
+  return !candidates.some(
+    ({version, isSound}) => isSound && version >= need.minVersion,
+  );
+}
+
+function countFitForNext({candidates, need}: ModelPlan): number {
+  return candidates.filter(c => c.isSound && isFitForNext(c, need)).length;
+}
+
+/** With no sound engine at all the unsound are better than none. */
+function chooseUsable(
   candidates: readonly LoadCandidate[],
-  need: VersionNeed,
 ): readonly LoadCandidate[] {
-  if (candidates.some(({isLoading}) => isLoading)) return [];
-  const spare = outdated.find(candidate => {
-    if (candidate.version < need.minVersion) return true;
-    if (need.waiting > 0) return false;
-    const room = candidates
-      .filter(
-        ({id, version}) => id !== candidate.id && version >= need.minVersion,
-      )
-      .reduce((sum, {free}) => sum + free, 0);
-    return candidate.running <= room;
-  });
-  return spare ? [spare] : [];
+  const sound = candidates.filter(({isSound}) => isSound);
+  return sound.length > 0 ? sound : candidates;
 }
 
-/** No engine can serve the newest step: those without work load, or else one. */
-function pickFirst(
+function isNewest(candidate: LoadCandidate, {newest}: VersionNeed): boolean {
+  const {version, loadingVersion = 0} = candidate;
+  return Math.max(version, loadingVersion) >= newest;
+}
+
+/** Whether the open steps and the next one may use the engine's weights. */
+function isFitForNext(candidate: LoadCandidate, need: VersionNeed): boolean {
+  const oldest = Math.max(need.minVersion, need.newest - 1);
+  return candidate.version >= oldest;
+}
+
+/** Those that stop least first, then those that will serve best. */
+function compareUnfit(a: LoadCandidate, b: LoadCandidate): number {
+  return a.running - b.running || a.gapMs - b.gapMs || (a.id < b.id ? -1 : 1);
+}
+
+/**
+ * With few engines all of them serve the step: one at a time loads, as soon as
+ * the others have room for what runs there.
+ */
+function pickSpare(
   outdated: readonly LoadCandidate[],
-  candidates: readonly LoadCandidate[],
+  usable: readonly LoadCandidate[],
+  need: VersionNeed,
 ): readonly LoadCandidate[] {
-  const idle = outdated.filter(({running}) => running === 0);
-  const isLoading = candidates.some(candidate => candidate.isLoading);
-  return idle.length > 0 || isLoading ? idle : outdated.slice(0, 1);
+  if (need.waiting > 0) return [];
+  if (usable.some(({loadingVersion}) => loadingVersion !== undefined))
+    return [];
+  const spare = [...outdated]
+    .sort((a, b) => a.running - b.running)
+    .find(({id, running}) => {
+      const others = usable.filter(
+        other => other.id !== id && other.version >= need.minVersion,
+      );
+      return running <= others.reduce((sum, {free}) => sum + free, 0);
+    });
+  return spare ? [spare] : [];
 }
--- a/packages/daemon/src/gateway/engines/weight_task.ts
+++ b/packages/daemon/src/gateway/engines/weight_task.ts
@@ -4,23 +4,23 @@
  * its own report, since an answer may be lost and an order carried out late.
  */
 
+import {setTimeout as sleep} from 'node:timers/promises';
 import type {BatchScheduler} from '@radishyoke/core/batches/batch_scheduler';
 import type {EngineView} from '@radishyoke/core/batches/engine_board';
 import type {EndpointEntry} from '@radishyoke/core/fleet/endpoint_entry';
 import type {EndpointRoster} from '@radishyoke/core/fleet/endpoint_roster';
 import {
-  type Assignment,
-  assignEngines,
+  computeShare,
   type LoadCandidate,
+  type ModelPlan,
   pickLoads,
-  type PlannedEngine,
+  rankModels,
 } from '@radishyoke/core/fleet/weight_plan';
 import type {
   RouteTable,
   ServiceSpec,
 } from '@radishyoke/core/routing/route_table';
-import {setTimeout as sleep} from 'node:timers/promises';
-import type {Logger} from '../../logger.js';
+import type {EventLogger} from '../../logger.js';
 import type {EndpointLinks} from '../endpoints/endpoint_links.js';
 import type {
   EndpointProtocol,
@@ -42,7 +42,7 @@
   /** Newest versions that trainers named. */
   readonly named: ReadonlyMap<string, number>;
   readonly vmName: string;
-  readonly logger: Logger;
+  readonly logger: EventLogger;
 }
 
 /** One engine that is to have one version. */
@@ -60,6 +60,8 @@
 
 /** Engines that serve one model at least: one alone would stop its trainer when it loads or fails. */
 const MIN_ENGINES = 2;
+/** Runs that a model brings to an engine with its newest version: about 32 items at a time on 4 engines. */
+const RUNS_PER_MODEL = 8;
 /** Engines that load at once at most, as a share of all and at least; more slow each other down (2 of 6, 10 of 34 and 9 of 31 do not). */
 const LOAD_SHARE = 0.29;
 const MIN_LOADS = 2;
@@ -88,8 +90,8 @@
 const REST_MS = 1500;
 
 export class WeightTask {
-  private assignment: Assignment = new Map();
-  private readonly working = new Set<string>();
+  /** Loads that go on, by engine. */
+  private readonly working = new Map<string, LoadTarget>();
   private readonly restUntilMs = new Map<string, number>();
   private isStopped = false;
   /** How long the last load took, ms. */
@@ -97,11 +99,6 @@
 
   constructor(private readonly parts: WeightParts) {}
 
-  /** Engines that serve each model. */
-  get assigned(): Assignment {
-    return this.assignment;
-  }
-
   stop(): void {
     this.isStopped = true;
   }
@@ -109,69 +106,55 @@
   /** Starts whatever loads are due; called often. */
   tick(table: RouteTable, engines: readonly EngineView[]): void {
     if (this.isStopped) return;
-    const nowMs = performance.now();
-    for (const service of table.engines) this.plan(service, engines, nowMs);
     if (!this.parts.lease.mayOrder()) return;
     for (const service of table.engines) {
-      for (const model of service.engine!.models)
-        this.startLoads(model, table, engines.length, nowMs);
+      const views = engines.filter(view => view.service === service.name);
+      const maxLoads = Math.max(
+        MIN_LOADS,
+        Math.floor(views.length * LOAD_SHARE),
+      );
+      for (const plan of rankModels(this.planModels(service, views))) {
+        // What was started for one model is out of reach of the next.
+        const candidates = this.listCandidates(plan.model, service, views);
+        this.startLoads({...plan, candidates}, table, maxLoads);
+      }
     }
   }
 
-  private plan(
+  private planModels(
     service: ServiceSpec,
     views: readonly EngineView[],
-    nowMs: number,
-  ): void {
-    const {scheduler} = this.parts;
-    const slow = scheduler.board.speeds.listSlow(nowMs);
-    const engines: PlannedEngine[] = views
-      .filter(view => view.service === service.name)
-      .map(({id, versions}) => ({
-        id,
-        versions,
-        isSound: !slow.has(id) && !scheduler.board.isTroubled(id),
-      }));
-    const models = service.engine!.models;
-    const next = assignEngines(models, engines, this.assignment, MIN_ENGINES);
-    this.logChanges(next);
-    this.assignment = next;
-  }
-
-  private logChanges(next: Assignment): void {
-    for (const [model, ids] of next) {
-      const before = (this.assignment.get(model) ?? []).join(' ');
-      const after = ids.join(' ');
-      if (before === after) continue;
-      this.parts.logger.log('info', 'engines of a model', {
-        model,
-        before,
-        after,
-      });
-    }
+  ): readonly ModelPlan[] {
+    const {models} = service.engine!;
+    const share = computeShare(views.length, models.length, MIN_ENGINES);
+    return models.flatMap(model => {
+      const newest = this.parts.named.get(model);
+      if (newest === undefined) return [];
+      const need = {
+        newest,
+        share,
+        ...this.parts.scheduler.measureNeed(model),
+      };
+      const candidates = this.listCandidates(model, service, views);
+      return [{model, candidates, need}];
+    });
   }
 
   private startLoads(
-    model: string,
+    {model, candidates, need}: ModelPlan,
     table: RouteTable,
-    engineCount: number,
-    nowMs: number,
+    maxLoads: number,
   ): void {
-    const newest = this.parts.named.get(model);
-    if (newest === undefined) return;
-    const {scheduler, roster} = this.parts;
-    const candidates = this.listCandidates(model, nowMs);
-    const need = {newest, ...scheduler.measureNeed(model)};
-    const maxLoads = Math.max(MIN_LOADS, Math.floor(engineCount * LOAD_SHARE));
-    const loads = pickLoads(candidates, need, maxLoads - this.working.size);
-    for (const id of loads) {
+    const {roster} = this.parts;
+    const maxMore = maxLoads - this.working.size;
+    for (const id of pickLoads(candidates, need, maxMore)) {
       const entry = roster.get(id);
       if (!entry) continue;
       const mode = isSingleVersion(model, table) ? 'wait' : 'keep';
       void this.load({
         entry,
         model,
-        version: newest,
+        version: need.newest,
         mode,
         isUnanswered: false,
       });
@@ -180,27 +163,54 @@
 
   private listCandidates(
     model: string,
-    nowMs: number,
+    service: ServiceSpec,
+    views: readonly EngineView[],
   ): readonly LoadCandidate[] {
-    const {scheduler, fleet, roster} = this.parts;
-    const candidates: LoadCandidate[] = [];
-    for (const id of this.assignment.get(model) ?? []) {
-      const entry = roster.get(id);
-      if (!entry || nowMs < (this.restUntilMs.get(id) ?? 0)) continue;
-      candidates.push({
-        id,
-        version: fleet.getVersion(id, model),
-        isLoading: this.working.has(id),
-        running: scheduler.countRuns(id, model),
-        free: Math.max(entry.slots - scheduler.countRuns(id), 0),
+    const {scheduler} = this.parts;
+    const {speeds} = scheduler.board;
+    const nowMs = performance.now();
+    const slow = speeds.listSlow(nowMs);
+    return views
+      .filter(({id}) => nowMs >= (this.restUntilMs.get(id) ?? 0))
+      .map(({id, slots, versions}) => {
+        const target = this.working.get(id);
+        const loadingVersion =
+          target?.model === model ? target.version : undefined;
+        const running = scheduler.countRuns(id);
+        const expected = this.countOthers(model, service, versions);
+        return {
+          id,
+          version: versions.get(model) ?? 0,
+          ...(loadingVersion === undefined ? {} : {loadingVersion}),
+          isBusy: target !== undefined,
+          isSound: !slow.has(id) && !scheduler.board.isTroubled(id),
+          running: scheduler.countRuns(id, model),
+          free: Math.max(slots - running, 0),
+          gapMs: speeds.predictGapMs(
+            id,
+            running + 1 + expected * RUNS_PER_MODEL,
+            nowMs,
+          ),
+        };
       });
-    }
-    return candidates;
+  }
+
+  /** Other models whose newest version an engine has: their runs will come there. */
+  private countOthers(
+    model: string,
+    service: ServiceSpec,
+    versions: ReadonlyMap<string, number>,
+  ): number {
+    const {named} = this.parts;
+    return service.engine!.models.filter(other => {
+      if (other === model) return false;
+      return (versions.get(other) ?? 0) >= (named.get(other) ?? Infinity);
+    }).length;
   }
 
   private async load(target: LoadTarget): Promise<void> {
     const {entry, model} = target;
-    this.working.add(entry.id);
+    this.working.set(entry.id, target);
     // Before the order: what runs there moves away first.
     this.parts.fleet.noteLoading(entry, model, performance.now());
     try {
