feat(daemon): a coordinator that is cut off leaves its items to its successor

Cause: a coordinator that can not reach the log runs its items on beside the VM that took over, and fills engines with output that nobody can list. While the log is away for all VMs the same runs should go on. Ruled out: telling by the log's silence alone, and by the runs that engines name (they name none). Change: after 1.3 s of silence it asks the engines how much they run; twice in a row half as much again as its own means a successor, and its runs stop.

--- a/packages/core/src/batches/batch_scheduler.ts
+++ b/packages/core/src/batches/batch_scheduler.ts
@@ -78,6 +78,10 @@
 
   constructor(private readonly cfg: SchedulerConfig) {}
 
+  get openCount(): number {
+    return this.open.size;
+  }
+
   get openBatches(): IterableIterator<OpenBatch> {
     return this.open.values();
   }
--- /dev/null
+++ b/packages/daemon/src/gateway/__tests__/gateway_metrics.spec.ts
@@ -0,0 +1,40 @@
+import test from 'ava';
+import {GatewayMetrics} from '../gateway_metrics.js';
+
+test('results are counted and timed by family and label', t => {
+  const metrics = new GatewayMetrics();
+  metrics.noteResult('requests', 'r-1', '200', 12);
+  metrics.noteResult('requests', 'r-1', '200', 14);
+  metrics.noteResult('store_calls', 'append', 'refused', 3);
+  metrics.count('refused_not_found');
+  metrics.observe('endpoints', () => 4);
+  const lines = metrics.render().split('\n');
+  t.true(
+    lines.includes('radishyoke_requests_total{route="r-1",result="200"} 2'),
+  );
+  t.true(
+    lines.includes(
+      'radishyoke_store_calls_total{call="append",result="refused"} 1',
+    ),
+  );
+  t.true(lines.includes('radishyoke_refused_not_found_total 1'));
+  t.true(lines.includes('radishyoke_endpoints 4'));
+  t.true(
+    lines.some(line =>
+      line.startsWith('radishyoke_store_call_ms{call="append",quantile="0.5"}'),
+    ),
+  );
+});
+
+// A VM is killed for its memory after months of changes to its rules.
+// 1. Each change brings rules with new names.
+// 2. Each name keeps a histogram until the next start.
+test('the number of series is bounded, and what is left out is counted', t => {
+  const metrics = new GatewayMetrics();
+  for (let i = 0; i < 520; i++) {
+    metrics.noteResult('requests', `r-${i}`, '200', 1);
+  }
+  const text = metrics.render();
+  t.true(text.includes('radishyoke_series_dropped_total 20'));
+  t.is(text.split('\n').filter(line => line.includes('_total{')).length, 500);
+});
--- a/packages/daemon/src/gateway/batches/batch_runner.ts
+++ b/packages/daemon/src/gateway/batches/batch_runner.ts
@@ -14,6 +14,7 @@
 import type {Batch, OutputEvent} from '@radishyoke/core/batches/batch_record';
 import {setMaxListeners} from 'node:events';
 import type {LogEventName} from '@radishyoke/shared/log_event';
+import type {EndpointEntry} from '@radishyoke/core/fleet/endpoint_entry';
 import type {EndpointRoster} from '@radishyoke/core/fleet/endpoint_roster';
 import type {RouteTable} from '@radishyoke/core/routing/route_table';
 import {pickService} from '@radishyoke/core/routing/route_table';
@@ -29,6 +30,8 @@
 import type {LogStore} from '../store/log_store.js';
 import {RecordWriter} from './record_writer.js';
 import type {VmClock} from '../vm_clock.js';
+import {EngineReports} from '../engines/engine_reports.js';
+import {SuccessionWatch} from './succession_watch.js';
 import {WeightTask} from '../engines/weight_task.js';
 
 export interface RunnerParts {
@@ -73,6 +76,9 @@
   private readonly scheduler: BatchScheduler;
   private readonly fleet: EngineFleet;
   private readonly weights: WeightTask;
+  private readonly succession: SuccessionWatch;
+  /** Steady ms at which another VM was found to run the items; nothing starts here until the log tells more. */
+  private yieldedMs = -Infinity;
   private readonly live = new Map<string, LiveRun>();
   private readonly writers = new Map<number, RecordWriter>();
   private readonly abort = new AbortController();
@@ -87,19 +93,35 @@
     const tokensPerEvent = engine?.tokensPerEvent ?? DEFAULT_TOKENS_PER_EVENT;
     this.scheduler = new BatchScheduler({tokensPerEvent, runPrefix: vmName});
     this.fleet = new EngineFleet(roster);
+    const reports = new EngineReports(links, protocol, this.fleet, logger);
+    this.succession = new SuccessionWatch({
+      fetchReport: entry => reports.fetch(entry),
+      now: () => parts.clock.now(),
+      findContactMs: () => lease.lastContactMs,
+      listEngines: () => this.listEngines(),
+      countOwn: engineId => this.scheduler.countRuns(engineId),
+      onSuperseded: foreign => this.yieldRuns(foreign),
+    });
     this.weights = new WeightTask({
       lease,
       roster,
       fleet: this.fleet,
+      reports,
       links,
       protocol,
       scheduler: this.scheduler,
       named,
+      metrics: parts.metrics,
       vmName,
       logger,
     });
   }
 
+  /** Batches whose items it runs. */
+  get openCount(): number {
+    return this.scheduler.openCount;
+  }
+
   /** Reads what there is and starts to run it. */
   async start(): Promise<void> {
     const {shelf} = this.parts;
@@ -120,6 +142,7 @@
     this.progressTimer = setInterval(() => {
       this.writeProgress();
       this.scheduler.forget(Date.now() - KEEP_BATCH_MS);
+      void this.succession.check();
     }, PROGRESS_MS);
   }
 
@@ -215,10 +238,28 @@
 
   private decide(): void {
     const nowMs = this.parts.clock.now();
-    if (nowMs - this.parts.lease.lastContactMs > BLIND_MS) return;
+    const {lastContactMs} = this.parts.lease;
+    if (lastContactMs < this.yieldedMs) return;
+    if (nowMs - lastContactMs > BLIND_MS) return;
     for (const action of this.scheduler.decide(nowMs)) this.act(action);
   }
 
+  private listEngines(): readonly EndpointEntry[] {
+    const {roster, clock, config} = this.parts;
+    const services = config.table?.engines ?? [];
+    return services.flatMap(({name}) => roster.listUsable(name, clock.now()));
+  }
+
+  /** Leaves the items to the VM that runs them too. */
+  private yieldRuns(foreign: number): void {
+    this.yieldedMs = this.parts.clock.now();
+    if (this.live.size === 0) return;
+    this.parts.logger.log('warn', 'items are run by another VM', {
+      runs: foreign,
+    });
+    for (const {generation} of [...this.live.values()]) generation.stop();
+  }
+
   private act(action: ScheduleAction): void {
     switch (action.kind) {
       case 'start':
--- a/packages/daemon/src/gateway/endpoints/endpoint_protocol.ts
+++ b/packages/daemon/src/gateway/endpoints/endpoint_protocol.ts
@@ -50,6 +50,8 @@
   readonly isBusy: boolean;
   /** Orders accepted in this life. */
   readonly orders: number;
+  /** Requests that it runs or has waiting, some hundred ms ago. */
+  readonly runs: number;
   /** As in the endpoint's entry. */
   readonly bornMs: number;
 }
--- a/packages/daemon/src/gateway/engines/weight_task.ts
+++ b/packages/daemon/src/gateway/engines/weight_task.ts
@@ -29,18 +29,22 @@
   OrderAnswer,
 } from '../endpoints/endpoint_protocol.js';
 import type {EngineFleet} from './engine_fleet.js';
+import type {EngineReports} from './engine_reports.js';
 import {callOnce} from '../endpoints/http_call.js';
+import type {GatewayMetrics} from '../gateway_metrics.js';
 import type {LeaseTask} from './lease_task.js';
 
 export interface WeightParts {
   readonly lease: LeaseTask;
   readonly roster: EndpointRoster;
   readonly fleet: EngineFleet;
+  readonly reports: EngineReports;
   readonly links: EndpointLinks;
   readonly protocol: EndpointProtocol;
   readonly scheduler: BatchScheduler;
   /** Newest versions that trainers named. */
   readonly named: ReadonlyMap<string, number>;
+  readonly metrics: GatewayMetrics;
   readonly vmName: string;
   readonly logger: EventLogger;
 }
@@ -65,8 +69,6 @@
 /** Engines that load at once at most, as a share of all and at least; more slow each other down (2 of 6, 10 of 34 and 9 of 31 do not). */
 const LOAD_SHARE = 0.29;
 const MIN_LOADS = 2;
-/** An engine answers a report within this time, ms. */
-const REPORT_MS = 400;
 /** An engine answers an order in a few ms; without an answer the same order is sent again, which is void if the first was accepted. */
 const ORDER_MS = 150;
 /** How long a load is taken to last until one was seen, ms. */
@@ -233,7 +235,7 @@
   /** One look at the engine, and one order if it is due. */
   private async tryLoad(target: LoadTarget): Promise<LoadStep> {
     const {entry, model, version} = target;
-    const report = await this.fetchReport(entry);
+    const report = await this.parts.reports.fetch(entry);
     if (this.isOutOfDate(entry)) return 'over';
     if (!report) {
       await sleep(LOOK_MS);
@@ -292,7 +294,7 @@
     for (let looks = 0; looks < MAX_LOOKS; looks++) {
       await sleep(LOOK_MS);
       if (this.isOutOfDate(entry)) return 'over';
-      const report = await this.fetchReport(entry);
+      const report = await this.parts.reports.fetch(entry);
       if (!report) continue;
       if (hasVersion(report, model, version)) {
         this.learnLoad(performance.now() - startedMs - REPORT_BEHIND_MS);
@@ -317,35 +319,6 @@
     return this.isStopped || !now || now.bornMs !== entry.bornMs;
   }
 
-  private async fetchReport(
-    entry: EndpointEntry,
-  ): Promise<EngineReport | undefined> {
-    const {protocol, fleet, links} = this.parts;
-    const call = protocol.reportCall();
-    const outcome = await callOnce(links.open(entry), {
-      ...call,
-      host: entry.host,
-      port: entry.port,
-      timeoutMs: REPORT_MS,
-    });
-    if (outcome.kind !== 'answered' || outcome.status !== 200) {
-      if (outcome.kind === 'unknown') links.renew(entry.id);
-      return undefined;
-    }
-    const report = protocol.decodeReport(outcome.body);
-    if (!report.ok) {
-      this.parts.logger.log('warn', 'report of an engine can not be read', {
-        endpoint: entry.id,
-        detail: report.error.detail,
-      });
-      return undefined;
-    }
-    // The address may belong to a later life by now.
-    if (report.value.bornMs !== entry.bornMs) return undefined;
-    fleet.noteReport(entry, report.value);
-    return report.value;
-  }
-
   private async order(target: LoadTarget): Promise<OrderAnswer | 'none'> {
     const {entry, model, version, mode} = target;
     const {protocol, links, lease, fleet, vmName, logger} = this.parts;
@@ -370,6 +343,7 @@
       outcome.kind === 'answered'
         ? protocol.judgeOrder(outcome.status)
         : 'none';
+    this.parts.metrics.count(`order_${answer}`);
     logger.log('info', 'order to an engine', {
       endpoint: entry.id,
       model,
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -27,6 +27,7 @@
 import {KeyedFeed} from './store/keyed_feed.js';
 import {LeaseTask} from './engines/lease_task.js';
 import type {KeyedRecord, LogStore} from './store/log_store.js';
+import {MeteredStore} from './store/metered_store.js';
 import type {PlatformDirectory} from './store/platform_directory.js';
 import {VmClock} from './vm_clock.js';
 
@@ -80,6 +81,7 @@
 export class Gateway {
   readonly metrics = new GatewayMetrics();
   private readonly clock = new VmClock();
+  private readonly store: LogStore;
   private readonly roster = new EndpointRoster(GONE_GRACE_MS);
   private readonly links = new EndpointLinks();
   private readonly view = new EndpointView();
@@ -101,7 +103,9 @@
     private readonly cfg: GatewayConfig,
     private readonly parts: GatewayParts,
   ) {
-    const {store, directory, callers, endpoints, logger} = parts;
+    const {directory, callers, endpoints, logger} = parts;
+    const store = new MeteredStore(parts.store, this.metrics);
+    this.store = store;
     this.config = new ConfigHolder(logger);
     this.shelf = new BatchShelf(store, logger);
     this.lease = new LeaseTask(
@@ -117,6 +121,7 @@
       view: this.view,
       protocol: endpoints,
       dataCentre: cfg.dataCentre,
+      metrics: this.metrics,
       logger,
     });
     const batches = new BatchApi(
@@ -164,6 +169,10 @@
     this.metrics.observe('config_version', () => this.config.version);
     this.metrics.observe('endpoints', () => this.roster.size);
     this.metrics.observe('coordinator', () => Number(this.lease.isNamed));
+    this.metrics.observe('log_silent_ms', () =>
+      Math.round(this.clock.now() - this.contactMs),
+    );
+    this.metrics.observe('batches_open', () => this.runner?.openCount ?? 0);
   }
 
   /** Opens the listeners and starts to follow the log. */
@@ -220,7 +229,7 @@
     this.readiness.close();
     this.metricsServer.close();
     this.links.close();
-    this.parts.store.close();
+    this.store.close();
   }
 
   /** Steady ms of the last word from the log. */
@@ -241,7 +250,7 @@
       onContact: () => (this.contactMs = this.clock.now()),
       onLost: () => undefined,
     };
-    return new KeyedFeed(this.parts.store, cfg, events, this.parts.logger);
+    return new KeyedFeed(this.store, cfg, events, this.parts.logger);
   }
 
   private takeConfigRecord({key, value, offset}: KeyedRecord): void {
@@ -304,7 +313,7 @@
     this.runner = undefined;
     if (!isNamed || this.isStopping) return;
     const runner = new BatchRunner({
-      store: this.parts.store,
+      store: this.store,
       shelf: this.shelf,
       lease: this.lease,
       roster: this.roster,
--- a/packages/daemon/src/gateway/requests/forwarder.ts
+++ b/packages/daemon/src/gateway/requests/forwarder.ts
@@ -16,6 +16,7 @@
 import {createError, type RadishyokeError} from '@radishyoke/shared/error_kind';
 import type {IncomingHttpHeaders} from 'node:http';
 import type {EventLogger} from '../../logger.js';
+import type {GatewayMetrics} from '../gateway_metrics.js';
 import {
   type EndpointAnswer,
   EndpointExchange,
@@ -47,6 +48,7 @@
   readonly view: EndpointView;
   readonly protocol: EndpointProtocol;
   readonly dataCentre: string;
+  readonly metrics: GatewayMetrics;
   readonly logger: EventLogger;
 }
 
@@ -246,6 +248,7 @@
     tookMs: number,
   ): void {
     if (outcome.kind === 'answered' && outcome.answer.status < 500) return;
+    this.parts.metrics.count(`attempt_${outcome.kind}`);
     this.parts.logger.log('warn', 'attempt failed', {
       requestId: this.req.attemptId,
       rule: this.req.route.name,
--- a/packages/daemon/src/gateway/requests/front_server.ts
+++ b/packages/daemon/src/gateway/requests/front_server.ts
@@ -228,6 +228,7 @@
     res: http.ServerResponse,
     error: RadishyokeError,
   ): void {
+    this.parts.metrics.count(`refused_${error.kind}`);
     this.parts.logger.log('info', 'request refused', {
       requestId: this.parts.protocol.readAttempt(req.headers).id,
       configVersion: this.parts.config.version,
@@ -253,7 +254,7 @@
       outcome.kind === 'answered'
         ? String(outcome.answer.status)
         : outcome.error.kind;
-    metrics.noteRequest(route.name, result, tookMs);
+    metrics.noteResult('requests', route.name, result, tookMs);
     logger.log('info', 'request', {
       requestId,
       rule: route.name,
--- a/packages/shared/src/log_event.ts
+++ b/packages/shared/src/log_event.ts
@@ -151,6 +151,7 @@
   readonly 'run misdirected': RunFields;
   readonly 'run unreachable': RunFields;
   readonly 'run broken': RunFields;
+  readonly 'items are run by another VM': {readonly runs: number};
   readonly 'item has a result': Subject & {
     readonly batch: string;
     readonly outcome: string;
