feat(cli): trace tells the path of a request, item, batch or engine from logs

Lines of many VMs are put on one time line by the facts that all learn from the log at one time, so that a clock that is ahead tells no story that can not have been.

--- /dev/null
+++ b/packages/cli/src/__tests__/trace_command.spec.ts
@@ -0,0 +1,54 @@
+import test from 'ava';
+import {runInProcess} from './cli_fixture.js';
+
+/** A line as a VM writes it. */
+function createLine(
+  vm: string,
+  time: number,
+  message: string,
+  fields: Readonly<Record<string, unknown>>,
+): string {
+  return JSON.stringify({context: {vm, ...fields}, message, time});
+}
+
+const LOG = [
+  createLine('edge-a-2', 1000, 'request', {requestId: 'other'}),
+  createLine('edge-a-2', 1391, 'attempt failed', {
+    requestId: 'cc27',
+    endpoint: 'i-2cb',
+    detail: 'status 504',
+  }),
+  createLine('edge-a-2', 1392, 'request', {requestId: 'cc27', outcome: '504'}),
+  'a line of something else',
+].join('\n');
+
+test('trace prints the path of an id with the reason of each turn', async t => {
+  const {code, out} = await runInProcess(['trace', 'cc27'], {}, LOG);
+  t.is(code, 0);
+  const [heading, first, second, ...more] = out.split('\n');
+  t.regex(heading, /^s +vm +event +why$/);
+  t.regex(first, /^0\.000 +\* +edge-a-2 +attempt failed +.*detail=status 504$/);
+  t.regex(second, /^0\.001 +\* +edge-a-2 +request +.*outcome=504$/);
+  t.deepEqual(more, []);
+});
+
+test('trace prints JSON lines for programs', async t => {
+  const {out} = await runInProcess(['trace', 'cc27', '--json'], {}, LOG);
+  const [first] = out.split('\n').map(line => JSON.parse(line));
+  t.like(first, {
+    atMs: 1391,
+    role: 'subject',
+    vm: 'edge-a-2',
+    event: 'attempt failed',
+    endpoint: 'i-2cb',
+  });
+});
+
+test('trace says so when no line names the id, or a file can not be read', async t => {
+  const unheard = await runInProcess(['trace', 'unheard'], {}, LOG);
+  t.is(unheard.code, 1);
+  t.regex(unheard.err, /no line of 3 names unheard/);
+  const missing = await runInProcess(['trace', 'x', '/nowhere/at-all.log']);
+  t.is(missing.code, 2);
+  t.regex(missing.err, /can not be read/);
+});
--- a/packages/cli/src/cli.ts
+++ b/packages/cli/src/cli.ts
@@ -24,6 +24,7 @@
 import {RULES_ACTIONS, runRules} from './rules_command.js';
 import {runServeCommand} from './serve_command.js';
 import {runToken} from './token_command.js';
+import {runTrace} from './trace_command.js';
 import {UsageError} from './usage_error.js';
 
 const VERSION = '0.1.0';
@@ -59,6 +60,7 @@
   const cli = cac('radishyoke');
   addProcessCommands(cli, args);
   addFileCommands(cli, args, io);
+  addLogCommands(cli, io);
   addAdminCommands(cli, args, io);
   cli
     .command('keys', 'Print the reference of all keys, in Markdown')
@@ -106,6 +108,17 @@
     .action((file, options) => runExplain(io, file, args, options));
 }
 
+function addLogCommands(cli: CAC, io: CliIo): void {
+  cli
+    .command(
+      'trace <id> [...files]',
+      'Tell the path of a request, item, batch or engine from logs',
+    )
+    .option('--json', 'Print JSON lines')
+    .example('radishyoke trace 9c41d07b vm-1.log vm-2.log')
+    .action((id, files, options) => runTrace(io, String(id), files, options));
+}
+
 function addAdminCommands(cli: CAC, args: readonly string[], io: CliIo): void {
   const add = (usage: string, text: string) =>
     cli
--- /dev/null
+++ b/packages/cli/src/trace_command.ts
@@ -0,0 +1,81 @@
+/** `radishyoke trace`: the path of a request, item, batch or engine from logs. */
+
+import {readFile} from 'node:fs/promises';
+import {
+  parseTraceLine,
+  type TraceLine,
+} from '@radishyoke/core/trace/trace_line';
+import {tracePath, type TraceStep} from '@radishyoke/core/trace/trace_path';
+import type {CliIo} from './cli_io.js';
+import {EXIT_CODES, ExitCode} from './exit_code.js';
+import {renderTable} from './table.js';
+import {UsageError} from './usage_error.js';
+
+interface TraceOptions {
+  readonly json?: boolean;
+}
+
+/**
+ * Prints the path of `id` through the logs in `files`, one of each VM or many in
+ * one, or through the standard input when there is none.
+ */
+export async function runTrace(
+  io: CliIo,
+  id: string,
+  files: readonly string[],
+  {json}: TraceOptions,
+): Promise<ExitCode> {
+  const lines = await readLines(io, files);
+  const path = tracePath(lines, id);
+  if (path.length === 0) {
+    io.writeErr(`no line of ${lines.length} names ${id}`);
+    return EXIT_CODES.failure;
+  }
+  if (json) for (const step of path) io.writeOut(JSON.stringify(toJson(step)));
+  else io.writeOut(renderPath(path));
+  return EXIT_CODES.ok;
+}
+
+async function readLines(
+  io: CliIo,
+  files: readonly string[],
+): Promise<readonly TraceLine[]> {
+  const texts =
+    files.length === 0
+      ? [await io.readIn()]
+      : await Promise.all(files.map(readLog));
+  return texts
+    .flatMap(text => text.split('\n'))
+    .map(parseTraceLine)
+    .filter(line => line !== undefined);
+}
+
+async function readLog(file: string): Promise<string> {
+  try {
+    return await readFile(file, 'utf8');
+  } catch (err) {
+    throw new UsageError(`${file} can not be read: ${String(err)}`);
+  }
+}
+
+function toJson({atMs, role, line}: TraceStep) {
+  const {vm, event, fields} = line;
+  return {atMs, role, vm, event, ...fields};
+}
+
+/** One line a step; times from the first line that names the subject, s. */
+function renderPath(path: readonly TraceStep[]): string {
+  const originMs = path.find(({role}) => role !== 'context')!.atMs;
+  return renderTable(
+    ['s', '', 'vm', 'event', 'why'],
+    path.map(({atMs, role, line}) => [
+      ((atMs - originMs) / 1e3).toFixed(3),
+      role === 'context' ? '.' : '*',
+      line.vm,
+      line.event,
+      Object.entries(line.fields)
+        .map(([name, value]) => `${name}=${value}`)
+        .join(' '),
+    ]),
+  );
+}
--- /dev/null
+++ b/packages/core/src/trace/__tests__/trace_path.spec.ts
@@ -0,0 +1,120 @@
+import test from 'ava';
+import {alignClocks} from '../clock_alignment.js';
+import {parseTraceLine, type TraceLine} from '../trace_line.js';
+import {tracePath} from '../trace_path.js';
+
+function createLine(
+  vm: string,
+  timeMs: number,
+  event: string,
+  fields: TraceLine['fields'] = {},
+): TraceLine {
+  return {vm, timeMs, event, fields, sequence: 0};
+}
+
+/** What two VMs, `b` with a clock 700 ms ahead, write of one item that moves. */
+function createItemLog(): readonly TraceLine[] {
+  const run = {requestId: 'item', batch: 'lot', endpoint: 'e1'};
+  return [
+    createLine('a', 1000, 'configuration in force', {configVersion: 3}),
+    createLine('a', 1100, 'weights named', {model: 'm', version: 2}),
+    createLine('a', 2000, 'batch accepted', {requestId: 'lot', model: 'm'}),
+    createLine('a', 9000, 'batch end', {requestId: 'lot'}),
+    createLine('a', 2300, 'request', {requestId: 'other'}),
+    createLine('b', 1702, 'configuration in force', {configVersion: 3}),
+    createLine('b', 1799, 'weights named', {model: 'm', version: 2}),
+    createLine('b', 1900, 'coordinator now', {fencingToken: 7}),
+    createLine('b', 2705, 'run started', {...run, reason: 'first'}),
+    createLine('b', 3500, 'endpoint left', {endpoint: 'e1', offset: 9}),
+    createLine('b', 3501, 'endpoint left', {endpoint: 'e9', offset: 10}),
+    createLine('b', 3600, 'run stopped', {...run, reason: 'engine_silent'}),
+    createLine('b', 3601, 'run started', {...run, endpoint: 'e2'}),
+    createLine('b', 3601, 'item has a result', {
+      requestId: 'item',
+      batch: 'lot',
+    }),
+  ];
+}
+
+test('a line is read whatever a collector put before it', t => {
+  const json = JSON.stringify({
+    context: {vm: 'a', requestId: 'x', logLevel: 30},
+    message: 'request',
+    sequence: '4',
+    time: 12,
+  });
+  const expected = {
+    vm: 'a',
+    sequence: 4,
+    timeMs: 12,
+    event: 'request',
+    fields: {requestId: 'x'},
+  };
+  t.deepEqual(parseTraceLine(`  3.25 edge-1 ${json}`), expected);
+  for (const text of ['', 'no object', '{', '{"message":"x"}', '[1]']) {
+    t.is(parseTraceLine(text), undefined);
+  }
+});
+
+// An engineer sees an item run before its batch was accepted.
+// 1. The VM that runs it has a clock that is ahead of the one that accepted it.
+// 2. Lines sorted by their times tell a story that can not have been.
+test('clocks are aligned by what all VMs learn at one time', t => {
+  const offsets = alignClocks(createItemLog());
+  t.true(Math.abs(offsets.get('a')! - offsets.get('b')! - 700) <= 5);
+});
+
+test('the path of an item has its batch, its moves and what explains them', t => {
+  const path = tracePath(createItemLog(), 'item');
+  t.deepEqual(
+    path.map(({line, role}) => [line.event, role]),
+    [
+      ['configuration in force', 'context'],
+      ['coordinator now', 'context'],
+      ['batch accepted', 'batch'],
+      ['run started', 'subject'],
+      ['endpoint left', 'context'],
+      ['run stopped', 'subject'],
+      ['run started', 'subject'],
+      ['item has a result', 'subject'],
+      ['batch end', 'batch'],
+    ],
+  );
+  const endpoints = path.map(({line}) => line.fields['endpoint']);
+  t.false(endpoints.includes('e9'));
+});
+
+// A request is refused for a route that is there.
+// 1. The operator adds the route; all VMs but one learn of it.
+// 2. That one refuses a request for it.
+test('the path shows that a VM went by an older configuration than others', t => {
+  const lines = [
+    createLine('a', 1000, 'configuration in force', {configVersion: 3}),
+    createLine('b', 1000, 'configuration in force', {configVersion: 3}),
+    createLine('b', 2000, 'configuration in force', {configVersion: 5}),
+    createLine('a', 9000, 'request refused', {requestId: 'x'}),
+    createLine('b', 9500, 'configuration in force', {configVersion: 8}),
+  ];
+  const versions = tracePath(lines, 'x').map(({line}) => [
+    line.vm,
+    line.fields['configVersion'],
+  ]);
+  t.deepEqual(versions, [
+    ['a', 3],
+    ['b', 5],
+    ['a', undefined],
+  ]);
+});
+
+test('lines of one VM keep their order when its clock is set back', t => {
+  const lines = [
+    createLine('a', 5000, 'attempt failed', {requestId: 'x'}),
+    createLine('a', 2000, 'request', {requestId: 'x'}),
+  ];
+  const events = tracePath(lines, 'x').map(({line}) => line.event);
+  t.deepEqual(events, ['attempt failed', 'request']);
+});
+
+test('a path that nobody wrote of is empty', t => {
+  t.deepEqual(tracePath(createItemLog(), 'unheard'), []);
+});
--- /dev/null
+++ b/packages/core/src/trace/trace_path.ts
@@ -0,0 +1,187 @@
+/**
+ * The path of a request, an item, a batch or an engine through all VMs: the
+ * lines that tell of it, in an order that no cause breaks, and those that
+ * explain them.
+ */
+
+import {alignClocks, type ClockOffsets} from './clock_alignment.js';
+import {readText, type TraceLine} from './trace_line.js';
+
+/** Why a line is part of a path. */
+export type TraceRole =
+  /** It names what was asked for. */
+  | 'subject'
+  /** It names the batch of the item that was asked for. */
+  | 'batch'
+  /** It tells what the VMs or endpoints of the path went through meanwhile. */
+  | 'context';
+
+export interface TraceStep {
+  /** Unix ms on the common time line. */
+  readonly atMs: number;
+  readonly role: TraceRole;
+  readonly line: TraceLine;
+}
+
+/** Lines this long before the first and after the last of the subject explain it, ms: a lease and a load. */
+const CONTEXT_MS = 5000;
+/** What VMs and endpoints go through, and what that says of a path. */
+const CONTEXT_EVENTS: ReadonlySet<string> = new Set([
+  'started',
+  'stopping',
+  'stopped',
+  'coordinator now',
+  'coordinator no more',
+  'topic can not be read',
+  'topic is read again',
+  'the VM was suspended or its clock was set',
+  'items are run by another VM',
+  'endpoint reborn',
+  'endpoint draining',
+  'endpoint left',
+  'order to an engine',
+  'log lines dropped',
+]);
+/** Of the same ms, what comes first by its nature. */
+const EVENT_ORDER: readonly string[] = [
+  'batch accepted',
+  'coordinator now',
+  'order to an engine',
+  'run started',
+  'run stopped',
+  'run finished',
+  'item has a result',
+  'batch end',
+];
+
+/** Finds the path of `id` among the lines of all VMs. */
+export function tracePath(
+  lines: readonly TraceLine[],
+  id: string,
+): readonly TraceStep[] {
+  const subject = lines.filter(line => isAbout(line, id));
+  if (subject.length === 0) return [];
+  const offsets = alignClocks(lines);
+  const steps = subject.map(line => toStep(line, 'subject', offsets));
+  const batches = new Set(
+    subject.map(line => readText(line, 'batch')).filter(text => text !== id),
+  );
+  batches.delete('');
+  const known = new Set(subject);
+  for (const line of lines) {
+    if (known.has(line) || !isBatchLine(line, batches)) continue;
+    known.add(line);
+    steps.push(toStep(line, 'batch', offsets));
+  }
+  const explained = [...steps];
+  for (const line of findConfigs(lines, explained, offsets)) {
+    known.add(line);
+    steps.push(toStep(line, 'context', offsets));
+  }
+  for (const line of lines) {
+    if (known.has(line)) continue;
+    const step = toStep(line, 'context', offsets);
+    if (explains(step, explained)) steps.push(step);
+  }
+  return sortSteps(steps, lines);
+}
+
+/** Whether the line names `id` as its request, item, batch or endpoint. */
+function isAbout(line: TraceLine, id: string): boolean {
+  return ['requestId', 'batch', 'endpoint'].some(
+    field => readText(line, field) === id,
+  );
+}
+
+/** Whether the line tells of one of `batches` as a whole. */
+function isBatchLine(line: TraceLine, batches: ReadonlySet<string>): boolean {
+  if (!line.event.startsWith('batch ')) return false;
+  return batches.has(readText(line, 'requestId'));
+}
+
+/** Whether the step tells what VMs or endpoints of `path` went through then. */
+function explains(step: TraceStep, path: readonly TraceStep[]): boolean {
+  const {line, atMs} = step;
+  if (!CONTEXT_EVENTS.has(line.event)) return false;
+  const isNear = path.some(other => Math.abs(other.atMs - atMs) <= CONTEXT_MS);
+  if (!isNear) return false;
+  const endpoint = readText(line, 'endpoint');
+  const model = readText(line, 'model');
+  if (endpoint !== '') {
+    return path.some(
+      other =>
+        readText(other.line, 'endpoint') === endpoint ||
+        (model !== '' && readText(other.line, 'model') === model),
+    );
+  }
+  if (line.event.startsWith('coordinator')) return hasItems(path);
+  return path.some(other => other.line.vm === line.vm);
+}
+
+/**
+ * For the first step of the path: the configuration in force on its VM, and the
+ * newest that any VM had by then, which tells whether this one was behind.
+ */
+function findConfigs(
+  lines: readonly TraceLine[],
+  path: readonly TraceStep[],
+  offsets: ClockOffsets,
+): readonly TraceLine[] {
+  const first = path.reduce((a, b) => (b.atMs < a.atMs ? b : a));
+  let own: TraceLine | undefined;
+  let newest: TraceLine | undefined;
+  for (const line of lines) {
+    if (line.event !== 'configuration in force') continue;
+    if (toStep(line, 'context', offsets).atMs > first.atMs) continue;
+    if (line.vm === first.line.vm) own = line;
+    if (!newest || readVersion(line) > readVersion(newest)) newest = line;
+  }
+  const found = [own, newest].filter(line => line !== undefined);
+  return [...new Set(found)];
+}
+
+function readVersion(line: TraceLine): number {
+  return Number(line.fields['configVersion'] ?? 0);
+}
+
+/** Only items of batches go through the coordinator. */
+function hasItems(path: readonly TraceStep[]): boolean {
+  return path.some(({line}) => line.event.startsWith('batch '));
+}
+
+function toStep(
+  line: TraceLine,
+  role: TraceRole,
+  offsets: ClockOffsets,
+): TraceStep {
+  return {line, role, atMs: line.timeMs + (offsets.get(line.vm) ?? 0)};
+}
+
+/**
+ * By time; the lines of one VM in the order in which they were given, which is
+ * the one in which it wrote them, even where its clock went back meanwhile.
+ */
+function sortSteps(
+  steps: readonly TraceStep[],
+  lines: readonly TraceLine[],
+): readonly TraceStep[] {
+  const places = new Map(lines.map((line, index) => [line, index]));
+  const written = [...steps].sort(
+    (a, b) => places.get(a.line)! - places.get(b.line)!,
+  );
+  const latest = new Map<string, number>();
+  const monotonic = written.map(step => {
+    const {vm} = step.line;
+    const atMs = Math.max(step.atMs, latest.get(vm) ?? -Infinity);
+    latest.set(vm, atMs);
+    return {...step, atMs};
+  });
+  return monotonic.sort(
+    (a, b) => a.atMs - b.atMs || rankEvent(a) - rankEvent(b),
+  );
+}
+
+function rankEvent({line}: TraceStep): number {
+  const rank = EVENT_ORDER.indexOf(line.event);
+  return rank < 0 ? EVENT_ORDER.length : rank;
+}
