--- a/packages/core/src/routing/__tests__/attempt_policy.spec.ts
+++ b/packages/core/src/routing/__tests__/attempt_policy.spec.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import fc from 'fast-check';
 import {
   type AttemptEnd,
   type AttemptTally,
@@ -95,3 +96,48 @@
   t.is(measureHedgeMs({...REPEATABLE, attempts: 1}), undefined);
   t.is(measureHedgeMs(ONCE), undefined);
 });
+
+const anyEnd: fc.Arbitrary<AttemptEnd> = fc.oneof(
+  fc.constant({kind: 'not_run'} as const),
+  fc.constant({kind: 'unknown'} as const),
+  fc.record({
+    kind: fc.constant('answered' as const),
+    status: fc.constantFrom(200, 404, 500, 503),
+  }),
+);
+const anyTerms: fc.Arbitrary<RequestTerms> = fc.record({
+  isRepeatable: fc.boolean(),
+  attempts: fc.integer({min: 1, max: 4}),
+  objectiveMs: fc.constant(200),
+});
+
+/** Plays attempts that end as `ends` say, one after the other, as the forwarder does. */
+function playAttempts(terms: RequestTerms, ends: readonly AttemptEnd[]) {
+  let ran = 0;
+  let notRun = 0;
+  for (const end of ends) {
+    if (end.kind === 'not_run') notRun += 1;
+    else ran += 1;
+    const {kind} = decideNext(terms, end, {ran, notRun});
+    if (kind !== 'try_again') return {ran, outcome: kind};
+  }
+  return {ran, outcome: undefined};
+}
+
+// A caller sends a payment again that was made, or gives up one that was not.
+// 1. An attempt may have run; the next ones are refused.
+// 2. The caller is told that its request has not run.
+test('whatever endpoints do, a refusal is true and nothing runs too often', t => {
+  fc.assert(
+    fc.property(
+      anyTerms,
+      fc.array(anyEnd, {minLength: 1, maxLength: 12}),
+      (terms, ends) => {
+        const {ran, outcome} = playAttempts(terms, ends);
+        if (outcome === 'refuse') t.is(ran, 0);
+        t.true(ran <= (terms.isRepeatable ? terms.attempts : 1));
+      },
+    ),
+    {seed: 5, numRuns: 5000},
+  );
+});
