--- a/packages/cli/src/__tests__/pages.spec.ts
+++ b/packages/cli/src/__tests__/pages.spec.ts
@@ -42,6 +42,7 @@
         .replaceAll('http://127.0.0.1:7100', deployment.origins[0])
         .replaceAll('npx radishyoke', cli)
         .replaceAll(/curl -s(N?)/g, 'curl -sS$1 --fail-with-body --max-time 15')
+        .replaceAll('radishyoke-day.html', path.join(outDir, 'day.html'))
         .replaceAll('audit-export.jsonl', path.join(outDir, 'export.jsonl'));
       const run = promisify(execFile)('bash', ['-e', '-c', script], {
         cwd: root,
--- a/packages/cli/src/__tests__/trace_command.spec.ts
+++ b/packages/cli/src/__tests__/trace_command.spec.ts
@@ -1,5 +1,8 @@
+import {mkdtemp, readFile, rm} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
 import test from 'ava';
-import {runInProcess} from './cli_fixture.js';
+import {examplePath, runInProcess} from './cli_fixture.js';
 
 /** A line as a VM writes it. */
 function createLine(
@@ -52,3 +55,16 @@
   t.is(missing.code, 2);
   t.regex(missing.err, /can not be read/);
 });
+
+test('report draws the day that logs tell of', async t => {
+  const folder = await mkdtemp(path.join(tmpdir(), 'radishyoke-day-'));
+  t.teardown(() => rm(folder, {recursive: true}));
+  const page = path.join(folder, 'day.html');
+  const log = examplePath('logs/late-item.log');
+  const {code} = await runInProcess(['report', log, '--out', page]);
+  t.is(code, 0);
+  const html = await readFile(page, 'utf8');
+  t.regex(html, /1 batches, 1 of them over 7500 ms; 2 loads/);
+  t.regex(html, /<rect [^>]*fill="#c2185b"/);
+  t.notRegex(html, /<script/);
+});
--- a/packages/cli/src/cli.ts
+++ b/packages/cli/src/cli.ts
@@ -153,7 +153,10 @@
     .option('--to <version>', 'diff: the newer version')
     .option('--version-number <version>', 'show: another than in force')
     .action((action, file, options) => runRules(toRun(options), action, file));
-  add('report [file]', 'Write a run, or the figures of VMs, as an HTML page')
+  add(
+    'report [file]',
+    'Write a run, a day of logs, or the figures of VMs, as an HTML page',
+  )
     .option('--out <file>', 'The page to write')
     .action((file, options) => runReport(toRun(options), file));
   add('audit <action> [file]', `Audit: ${AUDIT_ACTIONS.join(', ')}`)
--- a/packages/cli/src/report_command.ts
+++ b/packages/cli/src/report_command.ts
@@ -1,20 +1,30 @@
 /**
  * `radishyoke report`: a run as an HTML page. The run is a file of JSON lines,
- * such as the output of `demo` or `measure`, or the VMs that are asked.
+ * such as the output of `demo` or `measure`, or the VMs that are asked. Logs of
+ * VMs make the page of a day.
  */
 
 import {readFile, writeFile} from 'node:fs/promises';
 import {z} from 'zod';
 import {EncodedMetrics, MetricRegistry} from '@radishyoke/core/metrics/metrics';
 import {ADMIN_ANSWERS} from '@radishyoke/daemon/admin/admin_schema';
+import {
+  type DaySummary,
+  summarizeDay,
+} from '@radishyoke/core/trace/day_summary';
+import {parseTraceLine} from '@radishyoke/core/trace/trace_line';
 import {createClients} from './admin_client.js';
 import {AdminRun, reportFailure} from './admin_commands.js';
+import {renderDay} from './day_page.js';
 import {EXIT_CODES, ExitCode} from './exit_code.js';
 import {requireOption} from './raw_option.js';
 import {renderReport, RunReport} from './report_page.js';
 import {StepTimeline, stepTimelineSchema} from './step_timeline.js';
 import {UsageError} from './usage_error.js';
 
+/** A step that took longer is drawn as late, ms: what the users' routes give a step. */
+const DUE_MS = 7500;
+
 /** A line may carry the histograms of the run beside its figures. */
 const runLineSchema = z.looseObject({
   metrics: ADMIN_ANSWERS.histograms.optional(),
@@ -27,6 +37,12 @@
   file: string | undefined,
 ): Promise<ExitCode> {
   const out = requireOption(run.rawArgs, 'out');
+  const day = file === undefined ? undefined : await readDay(file);
+  if (file !== undefined && day) {
+    await writeFile(out, renderDay(`Radishyoke: ${file}`, day, DUE_MS));
+    run.io.writeErr(`${out} is written`);
+    return EXIT_CODES.ok;
+  }
   const report = file === undefined ? await askVms(run) : await readRun(file);
   if (typeof report === 'number') return report;
   await writeFile(out, renderReport(report));
@@ -34,6 +50,13 @@
   return EXIT_CODES.ok;
 }
 
+/** The day that a file of logs tells of; undefined if it holds none. */
+async function readDay(file: string): Promise<DaySummary | undefined> {
+  const text = await readFile(file, 'utf8');
+  const lines = text.split('\n').map(parseTraceLine);
+  return summarizeDay(lines.filter(line => line !== undefined));
+}
+
 async function askVms(run: AdminRun): Promise<RunReport | ExitCode> {
   const metrics = new MetricRegistry();
   const figures: Array<Readonly<Record<string, unknown>>> = [];
--- a/packages/cli/src/report_page.ts
+++ b/packages/cli/src/report_page.ts
@@ -3,6 +3,7 @@
 import {readFileSync} from 'node:fs';
 import {createRequire} from 'node:module';
 import {HISTOGRAMS} from '@radishyoke/core/metrics/metric_schema';
+import {escapeHtml} from './html_text.js';
 import {createTimelinePlot, StepTimeline} from './step_timeline.js';
 import type {
   HistogramSeries,
@@ -151,11 +152,3 @@
 function toScript(value: unknown): string {
   return JSON.stringify(value).replaceAll('<', '\\u003c');
 }
-
-function escapeHtml(text: string): string {
-  return text
-    .replaceAll('&', '&amp;')
-    .replaceAll('<', '&lt;')
-    .replaceAll('>', '&gt;')
-    .replaceAll('"', '&quot;');
-}
--- /dev/null
+++ b/packages/core/src/trace/day_summary.ts
@@ -0,0 +1,204 @@
+/** What a day was like, from the logs of all VMs on one time line. */
+
+import {alignClocks} from './clock_alignment.js';
+import {readText, type TraceLine} from './trace_line.js';
+
+/** A span of time, Unix ms; without an end it lasted beyond the logs. */
+export interface Span {
+  readonly fromMs: number;
+  readonly toMs?: number;
+}
+
+/** A batch from its acceptance to its end. */
+export interface StepSpan extends Span {
+  readonly batch: string;
+  readonly model: string;
+  readonly step: string;
+  readonly results: number;
+}
+
+/** A VM out of touch with the log, or the one that ran the batches. */
+export interface VmSpan extends Span {
+  readonly vm: string;
+}
+
+/** An order to an engine that was accepted. */
+export interface LoadMark {
+  readonly atMs: number;
+  readonly endpoint: string;
+  readonly model: string;
+  readonly version: string;
+}
+
+/** How often something happened in each second of the day. */
+export interface SecondCounts {
+  readonly name: string;
+  /** By whole seconds from the start of the day. */
+  readonly counts: readonly number[];
+}
+
+export interface DaySummary {
+  readonly fromMs: number;
+  readonly toMs: number;
+  readonly steps: readonly StepSpan[];
+  readonly outages: readonly VmSpan[];
+  readonly coordinators: readonly VmSpan[];
+  readonly loads: readonly LoadMark[];
+  readonly requests: readonly SecondCounts[];
+}
+
+interface OpenSpan {
+  readonly key: string;
+  readonly vm: string;
+  readonly fromMs: number;
+  toMs?: number;
+}
+
+/** Summarizes a day; undefined without a line. */
+export function summarizeDay(
+  lines: readonly TraceLine[],
+): DaySummary | undefined {
+  if (lines.length === 0) return undefined;
+  const offsets = alignClocks(lines);
+  const aligned = lines
+    .map(line => ({
+      line,
+      atMs: line.timeMs + (offsets.get(line.vm) ?? 0),
+    }))
+    .sort((a, b) => a.atMs - b.atMs);
+  const day = new DayBuilder();
+  for (const {line, atMs} of aligned) day.take(line, atMs);
+  return day.build(aligned[0].atMs, aligned[aligned.length - 1].atMs);
+}
+
+class DayBuilder {
+  private readonly steps = new Map<string, StepSpan>();
+  private readonly outages: OpenSpan[] = [];
+  private readonly coordinators: OpenSpan[] = [];
+  private readonly loads: LoadMark[] = [];
+  private readonly happened = new Map<string, number[]>();
+
+  take(line: TraceLine, atMs: number): void {
+    switch (line.event) {
+      case 'batch accepted':
+        return this.openStep(line, atMs);
+      case 'batch end':
+        return this.changeStep(readText(line, 'requestId'), step => ({
+          toMs: step.toMs ?? atMs,
+        }));
+      case 'item has a result':
+        return this.changeStep(readText(line, 'batch'), step => ({
+          results: step.results + 1,
+        }));
+      case 'topic can not be read':
+        return this.open(this.outages, line, readText(line, 'topic'), atMs);
+      case 'topic is read again':
+        return this.close(this.outages, line, readText(line, 'topic'), atMs);
+      case 'coordinator now':
+        return this.open(this.coordinators, line, '', atMs);
+      case 'coordinator no more':
+        return this.close(this.coordinators, line, '', atMs);
+      case 'order to an engine':
+        return this.takeOrder(line, atMs);
+      case 'request':
+        return this.count(`answered ${readText(line, 'outcome')}`, atMs);
+      case 'request refused':
+        return this.count(`refused ${readText(line, 'outcome')}`, atMs);
+      case 'batch call refused':
+        return this.count('batch call refused', atMs);
+      case 'started':
+        // What the VM was in before has ended with its process.
+        this.closeAll(this.outages, line.vm, atMs);
+        this.closeAll(this.coordinators, line.vm, atMs);
+    }
+  }
+
+  build(fromMs: number, toMs: number): DaySummary {
+    const seconds = Math.floor((toMs - fromMs) / 1e3) + 1;
+    const requests = [...this.happened].map(([name, times]) => {
+      const counts = new Array<number>(seconds).fill(0);
+      for (const atMs of times) counts[Math.floor((atMs - fromMs) / 1e3)] += 1;
+      return {name, counts};
+    });
+    return {
+      fromMs,
+      toMs,
+      steps: [...this.steps.values()],
+      outages: this.outages.map(toSpan),
+      coordinators: this.coordinators.map(toSpan),
+      loads: this.loads,
+      requests,
+    };
+  }
+
+  private openStep(line: TraceLine, atMs: number): void {
+    const batch = readText(line, 'requestId');
+    // The same batch is accepted again where an acknowledgement was lost.
+    if (this.steps.has(batch)) return;
+    this.steps.set(batch, {
+      batch,
+      model: readText(line, 'model'),
+      step: readText(line, 'step'),
+      fromMs: atMs,
+      results: 0,
+    });
+  }
+
+  private changeStep(
+    batch: string,
+    change: (step: StepSpan) => Partial<StepSpan>,
+  ): void {
+    const step = this.steps.get(batch);
+    if (step) this.steps.set(batch, {...step, ...change(step)});
+  }
+
+  private takeOrder(line: TraceLine, atMs: number): void {
+    if (readText(line, 'outcome') !== 'accepted') return;
+    this.loads.push({
+      atMs,
+      endpoint: readText(line, 'endpoint'),
+      model: readText(line, 'model'),
+      version: readText(line, 'version'),
+    });
+  }
+
+  private count(name: string, atMs: number): void {
+    const times = this.happened.get(name) ?? [];
+    times.push(atMs);
+    this.happened.set(name, times);
+  }
+
+  private open(
+    spans: OpenSpan[],
+    {vm}: TraceLine,
+    key: string,
+    fromMs: number,
+  ): void {
+    const isOpen = spans.some(
+      span => span.vm === vm && span.key === key && span.toMs === undefined,
+    );
+    if (!isOpen) spans.push({key, vm, fromMs});
+  }
+
+  private close(
+    spans: readonly OpenSpan[],
+    {vm}: TraceLine,
+    key: string,
+    toMs: number,
+  ): void {
+    const span = spans.find(
+      each => each.vm === vm && each.key === key && each.toMs === undefined,
+    );
+    if (span) span.toMs = toMs;
+  }
+
+  private closeAll(spans: readonly OpenSpan[], vm: string, toMs: number): void {
+    for (const span of spans) {
+      if (span.vm === vm) span.toMs ??= toMs;
+    }
+  }
+}
+
+function toSpan({vm, fromMs, toMs}: OpenSpan): VmSpan {
+  return {vm, fromMs, ...(toMs === undefined ? {} : {toMs})};
+}
