--- a/packages/cli/src/report_command.ts
+++ b/packages/cli/src/report_command.ts
@@ -8,11 +8,8 @@
 import {z} from 'zod';
 import {EncodedMetrics, MetricRegistry} from '@radishyoke/core/metrics/metrics';
 import {ADMIN_ANSWERS} from '@radishyoke/daemon/admin/admin_schema';
-import {
-  type DaySummary,
-  summarizeDay,
-} from '@radishyoke/core/trace/day_summary';
-import {parseTraceLine} from '@radishyoke/core/trace/trace_line';
+import {summarizeDay} from '@radishyoke/core/trace/day_summary';
+import {parseTraceLines} from '@radishyoke/core/trace/trace_line';
 import {createClients} from './admin_client.js';
 import {AdminRun, reportFailure} from './admin_commands.js';
 import {renderDay} from './day_page.js';
@@ -37,27 +34,22 @@
   file: string | undefined,
 ): Promise<ExitCode> {
   const out = requireOption(run.rawArgs, 'out');
-  const day = file === undefined ? undefined : await readDay(file);
-  if (file !== undefined && day) {
-    await writeFile(out, renderDay(`Radishyoke: ${file}`, day, DUE_MS));
-    run.io.writeErr(`${out} is written`);
-    return EXIT_CODES.ok;
-  }
-  const report = file === undefined ? await askVms(run) : await readRun(file);
-  if (typeof report === 'number') return report;
-  await writeFile(out, renderReport(report));
+  const page = file === undefined ? await askVms(run) : await readPage(file);
+  if (typeof page === 'number') return page;
+  await writeFile(out, page);
   run.io.writeErr(`${out} is written`);
   return EXIT_CODES.ok;
 }
 
-/** The day that a file of logs tells of; undefined if it holds none. */
-async function readDay(file: string): Promise<DaySummary | undefined> {
+/** The page of a file: a day if it holds logs, or else a run. */
+async function readPage(file: string): Promise<string> {
   const text = await readFile(file, 'utf8');
-  const lines = text.split('\n').map(parseTraceLine);
-  return summarizeDay(lines.filter(line => line !== undefined));
+  const day = summarizeDay(parseTraceLines(text));
+  if (day) return renderDay(`Radishyoke: ${file}`, day, DUE_MS);
+  return renderReport(readRun(file, text));
 }
 
-async function askVms(run: AdminRun): Promise<RunReport | ExitCode> {
+async function askVms(run: AdminRun): Promise<string | ExitCode> {
   const metrics = new MetricRegistry();
   const figures: Array<Readonly<Record<string, unknown>>> = [];
   for (const client of createClients(run.io, run.rawArgs)) {
@@ -69,14 +61,14 @@
     merge(metrics, histograms.value as EncodedMetrics);
   }
   const title = 'Radishyoke: figures of running VMs';
-  return {title, figures, metrics, timelines: []};
+  return renderReport({title, figures, metrics, timelines: []});
 }
 
-async function readRun(file: string): Promise<RunReport> {
+function readRun(file: string, text: string): RunReport {
   const metrics = new MetricRegistry();
   const figures: Array<Readonly<Record<string, unknown>>> = [];
   const timelines: StepTimeline[] = [];
-  for (const line of (await readFile(file, 'utf8')).split('\n')) {
+  for (const line of text.split('\n')) {
     const parsed = runLineSchema.safeParse(parseJson(line));
     if (!parsed.success) continue;
     const {metrics: encoded, timelines: steps = [], ...rest} = parsed.data;
--- a/packages/cli/src/trace_command.ts
+++ b/packages/cli/src/trace_command.ts
@@ -2,7 +2,7 @@
 
 import {readFile} from 'node:fs/promises';
 import {
-  parseTraceLine,
+  parseTraceLines,
   type TraceLine,
 } from '@radishyoke/core/trace/trace_line';
 import {tracePath, type TraceStep} from '@radishyoke/core/trace/trace_path';
@@ -44,10 +44,7 @@
     files.length === 0
       ? [await io.readIn()]
       : await Promise.all(files.map(readLog));
-  return texts
-    .flatMap(text => text.split('\n'))
-    .map(parseTraceLine)
-    .filter(line => line !== undefined);
+  return texts.flatMap(parseTraceLines);
 }
 
 async function readLog(file: string): Promise<string> {
--- a/packages/core/src/trace/clock_alignment.ts
+++ b/packages/core/src/trace/clock_alignment.ts
@@ -51,6 +51,11 @@
   );
 }
 
+/** Unix ms of the line on the common time line. */
+export function alignTime(line: TraceLine, offsets: ClockOffsets): number {
+  return line.timeMs + (offsets.get(line.vm) ?? 0);
+}
+
 function nameFact(line: TraceLine): string | undefined {
   const names = SHARED_FACTS[line.event];
   if (!names) return undefined;
--- a/packages/core/src/trace/day_summary.ts
+++ b/packages/core/src/trace/day_summary.ts
@@ -1,6 +1,6 @@
 /** What a day was like, from the logs of all VMs on one time line. */
 
-import {alignClocks} from './clock_alignment.js';
+import {alignClocks, alignTime} from './clock_alignment.js';
 import {readText, type TraceLine} from './trace_line.js';
 
 /** A span of time, Unix ms; without an end it lasted beyond the logs. */
@@ -61,10 +61,7 @@
   if (lines.length === 0) return undefined;
   const offsets = alignClocks(lines);
   const aligned = lines
-    .map(line => ({
-      line,
-      atMs: line.timeMs + (offsets.get(line.vm) ?? 0),
-    }))
+    .map(line => ({line, atMs: alignTime(line, offsets)}))
     .sort((a, b) => a.atMs - b.atMs);
   const day = new DayBuilder();
   for (const {line, atMs} of aligned) day.take(line, atMs);
--- a/packages/core/src/trace/trace_line.ts
+++ b/packages/core/src/trace/trace_line.ts
@@ -45,6 +45,14 @@
   };
 }
 
+/** The lines of a log; whatever else stands between them is left out. */
+export function parseTraceLines(text: string): readonly TraceLine[] {
+  return text
+    .split('\n')
+    .map(parseTraceLine)
+    .filter(line => line !== undefined);
+}
+
 /** A field's value as text; empty where the line has none. */
 export function readText(line: TraceLine, field: string): string {
   return String(line.fields[field] ?? '');
--- a/packages/core/src/trace/trace_path.ts
+++ b/packages/core/src/trace/trace_path.ts
@@ -4,7 +4,7 @@
  * explain them.
  */
 
-import {alignClocks, type ClockOffsets} from './clock_alignment.js';
+import {alignClocks, alignTime, type ClockOffsets} from './clock_alignment.js';
 import {readText, type TraceLine} from './trace_line.js';
 
 /** Why a line is part of a path. */
@@ -132,7 +132,7 @@
   let newest: TraceLine | undefined;
   for (const line of lines) {
     if (line.event !== 'configuration in force') continue;
-    if (toStep(line, 'context', offsets).atMs > first.atMs) continue;
+    if (alignTime(line, offsets) > first.atMs) continue;
     if (line.vm === first.line.vm) own = line;
     if (!newest || readVersion(line) > readVersion(newest)) newest = line;
   }
@@ -154,7 +154,7 @@
   role: TraceRole,
   offsets: ClockOffsets,
 ): TraceStep {
-  return {line, role, atMs: line.timeMs + (offsets.get(line.vm) ?? 0)};
+  return {line, role, atMs: alignTime(line, offsets)};
 }
 
 /**
