--- a/packages/core/src/batches/__tests__/batch_ledger.spec.ts
+++ b/packages/core/src/batches/__tests__/batch_ledger.spec.ts
@@ -114,3 +114,32 @@
   ledger.forget(1);
   t.is(ledger.get('b0'), undefined);
 });
+
+// A step waits for a text that was made already.
+// 1. A coordinator writes the last event of a text down, marked as such, and
+//    goes while the score is under way.
+// 2. Its successor must go on with the score, unless the text went on otherwise.
+test('a text is whole only where its mark stands behind what is known', t => {
+  const ledger = createLedger([BATCH]);
+  for (const record of acceptBatch(BATCH, 0)) ledger.apply(record);
+  const {transcript} = ledger.get('b0')!.items.get('g0a')!;
+  const progress = {kind: 'progress', batchId: 'b0', itemId: 'g0a'} as const;
+  ledger.apply({...progress, events: [createEvent(1, 'a')]});
+  const other = [createEvent(2, 'b')];
+  ledger.apply({...progress, afterRun: 'b', events: other, isWhole: true});
+  t.false(transcript.isWhole, 'the mark belongs to a text of another run');
+  const last = [createEvent(2, 'a')];
+  ledger.apply({...progress, afterRun: 'a', events: last, isWhole: true});
+  t.true(transcript.isWhole);
+  ledger.apply({...progress, afterRun: 'a', events: other});
+  t.false(transcript.isWhole, 'another run went on from event 1');
+});
+
+test('failed reward calls are counted for whoever takes over', t => {
+  const ledger = createLedger([BATCH]);
+  for (const record of acceptBatch(BATCH, 0)) ledger.apply(record);
+  ledger.apply({kind: 'reward_failed', batchId: 'b0', itemId: 'g0a'});
+  ledger.apply({kind: 'reward_failed', batchId: 'b0', itemId: 'g0a'});
+  t.is(ledger.get('b0')!.items.get('g0a')!.rewardFailures, 2);
+  t.is(ledger.get('b0')!.items.get('g0b')!.rewardFailures, 0);
+});
--- a/packages/core/src/batches/__tests__/transcript.spec.ts
+++ b/packages/core/src/batches/__tests__/transcript.spec.ts
@@ -49,3 +49,15 @@
   t.true(text.isFit({minVersion: 6, singleVersion: false}));
   t.false(text.isFit({minVersion: 6, singleVersion: true}));
 });
+
+test('a text is whole until an event is added or it is dropped', t => {
+  const text = createText([1, 2], 'a');
+  t.false(text.isWhole);
+  text.finish();
+  t.true(text.isWhole);
+  t.true(text.join('a', [createEvent(3, 'a')]));
+  t.false(text.isWhole);
+  text.finish();
+  text.clear();
+  t.false(text.isWhole);
+});
--- a/packages/core/src/batches/batch_job.ts
+++ b/packages/core/src/batches/batch_job.ts
@@ -6,6 +6,8 @@
 export type JobState =
   | 'waiting'
   | 'running'
+  /** Its text is whole and waits for its score. */
+  | 'unscored'
   /** It has a result that is on its way to the log, or stands there. */
   | 'finished';
 
@@ -22,6 +24,8 @@
   result: ItemResult | undefined;
   /** Attempts that an endpoint answered as failed. */
   failures: number;
+  /** Reward calls that an endpoint answered as failed. */
+  rewardFailures: number;
   /** Connections that broke before the first event of a run, one after another. */
   earlyBreaks: number;
   /** Steady ms before which it is not started again. */
@@ -75,6 +79,7 @@
     recorded: 0,
     result: undefined,
     failures: 0,
+    rewardFailures: 0,
     earlyBreaks: 0,
     notBeforeMs: -Infinity,
   };
--- a/packages/core/src/batches/batch_ledger.ts
+++ b/packages/core/src/batches/batch_ledger.ts
@@ -20,6 +20,8 @@
   position: number | undefined;
   /** Attempts that an endpoint answered as failed. */
   failures: number;
+  /** Reward calls that an endpoint answered as failed. */
+  rewardFailures: number;
   /** Output that was stored before the item had a result. */
   readonly transcript: Transcript;
 }
@@ -81,12 +83,15 @@
         this.addProgress(record);
         return undefined;
       case 'attempt_failed': {
-        const entry = this.batches
-          .get(record.batchId)
-          ?.items.get(record.itemId);
+        const entry = this.findItem(record.batchId, record.itemId);
         if (entry) entry.failures += 1;
         return undefined;
       }
+      case 'reward_failed': {
+        const entry = this.findItem(record.batchId, record.itemId);
+        if (entry) entry.rewardFailures += 1;
+        return undefined;
+      }
       case 'ended':
         return this.end(record.batchId);
     }
@@ -144,10 +149,15 @@
 
   /** Progress that does not follow what is known is dropped; it only costs its generation again. */
   private addProgress(record: ProgressRecord): void {
-    const {batchId, itemId, afterRun, events} = record;
-    const entry = this.batches.get(batchId)?.items.get(itemId);
+    const {batchId, itemId, afterRun, events, isWhole} = record;
+    const entry = this.findItem(batchId, itemId);
     if (!entry || entry.position !== undefined) return;
-    entry.transcript.join(afterRun, events);
+    const isJoined = entry.transcript.join(afterRun, events);
+    if (isJoined && isWhole) entry.transcript.finish();
+  }
+
+  private findItem(batchId: string, itemId: string): ItemEntry | undefined {
+    return this.batches.get(batchId)?.items.get(itemId);
   }
 
   private end(batchId: string): LedgerChange | undefined {
@@ -165,6 +175,7 @@
       item,
       position: undefined,
       failures: 0,
+      rewardFailures: 0,
       transcript: new Transcript(),
     });
   }
--- a/packages/core/src/batches/batch_record.ts
+++ b/packages/core/src/batches/batch_record.ts
@@ -3,6 +3,18 @@
  * order, so that all of them agree on which results exist and where they stand.
  */
 
+/**
+ * The request that scores an item's text: it goes to a plain endpoint through
+ * the routes, once the text is whole, and may be repeated. The proof of origin
+ * on its answer is the score.
+ */
+export interface RewardRequest {
+  readonly id: string;
+  readonly host: string;
+  readonly path: string;
+  readonly body: Uint8Array;
+}
+
 /** One request of a batch, as it is sent to an endpoint. */
 export interface BatchItem {
   readonly id: string;
@@ -15,6 +27,8 @@
   readonly maxOutputTokens: number;
   /** The submitter's guess, right at the median and often far off. */
   readonly expectedOutputTokens: number;
+  /** Present where the item counts as done only with a score. */
+  readonly reward?: RewardRequest;
 }
 
 /** A batch as submitted. */
@@ -53,6 +67,8 @@
   readonly output: string;
   /** All weight versions that made events of `output`, ascending. */
   readonly versions: readonly number[];
+  /** Proof of the reward call's answer, where the item asks for one. */
+  readonly score?: string;
 }
 
 /** One record of a batch's partition. */
@@ -86,6 +102,8 @@
       /** The run that made the event before these; absent where they begin the text. */
       readonly afterRun?: string;
       readonly events: readonly OutputEvent[];
+      /** Set where the text ends with these events. */
+      readonly isWhole?: boolean;
     }
   /** An endpoint answered that the attempt failed. */
   | {
@@ -93,4 +111,10 @@
       readonly batchId: string;
       readonly itemId: string;
     }
+  /** An endpoint answered that the item's reward call failed. */
+  | {
+      readonly kind: 'reward_failed';
+      readonly batchId: string;
+      readonly itemId: string;
+    }
   | {readonly kind: 'ended'; readonly batchId: string};
--- a/packages/core/src/batches/batch_scheduler.ts
+++ b/packages/core/src/batches/batch_scheduler.ts
@@ -29,14 +29,11 @@
   judgeEngine,
   judgeOverdue,
 } from './job_rules.js';
+import {rankUnscored} from '../rewards/reward_order.js';
+import {JobOutcomes} from './job_outcomes.js';
 import {Placement} from './placement.js';
 import {RunTable} from './run_table.js';
-import type {
-  ListReason,
-  RunEnd,
-  ScheduleAction,
-  StopReason,
-} from './schedule_action.js';
+import type {RunEnd, ScheduleAction, StopReason} from './schedule_action.js';
 
 /** A run without an event for this long goes on elsewhere, ms. Events come every 30 to 150 ms, a load pauses them for about 900. */
 const STALL_MS = 1500;
@@ -54,8 +51,6 @@
 const MAX_REBALANCED = 12;
 /** A run is not made to give way sooner after its start, ms: it would have read its prompt for nothing. */
 const MIN_RUN_MS = 800;
-/** Pause before an item that failed is tried again, ms; most failures of an engine pass within a few requests. */
-const REPEAT_PAUSE_MS = 50;
 
 /** Figures of the deployment. */
 export interface SchedulerConfig {
@@ -74,6 +69,9 @@
   private engines: readonly EngineView[] = [];
   private nextRunNumber = 1;
   private actions: ScheduleAction[] = [];
+  private readonly outcomes = new JobOutcomes(action =>
+    this.actions.push(action),
+  );
   private rebalancedMs = -Infinity;
 
   constructor(private readonly cfg: SchedulerConfig) {}
@@ -107,20 +105,24 @@
       const job = createJob(open, item, copyText(text));
       if (text === known.transcript) job.recorded = text.events.length;
       job.failures = known.failures;
+      job.rewardFailures = known.rewardFailures;
       if (known.position !== undefined) {
         job.state = 'finished';
         job.result = entry.results[known.position];
       }
       jobs.set(item.id, job);
-      if (earlier?.result && !entry.isEnded) {
-        this.reuseResult(job, earlier.result);
-      }
+      if (!entry.isEnded) this.takeWhatIsKnown(job, earlier);
       this.lastJobs.set(item.id, job);
     }
     // The items of an ended batch may still come again in a later one.
     if (!entry.isEnded) this.open.set(batch.id, open);
   }
 
+  private takeWhatIsKnown(job: Job, earlier: Job | undefined): void {
+    if (earlier) this.outcomes.reuseResult(job, earlier);
+    this.outcomes.takeKnownText(job);
+  }
+
   /** The batch's owner has ended it, or it is to be forgotten. */
   closeBatch(batchId: string): void {
     const open = this.open.get(batchId);
@@ -145,7 +147,7 @@
   noteListed(batchId: string, result: ItemResult): void {
     const job = this.open.get(batchId)?.jobs.get(result.itemId);
     if (!job) return;
-    this.finish(job, result);
+    this.outcomes.finish(job, result);
     for (const run of this.runs.values()) {
       if (run.job === job) this.stop(run, 'ended');
     }
@@ -153,7 +155,24 @@
 
   setTerms(batchId: string, terms: OpenBatchTerms | undefined): void {
     const open = this.open.get(batchId);
-    if (open) open.terms = terms;
+    if (!open) return;
+    open.terms = terms;
+    for (const job of open.jobs.values()) this.outcomes.takeKnownText(job);
+  }
+
+  /** Jobs whose texts are whole, in the order in which they should get their scores. */
+  listUnscored(): readonly Job[] {
+    return rankUnscored(this.open.values(), this.cfg.tokensPerEvent);
+  }
+
+  /** The reward call of `job` was answered with its score. */
+  noteScore(job: Job, score: string): void {
+    this.outcomes.takeScore(job, score);
+  }
+
+  /** The reward call of `job` was answered as failed; `attempts` of these are enough to give it up. */
+  noteRewardFailure(job: Job, attempts: number): void {
+    this.outcomes.countRewardFailure(job, attempts);
   }
 
   setEngines(engines: readonly EngineView[]): void {
@@ -216,13 +235,13 @@
     job.state = 'waiting';
     switch (end) {
       case 'finished':
-        this.takeOutput(job, nowMs);
+        this.outcomes.takeOutput(job, nowMs);
         return;
       case 'failed':
-        this.countFailure(job, nowMs);
+        this.outcomes.countFailure(job, nowMs);
         return;
       case 'impossible':
-        this.giveUp(job, 'impossible');
+        this.outcomes.giveUp(job, 'impossible');
         return;
       case 'refused':
         this.board.noteRefusal(engineId, job.batch.batch.model, nowMs);
@@ -262,7 +281,9 @@
     for (const open of this.open.values()) {
       const reason = judgeOverdue(open, nowMs);
       if (!reason) continue;
-      for (const job of open.jobs.values()) this.giveUp(job, reason);
+      for (const job of open.jobs.values()) {
+        this.outcomes.giveUp(job, reason);
+      }
     }
   }
 
@@ -427,64 +448,6 @@
     this.actions.push({kind: 'stop', run, reason});
   }
 
-  private takeOutput(job: Job, nowMs: number): void {
-    const {terms} = job.batch;
-    // A stream that ends well without one event is no output of a generation.
-    if (job.transcript.events.length === 0) {
-      job.notBeforeMs = nowMs + REPEAT_PAUSE_MS;
-      return;
-    }
-    // Weights can be older than the engine's last word said when it restarted
-    // meanwhile; such a text is not used.
-    if (terms && !job.transcript.isFit(terms)) {
-      clearText(job);
-      return;
-    }
-    const result: ItemResult = {
-      itemId: job.item.id,
-      state: 'done',
-      output: job.transcript.joinOutput(),
-      versions: job.transcript.listVersions(),
-    };
-    this.list(job, result, 'finished');
-  }
-
-  private reuseResult(job: Job, result: ItemResult): void {
-    const {terms} = job.batch;
-    if (!terms || job.state === 'finished' || result.state !== 'done') return;
-    if (result.versions.some(version => version < terms.minVersion)) return;
-    if (terms.singleVersion && result.versions.length > 1) return;
-    this.list(job, result, 'known_from_earlier_batch');
-  }
-
-  private giveUp(job: Job, reason: ListReason): void {
-    if (job.state === 'finished') return;
-    const {id: itemId} = job.item;
-    this.list(
-      job,
-      {itemId, state: 'errored', output: '', versions: []},
-      reason,
-    );
-  }
-
-  private list(job: Job, result: ItemResult, reason: ListReason): void {
-    this.finish(job, result);
-    const batchId = job.batch.batch.id;
-    this.actions.push({kind: 'list', batchId, result, reason});
-  }
-
-  private finish(job: Job, result: ItemResult): void {
-    job.state = 'finished';
-    job.result = result;
-  }
-
-  private countFailure(job: Job, nowMs: number): void {
-    job.failures += 1;
-    const attempts = job.batch.terms?.attempts ?? 1;
-    if (job.failures >= attempts) this.giveUp(job, 'attempts_used_up');
-    else job.notBeforeMs = nowMs + REPEAT_PAUSE_MS;
-  }
-
   /**
    * An item can crash each engine that begins to run it. It shows as a
    * connection that breaks before the first event, again and again, and would
--- a/packages/core/src/batches/group_choice.ts
+++ b/packages/core/src/batches/group_choice.ts
@@ -5,6 +5,9 @@
 
 import {estimateRemaining, type Job, type OpenBatch} from './batch_job.js';
 
+/** What is left of an item that only waits for its score, in events of a generation: a reward call takes 229 ms, an event 35 to 49. */
+const REWARD_EVENTS = 6;
+
 /** How the groups of a batch stand. */
 export interface GroupChoice {
   /** Groups to finish first: those carried over, then the ones closest to their end. */
@@ -59,5 +62,13 @@
 }
 
 function measureLeft(job: Job, tokensPerEvent: number): number {
-  return job.state === 'finished' ? 0 : estimateRemaining(job, tokensPerEvent);
+  const rewardTokens = job.item.reward ? REWARD_EVENTS * tokensPerEvent : 0;
+  switch (job.state) {
+    case 'finished':
+      return 0;
+    case 'unscored':
+      return rewardTokens;
+    default:
+      return estimateRemaining(job, tokensPerEvent) + rewardTokens;
+  }
 }
--- a/packages/core/src/batches/job_rules.ts
+++ b/packages/core/src/batches/job_rules.ts
@@ -30,6 +30,7 @@
 export function copyText(source: Transcript): Transcript {
   const copy = new Transcript();
   for (const event of source.events) copy.append(event);
+  if (source.isWhole) copy.finish();
   return copy;
 }
 
--- a/packages/core/src/batches/schedule_action.ts
+++ b/packages/core/src/batches/schedule_action.ts
@@ -46,8 +46,10 @@
   | 'stale_text';
 export type ListReason =
   | 'finished'
+  | 'scored'
   | 'known_from_earlier_batch'
   | 'impossible'
   | 'attempts_used_up'
+  | 'reward_attempts_used_up'
   | 'retention_over'
   | 'route_removed';
--- a/packages/core/src/batches/transcript.ts
+++ b/packages/core/src/batches/transcript.ts
@@ -14,11 +14,17 @@
  */
 export class Transcript {
   private readonly kept: OutputEvent[] = [];
+  private isEnded = false;
 
   get events(): readonly OutputEvent[] {
     return this.kept;
   }
 
+  /** Whether the text ends with the last event that is kept. */
+  get isWhole(): boolean {
+    return this.isEnded;
+  }
+
   get lastEventId(): number | undefined {
     return this.kept.at(-1)?.id;
   }
@@ -28,9 +34,15 @@
     const last = this.lastEventId;
     if (last !== undefined && event.id !== last + 1) return false;
     this.kept.push(event);
+    this.isEnded = false;
     return true;
   }
 
+  /** The generation has ended: no event follows the last one. */
+  finish(): void {
+    this.isEnded = true;
+  }
+
   /**
    * Joins `events` to the event before them, if that is known and was made by
    * `afterRun`; what stood behind it is dropped. Says whether it did.
@@ -83,5 +95,6 @@
 
   clear(): void {
     this.kept.length = 0;
+    this.isEnded = false;
   }
 }
--- /dev/null
+++ b/packages/core/src/rewards/__tests__/reward_desk.spec.ts
@@ -0,0 +1,87 @@
+import test from 'ava';
+import type {Job} from '../../batches/batch_job.js';
+import type {EndpointChoice} from '../../routing/endpoint_choice.js';
+import {RewardDesk} from '../reward_desk.js';
+import {
+  createChoice,
+  createUnscored,
+  listCalls,
+  listCancelled,
+} from './reward_fixtures.js';
+
+function createDesk(endpoints: readonly EndpointChoice[]) {
+  const desk = new RewardDesk('dc');
+  const decide = (jobs: readonly Job[], nowMs: number) =>
+    desk.decide(jobs, () => ({endpoints}), nowMs, 0);
+  return {desk, decide};
+}
+
+// An app's users wait while a step is scored.
+// 1. The texts of a whole step end within a second: 30 calls for 12 slots.
+// 2. An app's request takes 29 ms of a slot, a reward call 229.
+// Cause: reward calls in all slots of all endpoints.
+test('a burst of calls spreads and leaves slots to other requests', t => {
+  const ids = Array.from({length: 30}, (_, i) => `g0-${i}`);
+  const {decide} = createDesk([createChoice('a1'), createChoice('a2')]);
+  const calls = listCalls(decide(createUnscored(ids), 0));
+  const at = (id: string) => calls.filter(c => c.endpointId === id).length;
+  t.is(at('a1'), 4);
+  t.is(at('a2'), 4);
+});
+
+test('an endpoint with one slot still gets calls', t => {
+  const {decide} = createDesk([createChoice('a1', {slots: 1})]);
+  t.is(listCalls(decide(createUnscored(['g0a', 'g0b']), 0)).length, 1);
+});
+
+test('a call that takes too long gets a second one elsewhere, and no third', t => {
+  const {decide} = createDesk([createChoice('a1'), createChoice('a2')]);
+  const jobs = createUnscored(['g0a']);
+  const [first] = listCalls(decide(jobs, 0));
+  t.deepEqual(decide(jobs, 500), []);
+  const [second] = listCalls(decide(jobs, 600));
+  t.not(second.endpointId, first.endpointId);
+  t.deepEqual(decide(jobs, 2000), []);
+});
+
+test('a call that failed is made again at another endpoint at once', t => {
+  const {desk, decide} = createDesk([createChoice('a1'), createChoice('a2')]);
+  const jobs = createUnscored(['g0a']);
+  const [first] = listCalls(decide(jobs, 0));
+  desk.noteEnd(first, {kind: 'failed'}, 100);
+  const [again] = listCalls(decide(jobs, 100));
+  t.not(again.endpointId, first.endpointId);
+});
+
+// Endpoints crash one after the other.
+// 1. A request crashes each endpoint that begins to run it.
+// 2. It shows as a connection that breaks, again and again.
+test('a call that breaks again and again pauses', t => {
+  const {desk, decide} = createDesk([createChoice('a1'), createChoice('a2')]);
+  const jobs = createUnscored(['g0a']);
+  for (let i = 0; i < 3; i++) {
+    const [call] = listCalls(decide(jobs, i * 10));
+    desk.noteEnd(call, {kind: 'broken'}, i * 10 + 5);
+  }
+  t.deepEqual(decide(jobs, 10_000), []);
+  t.is(listCalls(decide(jobs, 15_100)).length, 1);
+});
+
+test('calls for items that no longer wait are cancelled', t => {
+  const {desk, decide} = createDesk([createChoice('a1')]);
+  const jobs = createUnscored(['g0a', 'g0b']);
+  const calls = listCalls(decide(jobs, 0));
+  const [cancelled] = listCancelled(decide([jobs[0]], 10));
+  t.is(cancelled.number, calls.find(({job}) => job === jobs[1])!.number);
+  desk.noteEnd(cancelled, {kind: 'cancelled'}, 11);
+  t.deepEqual(decide([jobs[0]], 20), []);
+});
+
+test('without a rule for the call nothing goes out', t => {
+  const desk = new RewardDesk('dc');
+  const jobs = createUnscored(['g0a']);
+  t.deepEqual(
+    desk.decide(jobs, () => undefined, 0, 0),
+    [],
+  );
+});
--- /dev/null
+++ b/packages/core/src/rewards/__tests__/reward_fixtures.ts
@@ -0,0 +1,84 @@
+/** Builders of items that ask for a score, and of endpoints that give it. */
+
+import type {Job} from '../../batches/batch_job.js';
+import {
+  createBatch,
+  createEngine,
+  createEvent,
+  createItem,
+  createSchedule,
+  listStarts,
+} from '../../batches/__tests__/batch_fixtures.js';
+import type {EndpointChoice} from '../../routing/endpoint_choice.js';
+import type {RewardAction, RewardCall} from '../reward_desk.js';
+
+export function createRewardItem(id: string) {
+  const reward = {
+    id: `r-${id}`,
+    host: 'h',
+    path: '/score/',
+    body: new Uint8Array([1]),
+  };
+  return createItem(id, {reward});
+}
+
+/** A scheduler whose items are running: one batch with a group for each two letters. */
+export function createRewardSchedule(
+  itemIds: readonly string[],
+  groupsWanted = new Set(itemIds.map(id => id.slice(0, 2))).size,
+) {
+  const engine = createEngine('e0', {slots: itemIds.length});
+  const {scheduler, open, ledger} = createSchedule([engine]);
+  const items = itemIds.map(createRewardItem);
+  open(createBatch('b0', [], {items, groupsWanted}));
+  const runs = listStarts(scheduler.decide(0));
+  return {
+    scheduler,
+    ledger,
+    /** The text of an item becomes whole. */
+    finish(id: string): void {
+      const run = runs.find(({job}) => job.item.id === id)!;
+      scheduler.noteEvent(run, createEvent(1, run.id), 10);
+      scheduler.noteEnd(run, 'finished', 20);
+    },
+  };
+}
+
+/** Jobs that wait for their scores. */
+export function createUnscored(itemIds: readonly string[]): readonly Job[] {
+  const {scheduler, finish} = createRewardSchedule(itemIds);
+  for (const id of itemIds) finish(id);
+  return scheduler.listUnscored();
+}
+
+export function createChoice(
+  id: string,
+  extra: Partial<EndpointChoice> = {},
+): EndpointChoice {
+  return {
+    id,
+    slots: 6,
+    dataCentre: 'dc',
+    inFlight: 0,
+    reported: 0,
+    failures: 0,
+    failedAtMs: -Infinity,
+    ...extra,
+  };
+}
+
+export function listCalls(
+  actions: readonly RewardAction[],
+): readonly RewardCall[] {
+  return actions.flatMap(action =>
+    action.kind === 'call' ? [action.call] : [],
+  );
+}
+
+export function listCancelled(
+  actions: readonly RewardAction[],
+): readonly RewardCall[] {
+  return actions.flatMap(action =>
+    action.kind === 'cancel' ? [action.call] : [],
+  );
+}
--- /dev/null
+++ b/packages/core/src/rewards/__tests__/reward_order.spec.ts
@@ -0,0 +1,95 @@
+import test from 'ava';
+import type {BatchScheduler} from '../../batches/batch_scheduler.js';
+import type {ItemResult} from '../../batches/batch_record.js';
+import {
+  createBatch,
+  createEngine,
+  createSchedule,
+  createTerms,
+  listStarts,
+} from '../../batches/__tests__/batch_fixtures.js';
+import {createRewardItem, createRewardSchedule} from './reward_fixtures.js';
+
+function listResults(scheduler: BatchScheduler): readonly ItemResult[] {
+  return scheduler
+    .decide(1000)
+    .flatMap(action => (action.kind === 'list' ? [action.result] : []));
+}
+
+test('an item is listed with its score, and not before', t => {
+  const {scheduler, finish} = createRewardSchedule(['g0a']);
+  finish('g0a');
+  t.deepEqual(listResults(scheduler), []);
+  const [job] = scheduler.listUnscored();
+  scheduler.noteScore(job, 'proof');
+  t.like(listResults(scheduler), [
+    {state: 'done', output: '1', score: 'proof'},
+  ]);
+  t.deepEqual(scheduler.listUnscored(), []);
+});
+
+test('the item whose group lacks least is scored first', t => {
+  const {scheduler, finish} = createRewardSchedule(['g0a', 'g0b', 'g1a']);
+  for (const id of ['g0a', 'g1a', 'g0b']) finish(id);
+  const [first] = scheduler.listUnscored();
+  t.is(first.item.id, 'g1a');
+});
+
+test('an item whose reward call keeps failing is given up, whoever counted', t => {
+  const {scheduler, finish} = createRewardSchedule(['g0a']);
+  finish('g0a');
+  const [job] = scheduler.listUnscored();
+  scheduler.noteRewardFailure(job, 2);
+  t.deepEqual(listResults(scheduler), []);
+  scheduler.noteRewardFailure(job, 2);
+  t.like(listResults(scheduler), [{state: 'errored'}]);
+});
+
+// A step loses a second to a text that stands in the log.
+// 1. A coordinator writes down a whole text and goes before its score came.
+// 2. Its successor opens the batch.
+// Cause: only the generation was known to the successor, not that it had ended.
+test('a text that is whole in the log waits for its score only', t => {
+  const {scheduler, ledger, open} = createSchedule([createEngine('e0')]);
+  const batch = createBatch('b0', [], {items: [createRewardItem('g0a')]});
+  open(batch);
+  const item = {batchId: 'b0', itemId: 'g0a'};
+  const events = [{id: 1, run: 'old', version: 1, data: 'text'}];
+  ledger.apply({kind: 'progress', ...item, events, isWhole: true});
+  ledger.apply({kind: 'reward_failed', ...item});
+  scheduler.closeBatch('b0');
+  const {scheduler: successor} = createSchedule([createEngine('e0')]);
+  successor.openBatch(ledger.get('b0')!, createTerms());
+  t.deepEqual(listStarts(successor.decide(0)), []);
+  const [job] = successor.listUnscored();
+  t.is(job.transcript.joinOutput(), 'text');
+  t.is(job.rewardFailures, 1);
+});
+
+// A trainer gets a score that was given for another call.
+// 1. A group that was not complete comes again in a later batch.
+// 2. Its items name other reward calls than before.
+test('a score is used again only for the same call', t => {
+  const {scheduler, ledger, finish} = createRewardSchedule(['g0a', 'g0b']);
+  for (const id of ['g0a', 'g0b']) finish(id);
+  for (const job of scheduler.listUnscored()) scheduler.noteScore(job, 'proof');
+  scheduler.decide(100);
+  const other = createRewardItem('g0b');
+  const batch = createBatch('b1', [], {
+    items: [
+      createRewardItem('g0a'),
+      {...other, reward: {...other.reward!, id: 'r-other'}},
+    ],
+  });
+  const items = new Map(
+    batch.items.map(item => [
+      item.id,
+      {...ledger.get('b0')!.items.get(item.id)!, item},
+    ]),
+  );
+  const entry = {batch, items, results: [], isEnded: false};
+  scheduler.openBatch(entry, createTerms());
+  t.like(listResults(scheduler), [{itemId: 'g0a', score: 'proof'}]);
+  const [again] = scheduler.listUnscored();
+  t.is(again.item.id, 'g0b');
+});
--- /dev/null
+++ b/packages/core/src/rewards/reward_desk.ts
@@ -0,0 +1,215 @@
+/**
+ * Decides where and when reward calls go out. Plain endpoints serve apps beside
+ * them, so some of their slots stay free of reward calls.
+ *
+ * The load this answers: when a step's items end, a burst of calls comes to
+ * endpoints that hold one for 229 ms of a slot, while an app's request there
+ * takes 29 ms and is to be answered within 162.
+ */
+
+import type {Job} from '../batches/batch_job.js';
+import type {RewardRequest} from '../batches/batch_record.js';
+import {
+  chooseEndpoint,
+  type EndpointChoice,
+} from '../routing/endpoint_choice.js';
+
+/** Where a reward call may go, by the rule that is in force. */
+export interface RewardRoute {
+  readonly endpoints: readonly EndpointChoice[];
+}
+
+/** Finds where `reward` may go now; undefined where no rule allows it. */
+export type FindRewardRoute = (
+  reward: RewardRequest,
+) => RewardRoute | undefined;
+
+/** One reward call at one endpoint. */
+export interface RewardCall {
+  readonly number: number;
+  readonly job: Job;
+  readonly reward: RewardRequest;
+  readonly endpointId: string;
+  readonly startedMs: number;
+}
+
+/** How a reward call ended. */
+export type RewardEnd =
+  | {readonly kind: 'scored'; readonly score: string}
+  /** The endpoint answered that it failed. */
+  | {readonly kind: 'failed'}
+  /** The endpoint did not run it, or could not be reached. */
+  | {readonly kind: 'not_run'}
+  /** The connection broke, or what came was no proper answer. */
+  | {readonly kind: 'broken'}
+  /** Ended on the desk's word. */
+  | {readonly kind: 'cancelled'};
+
+export type RewardAction =
+  | {readonly kind: 'call'; readonly call: RewardCall}
+  | {readonly kind: 'cancel'; readonly call: RewardCall};
+
+/** Slots of an endpoint that reward calls leave to other requests, of 6. */
+const RESERVED_SLOTS = 2;
+/** Time of a call until some were seen, ms. */
+const FIRST_CALL_MS = 250;
+/** Weight of a new sample of that time. */
+const SMOOTHING = 0.1;
+/** A second call starts beside one that takes this many times the usual: one in twenty does by nature, and those at a slow or silent endpoint. */
+const HEDGE_FACTOR = 2.2;
+/** Calls of one item at the same time. */
+const MAX_CALLS = 2;
+/** Pause after an endpoint did not run a call, ms: a slot is free again after a few of its requests. */
+const REFUSED_PAUSE_MS = 60;
+/** Calls that broke in a row after which the request is suspected of crashing endpoints, and its pause then, ms: it reaches no more than three others in a usual retention of 40 s. */
+const MAX_BREAKS = 3;
+const SUSPECT_PAUSE_MS = 15_000;
+
+interface RewardState {
+  readonly calls: Set<RewardCall>;
+  /** Endpoints that had a call and brought no score. */
+  readonly tried: Set<string>;
+  breaks: number;
+  /** Steady ms before which no further call starts. */
+  notBeforeMs: number;
+}
+
+export class RewardDesk {
+  private readonly states = new Map<Job, RewardState>();
+  private readonly atEndpoint = new Map<string, number>();
+  private usualMs = FIRST_CALL_MS;
+  private nextNumber = 1;
+
+  constructor(private readonly dataCentre: string) {}
+
+  /**
+   * What is to be done now for `jobs`, the most urgent first. Calls for other
+   * jobs are cancelled: their batch has ended, or they have a result.
+   *
+   * @param draw In [0, 1): spreads calls over endpoints that are equally good.
+   */
+  decide(
+    jobs: readonly Job[],
+    findRoute: FindRewardRoute,
+    nowMs: number,
+    draw: number,
+  ): readonly RewardAction[] {
+    const actions: RewardAction[] = this.cancelOthers(new Set(jobs));
+    const start = (job: Job) => {
+      const call = this.startCall(job, findRoute, nowMs, draw);
+      if (call) actions.push({kind: 'call', call});
+    };
+    for (const job of jobs) if (this.isDue(job, nowMs)) start(job);
+    for (const job of jobs) if (this.isLate(job, nowMs)) start(job);
+    return actions;
+  }
+
+  /** A call has ended. */
+  noteEnd(call: RewardCall, end: RewardEnd, nowMs: number): void {
+    const {job, endpointId, startedMs} = call;
+    this.countAt(endpointId, -1);
+    const state = this.states.get(job);
+    if (!state) return;
+    state.calls.delete(call);
+    if (end.kind === 'cancelled') return;
+    if (end.kind === 'scored') {
+      this.usualMs += (nowMs - startedMs - this.usualMs) * SMOOTHING;
+      this.states.delete(job);
+      return;
+    }
+    state.tried.add(endpointId);
+    if (end.kind === 'not_run') {
+      state.notBeforeMs = nowMs + REFUSED_PAUSE_MS;
+      return;
+    }
+    state.breaks = end.kind === 'broken' ? state.breaks + 1 : 0;
+    if (state.breaks >= MAX_BREAKS) {
+      state.notBeforeMs = nowMs + SUSPECT_PAUSE_MS;
+    }
+  }
+
+  private cancelOthers(jobs: ReadonlySet<Job>): RewardAction[] {
+    const actions: RewardAction[] = [];
+    for (const [job, {calls}] of this.states) {
+      if (jobs.has(job)) continue;
+      for (const call of calls) actions.push({kind: 'cancel', call});
+      this.states.delete(job);
+    }
+    return actions;
+  }
+
+  private isDue(job: Job, nowMs: number): boolean {
+    const state = this.open(job);
+    return state.calls.size === 0 && nowMs >= state.notBeforeMs;
+  }
+
+  private isLate(job: Job, nowMs: number): boolean {
+    const {calls, notBeforeMs} = this.open(job);
+    if (calls.size === 0 || calls.size >= MAX_CALLS) return false;
+    const [first] = calls;
+    const lateMs = this.usualMs * HEDGE_FACTOR;
+    return nowMs >= notBeforeMs && nowMs - first.startedMs > lateMs;
+  }
+
+  private startCall(
+    job: Job,
+    findRoute: FindRewardRoute,
+    nowMs: number,
+    draw: number,
+  ): RewardCall | undefined {
+    const reward = job.item.reward;
+    const endpoints = reward && findRoute(reward)?.endpoints;
+    if (!reward || !endpoints) return undefined;
+    const state = this.open(job);
+    const busy = new Set([...state.calls].map(({endpointId}) => endpointId));
+    const free = endpoints
+      .filter(endpoint => this.hasRoom(endpoint) && !busy.has(endpoint.id))
+      .map(endpoint => this.countOwn(endpoint));
+    const pick = (tried: ReadonlySet<string>) =>
+      chooseEndpoint(free, tried, this.dataCentre, draw, nowMs);
+    // Where all have been tried the best of them is tried again.
+    const endpoint = pick(state.tried) ?? pick(new Set());
+    if (!endpoint) return undefined;
+    const call: RewardCall = {
+      number: this.nextNumber++,
+      job,
+      reward,
+      endpointId: endpoint.id,
+      startedMs: nowMs,
+    };
+    state.calls.add(call);
+    this.countAt(endpoint.id, 1);
+    return call;
+  }
+
+  /** Calls that were decided on and are not under way yet count as well. */
+  private countOwn(endpoint: EndpointChoice): EndpointChoice {
+    const own = this.atEndpoint.get(endpoint.id) ?? 0;
+    return {...endpoint, inFlight: Math.max(endpoint.inFlight, own)};
+  }
+
+  private hasRoom({id, slots}: EndpointChoice): boolean {
+    const room = Math.max(slots - RESERVED_SLOTS, 1);
+    return (this.atEndpoint.get(id) ?? 0) < room;
+  }
+
+  private countAt(endpointId: string, more: number): void {
+    const count = (this.atEndpoint.get(endpointId) ?? 0) + more;
+    if (count > 0) this.atEndpoint.set(endpointId, count);
+    else this.atEndpoint.delete(endpointId);
+  }
+
+  private open(job: Job): RewardState {
+    let state = this.states.get(job);
+    if (!state) {
+      state = {
+        calls: new Set(),
+        tried: new Set(),
+        breaks: 0,
+        notBeforeMs: -Infinity,
+      };
+      this.states.set(job, state);
+    }
+    return state;
+  }
+}
--- a/packages/core/src/routing/route_table.ts
+++ b/packages/core/src/routing/route_table.ts
@@ -142,6 +142,15 @@
   return host.toLowerCase().replace(/:\d+$/, '');
 }
 
+/** A number in [0, 1) that the same id always gives. */
+export function drawFromId(id: string): number {
+  let hash = 2166136261;
+  for (let i = 0; i < id.length; i++) {
+    hash = Math.imul(hash ^ id.charCodeAt(i), 16777619);
+  }
+  return (hash >>> 0) / 2 ** 32;
+}
+
 /**
  * Picks a service of `route` by weight. `draw` in [0, 1) decides, so that the
  * caller may derive it from the request's id and repeat the choice.
--- a/packages/core/src/trace/trace_path.ts
+++ b/packages/core/src/trace/trace_path.ts
@@ -50,6 +50,8 @@
   'run started',
   'run stopped',
   'run finished',
+  'reward call started',
+  'reward call ended',
   'item has a result',
   'batch end',
 ];
--- a/packages/daemon/src/gateway/__tests__/gateway_fixtures.ts
+++ b/packages/daemon/src/gateway/__tests__/gateway_fixtures.ts
@@ -2,7 +2,10 @@
 
 import type {IncomingHttpHeaders, OutgoingHttpHeaders} from 'node:http';
 import net from 'node:net';
-import type {BatchItem} from '@radishyoke/core/batches/batch_record';
+import type {
+  BatchItem,
+  RewardRequest,
+} from '@radishyoke/core/batches/batch_record';
 import type {EndpointEntry} from '@radishyoke/core/fleet/endpoint_entry';
 import {createError} from '@radishyoke/shared/error_kind';
 import {fail, type Result} from '@radishyoke/shared/result';
@@ -45,11 +48,18 @@
     return {id: item.id, ...resume};
   }
 
+  rewardHeaders(
+    reward: RewardRequest,
+    terms: ForwardTerms,
+  ): OutgoingHttpHeaders {
+    return {id: reward.id, 'for-endpoint': terms.endpointId};
+  }
+
   readAnswer(headers: IncomingHttpHeaders): AnswerFacts {
     const version = headers['version'];
     return {
       attemptId: headers['id'] as string | undefined,
-      isStamped: headers['stamp'] !== undefined,
+      stamp: headers['stamp'] as string | undefined,
       isNotExecuted: headers['not-run'] !== undefined,
       weightVersion: version === undefined ? undefined : Number(version),
       load: undefined,
--- a/packages/daemon/src/gateway/batches/batch_runner.ts
+++ b/packages/daemon/src/gateway/batches/batch_runner.ts
@@ -9,7 +9,11 @@
   RunEnd,
   ScheduleAction,
 } from '@radishyoke/core/batches/schedule_action';
-import type {OpenBatchTerms, Run} from '@radishyoke/core/batches/batch_job';
+import type {
+  Job,
+  OpenBatchTerms,
+  Run,
+} from '@radishyoke/core/batches/batch_job';
 import type {LedgerChange} from '@radishyoke/core/batches/batch_ledger';
 import type {Batch, OutputEvent} from '@radishyoke/core/batches/batch_record';
 import {setMaxListeners} from 'node:events';
@@ -23,12 +27,14 @@
 import type {ConfigHolder} from '../store/config_holder.js';
 import type {EndpointLinks} from '../endpoints/endpoint_links.js';
 import type {EndpointProtocol} from '../endpoints/endpoint_protocol.js';
+import type {EndpointView} from '../endpoints/endpoint_view.js';
 import {EngineFleet} from '../engines/engine_fleet.js';
 import type {GatewayMetrics} from '../gateway_metrics.js';
 import {Generation} from './generation.js';
 import type {LeaseTask} from '../engines/lease_task.js';
 import type {LogStore} from '../store/log_store.js';
 import {RecordWriter} from './record_writer.js';
+import {RewardTask} from './reward_task.js';
 import type {VmClock} from '../vm_clock.js';
 import {EngineReports} from '../engines/engine_reports.js';
 import {SuccessionWatch} from './succession_watch.js';
@@ -46,6 +52,8 @@
   readonly clock: VmClock;
   readonly metrics: GatewayMetrics;
   readonly vmName: string;
+  readonly view: EndpointView;
+  readonly dataCentre: string;
   readonly logger: EventLogger;
 }
 
@@ -77,6 +85,7 @@
   private readonly fleet: EngineFleet;
   private readonly weights: WeightTask;
   private readonly succession: SuccessionWatch;
+  private readonly rewards: RewardTask;
   /** Steady ms at which another VM was found to run the items; nothing starts here until the log tells more. */
   private yieldedMs = -Infinity;
   private readonly live = new Map<string, LiveRun>();
@@ -102,6 +111,14 @@
       countOwn: engineId => this.scheduler.countRuns(engineId),
       onSuperseded: foreign => this.yieldRuns(foreign),
     });
+    this.rewards = new RewardTask(parts, {
+      onScore: (job, score) => {
+        this.scheduler.noteScore(job, score);
+        this.decideSoon();
+      },
+      onFailed: (job, attempts) => this.noteRewardFailure(job, attempts),
+      onFree: () => this.decideSoon(),
+    });
     this.weights = new WeightTask({
       lease,
       roster,
@@ -153,6 +170,7 @@
     clearInterval(this.tickTimer);
     clearInterval(this.progressTimer);
     this.weights.stop();
+    this.rewards.stop();
     for (const book of this.parts.shelf.openAll()) book.unlisten(this.listener);
     for (const {generation} of [...this.live.values()]) generation.stop();
   }
@@ -242,6 +260,7 @@
     if (lastContactMs < this.yieldedMs) return;
     if (nowMs - lastContactMs > BLIND_MS) return;
     for (const action of this.scheduler.decide(nowMs)) this.act(action);
+    this.rewards.decide(this.scheduler.listUnscored());
   }
 
   private listEngines(): readonly EndpointEntry[] {
@@ -258,6 +277,7 @@
       runs: foreign,
     });
     for (const {generation} of [...this.live.values()]) generation.stop();
+    this.rewards.decide([]);
   }
 
   private act(action: ScheduleAction): void {
@@ -345,6 +365,15 @@
       this.openWriter(batchId).write({kind: 'attempt_failed', batchId, itemId});
     }
     this.scheduler.noteEnd(run, end, this.parts.clock.now());
+    if (run.job.state === 'unscored') this.writeWholeText(run.job);
+    this.decideSoon();
+  }
+
+  private noteRewardFailure(job: Job, attempts: number): void {
+    const batchId = job.batch.batch.id;
+    const itemId = job.item.id;
+    this.openWriter(batchId).write({kind: 'reward_failed', batchId, itemId});
+    this.scheduler.noteRewardFailure(job, attempts);
     this.decideSoon();
   }
 
@@ -352,19 +381,34 @@
     for (const live of this.live.values()) this.writeEvents(live);
   }
 
-  private writeEvents(live: LiveRun): void {
-    const {job} = live.run;
-    const {events} = job.transcript;
+  private writeEvents({run: {job}}: LiveRun): void {
     const {recorded} = job;
-    if (events.length <= recorded || job.state === 'finished') return;
+    const isNew = job.transcript.events.length > recorded;
+    if (isNew && job.state !== 'finished') this.writeText(job, recorded, false);
+  }
+
+  /**
+   * A coordinator that takes over while the score is under way must not make
+   * the text again. The last event goes along even if it was written before, as
+   * it is what the mark stands behind.
+   */
+  private writeWholeText(job: Job): void {
+    const last = job.transcript.events.length - 1;
+    this.writeText(job, Math.min(job.recorded, last), true);
+  }
+
+  /** Writes down the events of a text from the one at `from` on. */
+  private writeText(job: Job, from: number, isWhole: boolean): void {
+    const {events} = job.transcript;
     const batchId = job.batch.batch.id;
-    const afterRun = events[recorded - 1]?.run;
+    const afterRun = events[from - 1]?.run;
     this.openWriter(batchId).write({
       kind: 'progress',
       batchId,
       itemId: job.item.id,
       ...(afterRun === undefined ? {} : {afterRun}),
-      events: events.slice(recorded),
+      events: events.slice(from),
+      ...(isWhole ? {isWhole} : {}),
     });
     job.recorded = events.length;
   }
--- a/packages/daemon/src/gateway/batches/generation.ts
+++ b/packages/daemon/src/gateway/batches/generation.ts
@@ -89,7 +89,10 @@
       this.drain(res, judgeStatus(status, facts.isNotExecuted), status);
       return;
     }
-    if (!facts.isStamped || res.headers['content-encoding'] !== undefined) {
+    if (
+      facts.stamp === undefined ||
+      res.headers['content-encoding'] !== undefined
+    ) {
       return this.reject('broken', 'the answer is not the engine its own');
     }
     this.version = facts.weightVersion;
--- /dev/null
+++ b/packages/daemon/src/gateway/batches/reward_task.ts
@@ -0,0 +1,220 @@
+/**
+ * Makes the reward calls that the coordinator decides on: the VM that saw the
+ * end of a text asks for its score at once, without a way through the log.
+ */
+
+import type {Job} from '@radishyoke/core/batches/batch_job';
+import type {RewardRequest} from '@radishyoke/core/batches/batch_record';
+import type {EndpointEntry} from '@radishyoke/core/fleet/endpoint_entry';
+import type {EndpointRoster} from '@radishyoke/core/fleet/endpoint_roster';
+import {
+  type RewardCall,
+  RewardDesk,
+  type RewardEnd,
+} from '@radishyoke/core/rewards/reward_desk';
+import {
+  drawFromId,
+  pickService,
+  type Route,
+} from '@radishyoke/core/routing/route_table';
+import type {EventLogger} from '../../logger.js';
+import {
+  EndpointExchange,
+  type ExchangeOutcome,
+  isSuccess,
+} from '../endpoints/endpoint_exchange.js';
+import type {EndpointLinks} from '../endpoints/endpoint_links.js';
+import type {EndpointProtocol} from '../endpoints/endpoint_protocol.js';
+import type {EndpointView} from '../endpoints/endpoint_view.js';
+import type {GatewayMetrics} from '../gateway_metrics.js';
+import type {ConfigHolder} from '../store/config_holder.js';
+
+export interface RewardParts {
+  readonly roster: EndpointRoster;
+  readonly links: EndpointLinks;
+  readonly view: EndpointView;
+  readonly protocol: EndpointProtocol;
+  readonly config: ConfigHolder;
+  readonly dataCentre: string;
+  readonly metrics: GatewayMetrics;
+  readonly logger: EventLogger;
+}
+
+export interface RewardEvents {
+  onScore(job: Job, score: string): void;
+  /** An endpoint answered that the call failed; `attempts` of these are enough. */
+  onFailed(job: Job, attempts: number): void;
+  /** A call ended without news of its job: another one may start. */
+  onFree(): void;
+}
+
+/** Time that one call may take where its rule states none, ms. */
+const DEFAULT_CALL_MS = 3000;
+/** The endpoint gets this much less than the call waits, ms: its answer has to travel back. */
+const RETURN_MS = 20;
+/** The status that says that an endpoint ran the call and it failed; others, such as its own time-out, may pass. */
+const FAILED_STATUS = 500;
+
+export class RewardTask {
+  private readonly desk: RewardDesk;
+  private readonly live = new Map<number, EndpointExchange>();
+  private isStopped = false;
+
+  constructor(
+    private readonly parts: RewardParts,
+    private readonly events: RewardEvents,
+  ) {
+    this.desk = new RewardDesk(parts.dataCentre);
+  }
+
+  /** Starts and cancels calls for `jobs`, the most urgent first. */
+  decide(jobs: readonly Job[]): void {
+    if (this.isStopped) return;
+    const nowMs = performance.now();
+    const find = (reward: RewardRequest) => this.findEndpoints(reward, nowMs);
+    for (const action of this.desk.decide(jobs, find, nowMs, Math.random())) {
+      if (action.kind === 'call') void this.run(action.call);
+      else this.live.get(action.call.number)?.abort();
+    }
+  }
+
+  stop(): void {
+    this.isStopped = true;
+    for (const exchange of this.live.values()) exchange.abort();
+  }
+
+  private findRoute({host, path}: RewardRequest): Route | undefined {
+    return this.parts.config.table?.match(host, path);
+  }
+
+  private findEndpoints(reward: RewardRequest, nowMs: number) {
+    const route = this.findRoute(reward);
+    const service = route && pickService(route, drawFromId(reward.id));
+    if (service === undefined) return undefined;
+    const {roster, view} = this.parts;
+    const usable = roster.listUsable(service, nowMs);
+    return {endpoints: usable.map(entry => view.describe(entry, nowMs))};
+  }
+
+  private async run(call: RewardCall): Promise<void> {
+    const {roster, links, view, protocol} = this.parts;
+    const entry = roster.get(call.endpointId);
+    if (!entry) return this.desk.noteEnd(call, {kind: 'not_run'}, now());
+    this.logStart(call);
+    const exchange = new EndpointExchange(links.open(entry), protocol, entry);
+    this.live.set(call.number, exchange);
+    view.noteStart(entry);
+    const outcome = await this.exchange(call, entry, exchange);
+    view.noteEnd(entry);
+    const isCancelled = !this.live.delete(call.number) || exchange.isAborted;
+    const end = isCancelled ? {kind: 'cancelled' as const} : judge(outcome);
+    // A few texts can not be scored anywhere; that tells nothing of the endpoint.
+    const isNews = end.kind !== 'cancelled' && end.kind !== 'failed';
+    if (isNews) view.noteOutcome(entry, outcome, now());
+    if (outcome.kind === 'unknown') links.renew(entry.id);
+    this.conclude(call, end, describe(outcome));
+  }
+
+  private async exchange(
+    {job, reward}: RewardCall,
+    entry: EndpointEntry,
+    exchange: EndpointExchange,
+  ): Promise<ExchangeOutcome> {
+    const timeoutMs = this.measureTimeoutMs(job, reward);
+    const timer = setTimeout(() => exchange.giveUp(), timeoutMs);
+    const headers = this.parts.protocol.rewardHeaders(reward, {
+      endpointId: entry.id,
+      deadlineMs: Math.max(Math.floor(timeoutMs - RETURN_MS), 1),
+    });
+    const outcome = await exchange.run({
+      method: 'POST',
+      path: reward.path,
+      headers,
+      body: reward.body,
+      attemptId: reward.id,
+    });
+    clearTimeout(timer);
+    return outcome;
+  }
+
+  private measureTimeoutMs(job: Job, reward: RewardRequest): number {
+    const routeMs = this.findRoute(reward)?.timeoutMs || DEFAULT_CALL_MS;
+    const leftMs = (job.batch.terms?.giveUpAtMs ?? Infinity) - now();
+    return Math.max(Math.min(routeMs, leftMs), RETURN_MS);
+  }
+
+  private conclude(call: RewardCall, end: RewardEnd, detail: string): void {
+    this.desk.noteEnd(call, end, now());
+    this.parts.metrics.count(`reward_${end.kind}`);
+    this.logEnd(call, end, detail);
+    if (this.isStopped) return;
+    const {job, reward} = call;
+    switch (end.kind) {
+      case 'scored':
+        this.events.onScore(job, end.score);
+        return;
+      case 'failed':
+        this.events.onFailed(job, this.countAttempts(job, reward));
+        return;
+      default:
+        this.events.onFree();
+    }
+  }
+
+  /** Failures that are enough: neither the item's rule nor that of the call may be cut short. */
+  private countAttempts(job: Job, reward: RewardRequest): number {
+    const own = this.findRoute(reward)?.attempts ?? 1;
+    return Math.max(own, job.batch.terms?.attempts ?? 1);
+  }
+
+  private logStart({job, reward, endpointId}: RewardCall): void {
+    this.parts.logger.log('info', 'reward call started', {
+      requestId: job.item.id,
+      batch: job.batch.batch.id,
+      call: reward.id,
+      endpoint: endpointId,
+      rule: this.findRoute(reward)?.name,
+      configVersion: this.parts.config.version,
+    });
+  }
+
+  private logEnd(call: RewardCall, end: RewardEnd, detail: string): void {
+    const {job, reward, endpointId, startedMs} = call;
+    this.parts.logger.log('info', 'reward call ended', {
+      requestId: job.item.id,
+      batch: job.batch.batch.id,
+      call: reward.id,
+      endpoint: endpointId,
+      outcome: end.kind,
+      detail,
+      tookMs: Math.round(now() - startedMs),
+    });
+  }
+}
+
+function now(): number {
+  return performance.now();
+}
+
+function judge(outcome: ExchangeOutcome): RewardEnd {
+  switch (outcome.kind) {
+    case 'answered': {
+      const {status, facts} = outcome.answer;
+      const {stamp} = facts;
+      if (isSuccess(status) && stamp !== undefined) {
+        return {kind: 'scored', score: stamp};
+      }
+      return {kind: status === FAILED_STATUS ? 'failed' : 'not_run'};
+    }
+    case 'not_executed':
+    case 'unsent':
+      return {kind: 'not_run'};
+    case 'unknown':
+      return {kind: 'broken'};
+  }
+}
+
+function describe(outcome: ExchangeOutcome): string {
+  if (outcome.kind !== 'answered') return outcome.detail;
+  return `status ${outcome.answer.status}`;
+}
--- a/packages/daemon/src/gateway/endpoints/__tests__/endpoint_exchange.spec.ts
+++ b/packages/daemon/src/gateway/endpoints/__tests__/endpoint_exchange.spec.ts
@@ -102,7 +102,6 @@
     headers: {host: 'h'},
     body: Buffer.from('ask'),
     attemptId: 'a1',
-    deadlineMs: 1000,
   });
 }
 
--- a/packages/daemon/src/gateway/endpoints/endpoint_exchange.ts
+++ b/packages/daemon/src/gateway/endpoints/endpoint_exchange.ts
@@ -12,10 +12,10 @@
 export interface ExchangeRequest {
   readonly method: string;
   readonly path: string;
-  readonly headers: http.IncomingHttpHeaders;
-  readonly body: Buffer;
+  /** As they are sent; the length of the body is added. */
+  readonly headers: http.OutgoingHttpHeaders;
+  readonly body: Uint8Array;
   readonly attemptId: string | undefined;
-  readonly deadlineMs: number;
 }
 
 /** An answer as the endpoint gave it. */
@@ -46,6 +46,7 @@
   private req: http.ClientRequest | undefined;
   private isConnected = false;
   private isDone = false;
+  private wasAborted = false;
 
   constructor(
     private readonly agent: http.Agent,
@@ -70,24 +71,34 @@
     });
   }
 
-  /** Gives the attempt up; the endpoint sees its connection close. */
+  /** Ends the attempt on its owner's word; the endpoint sees its connection close. */
   abort(): void {
+    this.wasAborted = true;
     this.req?.destroy();
   }
 
+  /** Ends the attempt because its endpoint took too long. */
+  giveUp(): void {
+    this.req?.destroy();
+  }
+
+  /** Whether its owner ended it, so that its end tells nothing of the endpoint. */
+  get isAborted(): boolean {
+    return this.wasAborted;
+  }
+
   /** Whether anything may have reached the endpoint. */
   get isSent(): boolean {
     return this.isConnected;
   }
 
   private send(sent: ExchangeRequest): http.ClientRequest {
-    const {id: endpointId, host, port} = this.entry;
-    const terms = {endpointId, deadlineMs: sent.deadlineMs};
-    const headers = this.protocol.forwardHeaders(sent.headers, terms);
-    if (sent.body.length > 0 || sent.headers['content-length'] !== undefined) {
+    const {host, port} = this.entry;
+    const {method, path} = sent;
+    const headers = {...sent.headers};
+    if (sent.body.length > 0 || method !== 'GET') {
       headers['Content-Length'] = sent.body.length;
     }
-    const {method, path} = sent;
     const req = http.request({
       agent: this.agent,
       host,
@@ -158,7 +169,9 @@
   if (isOther && (facts.attemptId !== undefined || isSuccess(status))) {
     return 'the answer is to another request';
   }
-  if (isSuccess(status) && !facts.isStamped) return 'the answer bears no proof';
+  if (isSuccess(status) && facts.stamp === undefined) {
+    return 'the answer bears no proof';
+  }
   // Callers ask for bodies as they are; a coded one is not the endpoint's.
   if (res.headers['content-encoding'] !== undefined) {
     return 'the answer is encoded';
--- a/packages/daemon/src/gateway/endpoints/endpoint_protocol.ts
+++ b/packages/daemon/src/gateway/endpoints/endpoint_protocol.ts
@@ -4,7 +4,10 @@
  */
 
 import type {IncomingHttpHeaders, OutgoingHttpHeaders} from 'node:http';
-import type {BatchItem} from '@radishyoke/core/batches/batch_record';
+import type {
+  BatchItem,
+  RewardRequest,
+} from '@radishyoke/core/batches/batch_record';
 import type {ModelVersion} from '@radishyoke/core/fleet/endpoint_entry';
 import type {Result} from '@radishyoke/shared/result';
 
@@ -29,8 +32,8 @@
 export interface AnswerFacts {
   /** Id of the attempt that it answers. */
   readonly attemptId: string | undefined;
-  /** Whether the endpoint put its proof of origin on it. */
-  readonly isStamped: boolean;
+  /** The endpoint's proof of origin. */
+  readonly stamp: string | undefined;
   /** Whether the endpoint states that it did not run the request. */
   readonly isNotExecuted: boolean;
   readonly weightVersion: number | undefined;
@@ -106,6 +109,11 @@
     terms: GenerationTerms,
   ): OutgoingHttpHeaders;
 
+  abstract rewardHeaders(
+    reward: RewardRequest,
+    terms: ForwardTerms,
+  ): OutgoingHttpHeaders;
+
   abstract readAnswer(headers: IncomingHttpHeaders): AnswerFacts;
 
   abstract reportCall(): EndpointCall;
--- a/packages/daemon/src/gateway/endpoints/endpoint_view.ts
+++ b/packages/daemon/src/gateway/endpoints/endpoint_view.ts
@@ -2,6 +2,7 @@
 
 import type {EndpointEntry} from '@radishyoke/core/fleet/endpoint_entry';
 import type {EndpointChoice} from '@radishyoke/core/routing/endpoint_choice';
+import type {ExchangeOutcome} from './endpoint_exchange.js';
 import type {EndpointLoad} from './endpoint_protocol.js';
 
 interface Seen {
@@ -42,17 +43,37 @@
     seen.inFlight = Math.max(seen.inFlight - 1, 0);
   }
 
-  noteLoad(entry: EndpointEntry, load: EndpointLoad, nowMs: number): void {
+  /** Takes what the end of an exchange says of the endpoint. */
+  noteOutcome(
+    entry: EndpointEntry,
+    outcome: ExchangeOutcome,
+    nowMs: number,
+  ): void {
+    if (outcome.kind !== 'answered') {
+      this.noteFailure(entry, nowMs);
+      return;
+    }
+    const {facts, status} = outcome.answer;
+    if (facts.load) this.noteLoad(entry, facts.load, nowMs);
+    if (status >= 500) this.noteFailure(entry, nowMs);
+    else this.noteSuccess(entry);
+  }
+
+  private noteLoad(
+    entry: EndpointEntry,
+    load: EndpointLoad,
+    nowMs: number,
+  ): void {
     const seen = this.open(entry);
     seen.reported = load.running + load.waiting;
     seen.reportedAtMs = nowMs;
   }
 
-  noteSuccess(entry: EndpointEntry): void {
+  private noteSuccess(entry: EndpointEntry): void {
     this.open(entry).failures = 0;
   }
 
-  noteFailure(entry: EndpointEntry, nowMs: number): void {
+  private noteFailure(entry: EndpointEntry, nowMs: number): void {
     const seen = this.open(entry);
     seen.failures += 1;
     seen.failedAtMs = nowMs;
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -324,6 +324,8 @@
       clock: this.clock,
       metrics: this.metrics,
       vmName: this.cfg.lifeId,
+      view: this.view,
+      dataCentre: this.cfg.dataCentre,
       logger: this.parts.logger,
     });
     this.runner = runner;
--- a/packages/daemon/src/gateway/requests/forwarder.ts
+++ b/packages/daemon/src/gateway/requests/forwarder.ts
@@ -12,7 +12,11 @@
   type RequestTerms,
 } from '@radishyoke/core/routing/attempt_policy';
 import {chooseEndpoint} from '@radishyoke/core/routing/endpoint_choice';
-import {pickService, type Route} from '@radishyoke/core/routing/route_table';
+import {
+  drawFromId,
+  pickService,
+  type Route,
+} from '@radishyoke/core/routing/route_table';
 import {createError, type RadishyokeError} from '@radishyoke/shared/error_kind';
 import type {IncomingHttpHeaders} from 'node:http';
 import type {EventLogger} from '../../logger.js';
@@ -93,7 +97,10 @@
       attempts: route.attempts,
       objectiveMs: route.objectiveMs,
     };
-    this.service = pickService(route, drawFrom(req.attemptId));
+    const {attemptId} = req;
+    const draw =
+      attemptId === undefined ? Math.random() : drawFromId(attemptId);
+    this.service = pickService(route, draw);
     this.outcome = new Promise(resolve => (this.resolve = resolve));
     const leftMs = Math.max(req.deadlineMs - performance.now(), 0);
     this.deadlineTimer = setTimeout(() => this.expire(), leftMs);
@@ -149,10 +156,12 @@
     const outcome = await exchange.run({
       method,
       path,
-      headers,
+      headers: protocol.forwardHeaders(headers, {
+        endpointId: entry.id,
+        deadlineMs,
+      }),
       body,
       attemptId,
-      deadlineMs,
     });
     view.noteEnd(entry);
     this.pending.delete(exchange);
@@ -164,15 +173,7 @@
 
   private learn(entry: EndpointEntry, outcome: ExchangeOutcome): void {
     const {view, links} = this.parts;
-    const nowMs = performance.now();
-    if (outcome.kind === 'answered') {
-      const {facts, status} = outcome.answer;
-      if (facts.load) view.noteLoad(entry, facts.load, nowMs);
-      if (status >= 500) view.noteFailure(entry, nowMs);
-      else view.noteSuccess(entry);
-      return;
-    }
-    view.noteFailure(entry, nowMs);
+    view.noteOutcome(entry, outcome, performance.now());
     if (outcome.kind === 'unknown') links.renew(entry.id);
   }
 
@@ -275,13 +276,3 @@
       return {kind: 'unknown'};
   }
 }
-
-/** A number in [0, 1) that the same id always gives. */
-function drawFrom(id: string | undefined): number {
-  if (id === undefined) return Math.random();
-  let hash = 2166136261;
-  for (let i = 0; i < id.length; i++) {
-    hash = Math.imul(hash ^ id.charCodeAt(i), 16777619);
-  }
-  return (hash >>> 0) / 2 ** 32;
-}
--- a/packages/shared/src/log_event.ts
+++ b/packages/shared/src/log_event.ts
@@ -33,6 +33,14 @@
   readonly configVersion: number;
 };
 
+/** One reward call for an item's text. */
+type RewardFields = Subject & {
+  readonly batch: string;
+  /** Id of the call. */
+  readonly call: string;
+  readonly endpoint: string;
+};
+
 type BatchFailure = Subject & {
   readonly rule: string | undefined;
   readonly outcome: string;
@@ -151,6 +159,12 @@
   readonly 'run misdirected': RunFields;
   readonly 'run unreachable': RunFields;
   readonly 'run broken': RunFields;
+  readonly 'reward call started': RewardFields & Decided;
+  readonly 'reward call ended': RewardFields & {
+    readonly outcome: string;
+    readonly detail: string;
+    readonly tookMs: number;
+  };
   readonly 'items are run by another VM': {readonly runs: number};
   readonly 'item has a result': Subject & {
     readonly batch: string;
