feat(core,daemon): a new coordinator orders engines that nobody announced at once

Ruled out: slots (20 of 48 taken), reward calls, the store.

Change: a holder appends which engine it is about to order, on the condition that it has read all records, before it does; a successor has read all that could be announced and waits for those engines alone. Renewals behind an announcement tell its age to a VM that reads the log from its start; a gap in the log, or a holder of the version before, counts as orders to all engines.

--- a/packages/core/src/fleet/weight_plan.ts
+++ b/packages/core/src/fleet/weight_plan.ts
@@ -16,7 +16,7 @@
   readonly version: number;
   /** Version of the model that it loads now, if it does. */
   readonly loadingVersion?: number;
-  /** Whether it is carrying out an order, for any model. */
+  /** Whether it can not be ordered now: it carries out an order, for any model, or may have had one from another VM just before. */
   readonly isBusy: boolean;
   /** Whether it answers and keeps pace. */
   readonly isSound: boolean;
--- a/packages/core/src/leases/log_lease.ts
+++ b/packages/core/src/leases/log_lease.ts
@@ -8,13 +8,20 @@
  * the owner of this object calls `distrust` when it finds that it did.
  */
 
+import {OrderMarks} from './order_marks.js';
+
 /** One record of the lease's partition. */
 export interface LeaseRecord {
-  readonly kind: 'claim' | 'renewal' | 'release';
+  /** An `order` renews the lease as well and tells of orders about to be given. */
+  readonly kind: 'claim' | 'renewal' | 'release' | 'order';
   /** Unique for each start of a process. */
   readonly holder: string;
   /** Unix ms at which it was written, by the writer's clock. */
   readonly atMs: number;
+  /** Whether its writer tells of each order before it gives it. */
+  readonly announcesOrders?: boolean;
+  /** Engines that are about to be ordered, with an `order`. */
+  readonly engines?: readonly string[];
 }
 
 export interface LeaseTiming {
@@ -24,6 +31,8 @@
   readonly trustMs: number;
   /** Others claim after this long without a record, ms. More than `trustMs`. */
   readonly silenceMs: number;
+  /** An order that was announced is given within this time from before the announcement was sent, and has arrived by then or never does, ms. */
+  readonly orderWindowMs: number;
 }
 
 /** What the owner of the lease object should do now. */
@@ -45,10 +54,10 @@
   private nextOffset = 0;
   /** Steady ms from which silence counts. */
   private lastRecordMs: number;
-  /** Steady ms at which the last record was read. */
-  private lastReadMs = -Infinity;
   private trustedUntilMs = -Infinity;
-  private heldSinceMs = -Infinity;
+  private readonly marks: OrderMarks;
+  /** Steady ms before which own orders to an engine are covered by an announcement. */
+  private readonly announcedUntilMs = new Map<string, number>();
   private isReleased = false;
   private isFromRelease = false;
   private inFlight: {readonly sentMs: number} | undefined;
@@ -67,6 +76,7 @@
     nowMs: number,
   ) {
     this.lastRecordMs = nowMs;
+    this.marks = new OrderMarks(timing.renewMs);
   }
 
   /** Token of the present term; meaningful while `isHeld`. */
@@ -94,9 +104,26 @@
     return this.isFromRelease;
   }
 
-  /** How long the holder before has been without trust, and so gives no order, ms; negative while it may. */
-  measureTrustlessMs(nowMs: number): number {
-    return nowMs - this.heldSinceMs;
+  /** How long no other holder has given orders to the engine, ms; negative while one still may. */
+  measureQuietMs(engineId: string, nowMs: number): number {
+    return this.marks.measureQuietMs(engineId, nowMs);
+  }
+
+  /**
+   * Whether the log tells of an order to the engine that may still be given.
+   *
+   * A successor that reads no such word orders at once. The announcement was
+   * appended at the end of all records, so whoever claims after it has read it,
+   * and after a claim that this holder has not read none can be appended.
+   */
+  isAnnounced(engineId: string, nowMs: number): boolean {
+    const untilMs = this.announcedUntilMs.get(engineId) ?? -Infinity;
+    return this.isHeld(nowMs) && nowMs < untilMs;
+  }
+
+  /** Records were lost before they were read here. */
+  noteGap(nowMs: number): void {
+    this.marks.noteUnknown(this.timing.orderWindowMs, nowMs);
   }
 
   /** Takes the next record that was read; one that is known already says nothing. */
@@ -105,15 +132,18 @@
     this.nextOffset = offset + 1;
     this.lastRecordMs = nowMs;
     this.lastWrittenUnixMs = record.atMs;
+    if (record.holder !== this.self) this.markOrders(record, nowMs);
     switch (record.kind) {
       case 'claim':
         this.holder = record.holder;
         this.claimOffset = offset;
-        this.heldSinceMs = this.findTermStart(nowMs);
         this.isFromRelease = this.isReleased;
         this.isReleased = false;
         break;
       case 'renewal':
+        this.marks.noteRenewal();
+        break;
+      case 'order':
         break;
       case 'release':
         if (this.holder !== record.holder) break;
@@ -122,19 +152,16 @@
         // Nothing is left to wait for but the VM's own patience.
         this.lastRecordMs = nowMs - this.timing.silenceMs;
     }
-    this.lastReadMs = nowMs;
   }
 
-  /**
-   * The holder before trusted its lease no longer than this after its last
-   * record was read here, whenever the claim came: after a whole silence that is
-   * in the past, and after a claim that only the time of day allowed, with a
-   * clock that is wrong, it may be still to come.
-   */
-  private findTermStart(nowMs: number): number {
-    const hasPredecessor = Number.isFinite(this.lastReadMs);
-    if (this.isReleased || !hasPredecessor) return nowMs;
-    return this.lastReadMs + this.timing.trustMs;
+  private markOrders(record: LeaseRecord, nowMs: number): void {
+    const {orderWindowMs, trustMs} = this.timing;
+    const {kind, engines, announcesOrders} = record;
+    if (kind === 'release') return;
+    // A holder of an earlier version of the program orders while it trusts its
+    // lease, which it does for this long from each of its records.
+    if (!announcesOrders) this.marks.noteUnknown(trustMs, nowMs);
+    else if (engines) this.marks.noteOrders(engines, orderWindowMs, nowMs);
   }
 
   /** Reads failed until now: silence counts from here. */
@@ -162,10 +189,19 @@
     this.trustedUntilMs = -Infinity;
   }
 
-  /** Says what to append now, if anything. */
-  decide(nowMs: number, unixNowMs: number): LeaseAction {
+  /**
+   * Says what to append now, if anything.
+   *
+   * @param engines Engines that this holder wants to order.
+   */
+  decide(
+    nowMs: number,
+    unixNowMs: number,
+    engines: readonly string[] = [],
+  ): LeaseAction {
     if (this.inFlight) return NO_ACTION;
     if (this.holder === this.self) {
+      if (engines.length > 0) return this.announce(engines, nowMs, unixNowMs);
       if (nowMs - this.lastSentMs < this.timing.renewMs) return NO_ACTION;
       return this.send('renewal', nowMs, unixNowMs);
     }
@@ -184,6 +220,10 @@
     this.observe(record, offset, nowMs);
     if (this.holder === this.self) {
       this.trustedUntilMs = sentMs + this.timing.trustMs;
+      const untilMs = sentMs + this.timing.orderWindowMs;
+      for (const id of record.engines ?? []) {
+        this.announcedUntilMs.set(id, untilMs);
+      }
     }
   }
 
@@ -192,16 +232,26 @@
     this.inFlight = undefined;
   }
 
+  private announce(
+    engines: readonly string[],
+    nowMs: number,
+    atMs: number,
+  ): LeaseAction {
+    return this.send('order', nowMs, atMs, {engines});
+  }
+
   private send(
-    kind: 'claim' | 'renewal',
+    kind: 'claim' | 'renewal' | 'order',
     nowMs: number,
     atMs: number,
+    extra: Pick<LeaseRecord, 'engines'> = {},
   ): LeaseAction {
     this.inFlight = {sentMs: nowMs};
     this.lastSentMs = nowMs;
+    const {self: holder} = this;
     return {
       kind: 'append',
-      record: {kind, holder: this.self, atMs},
+      record: {kind, holder, atMs, announcesOrders: true, ...extra},
       at: this.nextOffset,
     };
   }
--- a/packages/daemon/src/gateway/engines/lease_task.ts
+++ b/packages/daemon/src/gateway/engines/lease_task.ts
@@ -25,10 +25,13 @@
   renewMs: 300,
   trustMs: 900,
   silenceMs: 1100,
+  orderWindowMs: 650,
 };
 
 /** A renewal without an answer for this long is made again, ms: over the 320 of a slow log, and short enough for a second one within the silence. */
 const APPEND_MS = 400;
+/** An announced order must arrive within its window: it is begun this long before the end of it, ms, which is what an order waits for its connection and answer and a little more. */
+const ORDER_TRAVEL_MS = 200;
 /** How often the lease decides, ms. */
 const TICK_MS = 50;
 /** Long polls of the lease's partition wait this long, ms. */
@@ -36,8 +39,8 @@
 /** Pause of a standby between reads, ms: it needs each renewal, but not at once. */
 const GATHER_MS = 150;
 const RETRY_MS = 100;
-/** Added to the lease of a predecessor before the first order, ms: its last order may have been under way for as long as an order waits for its answer. */
-const ORDER_SLACK_MS = 150;
+/** Added to the time between the orders of two holders, ms: clocks of two VMs do not run quite alike. */
+const ORDER_SLACK_MS = 50;
 /** Records of the lease that are kept, as history for whoever looks into a fault. */
 const KEPT_RECORDS = 500;
 /** Renewals between two trims of the partition. */
@@ -67,6 +70,8 @@
   private contactMs = -Infinity;
   /** Orders wait until this steady time after a suspension. */
   private thawedMs = -Infinity;
+  /** Engines whose orders wait for their announcement, with what ends the wait. */
+  private readonly announcements = new Map<string, () => void>();
 
   constructor(
     private readonly store: LogStore,
@@ -95,13 +100,13 @@
   }
 
   /**
-   * Whether this VM may give an order now. A new holder waits until the orders
-   * of the one before it are a whole lease old, since an engine must never hear
-   * two holders by turns. After a holder that gave up by itself there is nothing
-   * to wait for where engines check tokens: an order of it that is still on its
-   * way is refused by its older token.
+   * Whether this VM may order the engine now, once the order is announced. A new
+   * holder waits until orders of those before it are a whole lease old, since an
+   * engine must never hear two holders by turns. After a holder that gave up by
+   * itself there is nothing to wait for where engines check tokens: an order of
+   * it that is still on its way is refused by its older token.
    */
-  mayOrder(): boolean {
+  mayOrder(engineId: string): boolean {
     const nowMs = this.clock.now();
     this.checkSuspension(nowMs);
     const isSafe = this.lease.isHandedOver && this.cfg.isFencingEnforced;
@@ -109,11 +114,26 @@
     return (
       this.lease.isHeld(nowMs) &&
       !this.isReleased &&
-      this.lease.measureTrustlessMs(nowMs) >= waitMs &&
+      this.lease.measureQuietMs(engineId, nowMs) >= waitMs &&
       nowMs - this.thawedMs > LEASE_TIMING.trustMs
     );
   }
 
+  /** Writes down that the engine is about to be ordered; says whether the order may be given now. */
+  async announceOrder(engineId: string): Promise<boolean> {
+    const told = new Promise<void>(resolve =>
+      this.announcements.set(engineId, resolve),
+    );
+    void this.act();
+    await Promise.race([told, sleep(APPEND_MS + TICK_MS)]);
+    this.announcements.delete(engineId);
+    const nowMs = this.clock.now();
+    return (
+      this.mayOrder(engineId) &&
+      this.lease.isAnnounced(engineId, nowMs + ORDER_TRAVEL_MS)
+    );
+  }
+
   /** Gives the lease up so that another VM takes over at once. */
   async release(): Promise<void> {
     const wasNamed = this.isNamed;
@@ -153,6 +173,7 @@
       this.contactMs = nowMs;
       if (outcome.kind === 'expired') {
         this.next = outcome.firstOffset;
+        this.lease.noteGap(nowMs);
         continue;
       }
       this.takeAll(outcome.records, nowMs);
@@ -180,12 +201,31 @@
     const {signal} = this.abort;
     while (!signal.aborted) {
       await sleep(TICK_MS);
-      const nowMs = this.clock.now();
-      this.checkSuspension(nowMs);
-      if (this.isReleased) continue;
-      if (!this.isCaughtUp && !this.lease.isNamed()) continue;
-      const action = this.lease.decide(nowMs, Date.now());
-      if (action.kind === 'append') await this.append(action.record, action.at);
+      await this.act();
+    }
+  }
+
+  /** Appends what the lease asks for now. */
+  private async act(): Promise<void> {
+    const nowMs = this.clock.now();
+    this.checkSuspension(nowMs);
+    if (this.isReleased) return;
+    if (!this.isCaughtUp && !this.lease.isNamed()) return;
+    const engines = [...this.announcements.keys()];
+    const action = this.lease.decide(nowMs, Date.now(), engines);
+    if (action.kind !== 'append') return;
+    await this.append(action.record, action.at);
+    this.settleAnnouncements(action.record.engines ?? []);
+    // Orders that came up while a renewal was under way do not wait for a tick.
+    if (this.announcements.size > 0) await this.act();
+  }
+
+  /** Those who wait look for themselves whether their order may be given. */
+  private settleAnnouncements(engines: readonly string[]): void {
+    for (const id of engines) {
+      const resolve = this.announcements.get(id);
+      this.announcements.delete(id);
+      resolve?.();
     }
   }
 
--- a/packages/daemon/src/gateway/engines/weight_task.ts
+++ b/packages/daemon/src/gateway/engines/weight_task.ts
@@ -108,7 +108,6 @@
   /** Starts whatever loads are due; called often. */
   tick(table: RouteTable, engines: readonly EngineView[]): void {
     if (this.isStopped) return;
-    if (!this.parts.lease.mayOrder()) return;
     for (const service of table.engines) {
       const views = engines.filter(view => view.service === service.name);
       const maxLoads = Math.max(
@@ -168,7 +167,7 @@
     service: ServiceSpec,
     views: readonly EngineView[],
   ): readonly LoadCandidate[] {
-    const {scheduler} = this.parts;
+    const {scheduler, lease} = this.parts;
     const {speeds} = scheduler.board;
     const nowMs = performance.now();
     const slow = speeds.listSlow(nowMs);
@@ -184,7 +183,7 @@
           id,
           version: versions.get(model) ?? 0,
           ...(loadingVersion === undefined ? {} : {loadingVersion}),
-          isBusy: target !== undefined,
+          isBusy: target !== undefined || !lease.mayOrder(id),
           isSound: !slow.has(id) && !scheduler.board.isTroubled(id),
           running: scheduler.countRuns(id, model),
           free: Math.max(slots - running, 0),
@@ -248,7 +247,7 @@
       await sleep(REPORT_LAG_MS);
       return 'again';
     }
-    if (!this.parts.lease.mayOrder()) return 'over';
+    if (!(await this.parts.lease.announceOrder(entry.id))) return 'over';
     return this.judgeAnswer(target, await this.order(target));
   }
 
