fix(core,daemon): what a coordinator holds is bounded by open work

Cause: the coordinator of both grown sites ended by itself after half a minute (FatalProcessOutOfMemory at 120 MB of heap): each text was held as events in the jobs of all batches of three minutes, as a result there, and as a result in the books.

--- a/packages/core/src/batches/__tests__/batch_fixtures.ts
+++ b/packages/core/src/batches/__tests__/batch_fixtures.ts
@@ -9,6 +9,7 @@
   OutputEvent,
 } from '../batch_record.js';
 import {BatchScheduler} from '../batch_scheduler.js';
+import {ResultCache} from '../result_cache.js';
 import type {ScheduleAction} from '../schedule_action.js';
 import type {EngineView} from '../engine_board.js';
 
@@ -51,9 +52,22 @@
   };
 }
 
+/** A ledger whose records stand one behind the other. */
+export class FixtureLedger extends BatchLedger {
+  private nextOffset = 0;
+
+  override apply(record: BatchRecord, offset = this.nextOffset) {
+    this.nextOffset = offset + 1;
+    return super.apply(record, offset);
+  }
+}
+
 /** Batches stand in the slices as they are. */
-export function createLedger(batches: readonly Batch[]): BatchLedger {
-  return new BatchLedger(bytes => batches[bytes[0]]);
+export function createLedger(
+  batches: readonly Batch[],
+  cache = new ResultCache(),
+): FixtureLedger {
+  return new FixtureLedger(bytes => batches[bytes[0]], cache);
 }
 
 /** The records that accept the batch at `index` of those the ledger knows. */
@@ -109,8 +123,16 @@
   };
 }
 
+export interface ScheduleFixture {
+  readonly scheduler: BatchScheduler;
+  readonly ledger: FixtureLedger;
+  open(batch: Batch, terms?: OpenBatchTerms): void;
+}
+
 /** A scheduler with engines, and a ledger that its batches go through. */
-export function createSchedule(engines: readonly EngineView[]) {
+export function createSchedule(
+  engines: readonly EngineView[],
+): ScheduleFixture {
   const scheduler = new BatchScheduler({tokensPerEvent: 1, runPrefix: 'vm'});
   scheduler.setEngines(engines);
   const batches: Batch[] = [];
--- a/packages/core/src/batches/__tests__/batch_ledger.spec.ts
+++ b/packages/core/src/batches/__tests__/batch_ledger.spec.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 import fc from 'fast-check';
 import type {BatchRecord, ItemResult} from '../batch_record.js';
+import {ResultCache} from '../result_cache.js';
 import {
   acceptBatch,
   createBatch,
@@ -30,7 +31,7 @@
   t.is(ledger.apply(listResult('g1a'))?.kind, 'listed');
   const {results} = ledger.get('b0')!;
   t.deepEqual(
-    results.map(({output}) => output),
+    results.map(({result}) => result?.output),
     ['g0a', 'g1a'],
   );
 });
@@ -92,14 +93,14 @@
     fc.property(fc.array(record, {maxLength: 30}), records => {
       const ledger = createLedger([BATCH]);
       for (const each of acceptBatch(BATCH, 0)) ledger.apply(each);
-      let before: readonly ItemResult[] = [];
+      let before: ReadonlyArray<ItemResult | undefined> = [];
       for (const each of records) {
         ledger.apply(each);
-        const {results} = ledger.get('b0')!;
+        const results = ledger.get('b0')!.results.map(({result}) => result);
         t.deepEqual(results.slice(0, before.length), before);
-        before = [...results];
+        before = results;
       }
-      const ids = before.map(({itemId}) => itemId);
+      const ids = before.map(result => result?.itemId);
       t.is(new Set(ids).size, ids.length);
     }),
     {seed: 11, numRuns: 300},
@@ -143,3 +144,22 @@
   t.is(ledger.get('b0')!.items.get('g0a')!.rewardFailures, 2);
   t.is(ledger.get('b0')!.items.get('g0b')!.rewardFailures, 0);
 });
+
+// A coordinator runs out of memory after half a minute of load.
+// 1. Trainers end step after step; callers may ask for results for minutes.
+// 2. All texts of these minutes are kept.
+test('texts beyond the bound are let go, the oldest first, and positions stay', t => {
+  const ledger = createLedger([BATCH], new ResultCache(25));
+  for (const record of acceptBatch(BATCH, 0)) ledger.apply(record);
+  const text = 'x'.repeat(10);
+  for (const id of ['g0a', 'g0b', 'g1a']) ledger.apply(listResult(id, text));
+  const {results} = ledger.get('b0')!;
+  t.deepEqual(
+    results.map(({result}) => result?.itemId),
+    [undefined, 'g0b', 'g1a'],
+  );
+  t.deepEqual(
+    results.map(({offset}) => offset),
+    [2, 3, 4],
+  );
+});
--- a/packages/core/src/batches/batch_ledger.ts
+++ b/packages/core/src/batches/batch_ledger.ts
@@ -11,6 +11,7 @@
   BatchRecord,
   ItemResult,
 } from './batch_record.js';
+import type {ListedResult, ResultCache} from './result_cache.js';
 import {Transcript} from './transcript.js';
 
 /** What is known of one item. */
@@ -31,7 +32,7 @@
   readonly batch: Batch;
   readonly items: ReadonlyMap<string, ItemEntry>;
   /** Results by position. */
-  readonly results: ItemResult[];
+  readonly results: ListedResult[];
   isEnded: boolean;
 }
 
@@ -58,8 +59,14 @@
   private readonly batches = new Map<string, BatchEntry>();
   private readonly pending = new Map<string, PendingSubmission>();
 
-  /** @param decode Undoes what the writer did before it cut the slices. */
-  constructor(private readonly decode: DecodeBatch) {}
+  /**
+   * @param decode Undoes what the writer did before it cut the slices.
+   * @param cache Bounds the results in memory, over all ledgers that share it.
+   */
+  constructor(
+    private readonly decode: DecodeBatch,
+    private readonly cache: ResultCache,
+  ) {}
 
   get entries(): IterableIterator<BatchEntry> {
     return this.batches.values();
@@ -69,8 +76,8 @@
     return this.batches.get(batchId);
   }
 
-  /** Takes the next record of the partition. */
-  apply(record: BatchRecord): LedgerChange | undefined {
+  /** Takes the next record of the partition, which stands at `offset`. */
+  apply(record: BatchRecord, offset: number): LedgerChange | undefined {
     switch (record.kind) {
       case 'slice':
         this.takeSlice(record.submission, record.index, record.bytes);
@@ -78,7 +85,7 @@
       case 'accepted':
         return this.accept(record.batchId, record.submission, record.slices);
       case 'result':
-        return this.list(record.batchId, record.result);
+        return this.list(record.batchId, record.result, offset);
       case 'progress':
         this.addProgress(record);
         return undefined;
@@ -137,13 +144,19 @@
     return {kind: 'opened', entry};
   }
 
-  private list(batchId: string, result: ItemResult): LedgerChange | undefined {
+  private list(
+    batchId: string,
+    result: ItemResult,
+    offset: number,
+  ): LedgerChange | undefined {
     const entry = this.batches.get(batchId);
     const item = entry?.items.get(result.itemId);
     if (!entry || !item || item.position !== undefined) return undefined;
     item.position = entry.results.length;
     item.transcript.clear();
-    entry.results.push(result);
+    const listed = {offset, result};
+    entry.results.push(listed);
+    this.cache.add(listed);
     return {kind: 'listed', entry, result};
   }
 
--- a/packages/core/src/batches/batch_scheduler.ts
+++ b/packages/core/src/batches/batch_scheduler.ts
@@ -42,6 +42,8 @@
 /** Early breaks after which an item is suspected of crashing engines. One that has made output before did not crash the engine that made it, so it may have been unlucky more often. */
 const MAX_EARLY_BREAKS = 3;
 const MAX_EARLY_BREAKS_WITH_TEXT = 6;
+/** Closed batches of a model whose texts are kept: groups that were not complete come again in the next step, or in the one after it where steps are asked for ahead. */
+const KEPT_STEPS = 3;
 /** Pause of a suspected item, ms: long enough that it reaches no more than two engines within a usual retention of 40 s. */
 const SUSPECT_PAUSE_MS = 15_000;
 
@@ -65,6 +67,8 @@
   private readonly open = new Map<string, OpenBatch>();
   /** The newest job of each item id, to go on from when it is asked for again. */
   private readonly lastJobs = new Map<string, Job>();
+  /** The batches of each model that were closed last. */
+  private readonly closed = new Map<string, OpenBatch[]>();
   private readonly runs = new RunTable();
   private engines: readonly EngineView[] = [];
   private nextRunNumber = 1;
@@ -108,14 +112,14 @@
       job.rewardFailures = known.rewardFailures;
       if (known.position !== undefined) {
         job.state = 'finished';
-        job.result = entry.results[known.position];
+        job.result = entry.results[known.position].result;
       }
       jobs.set(item.id, job);
       if (!entry.isEnded) this.takeWhatIsKnown(job, earlier);
       this.lastJobs.set(item.id, job);
     }
-    // The items of an ended batch may still come again in a later one.
-    if (!entry.isEnded) this.open.set(batch.id, open);
+    if (entry.isEnded) this.noteClosed(open);
+    else this.open.set(batch.id, open);
   }
 
   private takeWhatIsKnown(job: Job, earlier: Job | undefined): void {
@@ -131,6 +135,23 @@
     for (const run of this.runs.values()) {
       if (run.job.batch === open) this.stop(run, 'ended');
     }
+    this.noteClosed(open);
+  }
+
+  /**
+   * The items of an ended batch may come again in a later one, so the texts of
+   * the last ones are kept; kept for as long as batches are known they fill the
+   * memory.
+   */
+  private noteClosed(open: OpenBatch): void {
+    const {model} = open.batch;
+    const closed = [...(this.closed.get(model) ?? []), open];
+    this.closed.set(model, closed);
+    if (closed.length <= KEPT_STEPS) return;
+    const forgotten = closed.shift()!;
+    for (const [id, job] of forgotten.jobs) {
+      if (this.lastJobs.get(id) === job) this.lastJobs.delete(id);
+    }
   }
 
   /** Forgets batches submitted before `beforeMs` (Unix ms), with their items. */
--- a/packages/core/src/batches/job_outcomes.ts
+++ b/packages/core/src/batches/job_outcomes.ts
@@ -104,6 +104,8 @@
   finish(job: Job, result: ItemResult): void {
     job.state = 'finished';
     job.result = result;
+    // The result has the text; its events take three times as much memory.
+    clearText(job);
   }
 
   private listText(
--- a/packages/core/src/rewards/__tests__/reward_order.spec.ts
+++ b/packages/core/src/rewards/__tests__/reward_order.spec.ts
@@ -76,6 +76,7 @@
   scheduler.decide(100);
   const other = createRewardItem('g0b');
   const batch = createBatch('b1', [], {
+    groupsWanted: 1,
     items: [
       createRewardItem('g0a'),
       {...other, reward: {...other.reward!, id: 'r-other'}},
@@ -89,7 +90,9 @@
   );
   const entry = {batch, items, results: [], isEnded: false};
   scheduler.openBatch(entry, createTerms());
-  t.like(listResults(scheduler), [{itemId: 'g0a', score: 'proof'}]);
-  const [again] = scheduler.listUnscored();
-  t.is(again.item.id, 'g0b');
+  const actions = scheduler.decide(1000);
+  t.like(actions[0], {kind: 'list', result: {itemId: 'g0a', score: 'proof'}});
+  const [again] = listStarts(actions);
+  t.is(again.job.item.id, 'g0b');
+  t.is(again.job.transcript.events.length, 0);
 });
--- a/packages/daemon/src/gateway/batches/batch_api.ts
+++ b/packages/daemon/src/gateway/batches/batch_api.ts
@@ -13,11 +13,7 @@
 import {encodeRecord, encodeSubmission} from './batch_codec.js';
 import {BATCH_TOPIC, type BatchBook, type BatchShelf} from './batch_book.js';
 import {answerError} from '../requests/caller_answer.js';
-import type {
-  CallerCall,
-  CallerProtocol,
-  ResultPage,
-} from '../requests/caller_protocol.js';
+import type {CallerCall, CallerProtocol} from '../requests/caller_protocol.js';
 import type {ConfigHolder} from '../store/config_holder.js';
 import type {GatewayMetrics} from '../gateway_metrics.js';
 import type {AppendOutcome, LogStore} from '../store/log_store.js';
@@ -204,7 +200,12 @@
       const outcome = await book.waitForNews(leftMs, abort.signal);
       if (outcome.kind === 'failed') break;
     }
-    const body = this.parts.protocol.encodePage(cutPage(entry, after));
+    const results = await book.readResults(entry, after, MAX_PAGE_CHARS);
+    if (!results.ok) return this.sendError(res, results.error);
+    const next = after + results.value.length;
+    const total = entry.items.size;
+    const page = {total, results: results.value, next};
+    const body = this.parts.protocol.encodePage(page);
     this.send(res, 200, 'application/json', body);
   }
 
@@ -298,18 +299,6 @@
   return entry.isEnded || entry.results.length === entry.items.size;
 }
 
-/** At least one result where there is one, and no more than a page holds. */
-function cutPage(entry: BatchEntry, after: number): ResultPage {
-  const results = [];
-  let chars = 0;
-  for (const result of entry.results.slice(after)) {
-    chars += result.output.length;
-    if (results.length > 0 && chars > MAX_PAGE_CHARS) break;
-    results.push(result);
-  }
-  return {total: entry.items.size, results, next: after + results.length};
-}
-
 /** Groups records so that each group fits one append. */
 function splitCalls(
   records: readonly Uint8Array[],
--- a/packages/daemon/src/gateway/batches/batch_book.ts
+++ b/packages/daemon/src/gateway/batches/batch_book.ts
@@ -5,11 +5,17 @@
  */
 
 import {
+  type BatchEntry,
   BatchLedger,
   type LedgerChange,
 } from '@radishyoke/core/batches/batch_ledger';
-import type {BatchRecord} from '@radishyoke/core/batches/batch_record';
-import type {RadishyokeError} from '@radishyoke/shared/error_kind';
+import type {
+  BatchRecord,
+  ItemResult,
+} from '@radishyoke/core/batches/batch_record';
+import {ResultCache} from '@radishyoke/core/batches/result_cache';
+import {createError, type RadishyokeError} from '@radishyoke/shared/error_kind';
+import {fail, type Result, succeed} from '@radishyoke/shared/result';
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {EventLogger} from '../../logger.js';
 import {decodeBatch, decodeBatchRecord} from './batch_codec.js';
@@ -33,7 +39,7 @@
 type Listener = (change: LedgerChange) => void;
 
 export class BatchBook {
-  readonly ledger = new BatchLedger(decodeBatch);
+  readonly ledger: BatchLedger;
   private next = 0;
   private running: Promise<SyncOutcome> | undefined;
   private queued: Promise<SyncOutcome> | undefined;
@@ -43,7 +49,10 @@
     private readonly store: LogStore,
     readonly partition: number,
     private readonly logger: EventLogger,
-  ) {}
+    cache: ResultCache,
+  ) {
+    this.ledger = new BatchLedger(decodeBatch, cache);
+  }
 
   listen(listener: Listener): void {
     this.listeners.add(listener);
@@ -78,6 +87,51 @@
     return outcome.kind === 'failed' ? outcome : {kind: 'current'};
   }
 
+  /**
+   * The results from position `after` on, of `maxChars` of output at most but
+   * one at least. Those that are no longer in memory are read from the log.
+   */
+  async readResults(
+    {results}: BatchEntry,
+    after: number,
+    maxChars: number,
+  ): Promise<Result<readonly ItemResult[]>> {
+    const page: ItemResult[] = [];
+    let found: ReadonlyMap<number, ItemResult> = new Map();
+    let chars = 0;
+    for (const {offset, result: kept} of results.slice(after)) {
+      if (!kept && !found.has(offset)) {
+        const read = await this.readResultsAt(offset);
+        if (!read.ok) return page.length > 0 ? succeed(page) : read;
+        found = read.value;
+      }
+      const result = kept ?? found.get(offset);
+      if (!result) return fail(createError('log_unavailable', 'text is gone'));
+      chars += result.output.length;
+      if (page.length > 0 && chars > maxChars) break;
+      page.push(result);
+    }
+    return succeed(page);
+  }
+
+  /** Results in one page of the log that begins at `from`, by offset. */
+  private async readResultsAt(
+    from: number,
+  ): Promise<Result<ReadonlyMap<number, ItemResult>>> {
+    const {store, partition} = this;
+    const read = await store.read(BATCH_TOPIC, partition, from, {waitMs: 0});
+    if (read.kind === 'failed') return fail(read.error);
+    if (read.kind === 'expired') {
+      return fail(createError('log_unavailable', 'the log forgot the text'));
+    }
+    const found = new Map<number, ItemResult>();
+    for (const {offset, bytes} of read.records) {
+      const record = this.decode(bytes, offset);
+      if (record?.kind === 'result') found.set(offset, record.result);
+    }
+    return succeed(found);
+  }
+
   /** Applies records as they come, until `signal`. */
   async follow(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
@@ -137,19 +191,23 @@
     this.ledger.forget(Date.now() - KEEP_BATCH_MS);
   }
 
-  private applyOne(bytes: Uint8Array, offset: number): void {
-    let record: BatchRecord;
+  private decode(bytes: Uint8Array, offset: number): BatchRecord | undefined {
     try {
-      record = decodeBatchRecord(bytes);
+      return decodeBatchRecord(bytes);
     } catch (err) {
       this.logger.log('error', 'record can not be read and is skipped', {
         partition: this.partition,
         offset,
         detail: String(err),
       });
-      return;
+      return undefined;
     }
-    const change = this.ledger.apply(record);
+  }
+
+  private applyOne(bytes: Uint8Array, offset: number): void {
+    const record = this.decode(bytes, offset);
+    if (!record) return;
+    const change = this.ledger.apply(record, offset);
     if (!change) return;
     for (const listener of this.listeners) listener(change);
   }
@@ -158,6 +216,7 @@
 /** All partitions of this VM. */
 export class BatchShelf {
   private readonly books = new Map<number, BatchBook>();
+  private readonly cache = new ResultCache();
 
   constructor(
     private readonly store: LogStore,
@@ -176,7 +235,7 @@
   open(partition: number): BatchBook {
     let book = this.books.get(partition);
     if (!book) {
-      book = new BatchBook(this.store, partition, this.logger);
+      book = new BatchBook(this.store, partition, this.logger, this.cache);
       this.books.set(partition, book);
     }
     return book;
