feat(daemon,platform): streams reach callers event by event

Cause: answers on streaming routes were read whole before a byte went on; a reader waited for the last word to see the first, and a stream that may be resumed was repeated from the start.

Change: whole events are handed on as they arrive; a stream whose rule allows it goes on after its last event at another endpoint within the same answer, any other is broken off towards its caller; back pressure, callers that leave and silent connections are followed. The choice of an endpoint and the copying of headers stand once for requests and streams.

--- a/packages/daemon/src/gateway/__tests__/gateway_fixtures.ts
+++ b/packages/daemon/src/gateway/__tests__/gateway_fixtures.ts
@@ -36,7 +36,9 @@
     received: IncomingHttpHeaders,
     terms: ForwardTerms,
   ): OutgoingHttpHeaders {
-    return {...received, 'for-endpoint': terms.endpointId};
+    const {endpointId, lastEventId} = terms;
+    const resume = lastEventId === undefined ? {} : {'last-id': lastEventId};
+    return {...received, ...resume, 'for-endpoint': endpointId};
   }
 
   generationHeaders(
--- /dev/null
+++ b/packages/daemon/src/gateway/endpoints/__tests__/event_splitter.spec.ts
@@ -0,0 +1,46 @@
+import test from 'ava';
+import fc from 'fast-check';
+import {EventSplitter} from '../event_splitter.js';
+
+const EVENTS = [
+  'id: 1\ndata: one\n\n',
+  'version: 2\nid: 2\ndata: two\n\n',
+  'id:3\r\ndata: three\r\n\r\n',
+  'data: no number\n\n',
+];
+
+test('events come whole and unchanged, however the bytes are cut', t => {
+  fc.assert(
+    fc.property(fc.array(fc.integer({min: 1, max: 30})), sizes => {
+      const bytes = Buffer.from(EVENTS.join(''));
+      const splitter = new EventSplitter();
+      const events = [];
+      let from = 0;
+      for (const size of [...sizes, bytes.length]) {
+        events.push(...splitter.push(bytes.subarray(from, from + size))!);
+        from += size;
+      }
+      t.deepEqual(
+        events.map(event => event.bytes.toString()),
+        EVENTS,
+      );
+      t.deepEqual(
+        events.map(({id}) => id),
+        [1, 2, 3, undefined],
+      );
+      t.false(splitter.hasRest);
+    }),
+    {seed: 5, numRuns: 300},
+  );
+});
+
+test('half an event is held back', t => {
+  const splitter = new EventSplitter();
+  t.deepEqual(splitter.push(Buffer.from('id: 1\ndata: o')), []);
+  t.true(splitter.hasRest);
+});
+
+test('an event without an end is refused at some length', t => {
+  const splitter = new EventSplitter();
+  t.is(splitter.push(Buffer.alloc(1024 * 1024 + 1, 'x')), undefined);
+});
--- a/packages/daemon/src/gateway/endpoints/endpoint_exchange.ts
+++ b/packages/daemon/src/gateway/endpoints/endpoint_exchange.ts
@@ -157,7 +157,8 @@
   }
 }
 
-function findProblem(
+/** Why an answer can not be the endpoint's to this attempt, if it can not. */
+export function findProblem(
   res: http.IncomingMessage,
   facts: AnswerFacts,
   attemptId: string | undefined,
--- /dev/null
+++ b/packages/daemon/src/gateway/endpoints/endpoint_picker.ts
@@ -0,0 +1,28 @@
+/** Picks an endpoint for one attempt, by what this VM has seen of each. */
+
+import type {EndpointEntry} from '@radishyoke/core/fleet/endpoint_entry';
+import type {EndpointRoster} from '@radishyoke/core/fleet/endpoint_roster';
+import {chooseEndpoint} from '@radishyoke/core/routing/endpoint_choice';
+import type {EndpointView} from './endpoint_view.js';
+
+export interface PickerParts {
+  readonly roster: EndpointRoster;
+  readonly view: EndpointView;
+  readonly dataCentre: string;
+}
+
+/** The least loaded endpoint of `service` that was not tried; where all were, the best of them. */
+export function pickEndpoint(
+  {roster, view, dataCentre}: PickerParts,
+  service: string,
+  tried: ReadonlySet<string>,
+): EndpointEntry | undefined {
+  const nowMs = performance.now();
+  const usable = roster.listUsable(service, nowMs);
+  const choices = usable.map(entry => view.describe(entry, nowMs));
+  const draw = Math.random();
+  const choice =
+    chooseEndpoint(choices, tried, dataCentre, draw, nowMs) ??
+    chooseEndpoint(choices, new Set(), dataCentre, draw, nowMs);
+  return usable.find(({id}) => id === choice?.id);
+}
--- a/packages/daemon/src/gateway/endpoints/endpoint_protocol.ts
+++ b/packages/daemon/src/gateway/endpoints/endpoint_protocol.ts
@@ -17,13 +17,13 @@
   readonly endpointId: string;
   /** Time that the endpoint may take, ms. */
   readonly deadlineMs: number;
+  /** The last event that is known; the endpoint goes on after it. */
+  readonly lastEventId?: number;
 }
 
 /** What goes with an item of a batch. */
 export interface GenerationTerms extends ForwardTerms {
   readonly host: string;
-  /** The last event that is known; the endpoint goes on after it. */
-  readonly lastEventId?: number;
   /** The endpoint must refuse if its weights have another version. */
   readonly expectVersion?: number;
 }
--- /dev/null
+++ b/packages/daemon/src/gateway/requests/__tests__/stream_call.spec.ts
@@ -0,0 +1,257 @@
+import http from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
+import test, {type ExecutionContext} from 'ava';
+import {EndpointRoster} from '@radishyoke/core/fleet/endpoint_roster';
+import type {Route} from '@radishyoke/core/routing/route_table';
+import {silentLogger} from '../../../logger.js';
+import {createEntry, PlainProtocol} from '../../__tests__/gateway_fixtures.js';
+import {EndpointLinks} from '../../endpoints/endpoint_links.js';
+import {EndpointView} from '../../endpoints/endpoint_view.js';
+import {GatewayMetrics} from '../../gateway_metrics.js';
+import {copyHeaders} from '../caller_answer.js';
+import {StreamCall} from '../stream_call.js';
+
+/** What an endpoint does with its n-th request. */
+type Script = (
+  req: http.IncomingMessage,
+  res: http.ServerResponse,
+  count: number,
+) => void | Promise<void>;
+
+const ROUTE: Route = {
+  name: 'stream',
+  host: 'h',
+  pathPrefix: '/',
+  kind: 'streaming',
+  resumable: true,
+  services: [{service: 'app', weight: 1}],
+  attempts: 3,
+  timeoutMs: 5000,
+  objectiveMs: 400,
+  priority: 0,
+};
+
+function writeHead(res: http.ServerResponse, stamp: string): void {
+  res.writeHead(200, {stamp, id: 'a1', 'Content-Type': 'text/event-stream'});
+}
+
+function writeEvent(res: http.ServerResponse, id: number): void {
+  res.write(`id: ${id}\ndata: ${id}\n\n`);
+}
+
+async function listen(t: ExecutionContext, server: http.Server) {
+  await new Promise<void>(resolve =>
+    server.listen(0, '127.0.0.1', () => resolve()),
+  );
+  t.teardown(() => {
+    server.closeAllConnections();
+    server.close();
+  });
+  return (server.address() as AddressInfo).port;
+}
+
+/** A front whose every request is a stream from one endpoint that follows `script`. */
+async function startFront(
+  t: ExecutionContext,
+  script: Script,
+  extra: Partial<Route> = {},
+) {
+  let count = 0;
+  const endpoint = http.createServer(
+    (req, res) => void script(req, res, count++),
+  );
+  const roster = new EndpointRoster(1000);
+  roster.put(createEntry(await listen(t, endpoint)), 0);
+  const parts = {
+    roster,
+    links: new EndpointLinks(),
+    view: new EndpointView(),
+    protocol: new PlainProtocol(),
+    dataCentre: 'dc',
+    metrics: new GatewayMetrics(),
+    logger: silentLogger,
+  };
+  t.teardown(() => parts.links.close());
+  const front = http.createServer((req, res) => {
+    const call = new StreamCall(
+      parts,
+      {
+        method: 'POST',
+        path: '/x',
+        headers: req.headers,
+        body: Buffer.from('ask'),
+        attemptId: 'a1',
+        route: {...ROUTE, ...extra},
+        configVersion: 1,
+        deadlineMs: performance.now() + 4000,
+      },
+      res,
+    );
+    res.once('close', () => call.abandon());
+    void call.run().then(result => {
+      if (result.kind === 'whole' || res.destroyed) return;
+      if (res.headersSent) return res.destroy();
+      if (result.kind === 'answered') {
+        copyHeaders(result.answer.rawHeaders, res);
+        res.statusCode = result.answer.status;
+        return res.end(result.answer.body);
+      }
+      res.statusCode = result.error.kind === 'no_endpoint' ? 503 : 502;
+      return res.end();
+    });
+  });
+  const port = await listen(t, front);
+  return {port, countRequests: () => count};
+}
+
+interface Received {
+  readonly status: number | undefined;
+  readonly stamp: string | undefined;
+  readonly text: string;
+  readonly isWhole: boolean;
+}
+
+function ask(port: number, onText?: (text: string) => void): Promise<Received> {
+  return new Promise((resolve, reject) => {
+    const req = http.get({host: '127.0.0.1', port, path: '/x'}, res => {
+      let text = '';
+      res.setEncoding('utf8').on('data', (part: string) => {
+        text += part;
+        onText?.(part);
+      });
+      const finish = (isWhole: boolean) =>
+        resolve({
+          status: res.statusCode,
+          stamp: res.headers['stamp'] as string | undefined,
+          text,
+          isWhole,
+        });
+      res.on('error', () => finish(false));
+      res.on('end', () => finish(res.complete));
+    });
+    req.on('error', reject);
+  });
+}
+
+const WHOLE = 'id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\n';
+
+// A reader waits for the first word until the whole text is made.
+// 1. An endpoint sends its first event and works on.
+// Cause: answers of endpoints were read whole before a byte went on.
+test('an event reaches the caller before the next one is made', async t => {
+  let letGo: () => void = () => undefined;
+  const seen = new Promise<void>(resolve => (letGo = resolve));
+  const {port} = await startFront(t, async (_req, res) => {
+    writeHead(res, 's1');
+    writeEvent(res, 1);
+    await seen;
+    writeEvent(res, 2);
+    writeEvent(res, 3);
+    res.end();
+  });
+  const {text, isWhole, stamp} = await ask(port, () => letGo());
+  t.is(text, WHOLE);
+  t.is(stamp, 's1');
+  t.true(isWhole);
+});
+
+// A reader sees a text that is cut off in the middle of a word, or twice.
+// 1. An endpoint breaks off in the middle of its second event.
+// 2. The stream goes on elsewhere after the last whole event.
+test('a stream that may be resumed goes on in the same answer', async t => {
+  const asked: unknown[] = [];
+  const {port} = await startFront(t, async (req, res, count) => {
+    asked.push(req.headers['last-id']);
+    writeHead(res, `s${count}`);
+    if (count === 0) {
+      writeEvent(res, 1);
+      res.write('id: 2\nda');
+      await sleep(20);
+      res.destroy();
+      return;
+    }
+    writeEvent(res, 2);
+    writeEvent(res, 3);
+    res.end();
+  });
+  const {text, isWhole, stamp} = await ask(port);
+  t.is(text, WHOLE);
+  t.is(stamp, 's0', 'the head and proof are those of the first endpoint');
+  t.true(isWhole);
+  t.deepEqual(asked, [undefined, '1']);
+});
+
+// A request that may run once runs twice, or half an answer passes for whole.
+// 1. The endpoint breaks off after its first event.
+// 2. The rule does not allow to resume.
+test('a stream that may not be resumed is broken off, not repeated', async t => {
+  const front = await startFront(
+    t,
+    async (_req, res) => {
+      writeHead(res, 's1');
+      writeEvent(res, 1);
+      await sleep(20);
+      res.destroy();
+    },
+    {resumable: false},
+  );
+  const {isWhole} = await ask(front.port);
+  t.false(isWhole);
+  t.is(front.countRequests(), 1);
+});
+
+test('a run that does not follow what the caller has is not joined', async t => {
+  const {port} = await startFront(t, async (_req, res, count) => {
+    writeHead(res, `s${count}`);
+    writeEvent(res, 1);
+    if (count === 1) writeEvent(res, 2);
+    if (count === 0) {
+      await sleep(20);
+      res.destroy();
+      return;
+    }
+    res.end();
+  });
+  const {text, isWhole} = await ask(port);
+  t.is(text, 'id: 1\ndata: 1\n\n');
+  t.false(isWhole);
+});
+
+test('a failure before the first event is told as such', async t => {
+  const {port} = await startFront(
+    t,
+    (_req, res) => {
+      res.writeHead(500, {stamp: 's1', id: 'a1'}).end('no');
+    },
+    {resumable: false},
+  );
+  t.like(await ask(port), {status: 500, text: 'no', stamp: 's1'});
+});
+
+test('a stream that no endpoint ran is refused', async t => {
+  const front = await startFront(t, (_req, res) => {
+    res.writeHead(503, {'not-run': '1'}).end();
+  });
+  t.is((await ask(front.port)).status, 503);
+  t.is(front.countRequests(), 4);
+});
+
+// An endpoint works for nobody.
+// 1. The caller leaves in the middle of a stream.
+// 2. The endpoint must see its connection close at once.
+test('a caller that leaves ends the run', async t => {
+  let close: () => void = () => undefined;
+  const closed = new Promise<void>(resolve => (close = resolve));
+  const {port} = await startFront(t, (_req, res) => {
+    writeHead(res, 's1');
+    writeEvent(res, 1);
+    res.once('close', () => close());
+  });
+  const req = http.get({host: '127.0.0.1', port, path: '/x'}, res =>
+    res.once('data', () => req.destroy()),
+  );
+  req.on('error', () => undefined);
+  await closed;
+  t.pass();
+});
--- a/packages/daemon/src/gateway/requests/caller_answer.ts
+++ b/packages/daemon/src/gateway/requests/caller_answer.ts
@@ -1,10 +1,11 @@
-/** Refusals and failures of the gateway's own, as callers get them. */
+/** Answers as callers get them: those of endpoints, and the gateway's own. */
 
 import type {ServerResponse} from 'node:http';
 import {
   ERROR_ANSWERS,
   type RadishyokeError,
 } from '@radishyoke/shared/error_kind';
+import {isHopByHop} from '@radishyoke/wire/hop_by_hop';
 import {createErrorBody, sendJson} from '@radishyoke/wire/error_answer';
 import type {CallerProtocol} from './caller_protocol.js';
 
@@ -29,3 +30,16 @@
     headers,
   );
 }
+
+/** Copies an endpoint's headers, given as names and values by turns; the length of a body is the sender's matter. */
+export function copyHeaders(
+  rawHeaders: readonly string[],
+  res: ServerResponse,
+): void {
+  for (let i = 0; i < rawHeaders.length; i += 2) {
+    const name = rawHeaders[i];
+    const key = name.toLowerCase();
+    if (isHopByHop(key) || key === 'content-length') continue;
+    res.appendHeader(name, rawHeaders[i + 1]);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/requests/forward_request.ts
@@ -0,0 +1,32 @@
+/** A caller's request on its way to endpoints, and what it needs there. */
+
+import type {IncomingHttpHeaders} from 'node:http';
+import type {EndpointRoster} from '@radishyoke/core/fleet/endpoint_roster';
+import type {Route} from '@radishyoke/core/routing/route_table';
+import type {EventLogger} from '../../logger.js';
+import type {EndpointLinks} from '../endpoints/endpoint_links.js';
+import type {EndpointProtocol} from '../endpoints/endpoint_protocol.js';
+import type {EndpointView} from '../endpoints/endpoint_view.js';
+import type {GatewayMetrics} from '../gateway_metrics.js';
+
+export interface ForwardRequest {
+  readonly method: string;
+  readonly path: string;
+  readonly headers: IncomingHttpHeaders;
+  readonly body: Buffer;
+  readonly attemptId: string | undefined;
+  readonly route: Route;
+  readonly configVersion: number;
+  /** Steady ms at which the caller must have its answer. */
+  readonly deadlineMs: number;
+}
+
+export interface ForwarderParts {
+  readonly roster: EndpointRoster;
+  readonly links: EndpointLinks;
+  readonly view: EndpointView;
+  readonly protocol: EndpointProtocol;
+  readonly dataCentre: string;
+  readonly metrics: GatewayMetrics;
+  readonly logger: EventLogger;
+}
--- a/packages/daemon/src/gateway/requests/forwarder.ts
+++ b/packages/daemon/src/gateway/requests/forwarder.ts
@@ -4,58 +4,28 @@
  */
 
 import type {EndpointEntry} from '@radishyoke/core/fleet/endpoint_entry';
-import type {EndpointRoster} from '@radishyoke/core/fleet/endpoint_roster';
 import {
   type AttemptEnd,
   decideNext,
   measureHedgeMs,
   type RequestTerms,
 } from '@radishyoke/core/routing/attempt_policy';
-import {chooseEndpoint} from '@radishyoke/core/routing/endpoint_choice';
-import {
-  drawFromId,
-  pickService,
-  type Route,
-} from '@radishyoke/core/routing/route_table';
+import {drawFromId, pickService} from '@radishyoke/core/routing/route_table';
 import {createError, type RadishyokeError} from '@radishyoke/shared/error_kind';
-import type {IncomingHttpHeaders} from 'node:http';
-import type {EventLogger} from '../../logger.js';
-import type {GatewayMetrics} from '../gateway_metrics.js';
+import type {ServerResponse} from 'node:http';
 import {
   type EndpointAnswer,
   EndpointExchange,
   type ExchangeOutcome,
 } from '../endpoints/endpoint_exchange.js';
-import type {EndpointLinks} from '../endpoints/endpoint_links.js';
-import type {EndpointProtocol} from '../endpoints/endpoint_protocol.js';
-import type {EndpointView} from '../endpoints/endpoint_view.js';
-
-export interface ForwardRequest {
-  readonly method: string;
-  readonly path: string;
-  readonly headers: IncomingHttpHeaders;
-  readonly body: Buffer;
-  readonly attemptId: string | undefined;
-  readonly route: Route;
-  readonly configVersion: number;
-  /** Steady ms at which the caller must have its answer. */
-  readonly deadlineMs: number;
-}
+import {pickEndpoint} from '../endpoints/endpoint_picker.js';
+import type {ForwarderParts, ForwardRequest} from './forward_request.js';
+import {StreamCall} from './stream_call.js';
 
 export type ForwardOutcome =
   | {readonly kind: 'answered'; readonly answer: EndpointAnswer}
   | {readonly kind: 'failed'; readonly error: RadishyokeError};
 
-export interface ForwarderParts {
-  readonly roster: EndpointRoster;
-  readonly links: EndpointLinks;
-  readonly view: EndpointView;
-  readonly protocol: EndpointProtocol;
-  readonly dataCentre: string;
-  readonly metrics: GatewayMetrics;
-  readonly logger: EventLogger;
-}
-
 /** An endpoint gets this much less than is left, ms: its answer has to travel back. */
 const RETURN_MS = 4;
 /** Less time than this is not worth an attempt, ms. */
@@ -70,6 +40,11 @@
   start(req: ForwardRequest): ForwardCall {
     return new ForwardCall(this.parts, req);
   }
+
+  /** Starts `req`, whose answer is a series of events for `res`. */
+  startStream(req: ForwardRequest, res: ServerResponse): StreamCall {
+    return new StreamCall(this.parts, req, res);
+  }
 }
 
 /** One request on its way. */
@@ -133,16 +108,7 @@
 
   private choose(): EndpointEntry | undefined {
     if (this.service === undefined) return undefined;
-    const nowMs = performance.now();
-    const {roster, view, dataCentre} = this.parts;
-    const usable = roster.listUsable(this.service, nowMs);
-    const choices = usable.map(entry => view.describe(entry, nowMs));
-    const draw = Math.random();
-    // Where all have been tried the best of them is tried again.
-    const choice =
-      chooseEndpoint(choices, this.tried, dataCentre, draw, nowMs) ??
-      chooseEndpoint(choices, new Set(), dataCentre, draw, nowMs);
-    return usable.find(({id}) => id === choice?.id);
+    return pickEndpoint(this.parts, this.service, this.tried);
   }
 
   private async runAt(entry: EndpointEntry, deadlineMs: number): Promise<void> {
--- a/packages/daemon/src/gateway/requests/front_server.ts
+++ b/packages/daemon/src/gateway/requests/front_server.ts
@@ -6,16 +6,17 @@
 import http from 'node:http';
 import {canonicalHost, type Route} from '@radishyoke/core/routing/route_table';
 import {createError, type RadishyokeError} from '@radishyoke/shared/error_kind';
-import {isHopByHop} from '@radishyoke/wire/hop_by_hop';
 import {listenAt} from '@radishyoke/wire/listen';
 import {readBody} from '@radishyoke/wire/request_body';
 import type {EventLogger} from '../../logger.js';
 import type {BatchApi} from '../batches/batch_api.js';
-import {answerError} from './caller_answer.js';
+import {answerError, copyHeaders} from './caller_answer.js';
 import type {CallerProtocol} from './caller_protocol.js';
 import type {ConfigHolder} from '../store/config_holder.js';
 import type {EndpointAnswer} from '../endpoints/endpoint_exchange.js';
+import type {ForwardRequest} from './forward_request.js';
 import type {Forwarder, ForwardOutcome} from './forwarder.js';
+import type {StreamResult} from './stream_call.js';
 import type {GatewayMetrics} from '../gateway_metrics.js';
 
 export interface FrontParts {
@@ -185,14 +186,14 @@
     body: Buffer,
     receivedMs: number,
   ): Promise<void> {
-    const {protocol, config, forwarder} = this.parts;
+    const {protocol, config} = this.parts;
     const attempt = protocol.readAttempt(req.headers);
     const timeoutMs = Math.min(
       attempt.deadlineMs ?? Infinity,
       route.timeoutMs > 0 ? route.timeoutMs : DEFAULT_TIMEOUT_MS,
     );
     if (res.destroyed) return;
-    const call = forwarder.start({
+    const forwarded: ForwardRequest = {
       method: req.method ?? 'GET',
       path: req.url ?? '/',
       headers: req.headers,
@@ -201,23 +202,41 @@
       route,
       configVersion: config.version,
       deadlineMs: receivedMs + timeoutMs - ANSWER_MS,
-    });
-    res.once('close', () => call.abandon());
-    const outcome = await call.outcome;
+    };
+    const outcome =
+      route.kind === 'streaming'
+        ? await this.stream(forwarded, res)
+        : await this.exchange(forwarded, res);
+    const tookMs = performance.now() - receivedMs;
+    if (outcome.kind === 'whole') {
+      return this.report(route, attempt.id, 'whole', tookMs);
+    }
     if (res.destroyed) return;
-    this.report(route, attempt.id, outcome, performance.now() - receivedMs);
+    this.report(route, attempt.id, describeOutcome(outcome), tookMs);
     if (outcome.kind === 'answered') this.passOn(res, outcome.answer);
     else this.sendError(res, outcome.error);
   }
 
+  private exchange(
+    req: ForwardRequest,
+    res: http.ServerResponse,
+  ): Promise<ForwardOutcome> {
+    const call = this.parts.forwarder.start(req);
+    res.once('close', () => call.abandon());
+    return call.outcome;
+  }
+
+  private stream(
+    req: ForwardRequest,
+    res: http.ServerResponse,
+  ): Promise<StreamResult> {
+    const call = this.parts.forwarder.startStream(req, res);
+    res.once('close', () => call.abandon());
+    return call.run();
+  }
+
   private passOn(res: http.ServerResponse, answer: EndpointAnswer): void {
-    const {rawHeaders} = answer;
-    for (let i = 0; i < rawHeaders.length; i += 2) {
-      const name = rawHeaders[i];
-      const key = name.toLowerCase();
-      if (isHopByHop(key) || key === 'content-length') continue;
-      res.appendHeader(name, rawHeaders[i + 1]);
-    }
+    copyHeaders(answer.rawHeaders, res);
     res.statusCode = answer.status;
     res.setHeader('Content-Length', answer.body.length);
     res.end(answer.body);
@@ -246,14 +265,10 @@
   private report(
     route: Route,
     requestId: string | undefined,
-    outcome: ForwardOutcome,
+    result: string,
     tookMs: number,
   ): void {
     const {metrics, logger, config} = this.parts;
-    const result =
-      outcome.kind === 'answered'
-        ? String(outcome.answer.status)
-        : outcome.error.kind;
     metrics.noteResult('requests', route.name, result, tookMs);
     logger.log('info', 'request', {
       requestId,
@@ -264,3 +279,9 @@
     });
   }
 }
+
+function describeOutcome(outcome: ForwardOutcome): string {
+  return outcome.kind === 'answered'
+    ? String(outcome.answer.status)
+    : outcome.error.kind;
+}
--- a/packages/shared/src/log_event.ts
+++ b/packages/shared/src/log_event.ts
@@ -132,6 +132,14 @@
       readonly outcome: string;
       readonly detail: string;
     };
+  readonly 'stream attempt ended': Subject &
+    Decided & {
+      readonly endpoint: string;
+      /** Last event that reached the caller; -1 for none. */
+      readonly lastEvent: number;
+      readonly outcome: string;
+      readonly detail: string;
+    };
   readonly 'batch accepted': Subject &
     Decided & {
       readonly step: number;
