--- a/packages/daemon/src/gateway/batches/batch_runner.ts
+++ b/packages/daemon/src/gateway/batches/batch_runner.ts
@@ -23,7 +23,7 @@
 import type {RouteTable} from '@radishyoke/core/routing/route_table';
 import {pickService} from '@radishyoke/core/routing/route_table';
 import type {EventLogger} from '../../logger.js';
-import {type BatchBook, type BatchShelf, KEEP_BATCH_MS} from './batch_book.js';
+import {type BatchShelf, KEEP_BATCH_MS} from './batch_book.js';
 import type {ConfigHolder} from '../store/config_holder.js';
 import type {EndpointLinks} from '../endpoints/endpoint_links.js';
 import type {EndpointProtocol} from '../endpoints/endpoint_protocol.js';
@@ -31,9 +31,9 @@
 import {EngineFleet} from '../engines/engine_fleet.js';
 import type {GatewayMetrics} from '../gateway_metrics.js';
 import {Generation} from './generation.js';
+import {ItemLog} from './item_log.js';
 import type {LeaseTask} from '../engines/lease_task.js';
 import type {LogStore} from '../store/log_store.js';
-import {RecordWriter} from './record_writer.js';
 import {RewardTask} from './reward_task.js';
 import type {VmClock} from '../vm_clock.js';
 import {EngineReports} from '../engines/engine_reports.js';
@@ -89,7 +89,7 @@
   /** Steady ms at which another VM was found to run the items; nothing starts here until the log tells more. */
   private yieldedMs = -Infinity;
   private readonly live = new Map<string, LiveRun>();
-  private readonly writers = new Map<number, RecordWriter>();
+  private readonly itemLog: ItemLog;
   private readonly abort = new AbortController();
   private readonly listener = (change: LedgerChange) => this.take(change);
   private isDeciding = false;
@@ -101,6 +101,7 @@
     const engine = parts.config.table?.engines[0]?.engine;
     const tokensPerEvent = engine?.tokensPerEvent ?? DEFAULT_TOKENS_PER_EVENT;
     this.scheduler = new BatchScheduler({tokensPerEvent, runPrefix: vmName});
+    this.itemLog = new ItemLog(parts.store, parts.shelf);
     this.fleet = new EngineFleet(roster);
     const reports = new EngineReports(links, protocol, this.fleet, logger);
     this.succession = new SuccessionWatch({
@@ -297,11 +298,7 @@
           reason: action.reason,
           versions: action.result.versions.join(','),
         });
-        this.openWriter(action.batchId).write({
-          kind: 'result',
-          batchId: action.batchId,
-          result: action.result,
-        });
+        this.itemLog.writeResult(action.batchId, action.result);
     }
   }
 
@@ -358,70 +355,21 @@
     if (end === 'broken' || end === 'unreachable') {
       this.parts.links.renew(run.engineId);
     }
-    if (live && end !== 'finished') this.writeEvents(live);
-    if (end === 'failed') {
-      const batchId = run.job.batch.batch.id;
-      const itemId = run.job.item.id;
-      this.openWriter(batchId).write({kind: 'attempt_failed', batchId, itemId});
-    }
+    if (live && end !== 'finished') this.itemLog.writeProgress(run.job);
+    if (end === 'failed') this.itemLog.writeFailure('attempt_failed', run.job);
     this.scheduler.noteEnd(run, end, this.parts.clock.now());
-    if (run.job.state === 'unscored') this.writeWholeText(run.job);
+    if (run.job.state === 'unscored') this.itemLog.writeWholeText(run.job);
     this.decideSoon();
   }
 
   private noteRewardFailure(job: Job, attempts: number): void {
-    const batchId = job.batch.batch.id;
-    const itemId = job.item.id;
-    this.openWriter(batchId).write({kind: 'reward_failed', batchId, itemId});
+    this.itemLog.writeFailure('reward_failed', job);
     this.scheduler.noteRewardFailure(job, attempts);
     this.decideSoon();
   }
 
   private writeProgress(): void {
-    for (const live of this.live.values()) this.writeEvents(live);
-  }
-
-  private writeEvents({run: {job}}: LiveRun): void {
-    const {recorded} = job;
-    const isNew = job.transcript.events.length > recorded;
-    if (isNew && job.state !== 'finished') this.writeText(job, recorded, false);
-  }
-
-  /**
-   * A coordinator that takes over while the score is under way must not make
-   * the text again. The last event goes along even if it was written before, as
-   * it is what the mark stands behind.
-   */
-  private writeWholeText(job: Job): void {
-    const last = job.transcript.events.length - 1;
-    this.writeText(job, Math.min(job.recorded, last), true);
-  }
-
-  /** Writes down the events of a text from the one at `from` on. */
-  private writeText(job: Job, from: number, isWhole: boolean): void {
-    const {events} = job.transcript;
-    const batchId = job.batch.batch.id;
-    const afterRun = events[from - 1]?.run;
-    this.openWriter(batchId).write({
-      kind: 'progress',
-      batchId,
-      itemId: job.item.id,
-      ...(afterRun === undefined ? {} : {afterRun}),
-      events: events.slice(from),
-      ...(isWhole ? {isWhole} : {}),
-    });
-    job.recorded = events.length;
-  }
-
-  private openWriter(batchId: string): RecordWriter {
-    const {shelf, store} = this.parts;
-    const {partition}: BatchBook = shelf.locate(batchId);
-    let writer = this.writers.get(partition);
-    if (!writer) {
-      writer = new RecordWriter(store, partition);
-      this.writers.set(partition, writer);
-    }
-    return writer;
+    for (const {run} of this.live.values()) this.itemLog.writeProgress(run.job);
   }
 
   private logRun(run: Run, message: RunEvent, reason: string): void {
