--- a/tools/compare_plays.mjs
+++ b/tools/compare_plays.mjs
@@ -5,7 +5,7 @@
  * was cut goes on where it ended.
  *
  * Usage: node tools/compare_plays.mjs BENCH SITE OUTPUT CHECKOUT_A CHECKOUT_B
- *          [--days NAME,...] [--seeds N,...] [--jobs N] [--why TEXT]
+ *          [--days NAME|FILE,...] [--seeds N,...] [--jobs N] [--why TEXT]
  *
  * Both checkouts are built before and must not change meanwhile; their entries
  * in journal/ are to be kept.
@@ -54,8 +54,13 @@
   return days.map(day => /name = "([^"]+)"/.exec(day)[1]);
 }
 
+/** A day is a name of the site's or a file of its own. */
+function namePlay(side, day, seed) {
+  return `${side}-${path.basename(day, '.toml')}-${seed}`;
+}
+
 async function play(checkout, side, day, seed) {
-  const name = `${side}-${day}-${seed}`;
+  const name = namePlay(side, day, seed);
   const report = path.resolve(output, `${name}.json`);
   if (existsSync(report)) return;
   const args = ['run', site, day, '--seed', seed, '--no-cpu', '--jobs', '1'];
@@ -98,7 +103,7 @@
 }
 
 function readPlay(side, day, seed) {
-  const file = path.resolve(output, `${side}-${day}-${seed}`);
+  const file = path.resolve(output, namePlay(side, day, seed));
   if (!existsSync(`${file}.json`)) return undefined;
   const report = JSON.parse(readFileSync(`${file}.json`, 'utf8'));
   const ages = existsSync(`${file}.ages`)
