fix(core): reward calls go by due time, not by what a group lacks

Cause: calls for items whose group lacks least went first, so a trainer with groups of 8 waited behind those with groups of 4 for as long as calls queued.

--- a/packages/core/src/batches/batch_scheduler.ts
+++ b/packages/core/src/batches/batch_scheduler.ts
@@ -183,7 +183,7 @@
 
   /** Jobs whose texts are whole, in the order in which they should get their scores. */
   listUnscored(): readonly Job[] {
-    return rankUnscored(this.open.values(), this.cfg.tokensPerEvent);
+    return rankUnscored(this.open.values());
   }
 
   /** The reward call of `job` was answered with its score. */
