--- a/packages/daemon/src/gateway/engines/lease_task.ts
+++ b/packages/daemon/src/gateway/engines/lease_task.ts
@@ -19,7 +19,9 @@
 
 /**
  * A holder that dies is replaced about 1.2 s after its last renewal, so that a
- * step of 7.5 s survives it. Of the renewals in that time one may get lost.
+ * step of 7.5 s survives it. Of the renewals in that time one may get lost. An
+ * announced order has the 400 ms that an append may take, the 200 that it
+ * travels, and 50 for a busy VM.
  */
 export const LEASE_TIMING: LeaseTiming = {
   renewMs: 300,
