fix(daemon): a second request to stop does not end a drain

Callers saw: a call that a VM had passed on got no answer when the VM was asked to stop twice (SIGTERM and SIGTERM, or SIGTERM and an operator's SIGINT).

Cause: Gateway.stop() returned at once when a stop was under way, and the program exits when stop() is done; so the second signal ended the process in the middle of the drain, with all requests in flight.

Change: whoever asks again waits for the same end, and the log says so. It holds since the process has one end, and exits after that one only.

--- /dev/null
+++ b/packages/daemon/src/gateway/__tests__/gateway.spec.ts
@@ -0,0 +1,65 @@
+import test, {type ExecutionContext} from 'ava';
+import {createError} from '@radishyoke/shared/error_kind';
+import {fail} from '@radishyoke/shared/result';
+import type {EventLogger} from '../../logger.js';
+import {Gateway} from '../gateway.js';
+import {CallerProtocol} from '../requests/caller_protocol.js';
+import {PlatformDirectory} from '../store/platform_directory.js';
+import {MemoryStore, PlainProtocol} from './gateway_fixtures.js';
+
+/** A platform whose log says nothing that can be used. */
+class EmptyDirectory extends PlatformDirectory {
+  readonly configTopic = 'config';
+  readonly endpointTopic = 'endpoints';
+  decodeConfigRecord = () => fail(createError('bad_request'));
+  decodeEndpoint = () => fail(createError('bad_request'));
+}
+
+/** Callers of whom none is understood. */
+class NoCallers extends CallerProtocol {
+  decodeCall = () => fail(createError('bad_request'));
+  readAttempt = () => ({id: undefined, deadlineMs: undefined});
+  decodeBatch = () => fail(createError('bad_request'));
+  encodePage = () => new Uint8Array();
+  answerHeaders = () => ({});
+}
+
+function createGateway(t: ExecutionContext) {
+  const events: string[] = [];
+  const logger: EventLogger = {log: (_level, event) => events.push(event)};
+  const gateway = new Gateway(
+    {
+      vmName: 'vm',
+      lifeId: 'life',
+      dataCentre: 'dc',
+      frontAddress: '127.0.0.1:0',
+      readyAddress: '127.0.0.1:0',
+      readyPath: '/ready',
+      orderLeaseMs: 300,
+      isFencingEnforced: true,
+      graceMs: 8000,
+      patienceMs: 0,
+    },
+    {
+      store: new MemoryStore(),
+      directory: new EmptyDirectory(),
+      callers: new NoCallers(),
+      endpoints: new PlainProtocol(),
+      logger,
+    },
+  );
+  t.teardown(() => gateway.stop());
+  return {gateway, events};
+}
+
+// Requests in flight are cut off when a VM is asked twice to stop.
+// 1. SIGTERM begins a drain of seconds; a second one comes in the middle of it.
+// 2. The second call found a stop under way and was done, and the process ended.
+test('a second request to stop is over when the first is', async t => {
+  const {gateway, events} = createGateway(t);
+  await gateway.start();
+  const first = gateway.stop();
+  await gateway.stop();
+  t.true(events.includes('stopped'));
+  await first;
+});
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -97,6 +97,7 @@
   private contactMs = -Infinity;
   private isRosterKnown = false;
   private isStopping = false;
+  private ending: Promise<void> | undefined;
   private sweepTimer: NodeJS.Timeout | undefined;
 
   constructor(
@@ -206,14 +207,31 @@
   }
 
   /**
-   * Stops without cutting off a request: the balancer is told first and goes on
-   * sending for two of its questions, so the VM serves on until then.
+   * Stops without cutting off a request. Whoever asks again waits for the same
+   * end: a supervisor, or an operator beside it, may ask twice, and a second
+   * call that ended at once took the requests in flight with it.
    */
-  async stop(): Promise<void> {
-    if (this.isStopping) return;
+  stop(): Promise<void> {
+    if (this.ending) {
+      const {vmName: vm} = this.cfg;
+      this.parts.logger.log('info', 'asked again to stop', {vm});
+      return this.ending;
+    }
     this.isStopping = true;
+    this.ending = this.end();
+    return this.ending;
+  }
+
+  private async end(): Promise<void> {
     const {logger} = this.parts;
     logger.log('info', 'stopping', {vm: this.cfg.vmName});
+    await this.drain();
+    this.close();
+    logger.log('info', 'stopped', {vm: this.cfg.vmName});
+  }
+
+  /** The balancer is told first and goes on sending for two of its questions, so the VM serves on until then. */
+  private async drain(): Promise<void> {
     const endMs = this.clock.now() + this.cfg.graceMs - GRACE_SLACK_MS;
     this.front.startDrain();
     this.runner?.stop();
@@ -222,8 +240,6 @@
     await sleep(UNROUTED_MS);
     const leftMs = Math.max(endMs - this.clock.now(), 0);
     await Promise.race([this.front.finish(), sleep(leftMs)]);
-    this.close();
-    logger.log('info', 'stopped', {vm: this.cfg.vmName});
   }
 
   private close(): void {
--- a/packages/shared/src/log_event.ts
+++ b/packages/shared/src/log_event.ts
@@ -55,6 +55,7 @@
     readonly front: string;
   };
   readonly stopping: {readonly vm: string};
+  readonly 'asked again to stop': {readonly vm: string};
   readonly stopped: {readonly vm: string};
   readonly 'settings reloaded': {readonly detail: string};
   readonly 'configuration in force': {
