fix(daemon): a start does not go on when the VM is asked to stop meanwhile

Callers saw: nothing lost yet found; a VM told to stop between its first listener and its last opened the others all the same, logged "started" after "stopping", followed the log, and took 3.2 s to end, in which its place was not filled.

Cause: start() did not look at the stop that had begun beside it, and stop() waited for the balancer although the VM had never served.

Change: start() gives up when a stop has begun; stop() waits for a start under way and then closes what is open, without the wait for the balancer.

gateway.spec "a start during which the VM is asked to stop does not go on" and "a VM that was asked to stop does not start": failed on (events stopping, started, stopped, and stopping, stopped, started), now stopping, stopped.

--- a/packages/daemon/src/gateway/__tests__/gateway.spec.ts
+++ b/packages/daemon/src/gateway/__tests__/gateway.spec.ts
@@ -52,6 +52,24 @@
   return {gateway, events};
 }
 
+// A VM that is asked to stop while it starts opens its listeners all the same.
+// 1. SIGTERM comes between two listeners; the stop sees a VM that does not serve.
+// 2. The start goes on, says that it serves and takes callers that are cut off.
+test('a start during which the VM is asked to stop does not go on', async t => {
+  const {gateway, events} = createGateway(t);
+  const started = gateway.start();
+  await gateway.stop();
+  await started;
+  t.deepEqual(events, ['stopping', 'stopped']);
+});
+
+test('a VM that was asked to stop does not start', async t => {
+  const {gateway, events} = createGateway(t);
+  await gateway.stop();
+  await gateway.start();
+  t.deepEqual(events, ['stopping', 'stopped']);
+});
+
 // Requests in flight are cut off when a VM is asked twice to stop.
 // 1. SIGTERM begins a drain of seconds; a second one comes in the middle of it.
 // 2. The second call found a stop under way and was done, and the process ended.
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -96,7 +96,9 @@
   private runner: BatchRunner | undefined;
   private contactMs = -Infinity;
   private isRosterKnown = false;
+  private isServing = false;
   private isStopping = false;
+  private starting: Promise<void> | undefined;
   private ending: Promise<void> | undefined;
   private sweepTimer: NodeJS.Timeout | undefined;
 
@@ -177,17 +179,25 @@
     this.metrics.observe('batches_open', () => this.runner?.openCount ?? 0);
   }
 
-  /** Opens the listeners and starts to follow the log. */
-  async start(): Promise<void> {
+  /** Opens the listeners and starts to follow the log, unless asked to stop meanwhile. */
+  start(): Promise<void> {
+    this.starting ??= this.open();
+    return this.starting;
+  }
+
+  private async open(): Promise<void> {
     const {cfg, parts} = this;
+    if (this.isStopping) return;
     await listenAt(this.readiness, cfg.readyAddress);
     if (cfg.metricsAddress) {
       await listenAt(this.metricsServer, cfg.metricsAddress);
     }
     await this.front.listen(cfg.frontAddress);
+    if (this.isStopping) return;
     for (const feed of this.feeds) void feed.run();
     this.lease.start();
     this.sweepTimer = setInterval(() => this.sweep(), SWEEP_MS);
+    this.isServing = true;
     parts.logger.log('info', 'started', {
       vm: cfg.vmName,
       life: cfg.lifeId,
@@ -225,7 +235,9 @@
   private async end(): Promise<void> {
     const {logger} = this.parts;
     logger.log('info', 'stopping', {vm: this.cfg.vmName});
-    await this.drain();
+    if (this.isServing) await this.drain();
+    // A start that is under way opens no more than its next listener.
+    else await this.starting?.catch(() => undefined);
     this.close();
     logger.log('info', 'stopped', {vm: this.cfg.vmName});
   }
