fix(daemon,cli): `radishyoke serve` outlives SIGHUP and a second SIGTERM

Callers saw: requests in flight were cut off when an operator sent SIGHUP to a VM that `radishyoke serve` runs, at any time, or a second SIGTERM or SIGINT while it drained.

Cause: SIGHUP had no handler at all; those of SIGTERM and SIGINT were for one signal each and stood after the settings were read.

Change: the command holds signals before it loads anything else; a reload reads the settings, tells whether they changed and changes nothing; a second request to stop changes nothing. Other commands are interrupted as before. It holds since handlers are never taken off.

serve_signals.spec, on the command of: the drain ended by SIGTERM in place of 0, and the reload test never ended as the process was gone; both pass.

--- a/packages/daemon/src/serve.ts
+++ b/packages/daemon/src/serve.ts
@@ -2,8 +2,10 @@
 
 import {randomInt} from 'node:crypto';
 import {formatProblem} from '@radishyoke/core/rules/config_problem';
-import {createLogger} from './logger.js';
-import {loadSettings} from './settings/settings.js';
+import {createLogger, type Logger} from './logger.js';
+import {holdSignals} from './process_signals.js';
+import {describeSettingsChange} from './settings/settings_change.js';
+import {loadSettings, type Settings} from './settings/settings.js';
 import {Vm} from './vm.js';
 
 const exitOk = 0;
@@ -13,6 +15,7 @@
 
 /** Resolves with the exit code when the VM has drained. */
 export async function runServe(path: string): Promise<number> {
+  const signals = holdSignals();
   const settings = await loadSettings(path);
   if (!settings.ok) {
     for (const problem of settings.error) {
@@ -32,19 +35,35 @@
     seed: randomInt(maxSeed),
     requestDrain: () => drainAsked.pull('operator'),
   });
-  const told = Promise.race([waitForSignal(), drainAsked.pulled]);
+  signals.listen(signal => {
+    if (signal === 'SIGHUP') void tellReload(path, settings.value, logger);
+    else drainAsked.pull(signal);
+  });
   const failure = await startOrStop(service);
   if (failure) {
     logger.log('error', 'start failed', {detail: failure});
     return exitFailure;
   }
-  const signal = await told;
+  const signal = await drainAsked.pulled;
   logger.log('info', 'draining', {signal});
   const report = await service.drain(shutdown.maxDrainMs);
   logger.log(report.appsLeft > 0 ? 'warn' : 'info', 'stopped', {...report});
   return report.appsLeft > 0 ? exitFailure : exitOk;
 }
 
+/** Reads the settings again and tells what changed; a file with mistakes changes nothing. */
+async function tellReload(
+  path: string,
+  current: Settings,
+  logger: Logger,
+): Promise<void> {
+  const next = await loadSettings(path);
+  const detail = next.ok
+    ? describeSettingsChange(current, next.value)
+    : next.error.map(formatProblem).join('; ');
+  logger.log(next.ok ? 'info' : 'error', 'settings reloaded', {detail});
+}
+
 /** Starts the VM; what failed, for example an address in use, is returned. */
 async function startOrStop(service: Vm): Promise<string | undefined> {
   try {
@@ -56,15 +75,9 @@
   }
 }
 
+/** Something that is asked for once; asking again changes nothing. */
 function createTrigger() {
   let pull: (reason: string) => void = () => undefined;
   const pulled = new Promise<string>(resolve => (pull = resolve));
   return {pull, pulled};
 }
-
-function waitForSignal(): Promise<string> {
-  return new Promise(resolve => {
-    process.once('SIGTERM', () => resolve('SIGTERM'));
-    process.once('SIGINT', () => resolve('SIGINT'));
-  });
-}
