fix(core): a run that leaves an engine takes its group along

Callers saw: no broken promise; an item could be placed for a shared prompt that was no longer on its engine, and its prompt be read once more.

Cause: Placement.remove took off the run and its memory, not its group, so the engine kept the bonus of one run for the group during that decision.

Change: the group's count falls with the run and ends with the last one.

placement.spec "a group that has left an engine draws no items there": 'b' in place of 'a' before.

--- a/packages/core/src/batches/placement.ts
+++ b/packages/core/src/batches/placement.ts
@@ -118,8 +118,14 @@
   /** Counts `run` as no longer on its engine. */
   remove(run: Run): void {
     const use = this.open(run.engineId);
+    const key = nameGroup(run.job);
+    const left = (use.groups.get(key) ?? 0) - 1;
     use.runs -= 1;
     use.tokens -= estimateFootprint(run.job, this.tokensPerEvent);
+    // A group that has left would still draw its other items here, away from
+    // the engine that its prompt moves to.
+    if (left > 0) use.groups.set(key, left);
+    else use.groups.delete(key);
   }
 
   /** Counts `job` as running on the engine. */
