refactor(core,daemon): an engine that leaves is not listed, and no field says otherwise

EngineView.isDraining was false always: the fleet describes only engines that may get work, so one that drains or is gone is not there at all, its runs move with the reason 'engine_draining' and nothing new is placed. Callers saw no fault; the field and its comment told a newcomer another story ("keeps what it runs").

The test that set the field by hand checked a state that never comes.

--- a/packages/core/src/batches/__tests__/batch_fixtures.ts
+++ b/packages/core/src/batches/__tests__/batch_fixtures.ts
@@ -103,7 +103,6 @@
     slots: 4,
     kvTokens: 100_000,
     versions: new Map([[MODEL, 1]]),
-    isDraining: false,
     loading: new Set(),
     ...extra,
   };
--- a/packages/core/src/batches/__tests__/batch_scheduler.spec.ts
+++ b/packages/core/src/batches/__tests__/batch_scheduler.spec.ts
@@ -66,17 +66,33 @@
   t.is(again.job.transcript.events.length, 0);
 });
 
-test('an engine that is too old, loading or leaving gets no item', t => {
+test('an engine that is too old or loading gets no item', t => {
   const versions = new Map([[MODEL, 2]]);
   const {scheduler, open} = createSchedule([
     createEngine('old'),
     createEngine('loading', {versions, loading: new Set([MODEL])}),
-    createEngine('leaving', {versions, isDraining: true}),
   ]);
   open(createBatch('b0', ['g0a'], {minVersion: 2}));
   t.deepEqual(scheduler.decide(0), []);
 });
 
+// Items of a trainer end with an engine that is taken away.
+// 1. Items run on two engines; one of them leaves the list.
+// 2. Its items must go on elsewhere, and new ones must not reach it.
+test('an engine that left the list gets no item and gives up its own', t => {
+  const engines = [createEngine('leaving'), createEngine('staying')];
+  const {scheduler, open} = createSchedule(engines);
+  open(createBatch('b0', ['g0a', 'g1a']));
+  const runs = listStarts(scheduler.decide(0));
+  const leaving = runs.find(({engineId}) => engineId === 'leaving')!;
+  scheduler.setEngines([engines[1]]);
+  open(createBatch('b1', ['g2a']));
+  const actions = scheduler.decide(10);
+  t.deepEqual(listStops(actions), [[leaving, 'engine_draining']]);
+  const started = listStarts(actions).map(({engineId}) => engineId);
+  t.deepEqual(started, ['staying']);
+});
+
 // A step is as late as the items on one engine that turned slow.
 // 1. Items run on two engines; one becomes four times slower.
 // 2. Its liveness check passes, and its items take four times as long.
--- a/packages/core/src/batches/engine_board.ts
+++ b/packages/core/src/batches/engine_board.ts
@@ -2,7 +2,7 @@
 
 import {SpeedBoard} from '../fleet/speed_board.js';
 
-/** An engine that may be given items. */
+/** An engine that may be given items; one that is leaving or gone is not listed. */
 export interface EngineView {
   readonly id: string;
   readonly service: string;
@@ -10,8 +10,6 @@
   readonly kvTokens: number;
   /** Weight versions by model, as far as known. */
   readonly versions: ReadonlyMap<string, number>;
-  /** A draining engine keeps what it runs and gets nothing new. */
-  readonly isDraining: boolean;
   /** Models for which it is carrying out an order: new items would be refused. */
   readonly loading: ReadonlySet<string>;
 }
--- a/packages/core/src/batches/job_rules.ts
+++ b/packages/core/src/batches/job_rules.ts
@@ -41,7 +41,7 @@
 ): StopReason | undefined {
   if (place.slow.has(run.engineId)) return 'engine_slow';
   const engine = place.getEngine(run.engineId);
-  if (!engine || engine.isDraining) return 'engine_draining';
+  if (!engine) return 'engine_draining';
   const {model} = run.job.batch.batch;
   // A load would stop the run for about a second; to go on elsewhere costs it
   // the reading of its text, some 25 ms for the longest.
--- a/packages/core/src/batches/placement.ts
+++ b/packages/core/src/batches/placement.ts
@@ -93,7 +93,7 @@
   canTake(engine: EngineView, job: Job): boolean {
     const {batch, terms} = job.batch;
     if (!terms || engine.service !== terms.service) return false;
-    if (engine.isDraining || engine.loading.has(batch.model)) return false;
+    if (engine.loading.has(batch.model)) return false;
     const version = engine.versions.get(batch.model);
     if (version === undefined || version < terms.minVersion) return false;
     return this.board.isOpen(engine.id, batch.model, this.nowMs);
--- a/packages/daemon/src/gateway/engines/engine_fleet.ts
+++ b/packages/daemon/src/gateway/engines/engine_fleet.ts
@@ -39,7 +39,6 @@
           slots: Math.min(entry.slots, engine.slots),
           kvTokens: engine.kvTokens,
           versions: state.versions,
-          isDraining: false,
           loading: this.listLoading(state, nowMs),
         });
       }
