fix(daemon): the line about dropped log lines says VM and time

Callers saw: nothing; an engineer who collects the logs of all VMs could not tell which VM dropped lines, nor when.

Change: the sink counts and whoever made it logs the count as any other line; it fits since it is written once the lines before it are on their way. A write that the timer begins takes what waits once, and the last flush all that comes.

log_sink.spec asks for VM, count and time in place of the bare count.

--- a/packages/daemon/src/gateway/__tests__/log_sink.spec.ts
+++ b/packages/daemon/src/gateway/__tests__/log_sink.spec.ts
@@ -2,6 +2,7 @@
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import test, {type ExecutionContext} from 'ava';
+import {createLogger} from '../../logger.js';
 import {LogSink} from '../log_sink.js';
 
 function createSink(t: ExecutionContext) {
@@ -12,7 +13,12 @@
     rmSync(file);
   });
   const readLines = () => readFileSync(file, 'utf8').trim().split('\n');
-  return {sink: new LogSink(fd), readLines};
+  const sink = new LogSink(fd);
+  const logger = createLogger('info', {vm: 'vm-0'}, sink.write);
+  sink.reportDroppedBy(dropped =>
+    logger.log('warn', 'log lines dropped', {dropped}),
+  );
+  return {sink, readLines};
 }
 
 // The last lines of a process are missing, just those that tell why it ended.
@@ -27,7 +33,8 @@
   t.deepEqual(readLines(), ['first', 'last']);
 });
 
-// A VM runs out of memory, or waits, when nobody reads its log.
+// A VM runs out of memory, or waits, when nobody reads its log. Whoever looks
+// for a line later must learn which VM dropped it, and when.
 test('lines over the limit are dropped and counted', async t => {
   const {sink, readLines} = createSink(t);
   const long = 'x'.repeat(100 * 1024);
@@ -35,5 +42,10 @@
   await sink.flush();
   const lines = readLines();
   t.is(lines.length, 6);
-  t.deepEqual(JSON.parse(lines[5]), {message: 'log lines dropped', dropped: 3});
+  const line = JSON.parse(lines[5]);
+  t.like(line, {
+    message: 'log lines dropped',
+    context: {vm: 'vm-0', dropped: 3},
+  });
+  t.true(Number.isInteger(line.time));
 });
--- a/packages/daemon/src/gateway/log_sink.ts
+++ b/packages/daemon/src/gateway/log_sink.ts
@@ -16,6 +16,7 @@
   private waiting: string[] = [];
   private chars = 0;
   private dropped = 0;
+  private report: ((dropped: number) => void) | undefined;
   private timer: NodeJS.Timeout | undefined;
   /** The write under way. */
   private writing: Promise<void> | undefined;
@@ -33,23 +34,40 @@
     this.schedule();
   };
 
+  /**
+   * Tells of lines that were dropped by `report`, which writes a line as any
+   * other, with VM and time. A count without them could not be put beside the
+   * lines of other VMs, nor be told apart from theirs.
+   */
+  reportDroppedBy(report: (dropped: number) => void): void {
+    this.report = report;
+  }
+
   /** Writes what waits; resolves when all of it is written. */
   async flush(): Promise<void> {
     clearTimeout(this.timer);
     this.timer = undefined;
     // Lines that came during a write would be lost with the process otherwise.
     while (this.writing) await this.writing;
-    if (this.waiting.length === 0) return;
-    if (this.dropped > 0) this.reportDropped();
+    while (this.waiting.length > 0) await this.writeWaiting();
+  }
+
+  private writeWaiting(): Promise<void> {
     const text = Buffer.from(`${this.waiting.join('\n')}\n`);
     this.waiting = [];
     this.chars = 0;
+    // Now there is room for the line about it.
+    this.reportDropped();
     this.writing = new Promise(resolve => this.writeAll(text, resolve));
-    await this.writing;
+    return this.writing;
   }
 
   private schedule(): void {
-    this.timer ??= setTimeout(() => void this.flush(), GATHER_MS);
+    this.timer ??= setTimeout(() => {
+      this.timer = undefined;
+      // What comes during a write is gathered anew when it is done.
+      if (!this.writing && this.waiting.length > 0) void this.writeWaiting();
+    }, GATHER_MS);
   }
 
   private writeAll(bytes: Buffer, resolve: () => void): void {
@@ -69,8 +87,9 @@
   }
 
   private reportDropped(): void {
-    const line = {message: 'log lines dropped', dropped: this.dropped};
-    this.waiting.push(JSON.stringify(line));
+    const {dropped} = this;
+    if (dropped === 0 || !this.report) return;
     this.dropped = 0;
+    this.report(dropped);
   }
 }
