--- a/packages/cli/src/__tests__/serve_signals.spec.ts
+++ b/packages/cli/src/__tests__/serve_signals.spec.ts
@@ -1,7 +1,7 @@
 import {spawn} from 'node:child_process';
 import {fileURLToPath} from 'node:url';
 import test, {type ExecutionContext} from 'ava';
-import {SettingsPipe} from '@radishyoke/fakes/settings_pipe';
+import {NamedPipe} from '@radishyoke/fakes/named_pipe';
 
 const MAIN = fileURLToPath(new URL('../main.js', import.meta.url));
 
@@ -28,7 +28,7 @@
 }
 
 function startServe(t: ExecutionContext) {
-  const pipe = new SettingsPipe();
+  const pipe = new NamedPipe();
   const child = spawn(process.execPath, [MAIN, 'serve', pipe.path], {
     stdio: ['ignore', 'pipe', 'inherit'],
   });
--- a/packages/fakes/src/settings_pipe.ts
+++ b/packages/fakes/src/named_pipe.ts
@@ -1,7 +1,7 @@
 /**
- * A settings file that a test hands to a process piece by piece: a named pipe.
- * A process that opens it waits there, so that the test knows how far it has
- * come and can act on it before it goes on.
+ * A file that a test hands to a process piece by piece. A process that opens it
+ * waits there, so that the test knows how far it has come and can act on it
+ * before it goes on.
  */
 
 import {execFileSync} from 'node:child_process';
@@ -21,18 +21,18 @@
 /** A program that does not read within this time has failed, ms; a busy machine takes seconds to start one. */
 const READER_MS = 30_000;
 
-export class SettingsPipe {
+export class NamedPipe {
   readonly path: string;
   private readonly folder: string;
 
   constructor() {
-    this.folder = mkdtempSync(path.join(tmpdir(), 'radishyoke-settings-'));
-    this.path = path.join(this.folder, 'settings');
+    this.folder = mkdtempSync(path.join(tmpdir(), 'radishyoke-pipe-'));
+    this.path = path.join(this.folder, 'pipe');
     this.make();
   }
 
-  /** Waits until a process reads; it reads on when the function that is returned is called with the settings. */
-  async waitForReader(): Promise<(settings: string) => void> {
+  /** Waits until a process reads; it reads on when the function that is returned is called with the text. */
+  async waitForReader(): Promise<(text: string) => void> {
     const untilMs = performance.now() + READER_MS;
     let fd = this.open();
     while (fd === undefined) {
@@ -45,8 +45,8 @@
     // done with this one would be taken for the next.
     rmSync(this.path);
     this.make();
-    return settings => {
-      writeSync(writer, settings);
+    return text => {
+      writeSync(writer, text);
       closeSync(writer);
     };
   }
