--- a/packages/bench/src/drill.ts
+++ b/packages/bench/src/drill.ts
@@ -153,7 +153,6 @@
   return whole;
 }
 
-process.setMaxListeners(50);
 const cli = cac('drill');
 cli.option('--json', 'Print JSON lines (the only format there is)');
 cli.option('--case <name>', 'Only this case, besides the calm run');
--- a/packages/bench/src/drill_vm.ts
+++ b/packages/bench/src/drill_vm.ts
@@ -7,6 +7,7 @@
 import {join} from 'node:path';
 import {fileURLToPath} from 'node:url';
 import {request} from 'undici';
+import {endWithParent} from '@radishyoke/fakes/child_processes';
 import type {VmInfo} from '@radishyoke/shared/endpoint';
 import {toDataCentreId, toVmId} from '@radishyoke/shared/ids';
 
@@ -73,10 +74,7 @@
     const child = spawn(process.execPath, args, {stdio: [...stdio]});
     closeSync(output);
     this.child = child;
-    // The drill may fail in the middle; its VMs must not outlive it.
-    const end = () => child.kill('SIGKILL');
-    process.once('exit', end);
-    child.once('exit', () => process.off('exit', end));
+    endWithParent(child);
     this.exited = new Promise(resolve => {
       child.once('exit', code => resolve(code));
     });
