--- a/packages/cli/src/__tests__/serve_signals.spec.ts
+++ b/packages/cli/src/__tests__/serve_signals.spec.ts
@@ -2,31 +2,10 @@
 import {fileURLToPath} from 'node:url';
 import test, {type ExecutionContext} from 'ava';
 import {NamedPipe} from '@radishyoke/fakes/named_pipe';
+import {createLoneVmSettings} from '@radishyoke/fakes/vm_settings';
 
 const MAIN = fileURLToPath(new URL('../main.js', import.meta.url));
 
-/** Settings of a VM whose platform is not there. */
-function createText(notice: string): string {
-  return `[vm]
-id = entry-1
-data_centre = salto
-caller_address = 127.0.0.1:0
-peer_address = 127.0.0.1:0
-admin_address = 127.0.0.1:0
-[platform]
-log = 127.0.0.1:1
-vm_list = 127.0.0.1:1
-weight_store = 127.0.0.1:1
-[peers]
-shared_key = a-key-for-tests-only
-[shutdown]
-notice = ${notice}
-max_drain = 1s
-[tenants]
-trainer = growers
-`;
-}
-
 function startServe(t: ExecutionContext) {
   const pipe = new NamedPipe();
   const child = spawn(process.execPath, [MAIN, 'serve', pipe.path], {
@@ -57,9 +36,9 @@
   const {pipe, child, ended, waitForText} = startServe(t);
   const write = await pipe.waitForReader();
   child.kill('SIGHUP');
-  write(createText('1ms'));
+  write(createLoneVmSettings());
   const writeAgain = await pipe.waitForReader();
-  writeAgain(createText('2ms'));
+  writeAgain(createLoneVmSettings({notice: '2ms'}));
   t.regex(await waitForText('settings reloaded'), /wait for the next start/);
   child.kill('SIGTERM');
   t.is(await ended, 0);
@@ -71,7 +50,7 @@
 test('a VM that drains is not ended by another SIGTERM', async t => {
   const {pipe, child, ended, waitForText} = startServe(t);
   const write = await pipe.waitForReader();
-  write(createText('300ms'));
+  write(createLoneVmSettings({notice: '300ms'}));
   await waitForText('VM ready for callers');
   child.kill('SIGTERM');
   await waitForText('draining');
--- a/packages/daemon/src/__tests__/serve.spec.ts
+++ b/packages/daemon/src/__tests__/serve.spec.ts
@@ -3,27 +3,9 @@
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import test from 'ava';
+import {createLoneVmSettings} from '@radishyoke/fakes/vm_settings';
 import {runServe} from '../serve.js';
 
-/** Settings of a VM whose platform is not there. */
-function createSettingsText(adminAddress: string): string {
-  return `[vm]
-id = entry-1
-data_centre = salto
-caller_address = 127.0.0.1:0
-peer_address = 127.0.0.1:0
-admin_address = ${adminAddress}
-[platform]
-log = 127.0.0.1:1
-vm_list = 127.0.0.1:1
-weight_store = 127.0.0.1:1
-[peers]
-shared_key = a-key-for-tests-only
-[tenants]
-trainer = growers
-`;
-}
-
 async function listenSomewhere(): Promise<net.Server> {
   const server = net.createServer();
   await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
@@ -40,7 +22,10 @@
   t.teardown(() => taken.close());
   const {port} = taken.address() as net.AddressInfo;
   const file = path.join(dir, 'settings.ini');
-  await writeFile(file, createSettingsText(`127.0.0.1:${port}`));
+  await writeFile(
+    file,
+    createLoneVmSettings({adminAddress: `127.0.0.1:${port}`}),
+  );
   t.is(await runServe(file), 1);
 });
 
@@ -48,6 +33,6 @@
   const dir = await mkdtemp(path.join(tmpdir(), 'radishyoke-serve-'));
   t.teardown(() => rm(dir, {recursive: true}));
   const file = path.join(dir, 'settings.ini');
-  await writeFile(file, createSettingsText('nowhere'));
+  await writeFile(file, createLoneVmSettings({adminAddress: 'nowhere'}));
   t.is(await runServe(file), 3);
 });
