--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -236,7 +236,7 @@
     const {logger} = this.parts;
     logger.log('info', 'stopping', {vm: this.cfg.vmName});
     if (this.isServing) await this.drain();
-    // A start that is under way opens no more than its next listener.
+    // A start that is under way gives up once its listeners are open.
     else await this.starting?.catch(() => undefined);
     this.close();
     logger.log('info', 'stopped', {vm: this.cfg.vmName});
