fix(platform,daemon): an answer of the log that keeps coming is not thrown away

Cause: a call to the store had one deadline of 900 ms on the whole answer and asked for pages of 1 MB. On a link that many reads share a page takes longer: what had come was dropped and asked for again from the same offset, so nothing progressed and the retries kept the store busy. Seen as 'no answer in 900 ms' on VMs all over a fleet of 195 that came back at once.

Appends keep their one deadline.

--- a/packages/daemon/src/gateway/endpoints/http_call.ts
+++ b/packages/daemon/src/gateway/endpoints/http_call.ts
@@ -13,6 +13,8 @@
   readonly body?: Uint8Array;
   /** For connection, request and whole answer together, ms. */
   readonly timeoutMs: number;
+  /** For each part of it: the call ends sooner once nothing has come for this long, ms. */
+  readonly silenceMs?: number;
   readonly signal?: AbortSignal;
 }
 
@@ -35,16 +37,20 @@
 ): Promise<CallOutcome> {
   return new Promise(resolve => {
     let isConnected = false;
-    const timer = setTimeout(() => {
-      settle(`no answer in ${call.timeoutMs} ms`);
+    const giveUp = (ms: number) => {
+      settle(`no answer in ${ms} ms`);
       req.destroy();
-    }, call.timeoutMs);
+    };
+    const timer = setTimeout(giveUp, call.timeoutMs, call.timeoutMs);
+    const {silenceMs = call.timeoutMs} = call;
+    const silenceTimer = setTimeout(giveUp, silenceMs, silenceMs);
     const onAbort = () => {
       settle('given up by the caller');
       req.destroy();
     };
     const finish = (outcome: CallOutcome) => {
       clearTimeout(timer);
+      clearTimeout(silenceTimer);
       call.signal?.removeEventListener('abort', onAbort);
       resolve(outcome);
     };
@@ -62,7 +68,10 @@
     req.on('error', err => settle(err.message));
     req.on('response', res => {
       const chunks: Buffer[] = [];
-      res.on('data', (chunk: Buffer) => chunks.push(chunk));
+      res.on('data', (chunk: Buffer) => {
+        silenceTimer.refresh();
+        chunks.push(chunk);
+      });
       res.on('error', err => settle(err.message));
       res.on('end', () => {
         if (!res.complete) return settle('the answer broke off');
--- a/packages/daemon/src/gateway/store/log_store.ts
+++ b/packages/daemon/src/gateway/store/log_store.ts
@@ -63,6 +63,8 @@
 export interface ReadOptions {
   /** How long the log may wait for a first record, ms. */
   readonly waitMs: number;
+  /** About how much to return at most; one record comes in any case. */
+  readonly maxBytes?: number;
   readonly signal?: AbortSignal;
 }
 
