--- a/packages/core/src/batches/__tests__/batch_fixtures.ts
+++ b/packages/core/src/batches/__tests__/batch_fixtures.ts
@@ -1,15 +1,17 @@
 /** Builders of batches, records and engines for tests. */
 
 import type {OpenBatchTerms, Run} from '../batch_job.js';
-import {BatchLedger} from '../batch_ledger.js';
+import {BatchIndex} from '../batch_index.js';
 import type {
   Batch,
   BatchItem,
-  BatchRecord,
+  IndexRecord,
+  ItemResult,
   OutputEvent,
+  ProgressRecord,
 } from '../batch_record.js';
 import {BatchScheduler} from '../batch_scheduler.js';
-import {ResultCache} from '../result_cache.js';
+import {assembleState, type BatchState, ProgressFold} from '../batch_state.js';
 import type {ScheduleAction} from '../schedule_action.js';
 import type {EngineView} from '../engine_board.js';
 
@@ -52,41 +54,51 @@
   };
 }
 
-/** A ledger whose records stand one behind the other. */
-export class FixtureLedger extends BatchLedger {
-  private nextOffset = 0;
+/** What a coordinator would know of batches after reading these records. */
+export class FixtureLog {
+  readonly index = new BatchIndex();
+  private readonly folds = new Map<string, ProgressFold>();
 
-  override apply(record: BatchRecord, offset = this.nextOffset) {
-    this.nextOffset = offset + 1;
-    return super.apply(record, offset);
+  constructor(private readonly batches: readonly Batch[]) {}
+
+  apply(record: IndexRecord) {
+    return this.index.apply(record);
+  }
+
+  applyProgress(record: ProgressRecord): void {
+    this.openFold(record.batchId).apply(record);
+  }
+
+  get(batchId: string): BatchState {
+    const batch = this.batches.find(({id}) => id === batchId)!;
+    const {transcripts} = this.openFold(batchId);
+    const entry = this.index.get(batchId)!;
+    return assembleState(batch, entry, {transcripts, results: new Map()});
+  }
+
+  private openFold(batchId: string): ProgressFold {
+    const fold = this.folds.get(batchId) ?? new ProgressFold(batchId);
+    this.folds.set(batchId, fold);
+    return fold;
   }
 }
 
-/** Batches stand in the slices as they are. */
-export function createLedger(
-  batches: readonly Batch[],
-  cache = new ResultCache(),
-): FixtureLedger {
-  return new FixtureLedger(bytes => batches[bytes[0]], cache);
+export function acceptBatch(batch: Batch): IndexRecord {
+  const {items, ...header} = batch;
+  const itemIds = items.map(({id}) => id);
+  return {kind: 'accepted', header, itemIds, payload: []};
 }
 
-/** The records that accept the batch at `index` of those the ledger knows. */
-export function acceptBatch(
-  batch: Batch,
-  index: number,
-  submission = `${batch.id}-1`,
-): readonly BatchRecord[] {
-  const batchId = batch.id;
-  return [
-    {
-      kind: 'slice',
-      batchId,
-      submission,
-      index: 0,
-      bytes: new Uint8Array([index]),
-    },
-    {kind: 'accepted', batchId, submission, slices: 1},
-  ];
+/** The record that lists `result`. */
+export function listResult(
+  batchId: string,
+  {itemId, state, versions}: ItemResult,
+  offset = 0,
+  writer = 'vm',
+): IndexRecord {
+  const text = [{offset, bytes: 1}];
+  const listed = {itemId, state, versions, text, writer};
+  return {kind: 'result', batchId, listed};
 }
 
 export function createEvent(id: number, run: string, version = 1): OutputEvent {
@@ -124,30 +136,28 @@
 
 export interface ScheduleFixture {
   readonly scheduler: BatchScheduler;
-  readonly ledger: FixtureLedger;
+  readonly log: FixtureLog;
   open(batch: Batch, terms?: OpenBatchTerms): void;
 }
 
-/** A scheduler with engines, and a ledger that its batches go through. */
+/** A scheduler with engines, and a log that its batches go through. */
 export function createSchedule(
   engines: readonly EngineView[],
 ): ScheduleFixture {
   const scheduler = new BatchScheduler({tokensPerEvent: 1, runPrefix: 'vm'});
   scheduler.setEngines(engines);
   const batches: Batch[] = [];
-  const ledger = createLedger(batches);
+  const log = new FixtureLog(batches);
   return {
     scheduler,
-    ledger,
+    log,
     open(
       batch: Batch,
       terms = createTerms({minVersion: batch.minVersion}),
     ): void {
       batches.push(batch);
-      for (const record of acceptBatch(batch, batches.length - 1)) {
-        ledger.apply(record);
-      }
-      scheduler.openBatch(ledger.get(batch.id)!, terms);
+      log.apply(acceptBatch(batch));
+      scheduler.openBatch(log.get(batch.id), terms);
     },
   };
 }
--- /dev/null
+++ b/packages/core/src/batches/__tests__/batch_index.spec.ts
@@ -0,0 +1,97 @@
+import test from 'ava';
+import fc from 'fast-check';
+import {BatchIndex} from '../batch_index.js';
+import type {IndexRecord, ListedResult} from '../batch_record.js';
+import {acceptBatch, createBatch, listResult} from './batch_fixtures.js';
+
+const BATCH = createBatch('b0', ['g0a', 'g0b', 'g1a']);
+
+/** A record that lists `itemId` with the text at `offset`. */
+function list(itemId: string, offset = 0): IndexRecord {
+  return listResult(
+    'b0',
+    {itemId, state: 'done', output: '', versions: [1]},
+    offset,
+  );
+}
+
+function createIndex(): BatchIndex {
+  const index = new BatchIndex();
+  index.apply(acceptBatch(BATCH));
+  return index;
+}
+
+// A trainer reads two results of one item.
+// 1. A holder lists an item and loses its lease before it reads the record.
+// 2. The next holder runs the item again and lists it with another text.
+// Cause: both results stand in the log.
+test('the first result of an item counts', t => {
+  const index = createIndex();
+  t.is(index.apply(list('g0a', 1))?.kind, 'listed');
+  t.is(index.apply(list('g0a', 2)), undefined);
+  t.is(index.apply(list('g1a', 3))?.kind, 'listed');
+  const {results} = index.get('b0')!;
+  t.deepEqual(
+    results.map(({text}) => text[0].offset),
+    [1, 3],
+  );
+});
+
+test('a batch that is accepted again changes nothing, ended or not', t => {
+  const index = createIndex();
+  index.apply(list('g0a'));
+  index.apply({kind: 'ended', batchId: 'b0'});
+  t.is(index.apply(acceptBatch(BATCH)), undefined);
+  t.true(index.get('b0')!.isEnded);
+  t.is(index.get('b0')!.results.length, 1);
+});
+
+test('results of items or batches that do not exist are ignored', t => {
+  const index = new BatchIndex();
+  t.is(index.apply(list('g0a')), undefined);
+  index.apply(acceptBatch(BATCH));
+  t.is(index.apply(list('g9z')), undefined);
+});
+
+test('positions never change and no item has two, whatever is repeated', t => {
+  const items = BATCH.items.map(({id}) => id);
+  const record = fc.oneof(
+    fc
+      .tuple(fc.constantFrom(...items), fc.nat({max: 99}))
+      .map(([id, offset]) => list(id, offset)),
+    fc.constant<IndexRecord>({kind: 'ended', batchId: 'b0'}),
+    fc.constant(acceptBatch(BATCH)),
+  );
+  fc.assert(
+    fc.property(fc.array(record, {maxLength: 30}), records => {
+      const index = createIndex();
+      let before: readonly ListedResult[] = [];
+      for (const each of records) {
+        index.apply(each);
+        const results = [...index.get('b0')!.results];
+        t.deepEqual(results.slice(0, before.length), before);
+        before = results;
+      }
+      const ids = before.map(({itemId}) => itemId);
+      t.is(new Set(ids).size, ids.length);
+    }),
+    {seed: 11, numRuns: 300},
+  );
+});
+
+test('batches are forgotten when nobody can ask for them any more', t => {
+  const index = createIndex();
+  index.forget(0);
+  t.truthy(index.get('b0'));
+  index.forget(1);
+  t.is(index.get('b0'), undefined);
+});
+
+test('failed reward calls are counted for whoever takes over', t => {
+  const index = createIndex();
+  index.apply({kind: 'reward_failed', batchId: 'b0', itemId: 'g0a'});
+  index.apply({kind: 'reward_failed', batchId: 'b0', itemId: 'g0a'});
+  const {items} = index.get('b0')!;
+  t.is(items.get('g0a')!.rewardFailures, 2);
+  t.is(items.get('g0b')!.rewardFailures, 0);
+});
--- /dev/null
+++ b/packages/core/src/batches/__tests__/batch_state.spec.ts
@@ -0,0 +1,114 @@
+import test from 'ava';
+import type {ItemResult} from '../batch_record.js';
+import {ProgressFold} from '../batch_state.js';
+import {
+  acceptBatch,
+  createBatch,
+  createEngine,
+  createEvent,
+  createSchedule,
+  createTerms,
+  FixtureLog,
+  listResult,
+  listStarts,
+} from './batch_fixtures.js';
+import {BatchScheduler} from '../batch_scheduler.js';
+
+const BATCH = createBatch('b0', ['g0a', 'g0b', 'g1a']);
+const ITEM = {batchId: 'b0', itemId: 'g0a'};
+const RESULT: ItemResult = {
+  itemId: 'g0a',
+  state: 'done',
+  output: 'text',
+  versions: [1],
+};
+
+function createLog(): FixtureLog {
+  const log = new FixtureLog([BATCH]);
+  log.apply(acceptBatch(BATCH));
+  return log;
+}
+
+test('output that was stored is there for whoever goes on', t => {
+  const log = createLog();
+  const events = [createEvent(1, 'a'), createEvent(2, 'a')];
+  log.applyProgress({...ITEM, events});
+  const next = [createEvent(3, 'b')];
+  log.applyProgress({...ITEM, afterRun: 'a', events: next});
+  const {transcript} = log.get('b0').items.get('g0a')!;
+  t.is(transcript.joinOutput(), '1\n2\n3');
+  log.apply(listResult('b0', RESULT));
+  const listed = log.get('b0').items.get('g0a')!;
+  t.true(listed.isListed);
+  t.is(listed.transcript.events.length, 0, 'what is listed is not run again');
+});
+
+// A step waits for a text that was made already.
+// 1. A coordinator writes the last event of a text down, marked as such, and
+//    goes while the score is under way.
+// 2. Its successor must go on with the score, unless the text went on otherwise.
+test('a text is whole only where its mark stands behind what is known', t => {
+  const fold = new ProgressFold('b0');
+  fold.apply({...ITEM, events: [createEvent(1, 'a')]});
+  const transcript = fold.transcripts.get('g0a')!;
+  const other = [createEvent(2, 'b')];
+  fold.apply({...ITEM, afterRun: 'b', events: other, isWhole: true});
+  t.false(transcript.isWhole, 'the mark belongs to a text of another run');
+  const last = [createEvent(2, 'a')];
+  fold.apply({...ITEM, afterRun: 'a', events: last, isWhole: true});
+  t.true(transcript.isWhole);
+  fold.apply({...ITEM, afterRun: 'a', events: other});
+  t.false(transcript.isWhole, 'another run went on from event 1');
+});
+
+test('progress of other batches is left out', t => {
+  const fold = new ProgressFold('b0');
+  const events = [createEvent(1, 'a')];
+  fold.apply({batchId: 'b1', itemId: 'g0a', events});
+  t.is(fold.transcripts.size, 0);
+});
+
+// A later step gives a trainer a text that differs from the one it has read.
+// 1. Two coordinators list one item, each with its own text; the first counts.
+// 2. The item comes again in the next step, at the one whose text is void.
+test('a text that does not stand in the log is not used again', t => {
+  for (const isOwn of [true, false]) {
+    const {scheduler, open} = createSchedule([createEngine('e0')]);
+    open(createBatch('b0', ['g0a']));
+    const [run] = listStarts(scheduler.decide(0));
+    scheduler.noteEvent(run, createEvent(1, run.id), 1);
+    scheduler.noteEnd(run, 'finished', 2);
+    scheduler.decide(3);
+    const record = listResult('b0', RESULT, 0, isOwn ? 'vm' : 'other');
+    if (record.kind === 'result') scheduler.noteListed('b0', record.listed);
+    scheduler.closeBatch('b0');
+    open(createBatch('b1', ['g0a']));
+    const kinds = scheduler.decide(10).map(({kind}) => kind);
+    t.deepEqual(kinds, isOwn ? ['list'] : ['start']);
+  }
+});
+
+// A step is made anew though most of it stands in the log.
+// 1. A coordinator lists an item of a group that stays incomplete, and goes.
+// 2. The group comes again in the next step, at its successor, which has read
+//    the ended batch with the texts of its results.
+test('a successor uses results of an ended batch whose texts it has read', t => {
+  const log = createLog();
+  log.apply(listResult('b0', RESULT));
+  log.apply({kind: 'ended', batchId: 'b0'});
+  const state = log.get('b0');
+  const known = state.items.get('g0a')!;
+  const items = new Map(state.items);
+  items.set('g0a', {...known, result: RESULT});
+  const scheduler = new BatchScheduler({tokensPerEvent: 1, runPrefix: 'next'});
+  scheduler.setEngines([createEngine('e0')]);
+  scheduler.openBatch({...state, items}, createTerms());
+  t.true(scheduler.knowsBatch(BATCH));
+  const again = createBatch('b1', ['g0a']);
+  const next = new FixtureLog([again]);
+  next.apply(acceptBatch(again));
+  scheduler.openBatch(next.get('b1'), createTerms());
+  const actions = scheduler.decide(0);
+  t.like(actions[0], {kind: 'list', result: {output: 'text'}});
+  t.is(actions.length, 1);
+});
--- /dev/null
+++ b/packages/core/src/batches/batch_index.ts
@@ -0,0 +1,133 @@
+/**
+ * Folds the index of one partition into batches and the places of their
+ * results. Positions follow from the order of records alone: the first result
+ * of an item counts, wherever it came from, and later ones are void. Two VMs
+ * that run one item at the same time therefore never give it two positions.
+ *
+ * The index holds no texts. A VM that knows nothing of a partition reads all of
+ * it before it can answer, so what stands here is read by each VM anew.
+ */
+
+import type {
+  BatchHeader,
+  IndexRecord,
+  ListedResult,
+  PayloadRef,
+} from './batch_record.js';
+
+/** What the index tells of one item. */
+export interface IndexedItem {
+  /** Undefined until the item has a result. */
+  position: number | undefined;
+  /** Attempts that an endpoint answered as failed. */
+  failures: number;
+  /** Reward calls that an endpoint answered as failed. */
+  rewardFailures: number;
+}
+
+/** What the index tells of one batch. */
+export interface IndexedBatch {
+  readonly header: BatchHeader;
+  readonly items: ReadonlyMap<string, IndexedItem>;
+  /** Where the submission stands. */
+  readonly payload: PayloadRef;
+  /** Results by position. */
+  readonly results: ListedResult[];
+  isEnded: boolean;
+}
+
+/** What a record changed, for those who act on it. */
+export type IndexChange =
+  | {readonly kind: 'opened'; readonly entry: IndexedBatch}
+  | {readonly kind: 'ended'; readonly entry: IndexedBatch}
+  | {
+      readonly kind: 'listed';
+      readonly entry: IndexedBatch;
+      readonly listed: ListedResult;
+    };
+
+export class BatchIndex {
+  private readonly batches = new Map<string, IndexedBatch>();
+
+  get entries(): IterableIterator<IndexedBatch> {
+    return this.batches.values();
+  }
+
+  get(batchId: string): IndexedBatch | undefined {
+    return this.batches.get(batchId);
+  }
+
+  /** Takes the next record of the partition. */
+  apply(record: IndexRecord): IndexChange | undefined {
+    switch (record.kind) {
+      case 'accepted':
+        return this.accept(record);
+      case 'result':
+        return this.list(record.batchId, record.listed);
+      case 'attempt_failed': {
+        const item = this.findItem(record.batchId, record.itemId);
+        if (item) item.failures += 1;
+        return undefined;
+      }
+      case 'reward_failed': {
+        const item = this.findItem(record.batchId, record.itemId);
+        if (item) item.rewardFailures += 1;
+        return undefined;
+      }
+      case 'ended':
+        return this.end(record.batchId);
+    }
+  }
+
+  /** Forgets batches that were submitted before `beforeMs` (Unix ms). */
+  forget(beforeMs: number): void {
+    for (const [id, {header}] of this.batches) {
+      if (header.submittedAtMs < beforeMs) this.batches.delete(id);
+    }
+  }
+
+  /**
+   * A submission is repeated when its acknowledgement was lost, at any VM and
+   * even after the batch ended. It shows as two acceptances of one id; the
+   * first counts, so that nothing runs or is listed twice.
+   */
+  private accept({
+    header,
+    itemIds,
+    payload,
+  }: Extract<IndexRecord, {kind: 'accepted'}>): IndexChange | undefined {
+    if (this.batches.has(header.id)) return undefined;
+    const items = new Map<string, IndexedItem>();
+    for (const id of itemIds) {
+      items.set(id, {position: undefined, failures: 0, rewardFailures: 0});
+    }
+    const entry = {header, items, payload, results: [], isEnded: false};
+    this.batches.set(header.id, entry);
+    return {kind: 'opened', entry};
+  }
+
+  private list(batchId: string, listed: ListedResult): IndexChange | undefined {
+    const entry = this.batches.get(batchId);
+    const item = entry?.items.get(listed.itemId);
+    if (!entry || !item || item.position !== undefined) return undefined;
+    item.position = entry.results.length;
+    entry.results.push(listed);
+    return {kind: 'listed', entry, listed};
+  }
+
+  private findItem(batchId: string, itemId: string): IndexedItem | undefined {
+    return this.batches.get(batchId)?.items.get(itemId);
+  }
+
+  private end(batchId: string): IndexChange | undefined {
+    const entry = this.batches.get(batchId);
+    if (!entry || entry.isEnded) return undefined;
+    entry.isEnded = true;
+    return {kind: 'ended', entry};
+  }
+}
+
+/** Whether nothing of the batch is to be run any more. */
+export function isComplete({isEnded, results, items}: IndexedBatch): boolean {
+  return isEnded || results.length === items.size;
+}
--- a/packages/core/src/batches/batch_job.ts
+++ b/packages/core/src/batches/batch_job.ts
@@ -20,7 +20,7 @@
   state: JobState;
   /** Events of `transcript` that the log keeps for this batch. */
   recorded: number;
-  /** Set once the item has a result. */
+  /** Set once the item has a result, where its text is known here. */
   result: ItemResult | undefined;
   /** Attempts that an endpoint answered as failed. */
   failures: number;
--- a/packages/core/src/batches/batch_record.ts
+++ b/packages/core/src/batches/batch_record.ts
@@ -1,6 +1,8 @@
 /**
- * What the log keeps of batches. Every VM folds the same records in the same
- * order, so that all of them agree on which results exist and where they stand.
+ * What the log keeps of batches, in three topics of the same partitions: an
+ * index, which every VM that is asked folds to the same positions; payloads,
+ * which are the bytes of submissions and texts, read only where they are asked
+ * for; and progress, which only a coordinator reads that takes over.
  */
 
 /**
@@ -31,8 +33,8 @@
   readonly reward?: RewardRequest;
 }
 
-/** A batch as submitted. */
-export interface Batch {
+/** A batch without its items. */
+export interface BatchHeader {
   readonly id: string;
   /** Host and path it was submitted under: they select its route. */
   readonly host: string;
@@ -43,11 +45,15 @@
   readonly minVersion: number;
   /** Complete groups that the trainer waits for. */
   readonly groupsWanted: number;
-  readonly items: readonly BatchItem[];
   /** Unix ms of the first submission. */
   readonly submittedAtMs: number;
 }
 
+/** A batch as submitted. */
+export interface Batch extends BatchHeader {
+  readonly items: readonly BatchItem[];
+}
+
 /** One event of a generation. */
 export interface OutputEvent {
   readonly id: number;
@@ -71,39 +77,40 @@
   readonly score?: string;
 }
 
-/** One record of a batch's partition. */
-export type BatchRecord =
-  /** A slice of an encoded batch that is too large for one record. */
-  | {
-      readonly kind: 'slice';
-      readonly batchId: string;
-      /** Tells the slices of two submissions of the same batch apart. */
-      readonly submission: string;
-      readonly index: number;
-      readonly bytes: Uint8Array;
-    }
-  /** Accepts the batch whose slices went before. */
+/** One record of the payload topic. */
+export interface PayloadPart {
+  readonly offset: number;
+  readonly bytes: number;
+}
+
+/** Where the bytes of a submission or of a text stand, in order; their partition is that of the batch. */
+export type PayloadRef = readonly PayloadPart[];
+
+/** A result as the index lists it: all but its text. */
+export interface ListedResult {
+  readonly itemId: string;
+  readonly state: ResultState;
+  readonly versions: readonly number[];
+  readonly score?: string;
+  /** The output, as UTF-8. */
+  readonly text: PayloadRef;
+  /** Names the life of the coordinator that made it. */
+  readonly writer: string;
+}
+
+/** One record of the index. */
+export type IndexRecord =
+  /** The batch counts from here on; its payload was stored before. */
   | {
       readonly kind: 'accepted';
-      readonly batchId: string;
-      readonly submission: string;
-      readonly slices: number;
+      readonly header: BatchHeader;
+      readonly itemIds: readonly string[];
+      readonly payload: PayloadRef;
     }
   | {
       readonly kind: 'result';
       readonly batchId: string;
-      readonly result: ItemResult;
-    }
-  /** Events that a running item has made, for whoever goes on with it. */
-  | {
-      readonly kind: 'progress';
-      readonly batchId: string;
-      readonly itemId: string;
-      /** The run that made the event before these; absent where they begin the text. */
-      readonly afterRun?: string;
-      readonly events: readonly OutputEvent[];
-      /** Set where the text ends with these events. */
-      readonly isWhole?: boolean;
+      readonly listed: ListedResult;
     }
   /** An endpoint answered that the attempt failed. */
   | {
@@ -118,3 +125,14 @@
       readonly itemId: string;
     }
   | {readonly kind: 'ended'; readonly batchId: string};
+
+/** Events that a running item has made, for whoever goes on with it. */
+export interface ProgressRecord {
+  readonly batchId: string;
+  readonly itemId: string;
+  /** The run that made the event before these; absent where they begin the text. */
+  readonly afterRun?: string;
+  readonly events: readonly OutputEvent[];
+  /** Set where the text ends with these events. */
+  readonly isWhole?: boolean;
+}
--- a/packages/core/src/batches/batch_scheduler.ts
+++ b/packages/core/src/batches/batch_scheduler.ts
@@ -17,8 +17,8 @@
   type OpenBatchTerms,
   type Run,
 } from './batch_job.js';
-import type {BatchEntry} from './batch_ledger.js';
-import type {ItemResult, OutputEvent} from './batch_record.js';
+import type {BatchHeader, ListedResult, OutputEvent} from './batch_record.js';
+import type {BatchState} from './batch_state.js';
 import {EngineBoard, type EngineView} from './engine_board.js';
 import {
   chooseText,
@@ -43,7 +43,7 @@
 const MAX_EARLY_BREAKS = 3;
 const MAX_EARLY_BREAKS_WITH_TEXT = 6;
 /** Closed batches of a model whose texts are kept: groups that were not complete come again in the next step, or in the one after it where steps are asked for ahead. */
-const KEPT_STEPS = 3;
+export const KEPT_STEPS = 3;
 /** Pause of a suspected item, ms: long enough that it reaches no more than two engines within a usual retention of 40 s. */
 const SUSPECT_PAUSE_MS = 15_000;
 
@@ -58,7 +58,7 @@
 export interface SchedulerConfig {
   /** Output tokens in one event. */
   readonly tokensPerEvent: number;
-  /** Makes the ids of runs unique over all VMs and their restarts. */
+  /** Makes the ids of runs unique over all schedulers there ever were. */
   readonly runPrefix: string;
 }
 
@@ -89,8 +89,8 @@
   }
 
   /** Takes a batch from the log, with the results and output it has. */
-  openBatch(entry: BatchEntry, terms: OpenBatchTerms | undefined): void {
-    const {batch} = entry;
+  openBatch(state: BatchState, terms: OpenBatchTerms | undefined): void {
+    const {batch} = state;
     if (this.open.has(batch.id)) return;
     const jobs = new Map<string, Job>();
     const carriedGroups = new Set<string>();
@@ -102,7 +102,7 @@
       chosenGroups: new Set(),
     };
     for (const item of batch.items) {
-      const known = entry.items.get(item.id)!;
+      const known = state.items.get(item.id)!;
       const earlier = this.lastJobs.get(item.id);
       if (earlier) carriedGroups.add(item.group);
       const text = chooseText(known.transcript, earlier);
@@ -110,15 +110,15 @@
       if (text === known.transcript) job.recorded = text.events.length;
       job.failures = known.failures;
       job.rewardFailures = known.rewardFailures;
-      if (known.position !== undefined) {
+      if (known.isListed) {
         job.state = 'finished';
-        job.result = entry.results[known.position].result;
+        job.result = known.result;
       }
       jobs.set(item.id, job);
-      if (!entry.isEnded) this.takeWhatIsKnown(job, earlier);
+      if (!state.isEnded) this.takeWhatIsKnown(job, earlier);
       this.lastJobs.set(item.id, job);
     }
-    if (entry.isEnded) this.noteClosed(open);
+    if (state.isEnded) this.noteClosed(open);
     else this.open.set(batch.id, open);
   }
 
@@ -127,6 +127,13 @@
     this.outcomes.takeKnownText(job);
   }
 
+  /** Whether the batch is open, or was closed so lately that its texts are kept. */
+  knowsBatch({id, model}: BatchHeader): boolean {
+    if (this.open.has(id)) return true;
+    const closed = this.closed.get(model) ?? [];
+    return closed.some(({batch}) => batch.id === id);
+  }
+
   /** The batch's owner has ended it, or it is to be forgotten. */
   closeBatch(batchId: string): void {
     const open = this.open.get(batchId);
@@ -164,11 +171,16 @@
     }
   }
 
-  /** A result stands in the log, from this VM or another. */
-  noteListed(batchId: string, result: ItemResult): void {
-    const job = this.open.get(batchId)?.jobs.get(result.itemId);
+  /**
+   * A result stands in the log, from this scheduler or another. Which text of
+   * two counts is the log's choice, so one's own is kept for later batches only
+   * where it is the one that stands.
+   */
+  noteListed(batchId: string, {itemId, writer}: ListedResult): void {
+    const job = this.open.get(batchId)?.jobs.get(itemId);
     if (!job) return;
-    this.outcomes.finish(job, result);
+    const isOwn = writer === this.cfg.runPrefix;
+    this.outcomes.finish(job, isOwn ? job.result : undefined);
     for (const run of this.runs.values()) {
       if (run.job === job) this.stop(run, 'ended');
     }
--- a/packages/core/src/batches/job_outcomes.ts
+++ b/packages/core/src/batches/job_outcomes.ts
@@ -101,7 +101,7 @@
     );
   }
 
-  finish(job: Job, result: ItemResult): void {
+  finish(job: Job, result: ItemResult | undefined): void {
     job.state = 'finished';
     job.result = result;
     // The result has the text; its events take three times as much memory.
--- a/packages/core/src/rewards/__tests__/reward_fixtures.ts
+++ b/packages/core/src/rewards/__tests__/reward_fixtures.ts
@@ -28,13 +28,13 @@
   groupsWanted = new Set(itemIds.map(id => id.slice(0, 2))).size,
 ) {
   const engine = createEngine('e0', {slots: itemIds.length});
-  const {scheduler, open, ledger} = createSchedule([engine]);
+  const {scheduler, open, log} = createSchedule([engine]);
   const items = itemIds.map(createRewardItem);
   open(createBatch('b0', [], {items, groupsWanted}));
   const runs = listStarts(scheduler.decide(0));
   return {
     scheduler,
-    ledger,
+    log,
     /** The text of an item becomes whole. */
     finish(id: string): void {
       const run = runs.find(({job}) => job.item.id === id)!;
--- a/packages/core/src/rewards/__tests__/reward_order.spec.ts
+++ b/packages/core/src/rewards/__tests__/reward_order.spec.ts
@@ -63,16 +63,16 @@
 // 2. Its successor opens the batch.
 // Cause: only the generation was known to the successor, not that it had ended.
 test('a text that is whole in the log waits for its score only', t => {
-  const {scheduler, ledger, open} = createSchedule([createEngine('e0')]);
+  const {scheduler, log, open} = createSchedule([createEngine('e0')]);
   const batch = createBatch('b0', [], {items: [createRewardItem('g0a')]});
   open(batch);
   const item = {batchId: 'b0', itemId: 'g0a'};
   const events = [{id: 1, run: 'old', version: 1, data: 'text'}];
-  ledger.apply({kind: 'progress', ...item, events, isWhole: true});
-  ledger.apply({kind: 'reward_failed', ...item});
+  log.applyProgress({...item, events, isWhole: true});
+  log.apply({kind: 'reward_failed', ...item});
   scheduler.closeBatch('b0');
   const {scheduler: successor} = createSchedule([createEngine('e0')]);
-  successor.openBatch(ledger.get('b0')!, createTerms());
+  successor.openBatch(log.get('b0'), createTerms());
   t.deepEqual(listStarts(successor.decide(0)), []);
   const [job] = successor.listUnscored();
   t.is(job.transcript.joinOutput(), 'text');
@@ -83,7 +83,7 @@
 // 1. A group that was not complete comes again in a later batch.
 // 2. Its items name other reward calls than before.
 test('a score is used again only for the same call', t => {
-  const {scheduler, ledger, finish} = createRewardSchedule(['g0a', 'g0b']);
+  const {scheduler, log, finish} = createRewardSchedule(['g0a', 'g0b']);
   for (const id of ['g0a', 'g0b']) finish(id);
   for (const job of scheduler.listUnscored()) scheduler.noteScore(job, 'proof');
   scheduler.decide(100);
@@ -98,11 +98,10 @@
   const items = new Map(
     batch.items.map(item => [
       item.id,
-      {...ledger.get('b0')!.items.get(item.id)!, item},
+      {...log.get('b0').items.get(item.id)!, item},
     ]),
   );
-  const entry = {batch, items, results: [], isEnded: false};
-  scheduler.openBatch(entry, createTerms());
+  scheduler.openBatch({batch, items, isEnded: false}, createTerms());
   const actions = scheduler.decide(1000);
   t.like(actions[0], {kind: 'list', result: {itemId: 'g0a', score: 'proof'}});
   const [again] = listStarts(actions);
--- a/packages/daemon/src/gateway/__tests__/gateway_fixtures.ts
+++ b/packages/daemon/src/gateway/__tests__/gateway_fixtures.ts
@@ -26,6 +26,7 @@
   LogStore,
   type ReadOptions,
   type ReadOutcome,
+  type StoredRecord,
 } from '../store/log_store.js';
 
 /** A protocol with the shortest names. */
@@ -139,23 +140,44 @@
   };
 }
 
+/** How an append of a memory store ends. */
+export type AppendPlan =
+  'appended' | 'refused' | 'unknown' | 'unknown_but_done';
+
 /** A log in memory whose next appends can be told how to end. */
 export class MemoryStore extends LogStore {
   readonly partitions = 2;
   readonly maxRecordBytes = 4096;
   readonly maxAppendBytes = 16_384;
-  readonly records: Uint8Array[] = [];
+  private readonly places = new Map<string, Uint8Array[]>();
   /** Outcomes of the next appends; a plan that is used up appends. */
-  readonly plan: Array<'refused' | 'unknown' | 'unknown_but_done'> = [];
+  readonly plan: AppendPlan[] = [];
   /** Answers of the next reads of the newest records; the last one stays. */
   readonly newest: KeyedReadOutcome[] = [];
   /** Answers of the next reads of a keyed topic; then nothing comes. */
   readonly keyedReads: KeyedReadOutcome[] = [];
   appends = 0;
+  /** Bytes that reads returned. */
+  readBytes = 0;
+
+  /** Records of one partition, for tests to look at and to fill. */
+  open(topic: string, partition: number): Uint8Array[] {
+    const place = `${topic}/${partition}`;
+    const records = this.places.get(place) ?? [];
+    this.places.set(place, records);
+    return records;
+  }
+
+  /** All records of a topic. */
+  list(topic: string): readonly Uint8Array[] {
+    return Array.from({length: this.partitions}, (_, i) =>
+      this.open(topic, i),
+    ).flat();
+  }
 
   async append(
-    _topic: string,
-    _partition: number,
+    topic: string,
+    partition: number,
     records: readonly Uint8Array[],
     {at}: AppendOptions = {},
   ): Promise<AppendOutcome> {
@@ -164,25 +186,32 @@
     const error = createError('log_unavailable');
     if (step === 'refused') return {kind: 'refused', error};
     if (step === 'unknown') return {kind: 'unknown', error};
-    const offset = this.records.length;
+    const place = this.open(topic, partition);
+    const offset = place.length;
     if (at !== undefined && at !== offset) {
       return {kind: 'conflict', endOffset: offset};
     }
-    this.records.push(...records);
+    place.push(...records);
     if (step === 'unknown_but_done') return {kind: 'unknown', error};
     return {kind: 'appended', offset};
   }
 
   async read(
-    _topic: string,
-    _partition: number,
+    topic: string,
+    partition: number,
     from: number,
+    {maxBytes = Infinity}: ReadOptions,
   ): Promise<ReadOutcome> {
-    const records = this.records
-      .slice(from)
-      .map((bytes, i) => ({offset: from + i, bytes}));
-    const endOffset = this.records.length;
-    return {kind: 'page', records, endOffset, firstOffset: 0};
+    const place = this.open(topic, partition);
+    const records: StoredRecord[] = [];
+    let bytes = 0;
+    for (const [i, record] of place.slice(from).entries()) {
+      if (i > 0 && bytes + record.length > maxBytes) break;
+      bytes += record.length;
+      records.push({offset: from + i, bytes: record});
+    }
+    this.readBytes += bytes;
+    return {kind: 'page', records, endOffset: place.length, firstOffset: 0};
   }
 
   async readKeyed(
--- a/packages/daemon/src/gateway/batches/__tests__/batch_api.spec.ts
+++ b/packages/daemon/src/gateway/batches/__tests__/batch_api.spec.ts
@@ -7,6 +7,7 @@
 import {silentLogger} from '../../../logger.js';
 import {BatchApi} from '../batch_api.js';
 import {BatchShelf} from '../batch_book.js';
+import {INDEX_TOPIC, PAYLOAD_TOPIC} from '../batch_topics.js';
 import {
   type CallerAttempt,
   type CallerCall,
@@ -81,7 +82,7 @@
     metrics: new GatewayMetrics(),
     logger: silentLogger,
   };
-  const api = new BatchApi(parts, 'life');
+  const api = new BatchApi(parts);
   const server = http.createServer((req, res) => {
     if (req.method === 'POST') {
       void api.submit(ROUTE, 'h', '/r/', Buffer.from(''), req, res);
@@ -106,7 +107,8 @@
   const store = new MemoryStore();
   const call = await startApi(t, store);
   t.is((await call('POST', '/r/')).status, 202);
-  t.is(store.records.length, 2);
+  t.is(store.list(INDEX_TOPIC).length, 1);
+  t.is(store.list(PAYLOAD_TOPIC).length, 1);
   t.is((await call('GET', '/b1')).status, 200);
   t.is((await call('GET', '/b2')).status, 404);
 });
@@ -117,7 +119,7 @@
   await call('POST', '/r/');
   t.is((await call('DELETE', '/b1')).status, 200);
   t.is((await call('DELETE', '/b1')).status, 200);
-  t.is(store.records.length, 3);
+  t.is(store.list(INDEX_TOPIC).length, 2);
 });
 
 // A trainer gets 503, which says that nothing will run, and the batch runs.
@@ -129,7 +131,7 @@
   for (let i = 0; i < 1000; i++) refused.plan.push('refused');
   const callRefused = await startApi(t, refused);
   const unsure = new MemoryStore();
-  unsure.plan.push('unknown');
+  unsure.plan.push('appended', 'unknown');
   for (let i = 0; i < 1000; i++) unsure.plan.push('refused');
   const callUnsure = await startApi(t, unsure);
   const [first, second] = await Promise.all([
@@ -141,14 +143,27 @@
   t.is(second.status, 502);
 });
 
+// A trainer is told for sure that its step will not run, and is told the truth.
+// 1. The log does not answer while the batch's bytes are stored, and never has
+//    a record that says that the batch counts.
+// 2. The bytes may stand; nothing refers to them.
+test('a batch whose payload was not stored for sure is refused and never runs', async t => {
+  const store = new MemoryStore();
+  for (let i = 0; i < 1000; i++) store.plan.push('unknown_but_done');
+  const call = await startApi(t, store);
+  t.is((await call('POST', '/r/')).status, 503);
+  t.is(store.list(INDEX_TOPIC).length, 0);
+  t.is((await call('GET', '/b1')).status, 404);
+});
+
 // A batch is taken twice.
 // 1. The answer to an append is lost; the append is made again.
 test('an append whose answer was lost accepts the batch once', async t => {
   const store = new MemoryStore();
-  store.plan.push('unknown_but_done');
+  store.plan.push('appended', 'unknown_but_done');
   const call = await startApi(t, store);
   t.is((await call('POST', '/r/')).status, 202);
-  t.is(store.records.length, 4);
+  t.is(store.list(INDEX_TOPIC).length, 2);
   const page = (await (await call('GET', '/b1')).json()) as {total: number};
   t.is(page.total, 0);
 });
--- a/packages/daemon/src/gateway/batches/__tests__/batch_book.spec.ts
+++ b/packages/daemon/src/gateway/batches/__tests__/batch_book.spec.ts
@@ -1,91 +1,95 @@
 import test from 'ava';
-import type {
-  Batch,
-  BatchItem,
-  ItemResult,
-} from '@radishyoke/core/batches/batch_record';
-import {MAX_KEPT_CHARS} from '@radishyoke/core/batches/result_cache';
 import {silentLogger} from '../../../logger.js';
 import {MemoryStore} from '../../__tests__/gateway_fixtures.js';
-import {encodeRecord, encodeSubmission} from '../batch_codec.js';
 import {BatchShelf} from '../batch_book.js';
+import {PAYLOAD_TOPIC} from '../batch_topics.js';
+import {
+  createBatch,
+  createItem,
+  createResult,
+  writeBatch,
+} from './batch_fixtures.js';
 
-function createItem(id: string): BatchItem {
-  return {
-    id,
-    group: 'g',
-    path: '/r/',
-    headers: {},
-    body: new Uint8Array(),
-    promptTokens: 1,
-    maxOutputTokens: 1,
-    expectedOutputTokens: 1,
-  };
-}
-
-function createBatch(itemIds: readonly string[]): Batch {
-  return {
-    id: 'b0',
-    host: 'h',
-    path: '/r/',
-    step: 0,
-    model: 'm',
-    minVersion: 0,
-    groupsWanted: 1,
-    items: itemIds.map(createItem),
-    submittedAtMs: Date.now(),
-  };
-}
-
-function createResult(itemId: string, output: string): ItemResult {
-  return {itemId, state: 'done', output, versions: [1], score: 'proof'};
-}
+const TEXT_CHARS = 1000;
 
-/** A book whose results fill three times the memory that is kept. */
-async function createFullBook() {
+/** A log with a batch of six results, and a VM that knows nothing yet. */
+async function createColdBook() {
   const store = new MemoryStore();
   const ids = ['a', 'b', 'c', 'd', 'e', 'f'];
-  const half = MAX_KEPT_CHARS / 2;
-  const results = ids.map(id => createResult(id, id.repeat(half)));
-  const records = encodeSubmission(createBatch(ids), 's', store.maxRecordBytes);
-  store.records.push(...records);
-  for (const result of results) {
-    store.records.push(encodeRecord({kind: 'result', batchId: 'b0', result}));
-  }
+  const batch = createBatch(
+    'b0',
+    ids.map(id => createItem(id, 100)),
+  );
+  const results = ids.map(id => createResult(id, id.repeat(TEXT_CHARS)));
   const book = new BatchShelf(store, silentLogger).locate('b0');
+  await writeBatch(store, book.partition, batch, results);
   await book.sync();
-  return {book, store, results, entry: book.ledger.get('b0')!};
+  return {book, store, batch, results, entry: book.index.get('b0')!};
 }
 
-// A coordinator runs out of memory; or a reader gets half of what was listed.
-// 1. Results of several steps are kept for as long as callers may ask.
-// 2. The oldest texts are let go; a caller reads from the first position on.
-test('results that are no longer in memory come from the log, unchanged', async t => {
-  const {book, entry, results} = await createFullBook();
-  const kept = entry.results.filter(({result}) => result !== undefined);
-  t.is(kept.length, 2);
+test('results come from the log, unchanged and in their order', async t => {
+  const {book, entry, results} = await createColdBook();
   const page = await book.readResults(entry, 0, Infinity);
   t.true(page.ok);
   if (page.ok) t.deepEqual(page.value, results);
 });
 
 test('a page has one result at least and no more than it may hold', async t => {
-  const {book, entry, results} = await createFullBook();
-  const page = await book.readResults(entry, 3, 10);
-  t.true(page.ok);
-  if (page.ok) t.deepEqual(page.value, [results[3]]);
+  const {book, entry, results} = await createColdBook();
+  for (const [maxBytes, count] of [
+    [10, 1],
+    [2 * TEXT_CHARS, 2],
+  ]) {
+    const page = await book.readResults(entry, 3, maxBytes);
+    t.true(page.ok);
+    if (page.ok) t.deepEqual(page.value, results.slice(3, 3 + count));
+  }
 });
 
 // A reader is told that there is nothing where there is a result.
-// 1. The text is no longer in memory and the log can not be reached.
+// 1. A result stands in the index and its text can not be read.
 // 2. An empty page would be taken for the end.
 test('a text that can not be read is an error, not an empty page', async t => {
-  const {book, entry, store} = await createFullBook();
-  store.read = async () => ({
-    kind: 'expired',
-    firstOffset: 5,
-  });
+  const {book, entry, store} = await createColdBook();
+  store.read = async () => ({kind: 'expired', firstOffset: 5});
   const page = await book.readResults(entry, 0, Infinity);
   t.false(page.ok);
   if (!page.ok) t.is(page.error.kind, 'log_unavailable');
 });
+
+test('a submission is read as it was made', async t => {
+  const {book, entry, batch} = await createColdBook();
+  const read = await book.readSubmission(entry);
+  t.true(read.ok);
+  if (!read.ok) return;
+  t.deepEqual(
+    read.value.items.map(({id, body}) => [id, Buffer.from(body)]),
+    batch.items.map(({id, body}) => [id, Buffer.from(body)]),
+  );
+});
+
+// A fleet that comes back after a loss of all VMs can not read its own batches.
+// 1. Each VM knows nothing and is asked about one batch.
+// 2. Each reads all texts of all batches of the partition; all reads share one
+//    bandwidth, calls end at their deadline and are made again.
+// Cause: the bytes that a VM reads grew with all that was ever written.
+test('a VM that knows nothing reads the texts it is asked for, not those of other batches', async t => {
+  const store = new MemoryStore();
+  const ids = ['a', 'b', 'c', 'd'];
+  const results = ids.map(id => createResult(id, id.repeat(20 * TEXT_CHARS)));
+  for (let i = 0; i < 20; i++) {
+    const batch = createBatch(
+      `b${i}`,
+      ids.map(id => createItem(id, TEXT_CHARS)),
+    );
+    await writeBatch(store, 0, batch, results);
+  }
+  const stored = store.list(PAYLOAD_TOPIC).reduce((n, r) => n + r.length, 0);
+  const book = new BatchShelf(store, silentLogger).open(0);
+  await book.sync();
+  const [answer] = [await book.readResults(book.index.get('b7')!, 2, Infinity)];
+  t.true(answer.ok);
+  if (answer.ok) t.deepEqual(answer.value, results.slice(2));
+  const asked = 2 * 20 * TEXT_CHARS;
+  t.true(store.readBytes < asked + 0.02 * stored, `${store.readBytes} bytes`);
+});
--- /dev/null
+++ b/packages/daemon/src/gateway/batches/__tests__/batch_loader.spec.ts
@@ -0,0 +1,115 @@
+import test from 'ava';
+import type {ProgressRecord} from '@radishyoke/core/batches/batch_record';
+import {createError} from '@radishyoke/shared/error_kind';
+import {silentLogger} from '../../../logger.js';
+import {MemoryStore} from '../../__tests__/gateway_fixtures.js';
+import {encodeRecord} from '../batch_codec.js';
+import {BatchShelf} from '../batch_book.js';
+import {BatchLoader, type LoadOptions} from '../batch_loader.js';
+import {INDEX_TOPIC, PROGRESS_TOPIC} from '../batch_topics.js';
+import {
+  createBatch,
+  createItem,
+  createResult,
+  writeBatch,
+} from './batch_fixtures.js';
+
+const FRESH: LoadOptions = {isBegun: false, textsOf: new Set()};
+const BEGUN: LoadOptions = {isBegun: true, textsOf: new Set()};
+
+/** One batch of three items, the first with a result. */
+async function createLoad() {
+  const store = new MemoryStore();
+  const shelf = new BatchShelf(store, silentLogger);
+  const book = shelf.locate('b0');
+  const items = ['a', 'b', 'c'].map(id => createItem(id, 10));
+  const results = [createResult('a', 'text of a')];
+  await writeBatch(store, book.partition, createBatch('b0', items), results);
+  await book.sync();
+  return {
+    store,
+    book,
+    entry: book.index.get('b0')!,
+    loader: new BatchLoader(store, shelf, silentLogger),
+    abort: new AbortController(),
+    writeProgress(record: ProgressRecord): void {
+      const records = store.open(PROGRESS_TOPIC, book.partition);
+      records.push(encodeRecord(record));
+    },
+  };
+}
+
+function createEvents(from: number, count: number) {
+  return Array.from({length: count}, (_, i) => {
+    const id = from + i;
+    return {id, data: `${id}`, version: 1, run: 'r'};
+  });
+}
+
+// A step is made anew after its coordinator died.
+// 1. The coordinator has written down half of a text.
+// 2. Its successor reads the batch, and other batches stand in the same partition.
+test('a successor gets the texts so far, and only those of the batch', async t => {
+  const {loader, entry, abort, writeProgress} = await createLoad();
+  const item = {batchId: 'b0', itemId: 'b'};
+  writeProgress({...item, events: createEvents(1, 2)});
+  writeProgress({batchId: 'b9', itemId: 'c', events: createEvents(1, 5)});
+  writeProgress({...item, afterRun: 'r', events: createEvents(3, 1)});
+  const state = await loader.load(entry, BEGUN, abort.signal);
+  const [a, b, c] = [...state!.items.values()];
+  t.true(a.isListed);
+  t.is(b.transcript.joinOutput(), '1\n2\n3');
+  t.is(c.transcript.events.length, 0);
+});
+
+test('a batch that nobody has run is read without progress', async t => {
+  const {loader, entry, abort, store, writeProgress} = await createLoad();
+  writeProgress({batchId: 'b0', itemId: 'b', events: createEvents(1, 1000)});
+  store.readBytes = 0;
+  await loader.load(entry, FRESH, abort.signal);
+  t.true(store.readBytes < 2000, `${store.readBytes} bytes`);
+});
+
+test('texts of results are read for the items that are wanted', async t => {
+  const {loader, entry, abort} = await createLoad();
+  const options = {isBegun: true, textsOf: new Set(['a', 'z'])};
+  const state = await loader.load(entry, options, abort.signal);
+  t.is(state!.items.get('a')!.result!.output, 'text of a');
+  const without = await loader.load(entry, BEGUN, abort.signal);
+  t.is(without!.items.get('a')!.result, undefined);
+});
+
+// A step is never run.
+// 1. The log does not answer as a coordinator reads a batch that was accepted.
+// 2. Nothing else tells the coordinator of the batch again.
+test('a batch is read again until it can be', async t => {
+  const {loader, entry, abort, store} = await createLoad();
+  const read = store.read.bind(store);
+  let failures = 2;
+  store.read = async (...args) => {
+    if (failures-- <= 0) return read(...args);
+    return {kind: 'failed', error: createError('log_unavailable')};
+  };
+  const state = await loader.load(entry, FRESH, abort.signal);
+  t.is(state!.batch.items.length, 3);
+});
+
+test('a batch that ends meanwhile is read no further', async t => {
+  const {loader, entry, abort, store, book} = await createLoad();
+  store.read = async () => ({
+    kind: 'failed',
+    error: createError('log_unavailable'),
+  });
+  const loading = loader.load(entry, FRESH, abort.signal);
+  book.index.apply({kind: 'ended', batchId: 'b0'});
+  t.is(await loading, undefined);
+});
+
+test('progress that can not be read is skipped', async t => {
+  const {loader, entry, abort, store, book, writeProgress} = await createLoad();
+  store.open(PROGRESS_TOPIC, book.partition).push(new Uint8Array([0xc1]));
+  writeProgress({batchId: 'b0', itemId: 'b', events: createEvents(1, 1)});
+  const state = await loader.load(entry, BEGUN, abort.signal);
+  t.is(state!.items.get('b')!.transcript.joinOutput(), '1');
+  t.is(store.list(INDEX_TOPIC).length, 2);
+});
--- a/packages/daemon/src/gateway/batches/__tests__/record_writer.spec.ts
+++ b/packages/daemon/src/gateway/batches/__tests__/record_writer.spec.ts
@@ -1,7 +1,8 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import test from 'ava';
-import {decodeBatchRecord} from '../batch_codec.js';
-import {RecordWriter} from '../record_writer.js';
+import {decodeIndexRecord} from '../batch_codec.js';
+import {INDEX_TOPIC, PAYLOAD_TOPIC} from '../batch_topics.js';
+import {IndexWriter, ProgressWriter} from '../record_writer.js';
 import {MemoryStore} from '../../__tests__/gateway_fixtures.js';
 
 async function waitFor(isDone: () => boolean): Promise<void> {
@@ -14,19 +15,20 @@
 test('records are appended again until the log says that they stand', async t => {
   const store = new MemoryStore();
   store.plan.push('refused', 'unknown_but_done');
-  const writer = new RecordWriter(store, 0);
+  const writer = new IndexWriter(store, 0);
   writer.write({kind: 'ended', batchId: 'b0'});
   await waitFor(() => store.appends >= 3);
   await sleep(20);
-  const ids = store.records.map(bytes => decodeBatchRecord(bytes).batchId);
-  t.deepEqual(ids, ['b0', 'b0'], 'twice is as good as once');
+  const records = store.open(INDEX_TOPIC, 0).map(decodeIndexRecord);
+  const ended = {kind: 'ended', batchId: 'b0'};
+  t.deepEqual(records, [ended, ended], 'twice is as good as once');
 });
 
 test('records of one moment go in one call', async t => {
   const store = new MemoryStore();
-  const writer = new RecordWriter(store, 0);
+  const writer = new IndexWriter(store, 0);
   for (const batchId of ['a', 'b', 'c']) writer.write({kind: 'ended', batchId});
-  await waitFor(() => store.records.length === 3);
+  await waitFor(() => store.open(INDEX_TOPIC, 0).length === 3);
   t.is(store.appends, 1);
 });
 
@@ -34,18 +36,58 @@
 test('a writer takes no more than it may hold', async t => {
   const store = new MemoryStore();
   for (let i = 0; i < 1000; i++) store.plan.push('refused');
-  const writer = new RecordWriter(store, 0);
-  const bytes = new Uint8Array(1024 * 1024);
-  const write = () =>
-    writer.write({
-      kind: 'slice',
-      batchId: 'b',
-      submission: 's',
-      index: 0,
-      bytes,
-    });
+  const writer = new ProgressWriter(store, 0);
+  const data = 'x'.repeat(1024 * 1024);
+  const events = [{id: 1, data, version: 1, run: 'r'}];
+  const write = () => writer.write({batchId: 'b', itemId: 'i', events});
   let taken = 0;
   while (taken < 100 && write()) taken += 1;
   t.true(taken > 5 && taken < 20);
   writer.stop();
 });
+
+/** Lists an item with `text` and waits until the index has it. */
+async function listText(store: MemoryStore, text: string): Promise<void> {
+  const writer = new IndexWriter(store, 0);
+  const listed = {
+    itemId: 'i',
+    state: 'done',
+    versions: [1],
+    writer: 'vm',
+  } as const;
+  writer.writeResult('b0', listed, Buffer.from(text));
+  await waitFor(() => store.open(INDEX_TOPIC, 0).length > 0);
+}
+
+// A reader finds a result in the index and no text behind it.
+// 1. The log refuses the text of a result.
+// 2. The result goes into the index all the same.
+test('a result is listed only once its text stands', async t => {
+  const store = new MemoryStore();
+  store.plan.push('refused', 'unknown');
+  await listText(store, 'text');
+  const [record] = store.open(INDEX_TOPIC, 0).map(decodeIndexRecord);
+  const texts = store.open(PAYLOAD_TOPIC, 0);
+  if (record.kind !== 'result') return t.fail();
+  const [{offset, bytes}] = record.listed.text;
+  t.is(Buffer.from(texts[offset]).toString(), 'text');
+  t.is(bytes, 4);
+});
+
+test('a text that stands is not stored again when the index did not answer', async t => {
+  const store = new MemoryStore();
+  store.plan.push('appended', 'refused', 'refused');
+  await listText(store, 'text');
+  t.is(store.open(PAYLOAD_TOPIC, 0).length, 1);
+});
+
+// A long text blocks all results behind it for ever.
+// Cause: the log takes records up to a bound, and a text was one record.
+test('a text may be larger than a record', async t => {
+  const store = new MemoryStore();
+  const text = 'x'.repeat(2.5 * store.maxRecordBytes);
+  await listText(store, text);
+  const texts = store.open(PAYLOAD_TOPIC, 0);
+  t.is(texts.length, 3);
+  t.true(texts.every(({length}) => length <= store.maxRecordBytes));
+});
--- a/packages/daemon/src/gateway/batches/batch_api.ts
+++ b/packages/daemon/src/gateway/batches/batch_api.ts
@@ -3,15 +3,21 @@
  * whole, and everything that is read comes from the log as of the question.
  */
 
-import type {BatchRecord} from '@radishyoke/core/batches/batch_record';
-import type {BatchEntry} from '@radishyoke/core/batches/batch_ledger';
+import {
+  type IndexedBatch,
+  isComplete,
+} from '@radishyoke/core/batches/batch_index';
+import type {Batch, IndexRecord} from '@radishyoke/core/batches/batch_record';
 import type {Route} from '@radishyoke/core/routing/route_table';
 import {createError, type RadishyokeError} from '@radishyoke/shared/error_kind';
+import {fail, type Result, succeed} from '@radishyoke/shared/result';
 import type http from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {EventLogger} from '../../logger.js';
-import {encodeRecord, encodeSubmission} from './batch_codec.js';
-import {BATCH_TOPIC, type BatchBook, type BatchShelf} from './batch_book.js';
+import {encodeBatch, encodeRecord} from './batch_codec.js';
+import type {BatchBook, BatchShelf} from './batch_book.js';
+import {INDEX_TOPIC} from './batch_topics.js';
+import {PayloadLog, type StoreOutcome} from './payload_log.js';
 import {answerError} from '../requests/caller_answer.js';
 import type {CallerCall, CallerProtocol} from '../requests/caller_protocol.js';
 import type {ConfigHolder} from '../store/config_holder.js';
@@ -31,8 +37,8 @@
 const APPEND_BUDGET_MS = 2500;
 /** Pause between tries, ms. */
 const APPEND_RETRY_MS = 60;
-/** Characters of output in one page; the page must stay under 1 MB, and a character takes up to three bytes. */
-const MAX_PAGE_CHARS = 300_000;
+/** Output in one page, bytes; the page must stay under 1 MB, and a line feed takes two bytes there. */
+const MAX_PAGE_BYTES = 300_000;
 /** When to come back while the log is out of reach, ms. */
 const RETRY_AFTER_MS = 300;
 /** Submissions that are decoded and stored at once on one VM; each holds its body several times over. */
@@ -40,13 +46,11 @@
 
 export class BatchApi {
   private submissions = 0;
-  private nextSubmission = 1;
+  private readonly payloads: PayloadLog;
 
-  constructor(
-    private readonly parts: BatchApiParts,
-    /** Unique for each start of this process. */
-    private readonly lifeId: string,
-  ) {}
+  constructor(private readonly parts: BatchApiParts) {
+    this.payloads = new PayloadLog(parts.store);
+  }
 
   /** Takes a batch that was posted under `route`. */
   async submit(
@@ -87,7 +91,7 @@
     const synced = await book.sync();
     if (synced.kind === 'failed')
       return this.refuseRead(res, call, synced.error);
-    const entry = book.ledger.get(call.batchId);
+    const entry = book.index.get(call.batchId);
     if (!entry) {
       const error = createError('not_found', 'there is no such batch');
       return this.refuseRead(res, call, error);
@@ -96,7 +100,7 @@
       case 'read_results':
         return this.sendResults(call.after, call.waitMs, entry, book, res);
       case 'read_body':
-        return this.sendBody(call.itemId, entry, res);
+        return this.sendBody(call.itemId, entry, book, res);
       case 'end_batch':
         return this.end(entry, book, res);
     }
@@ -109,69 +113,84 @@
     path: string,
     body: Buffer,
   ): Promise<RadishyokeError | undefined> {
-    const {protocol, shelf, store, logger} = this.parts;
+    const {protocol, shelf, logger} = this.parts;
     const atMs = Date.now();
     const batch = protocol.decodeBatch(body, {attemptId, host, path, atMs});
     if (!batch.ok) return batch.error;
     const book = shelf.locate(attemptId);
-    if (book.ledger.get(attemptId)) return undefined;
-    const submission = `${this.lifeId}-${this.nextSubmission++}`;
-    const records = encodeSubmission(
-      batch.value,
-      submission,
-      store.maxRecordBytes,
-    );
-    const outcome = await this.appendAll(book, records);
-    if (outcome.kind === 'appended') {
-      logger.log('info', 'batch accepted', {
-        requestId: attemptId,
-        rule: route.name,
-        configVersion: this.parts.config.version,
-        step: batch.value.step,
-        model: batch.value.model,
-        minVersion: batch.value.minVersion,
-        items: batch.value.items.length,
-        partition: book.partition,
-        offset: outcome.offset,
-      });
-      return undefined;
-    }
-    if (outcome.kind === 'unknown') {
-      return createError('outcome_unknown', 'the log did not answer');
-    }
-    const detail =
-      outcome.kind === 'refused' ? outcome.error.detail : 'conflict';
-    return createError('log_unavailable', detail, {
-      retryAfterMs: RETRY_AFTER_MS,
+    if (book.index.get(attemptId)) return undefined;
+    const accepted = await this.accept(book, batch.value);
+    if (!accepted.ok) return accepted.error;
+    logger.log('info', 'batch accepted', {
+      requestId: attemptId,
+      rule: route.name,
+      configVersion: this.parts.config.version,
+      step: batch.value.step,
+      model: batch.value.model,
+      minVersion: batch.value.minVersion,
+      items: batch.value.items.length,
+      partition: book.partition,
+      offset: accepted.value,
     });
+    return undefined;
   }
 
   /**
-   * Appends `records`, in several calls where one can not hold them; the batch
-   * counts with the last. A call without an answer is made again: a record that
-   * stands twice counts once.
+   * Stores the batch and then its place in the index, with which it counts. The
+   * payload alone runs nothing, so as long as the index was not asked to take
+   * the batch it is certain that it will not run, whatever became of the payload.
+   * Says at which offset of the index it stands.
    */
-  private async appendAll(
+  private async accept(book: BatchBook, batch: Batch): Promise<Result<number>> {
+    const untilMs = performance.now() + APPEND_BUDGET_MS;
+    const {items, ...header} = batch;
+    const itemIds = items.map(({id}) => id);
+    const stored = await this.storePayload(book, batch, untilMs);
+    if (stored.kind === 'failed')
+      return fail(createRefusal(stored.error.detail));
+    const [payload] = stored.refs;
+    const record = encodeRecord({kind: 'accepted', header, itemIds, payload});
+    if (record.length > this.parts.store.maxRecordBytes) {
+      const detail = `a batch of ${items.length} items`;
+      return fail(createError('too_large', detail));
+    }
+    const outcome = await this.appendIndex(book, record, untilMs);
+    switch (outcome.kind) {
+      case 'appended':
+        return succeed(outcome.offset);
+      case 'unknown':
+        return fail(createError('outcome_unknown', 'the log did not answer'));
+      case 'refused':
+        return fail(createRefusal(outcome.error.detail));
+      case 'conflict':
+        return fail(createRefusal('conflict'));
+    }
+  }
+
+  private async storePayload(
     book: BatchBook,
-    records: readonly Uint8Array[],
-  ): Promise<AppendOutcome> {
-    let outcome: AppendOutcome | undefined;
-    for (const call of splitCalls(records, this.parts.store.maxAppendBytes)) {
-      outcome = await this.appendOnce(book, call);
-      if (outcome.kind !== 'appended') return outcome;
+    batch: Batch,
+    untilMs: number,
+  ): Promise<StoreOutcome> {
+    const bytes = encodeBatch(batch);
+    for (;;) {
+      const stored = await this.payloads.append(book.partition, [bytes]);
+      if (stored.kind === 'stored') return stored;
+      if (performance.now() + APPEND_RETRY_MS > untilMs) return stored;
+      await sleep(APPEND_RETRY_MS);
     }
-    return outcome!;
   }
 
-  private async appendOnce(
+  /** A call without an answer is made again: a record that stands twice counts once. */
+  private async appendIndex(
     book: BatchBook,
-    records: readonly Uint8Array[],
+    record: Uint8Array,
+    untilMs = performance.now() + APPEND_BUDGET_MS,
   ): Promise<AppendOutcome> {
-    const untilMs = performance.now() + APPEND_BUDGET_MS;
+    const {store} = this.parts;
     let isUncertain = false;
     for (;;) {
-      const {store} = this.parts;
-      const outcome = await store.append(BATCH_TOPIC, book.partition, records);
+      const outcome = await store.append(INDEX_TOPIC, book.partition, [record]);
       if (outcome.kind === 'appended') return outcome;
       isUncertain ||= outcome.kind === 'unknown';
       if (performance.now() + APPEND_RETRY_MS > untilMs) {
@@ -187,7 +206,7 @@
   private async sendResults(
     after: number,
     waitMs: number,
-    entry: BatchEntry,
+    entry: IndexedBatch,
     book: BatchBook,
     res: http.ServerResponse,
   ): Promise<void> {
@@ -200,7 +219,7 @@
       const outcome = await book.waitForNews(leftMs, abort.signal);
       if (outcome.kind === 'failed') break;
     }
-    const results = await book.readResults(entry, after, MAX_PAGE_CHARS);
+    const results = await book.readResults(entry, after, MAX_PAGE_BYTES);
     if (!results.ok) return this.sendError(res, results.error);
     const next = after + results.value.length;
     const total = entry.items.size;
@@ -209,36 +228,39 @@
     this.send(res, 200, 'application/json', body);
   }
 
-  private sendBody(
+  private async sendBody(
     itemId: string,
-    entry: BatchEntry,
+    entry: IndexedBatch,
+    book: BatchBook,
     res: http.ServerResponse,
-  ): void {
-    const item = entry.items.get(itemId)?.item;
-    if (!item) {
-      this.sendError(res, createError('not_found', 'there is no such item'));
-      return;
+  ): Promise<void> {
+    if (!entry.items.has(itemId)) {
+      const error = createError('not_found', 'there is no such item');
+      return this.sendError(res, error);
     }
+    const batch = await book.readSubmission(entry);
+    if (!batch.ok) return this.sendError(res, batch.error);
+    const item = batch.value.items.find(({id}) => id === itemId)!;
     this.send(res, 200, 'application/octet-stream', item.body);
   }
 
   private async end(
-    entry: BatchEntry,
+    entry: IndexedBatch,
     book: BatchBook,
     res: http.ServerResponse,
   ): Promise<void> {
-    const {batch} = entry;
-    const record: BatchRecord = {kind: 'ended', batchId: batch.id};
+    const {id: batchId} = entry.header;
+    const record: IndexRecord = {kind: 'ended', batchId};
     if (!entry.isEnded) {
-      const outcome = await this.appendOnce(book, [encodeRecord(record)]);
+      const outcome = await this.appendIndex(book, encodeRecord(record));
       if (outcome.kind !== 'appended') {
         // Ending is idempotent, so it may be said that it can be tried again,
         // but not that it did not happen.
         const error = createError('outcome_unknown', 'the log did not answer');
-        return this.finish(res, 'end', batch.id, undefined, error);
+        return this.finish(res, 'end', batchId, undefined, error);
       }
     }
-    this.finish(res, 'end', batch.id, undefined, undefined);
+    this.finish(res, 'end', batchId, undefined, undefined);
   }
 
   private finish(
@@ -295,24 +317,9 @@
   }
 }
 
-function isComplete(entry: BatchEntry): boolean {
-  return entry.isEnded || entry.results.length === entry.items.size;
-}
-
-/** Groups records so that each group fits one append. */
-function splitCalls(
-  records: readonly Uint8Array[],
-  maxBytes: number,
-): ReadonlyArray<readonly Uint8Array[]> {
-  const calls: Uint8Array[][] = [[]];
-  let bytes = 0;
-  for (const record of records) {
-    bytes += record.length;
-    if (bytes > maxBytes && calls.at(-1)!.length > 0) {
-      calls.push([]);
-      bytes = record.length;
-    }
-    calls.at(-1)!.push(record);
-  }
-  return calls;
+/** Nothing of the batch stands or will. */
+function createRefusal(detail: string): RadishyokeError {
+  return createError('log_unavailable', detail, {
+    retryAfterMs: RETRY_AFTER_MS,
+  });
 }
--- a/packages/daemon/src/gateway/batches/batch_book.ts
+++ b/packages/daemon/src/gateway/batches/batch_book.ts
@@ -1,28 +1,30 @@
 /**
- * This VM's copy of one partition of batches. It is read on demand: a caller's
- * question is answered after the partition was read to its end once, counted
- * from the question, so every VM answers alike without following everything.
+ * This VM's copy of the index of one partition of batches. It is read on demand:
+ * a caller's question is answered after the index was read to its end once,
+ * counted from the question, so every VM answers alike without following
+ * everything. Texts are read where a caller asks for them and are not kept.
  */
 
 import {
-  type BatchEntry,
-  BatchLedger,
-  type LedgerChange,
-} from '@radishyoke/core/batches/batch_ledger';
+  BatchIndex,
+  type IndexChange,
+  type IndexedBatch,
+} from '@radishyoke/core/batches/batch_index';
 import type {
-  BatchRecord,
+  Batch,
+  IndexRecord,
   ItemResult,
+  ListedResult,
 } from '@radishyoke/core/batches/batch_record';
-import {ResultCache} from '@radishyoke/core/batches/result_cache';
-import {createError, type RadishyokeError} from '@radishyoke/shared/error_kind';
-import {fail, type Result, succeed} from '@radishyoke/shared/result';
+import type {RadishyokeError} from '@radishyoke/shared/error_kind';
+import {type Result, succeed} from '@radishyoke/shared/result';
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {EventLogger} from '../../logger.js';
-import {decodeBatch, decodeBatchRecord} from './batch_codec.js';
+import {decodeBatch, decodeIndexRecord} from './batch_codec.js';
+import {INDEX_TOPIC} from './batch_topics.js';
+import {PayloadLog} from './payload_log.js';
 import type {LogStore, StoredRecord} from '../store/log_store.js';
 
-export const BATCH_TOPIC = 'batches';
-
 /** How long a follower lets the log wait for news, ms; a connection that has gone silent hides news this long and a call more. */
 const FOLLOW_WAIT_MS = 900;
 /** Pause of a follower after a failed read, ms. */
@@ -36,10 +38,11 @@
   | {readonly kind: 'current'}
   | {readonly kind: 'failed'; readonly error: RadishyokeError};
 
-type Listener = (change: LedgerChange) => void;
+type Listener = (change: IndexChange) => void;
 
 export class BatchBook {
-  readonly ledger: BatchLedger;
+  readonly index = new BatchIndex();
+  private readonly payloads: PayloadLog;
   private next = 0;
   private running: Promise<SyncOutcome> | undefined;
   private queued: Promise<SyncOutcome> | undefined;
@@ -49,9 +52,8 @@
     private readonly store: LogStore,
     readonly partition: number,
     private readonly logger: EventLogger,
-    cache: ResultCache,
   ) {
-    this.ledger = new BatchLedger(decodeBatch, cache);
+    this.payloads = new PayloadLog(store);
   }
 
   listen(listener: Listener): void {
@@ -88,48 +90,38 @@
   }
 
   /**
-   * The results from position `after` on, of `maxChars` of output at most but
-   * one at least. Those that are no longer in memory are read from the log.
+   * The results from position `after` on, of `maxBytes` of output at most but
+   * one at least.
    */
   async readResults(
-    {results}: BatchEntry,
+    {results}: IndexedBatch,
     after: number,
-    maxChars: number,
+    maxBytes: number,
   ): Promise<Result<readonly ItemResult[]>> {
-    const page: ItemResult[] = [];
-    let found: ReadonlyMap<number, ItemResult> = new Map();
-    let chars = 0;
-    for (const {offset, result: kept} of results.slice(after)) {
-      if (!kept && !found.has(offset)) {
-        const read = await this.readResultsAt(offset);
-        if (!read.ok) return page.length > 0 ? succeed(page) : read;
-        found = read.value;
-      }
-      const result = kept ?? found.get(offset);
-      if (!result) return fail(createError('log_unavailable', 'text is gone'));
-      chars += result.output.length;
-      if (page.length > 0 && chars > maxChars) break;
-      page.push(result);
+    const page: ListedResult[] = [];
+    let bytes = 0;
+    for (const listed of results.slice(after)) {
+      bytes += listed.text.reduce((sum, part) => sum + part.bytes, 0);
+      if (page.length > 0 && bytes > maxBytes) break;
+      page.push(listed);
     }
-    return succeed(page);
+    return this.readTexts(page);
   }
 
-  /** Results in one page of the log that begins at `from`, by offset. */
-  private async readResultsAt(
-    from: number,
-  ): Promise<Result<ReadonlyMap<number, ItemResult>>> {
-    const {store, partition} = this;
-    const read = await store.read(BATCH_TOPIC, partition, from, {waitMs: 0});
-    if (read.kind === 'failed') return fail(read.error);
-    if (read.kind === 'expired') {
-      return fail(createError('log_unavailable', 'the log forgot the text'));
-    }
-    const found = new Map<number, ItemResult>();
-    for (const {offset, bytes} of read.records) {
-      const record = this.decode(bytes, offset);
-      if (record?.kind === 'result') found.set(offset, record.result);
-    }
-    return succeed(found);
+  /** `listed` with their texts, in the same order. */
+  async readTexts(
+    listed: readonly ListedResult[],
+  ): Promise<Result<readonly ItemResult[]>> {
+    const refs = listed.map(({text}) => text);
+    const texts = await this.payloads.read(this.partition, refs);
+    if (!texts.ok) return texts;
+    return succeed(listed.map((result, i) => addText(result, texts.value[i])));
+  }
+
+  /** The batch as it was submitted. */
+  async readSubmission({payload}: IndexedBatch): Promise<Result<Batch>> {
+    const read = await this.payloads.read(this.partition, [payload]);
+    return read.ok ? succeed(decodeBatch(read.value[0])) : read;
   }
 
   /** Applies records as they come, until `signal`. */
@@ -158,7 +150,7 @@
     const {store, partition} = this;
     const options = signal ? {waitMs, signal} : {waitMs};
     const outcome = await store.read(
-      BATCH_TOPIC,
+      INDEX_TOPIC,
       partition,
       this.next,
       options,
@@ -188,12 +180,12 @@
       this.applyOne(bytes, offset);
       if (index % SLICE_RECORDS === SLICE_RECORDS - 1) await sleep(0);
     }
-    this.ledger.forget(Date.now() - KEEP_BATCH_MS);
+    this.index.forget(Date.now() - KEEP_BATCH_MS);
   }
 
-  private decode(bytes: Uint8Array, offset: number): BatchRecord | undefined {
+  private decode(bytes: Uint8Array, offset: number): IndexRecord | undefined {
     try {
-      return decodeBatchRecord(bytes);
+      return decodeIndexRecord(bytes);
     } catch (err) {
       this.logger.log('error', 'record can not be read and is skipped', {
         partition: this.partition,
@@ -207,16 +199,26 @@
   private applyOne(bytes: Uint8Array, offset: number): void {
     const record = this.decode(bytes, offset);
     if (!record) return;
-    const change = this.ledger.apply(record, offset);
+    const change = this.index.apply(record);
     if (!change) return;
     for (const listener of this.listeners) listener(change);
   }
 }
 
+function addText(listed: ListedResult, bytes: Uint8Array): ItemResult {
+  const {itemId, state, versions, score} = listed;
+  return {
+    itemId,
+    state,
+    versions,
+    output: Buffer.from(bytes).toString('utf8'),
+    ...(score === undefined ? {} : {score}),
+  };
+}
+
 /** All partitions of this VM. */
 export class BatchShelf {
   private readonly books = new Map<number, BatchBook>();
-  private readonly cache = new ResultCache();
 
   constructor(
     private readonly store: LogStore,
@@ -235,7 +237,7 @@
   open(partition: number): BatchBook {
     let book = this.books.get(partition);
     if (!book) {
-      book = new BatchBook(this.store, partition, this.logger, this.cache);
+      book = new BatchBook(this.store, partition, this.logger);
       this.books.set(partition, book);
     }
     return book;
--- /dev/null
+++ b/packages/daemon/src/gateway/batches/batch_loader.ts
@@ -0,0 +1,160 @@
+/**
+ * Reads from the log what a coordinator needs of a batch beside the index: the
+ * submission, and for a batch that another one has begun the texts so far.
+ */
+
+import {
+  type IndexedBatch,
+  isComplete,
+} from '@radishyoke/core/batches/batch_index';
+import type {ItemResult} from '@radishyoke/core/batches/batch_record';
+import {
+  assembleState,
+  type BatchState,
+  ProgressFold,
+} from '@radishyoke/core/batches/batch_state';
+import type {Transcript} from '@radishyoke/core/batches/transcript';
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {RadishyokeError} from '@radishyoke/shared/error_kind';
+import {fail, type Result, succeed} from '@radishyoke/shared/result';
+import type {EventLogger} from '../../logger.js';
+import type {LogStore} from '../store/log_store.js';
+import type {BatchBook, BatchShelf} from './batch_book.js';
+import {decodeProgressRecord} from './batch_codec.js';
+import {PROGRESS_TOPIC} from './batch_topics.js';
+
+/** Pause after a failed read, ms. */
+const RETRY_MS = 100;
+/** Batches that are read at once, the oldest first; more would share a small link and none be whole. */
+const MAX_LOADS = 3;
+
+type Transcripts = ReadonlyMap<string, Transcript>;
+
+/** What is to be read of a batch. */
+export interface LoadOptions {
+  /** Whether another coordinator may have run items of it. */
+  readonly isBegun: boolean;
+  /** Items whose listed texts are wanted. */
+  readonly textsOf: ReadonlySet<string>;
+}
+
+export class BatchLoader {
+  private running = 0;
+  private readonly waiting: Array<() => void> = [];
+
+  constructor(
+    private readonly store: LogStore,
+    private readonly shelf: BatchShelf,
+    private readonly logger: EventLogger,
+  ) {}
+
+  /** Reads until it succeeds, `signal` aborts, or the batch needs nothing more. */
+  async load(
+    entry: IndexedBatch,
+    options: LoadOptions,
+    signal: AbortSignal,
+  ): Promise<BatchState | undefined> {
+    const wasComplete = isComplete(entry);
+    await this.takeTurn();
+    try {
+      while (!signal.aborted && isComplete(entry) === wasComplete) {
+        const state = await this.loadOnce(entry, options);
+        if (state.ok) return state.value;
+        this.logFailure(entry, state.error);
+        await sleep(RETRY_MS);
+      }
+      return undefined;
+    } finally {
+      this.running -= 1;
+      this.waiting.shift()?.();
+    }
+  }
+
+  private async loadOnce(
+    entry: IndexedBatch,
+    {isBegun, textsOf}: LoadOptions,
+  ): Promise<Result<BatchState>> {
+    const book = this.shelf.locate(entry.header.id);
+    const batch = await book.readSubmission(entry);
+    if (!batch.ok) return batch;
+    const transcripts: Result<Transcripts> = isBegun
+      ? await this.readProgress(entry, book.partition)
+      : succeed(new Map());
+    if (!transcripts.ok) return transcripts;
+    const results = await readResults(entry, book, textsOf);
+    if (!results.ok) return results;
+    return succeed(
+      assembleState(batch.value, entry, {
+        transcripts: transcripts.value,
+        results: results.value,
+      }),
+    );
+  }
+
+  private async readProgress(
+    {header}: IndexedBatch,
+    partition: number,
+  ): Promise<Result<Transcripts>> {
+    const fold = new ProgressFold(header.id);
+    let next = 0;
+    for (;;) {
+      const outcome = await this.store.read(PROGRESS_TOPIC, partition, next, {
+        waitMs: 0,
+      });
+      if (outcome.kind === 'failed') return fail(outcome.error);
+      if (outcome.kind === 'expired') {
+        next = Math.max(next + 1, outcome.firstOffset);
+        continue;
+      }
+      for (const {offset, bytes} of outcome.records) {
+        next = offset + 1;
+        this.applyProgress(fold, bytes, {partition, offset});
+      }
+      const isAtEnd = next >= outcome.endOffset;
+      if (isAtEnd || outcome.records.length === 0) {
+        return succeed(fold.transcripts);
+      }
+    }
+  }
+
+  private applyProgress(
+    fold: ProgressFold,
+    bytes: Uint8Array,
+    place: {readonly partition: number; readonly offset: number},
+  ): void {
+    try {
+      fold.apply(decodeProgressRecord(bytes));
+    } catch (err) {
+      const detail = String(err);
+      this.logger.log('error', 'record can not be read and is skipped', {
+        ...place,
+        detail,
+      });
+    }
+  }
+
+  private async takeTurn(): Promise<void> {
+    if (this.running >= MAX_LOADS) {
+      await new Promise<void>(resolve => this.waiting.push(resolve));
+    }
+    this.running += 1;
+  }
+
+  private logFailure({header}: IndexedBatch, error: RadishyokeError): void {
+    this.logger.log('warn', 'batch can not be read', {
+      batch: header.id,
+      detail: error.detail,
+    });
+  }
+}
+
+async function readResults(
+  {results}: IndexedBatch,
+  book: BatchBook,
+  textsOf: ReadonlySet<string>,
+): Promise<Result<ReadonlyMap<string, ItemResult>>> {
+  const wanted = results.filter(({itemId}) => textsOf.has(itemId));
+  const read = await book.readTexts(wanted);
+  if (!read.ok) return read;
+  return succeed(new Map(read.value.map(result => [result.itemId, result])));
+}
--- a/packages/daemon/src/gateway/batches/batch_runner.ts
+++ b/packages/daemon/src/gateway/batches/batch_runner.ts
@@ -4,7 +4,10 @@
  * came of it.
  */
 
-import {BatchScheduler} from '@radishyoke/core/batches/batch_scheduler';
+import {
+  BatchScheduler,
+  KEPT_STEPS,
+} from '@radishyoke/core/batches/batch_scheduler';
 import type {
   RunEnd,
   ScheduleAction,
@@ -14,8 +17,15 @@
   OpenBatchTerms,
   Run,
 } from '@radishyoke/core/batches/batch_job';
-import type {LedgerChange} from '@radishyoke/core/batches/batch_ledger';
-import type {Batch, OutputEvent} from '@radishyoke/core/batches/batch_record';
+import {
+  type IndexChange,
+  type IndexedBatch,
+  isComplete,
+} from '@radishyoke/core/batches/batch_index';
+import type {
+  BatchHeader,
+  OutputEvent,
+} from '@radishyoke/core/batches/batch_record';
 import {setMaxListeners} from 'node:events';
 import type {LogEventName} from '@radishyoke/shared/log_event';
 import type {EndpointEntry} from '@radishyoke/core/fleet/endpoint_entry';
@@ -24,6 +34,7 @@
 import {pickService} from '@radishyoke/core/routing/route_table';
 import type {EventLogger} from '../../logger.js';
 import {type BatchShelf, KEEP_BATCH_MS} from './batch_book.js';
+import {BatchLoader} from './batch_loader.js';
 import type {ConfigHolder} from '../store/config_holder.js';
 import type {EndpointLinks} from '../endpoints/endpoint_links.js';
 import type {EndpointProtocol} from '../endpoints/endpoint_protocol.js';
@@ -52,6 +63,8 @@
   readonly clock: VmClock;
   readonly metrics: GatewayMetrics;
   readonly vmName: string;
+  /** Unique for each time that a VM became the coordinator. */
+  readonly termId: string;
   readonly view: EndpointView;
   readonly dataCentre: string;
   readonly logger: EventLogger;
@@ -72,6 +85,8 @@
 /** Output tokens of one event until the configuration says. */
 const DEFAULT_TOKENS_PER_EVENT = 1;
 
+const NO_ITEMS: ReadonlySet<string> = new Set();
+
 /** What the log tells of a run. */
 type RunEvent = Extract<LogEventName, `run ${string}`>;
 
@@ -90,18 +105,23 @@
   private yieldedMs = -Infinity;
   private readonly live = new Map<string, LiveRun>();
   private readonly itemLog: ItemLog;
+  private readonly loader: BatchLoader;
+  /** Batches that are read from the log. */
+  private readonly loading = new Set<string>();
   private readonly abort = new AbortController();
-  private readonly listener = (change: LedgerChange) => this.take(change);
+  private readonly listener = (change: IndexChange) => this.take(change);
   private isDeciding = false;
   private tickTimer: NodeJS.Timeout | undefined;
   private progressTimer: NodeJS.Timeout | undefined;
 
   constructor(private readonly parts: RunnerParts) {
-    const {roster, lease, links, protocol, named, vmName, logger} = parts;
+    const {roster, lease, links, protocol, named, vmName, termId, logger} =
+      parts;
     const engine = parts.config.table?.engines[0]?.engine;
     const tokensPerEvent = engine?.tokensPerEvent ?? DEFAULT_TOKENS_PER_EVENT;
-    this.scheduler = new BatchScheduler({tokensPerEvent, runPrefix: vmName});
-    this.itemLog = new ItemLog(parts.store, parts.shelf);
+    this.scheduler = new BatchScheduler({tokensPerEvent, runPrefix: termId});
+    this.itemLog = new ItemLog(parts.store, parts.shelf, termId);
+    this.loader = new BatchLoader(parts.store, parts.shelf, logger);
     this.fleet = new EngineFleet(roster);
     const reports = new EngineReports(links, protocol, this.fleet, logger);
     this.succession = new SuccessionWatch({
@@ -148,12 +168,13 @@
     setMaxListeners(0, this.abort.signal);
     await Promise.all(books.map(book => book.sync()));
     if (this.abort.signal.aborted) return;
+    const begun = books.flatMap(book => [...book.index.entries]);
+    begun.sort((a, b) => a.header.submittedAtMs - b.header.submittedAtMs);
+    for (const entry of begun) {
+      if (!isComplete(entry)) void this.open(entry, true);
+    }
     for (const book of books) {
       book.listen(this.listener);
-      const entries = [...book.ledger.entries].sort(
-        (a, b) => a.batch.submittedAtMs - b.batch.submittedAtMs,
-      );
-      for (const entry of entries) this.take({kind: 'opened', entry});
       void book.follow(this.abort.signal);
     }
     this.tickTimer = setInterval(() => this.tick(), TICK_MS);
@@ -195,29 +216,73 @@
     this.decideSoon();
   }
 
-  private take(change: LedgerChange): void {
+  private take(change: IndexChange): void {
     const {entry} = change;
-    const {table} = this.parts.config;
+    const {id} = entry.header;
     switch (change.kind) {
       case 'opened':
-        if (table) {
-          this.scheduler.openBatch(entry, this.findTerms(entry.batch, table));
-        }
-        break;
+        void this.open(entry, false);
+        return;
       case 'ended':
-        this.scheduler.closeBatch(entry.batch.id);
+        this.scheduler.closeBatch(id);
         break;
       case 'listed':
-        this.scheduler.noteListed(entry.batch.id, change.result);
-        if (entry.results.length === entry.items.size) {
-          this.scheduler.closeBatch(entry.batch.id);
-        }
+        this.scheduler.noteListed(id, change.listed);
+        if (isComplete(entry)) this.scheduler.closeBatch(id);
     }
     this.decideSoon();
   }
 
+  /** Reads the batch and hands it to the scheduler, behind those whose items it has again. */
+  private async open(entry: IndexedBatch, isBegun: boolean): Promise<void> {
+    const {id} = entry.header;
+    if (this.loading.has(id) || this.scheduler.knowsBatch(entry.header)) return;
+    this.loading.add(id);
+    const {signal} = this.abort;
+    const itemIds = new Set(entry.items.keys());
+    for (const earlier of this.listEarlier(entry)) {
+      const options = {isBegun: true, textsOf: itemIds};
+      const state = await this.loader.load(earlier, options, signal);
+      if (state) this.scheduler.openBatch(state, undefined);
+      this.scheduler.closeBatch(earlier.header.id);
+    }
+    const options = {isBegun, textsOf: NO_ITEMS};
+    const state = await this.loader.load(entry, options, signal);
+    this.loading.delete(id);
+    const {table} = this.parts.config;
+    if (!state || !table || signal.aborted) return;
+    this.scheduler.openBatch(state, this.findTerms(entry.header, table));
+    // Records that came while the payload was read.
+    if (isComplete(entry)) this.scheduler.closeBatch(id);
+    this.decideSoon();
+  }
+
+  /**
+   * Ended batches with items of `entry` that the scheduler does not know, since
+   * another coordinator ran them: groups that were not complete come again.
+   */
+  private listEarlier(entry: IndexedBatch): readonly IndexedBatch[] {
+    const {model, submittedAtMs} = entry.header;
+    const books = this.parts.shelf.openAll();
+    return books
+      .flatMap(book => [...book.index.entries])
+      .filter(
+        earlier =>
+          earlier.header.model === model &&
+          earlier.header.submittedAtMs < submittedAtMs &&
+          isComplete(earlier),
+      )
+      .sort((a, b) => a.header.submittedAtMs - b.header.submittedAtMs)
+      .slice(-KEPT_STEPS)
+      .filter(
+        earlier =>
+          !this.scheduler.knowsBatch(earlier.header) &&
+          [...entry.items.keys()].some(id => earlier.items.has(id)),
+      );
+  }
+
   private findTerms(
-    batch: Batch,
+    batch: BatchHeader,
     table: RouteTable,
   ): OpenBatchTerms | undefined {
     const route = table.match(batch.host, batch.path);
--- a/packages/daemon/src/gateway/batches/item_log.ts
+++ b/packages/daemon/src/gateway/batches/item_log.ts
@@ -1,31 +1,38 @@
 /** Writes down what becomes of items while they run, for callers and for whoever takes over. */
 
 import type {Job} from '@radishyoke/core/batches/batch_job';
-import type {
-  BatchRecord,
-  ItemResult,
-} from '@radishyoke/core/batches/batch_record';
+import type {ItemResult} from '@radishyoke/core/batches/batch_record';
 import type {LogStore} from '../store/log_store.js';
 import type {BatchShelf} from './batch_book.js';
-import {RecordWriter} from './record_writer.js';
+import {IndexWriter, ProgressWriter} from './record_writer.js';
+
+/** Of one partition. */
+interface Writers {
+  readonly index: IndexWriter;
+  readonly progress: ProgressWriter;
+}
 
 export class ItemLog {
   /** By partition. */
-  private readonly writers = new Map<number, RecordWriter>();
+  private readonly writers = new Map<number, Writers>();
 
   constructor(
     private readonly store: LogStore,
     private readonly shelf: BatchShelf,
+    /** Names the coordinator in the results that it lists. */
+    private readonly writer: string,
   ) {}
 
   writeResult(batchId: string, result: ItemResult): void {
-    this.write({kind: 'result', batchId, result});
+    const {output, ...rest} = result;
+    const listed = {...rest, writer: this.writer};
+    this.open(batchId).index.writeResult(batchId, listed, Buffer.from(output));
   }
 
   /** An endpoint answered that an attempt, or a reward call, failed. */
   writeFailure(kind: 'attempt_failed' | 'reward_failed', job: Job): void {
-    const itemId = job.item.id;
-    this.write({kind, batchId: job.batch.batch.id, itemId});
+    const {id: batchId} = job.batch.batch;
+    this.open(batchId).index.write({kind, batchId, itemId: job.item.id});
   }
 
   /** Writes the events that came since the last time. */
@@ -48,10 +55,10 @@
   /** Writes the events of a text from the one at `from` on. */
   private writeText(job: Job, from: number, isWhole: boolean): void {
     const {events} = job.transcript;
+    const {id: batchId} = job.batch.batch;
     const afterRun = events[from - 1]?.run;
-    this.write({
-      kind: 'progress',
-      batchId: job.batch.batch.id,
+    this.open(batchId).progress.write({
+      batchId,
       itemId: job.item.id,
       ...(afterRun === undefined ? {} : {afterRun}),
       events: events.slice(from),
@@ -60,13 +67,16 @@
     job.recorded = events.length;
   }
 
-  private write(record: Exclude<BatchRecord, {kind: 'slice'}>): void {
-    const {partition} = this.shelf.locate(record.batchId);
-    let writer = this.writers.get(partition);
-    if (!writer) {
-      writer = new RecordWriter(this.store, partition);
-      this.writers.set(partition, writer);
+  private open(batchId: string): Writers {
+    const {partition} = this.shelf.locate(batchId);
+    let writers = this.writers.get(partition);
+    if (!writers) {
+      writers = {
+        index: new IndexWriter(this.store, partition),
+        progress: new ProgressWriter(this.store, partition),
+      };
+      this.writers.set(partition, writers);
     }
-    writer.write(record);
+    return writers;
   }
 }
--- /dev/null
+++ b/packages/daemon/src/gateway/batches/payload_log.ts
@@ -0,0 +1,148 @@
+/**
+ * Submissions and texts as bytes in the log. They are most of what the log
+ * holds, so they are read only where somebody asks for them: a VM that knows
+ * nothing reads the index, not the texts of all steps before.
+ */
+
+import type {
+  PayloadPart,
+  PayloadRef,
+} from '@radishyoke/core/batches/batch_record';
+import {createError, type RadishyokeError} from '@radishyoke/shared/error_kind';
+import {fail, type Result, succeed} from '@radishyoke/shared/result';
+import type {AppendOutcome, LogStore} from '../store/log_store.js';
+import {PAYLOAD_TOPIC} from './batch_topics.js';
+
+/** Bytes of the log by the offset of their record. */
+type Found = Map<number, Uint8Array>;
+
+/** Where payloads were stored, or why they were not. */
+export type StoreOutcome =
+  | {readonly kind: 'stored'; readonly refs: readonly PayloadRef[]}
+  | {readonly kind: 'failed'; readonly error: RadishyokeError};
+
+/** Room of a record's length in a read, bytes. */
+const RECORD_HEAD_BYTES = 8;
+
+export class PayloadLog {
+  constructor(private readonly store: LogStore) {}
+
+  /**
+   * Stores `payloads` once. After a failure none of them counts, though bytes of
+   * them may stand: nothing refers to these.
+   */
+  async append(
+    partition: number,
+    payloads: readonly Uint8Array[],
+  ): Promise<StoreOutcome> {
+    const cut = payloads.map(payload => this.cut(payload));
+    const offsets: number[] = [];
+    const {maxAppendBytes} = this.store;
+    for (const call of splitCalls(cut.flat(), maxAppendBytes)) {
+      const outcome = await this.store.append(PAYLOAD_TOPIC, partition, call);
+      if (outcome.kind !== 'appended') {
+        return {kind: 'failed', error: explain(outcome)};
+      }
+      for (const i of call.keys()) offsets.push(outcome.offset + i);
+    }
+    let next = 0;
+    const refs = cut.map(parts =>
+      parts.map(({length}) => ({offset: offsets[next++], bytes: length})),
+    );
+    return {kind: 'stored', refs};
+  }
+
+  /** The bytes at each of `refs`. */
+  async read(
+    partition: number,
+    refs: readonly PayloadRef[],
+  ): Promise<Result<readonly Uint8Array[]>> {
+    const found: Found = new Map();
+    for (const run of listRuns(refs.flat())) {
+      const error = await this.readRun(partition, run, found);
+      if (error) return fail(error);
+    }
+    return succeed(refs.map(ref => joinParts(ref, found)));
+  }
+
+  /** Reads records that follow each other; says what went wrong, if anything did. */
+  private async readRun(
+    partition: number,
+    run: readonly PayloadPart[],
+    found: Found,
+  ): Promise<RadishyokeError | undefined> {
+    const end = run[0].offset + run.length;
+    let next = run[0].offset;
+    while (next < end) {
+      const left = run.slice(next - run[0].offset);
+      const outcome = await this.store.read(PAYLOAD_TOPIC, partition, next, {
+        waitMs: 0,
+        maxBytes: measure(left),
+      });
+      if (outcome.kind === 'failed') return outcome.error;
+      if (outcome.kind === 'expired' || outcome.records.length === 0) {
+        return createError('log_unavailable', 'the log forgot the text');
+      }
+      for (const {offset, bytes} of outcome.records) found.set(offset, bytes);
+      next += outcome.records.length;
+    }
+    return undefined;
+  }
+
+  /** A payload may be larger than a record. */
+  private cut(payload: Uint8Array): readonly Uint8Array[] {
+    const {maxRecordBytes} = this.store;
+    const parts: Uint8Array[] = [];
+    for (let at = 0; at < payload.length; at += maxRecordBytes) {
+      parts.push(payload.subarray(at, at + maxRecordBytes));
+    }
+    return parts;
+  }
+}
+
+function explain(
+  outcome: Exclude<AppendOutcome, {kind: 'appended'}>,
+): RadishyokeError {
+  if (outcome.kind !== 'conflict') return outcome.error;
+  return createError('log_unavailable', 'conflict');
+}
+
+/** Groups records so that each group fits one append. */
+function splitCalls(
+  records: readonly Uint8Array[],
+  maxBytes: number,
+): ReadonlyArray<readonly Uint8Array[]> {
+  const calls: Uint8Array[][] = [];
+  let bytes = Infinity;
+  for (const record of records) {
+    bytes += record.length;
+    if (bytes > maxBytes) {
+      calls.push([]);
+      bytes = record.length;
+    }
+    calls.at(-1)!.push(record);
+  }
+  return calls;
+}
+
+/** Parts by offset, those that follow each other together. */
+function listRuns(
+  parts: readonly PayloadPart[],
+): ReadonlyArray<readonly PayloadPart[]> {
+  const runs: PayloadPart[][] = [];
+  let end: number | undefined;
+  for (const part of [...parts].sort((a, b) => a.offset - b.offset)) {
+    if (part.offset !== end) runs.push([]);
+    runs.at(-1)!.push(part);
+    end = part.offset + 1;
+  }
+  return runs;
+}
+
+function measure(parts: readonly PayloadPart[]): number {
+  return parts.reduce((sum, {bytes}) => sum + bytes + RECORD_HEAD_BYTES, 0);
+}
+
+function joinParts(ref: PayloadRef, found: Found): Uint8Array {
+  return Buffer.concat(ref.map(({offset}) => found.get(offset)!));
+}
--- a/packages/daemon/src/gateway/batches/record_writer.ts
+++ b/packages/daemon/src/gateway/batches/record_writer.ts
@@ -4,10 +4,16 @@
  * made again.
  */
 
-import type {BatchRecord} from '@radishyoke/core/batches/batch_record';
+import type {
+  IndexRecord,
+  ListedResult,
+  PayloadRef,
+  ProgressRecord,
+} from '@radishyoke/core/batches/batch_record';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {encodeRecord} from './batch_codec.js';
-import {BATCH_TOPIC} from './batch_book.js';
+import {INDEX_TOPIC, PROGRESS_TOPIC} from './batch_topics.js';
+import {PayloadLog} from './payload_log.js';
 import type {LogStore} from '../store/log_store.js';
 
 /** Records are gathered this long before a call, ms: short against the 500 ms between two reads of a trainer. */
@@ -17,23 +23,30 @@
 /** Records that wait may take this much memory, bytes; the oldest are the ones a trainer waits for, so newer are dropped and their items run again. */
 const MAX_WAITING_BYTES = 16 * 1024 * 1024;
 
-export class RecordWriter {
-  private waiting: Uint8Array[] = [];
+/** A queue of what is to stand in the log, written in order and a few at a time. */
+abstract class GatheringWriter<T> {
+  private waiting: T[] = [];
   private waitingBytes = 0;
   private isWriting = false;
   private isStopped = false;
 
   constructor(
-    private readonly store: LogStore,
-    private readonly partition: number,
+    protected readonly store: LogStore,
+    protected readonly partition: number,
   ) {}
 
-  /** Queues `record`; false where too much waits already. */
-  write(record: BatchRecord): boolean {
-    const bytes = encodeRecord(record);
-    if (this.waitingBytes + bytes.length > MAX_WAITING_BYTES) return false;
-    this.waiting.push(bytes);
-    this.waitingBytes += bytes.length;
+  /** Appends all of `entries`; false where that is to be tried again. */
+  protected abstract append(entries: readonly T[]): Promise<boolean>;
+
+  /** Bytes that `entry` takes in the log, about. */
+  protected abstract measure(entry: T): number;
+
+  /** Queues `entry`; false where too much waits already. */
+  protected queue(entry: T): boolean {
+    const bytes = this.measure(entry);
+    if (this.waitingBytes + bytes > MAX_WAITING_BYTES) return false;
+    this.waiting.push(entry);
+    this.waitingBytes += bytes;
     if (!this.isWriting) void this.run();
     return true;
   }
@@ -48,35 +61,129 @@
     this.isWriting = true;
     while (this.waiting.length > 0 && !this.isStopped) {
       await sleep(GATHER_MS);
-      await this.appendSome(this.takeSome());
+      const entries = this.takeSome();
+      while (!this.isStopped && !(await this.append(entries))) {
+        await sleep(RETRY_MS);
+      }
     }
     this.isWriting = false;
   }
 
-  private async appendSome(records: readonly Uint8Array[]): Promise<void> {
-    while (records.length > 0 && !this.isStopped) {
-      const outcome = await this.store.append(
-        BATCH_TOPIC,
-        this.partition,
-        records,
-      );
-      if (outcome.kind === 'appended') return;
-      await sleep(RETRY_MS);
-    }
-  }
-
-  private takeSome(): readonly Uint8Array[] {
+  private takeSome(): readonly T[] {
     const limit = this.store.maxAppendBytes / 2;
-    const taken: Uint8Array[] = [];
     let bytes = 0;
-    while (this.waiting.length > 0) {
-      const [first] = this.waiting;
-      if (taken.length > 0 && bytes + first.length > limit) break;
-      taken.push(first);
-      bytes += first.length;
-      this.waiting.shift();
+    let count = 0;
+    for (const entry of this.waiting) {
+      const size = this.measure(entry);
+      if (count > 0 && bytes + size > limit) break;
+      bytes += size;
+      count += 1;
     }
     this.waitingBytes -= bytes;
-    return taken;
+    return this.waiting.splice(0, count);
+  }
+}
+
+/** Writes the output of items that run. */
+export class ProgressWriter extends GatheringWriter<Uint8Array> {
+  /** Queues `record`; false where too much waits already. */
+  write(record: ProgressRecord): boolean {
+    return this.queue(encodeRecord(record));
+  }
+
+  protected measure(entry: Uint8Array): number {
+    return entry.length;
+  }
+
+  protected async append(entries: readonly Uint8Array[]): Promise<boolean> {
+    const {store, partition} = this;
+    const outcome = await store.append(PROGRESS_TOPIC, partition, entries);
+    return outcome.kind === 'appended';
+  }
+}
+
+type ResultRecord = Extract<IndexRecord, {kind: 'result'}>;
+
+/** A record of the index without the place of its text, and that text. */
+interface WaitingRecord {
+  readonly record: Exclude<IndexRecord, {kind: 'accepted'}>;
+  readonly text: Uint8Array;
+  /** Bytes of the record. */
+  readonly bytes: number;
+}
+
+interface StoredTexts {
+  readonly entries: readonly WaitingRecord[];
+  readonly refs: readonly PayloadRef[];
+}
+
+/**
+ * Writes what becomes of items into the index. The texts go first: a reader who
+ * finds a result in the index finds its text too.
+ */
+export class IndexWriter extends GatheringWriter<WaitingRecord> {
+  private readonly payloads: PayloadLog;
+  /** Texts that stand, of the entries that are on their way. */
+  private stored: StoredTexts | undefined;
+
+  constructor(store: LogStore, partition: number) {
+    super(store, partition);
+    this.payloads = new PayloadLog(store);
   }
+
+  /** Queues `record`; false where too much waits already. */
+  write(record: Exclude<IndexRecord, {kind: 'accepted'}>): boolean {
+    const text = new Uint8Array();
+    return this.queue({record, text, bytes: encodeRecord(record).length});
+  }
+
+  /** Queues a result and its text; false where too much waits already. */
+  writeResult(
+    batchId: string,
+    listed: Omit<ListedResult, 'text'>,
+    text: Uint8Array,
+  ): boolean {
+    const record = {
+      kind: 'result',
+      batchId,
+      listed: {...listed, text: []},
+    } as const;
+    return this.queue({record, text, bytes: encodeRecord(record).length});
+  }
+
+  protected measure({text, bytes}: WaitingRecord): number {
+    return text.length + bytes;
+  }
+
+  protected async append(entries: readonly WaitingRecord[]): Promise<boolean> {
+    const {store, partition} = this;
+    const refs = await this.storeTexts(entries);
+    if (!refs) return false;
+    const records = entries.map(({record}, i) =>
+      encodeRecord(
+        record.kind === 'result' ? addText(record, refs[i]) : record,
+      ),
+    );
+    const outcome = await store.append(INDEX_TOPIC, partition, records);
+    return outcome.kind === 'appended';
+  }
+
+  /** Texts that stand are not sent again when the index did not answer. */
+  private async storeTexts(
+    entries: readonly WaitingRecord[],
+  ): Promise<readonly PayloadRef[] | undefined> {
+    if (this.stored?.entries === entries) return this.stored.refs;
+    const texts = entries.map(({text}) => text);
+    const outcome = await this.payloads.append(this.partition, texts);
+    if (outcome.kind === 'failed') return undefined;
+    this.stored = {entries, refs: outcome.refs};
+    return outcome.refs;
+  }
+}
+
+function addText(
+  {kind, batchId, listed}: ResultRecord,
+  text: PayloadRef,
+): ResultRecord {
+  return {kind, batchId, listed: {...listed, text}};
 }
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -95,6 +95,7 @@
   private readonly feeds: readonly KeyedFeed[];
   private runner: BatchRunner | undefined;
   private contactMs = -Infinity;
+  private nextTerm = 1;
   private isRosterKnown = false;
   private isServing = false;
   private isStopping = false;
@@ -128,17 +129,14 @@
       metrics: this.metrics,
       logger,
     });
-    const batches = new BatchApi(
-      {
-        store,
-        shelf: this.shelf,
-        protocol: callers,
-        config: this.config,
-        metrics: this.metrics,
-        logger,
-      },
-      cfg.lifeId,
-    );
+    const batches = new BatchApi({
+      store,
+      shelf: this.shelf,
+      protocol: callers,
+      config: this.config,
+      metrics: this.metrics,
+      logger,
+    });
     this.front = new FrontServer({
       protocol: callers,
       config: this.config,
@@ -357,6 +355,7 @@
       clock: this.clock,
       metrics: this.metrics,
       vmName: this.cfg.lifeId,
+      termId: `${this.cfg.lifeId}.${this.nextTerm++}`,
       view: this.view,
       dataCentre: this.cfg.dataCentre,
       logger: this.parts.logger,
--- a/packages/shared/src/log_event.ts
+++ b/packages/shared/src/log_event.ts
@@ -175,6 +175,11 @@
     readonly tookMs: number;
   };
   readonly 'items are run by another VM': {readonly runs: number};
+  /** A coordinator tries again until it can. */
+  readonly 'batch can not be read': {
+    readonly batch: string;
+    readonly detail: string | undefined;
+  };
   readonly 'item has a result': Subject & {
     readonly batch: string;
     readonly outcome: string;
