fix(daemon): the list of endpoints takes one line at a start

The first reading is one line with a count; changes after it keep a line each. Test: fails before (52 lines), passes now (3).

--- a/packages/daemon/src/gateway/__tests__/gateway.spec.ts
+++ b/packages/daemon/src/gateway/__tests__/gateway.spec.ts
@@ -1,18 +1,25 @@
+import {setTimeout as sleep} from 'node:timers/promises';
 import test, {type ExecutionContext} from 'ava';
 import {createError} from '@radishyoke/shared/error_kind';
-import {fail} from '@radishyoke/shared/result';
+import {fail, succeed} from '@radishyoke/shared/result';
 import type {EventLogger} from '../../logger.js';
 import {Gateway} from '../gateway.js';
 import {CallerProtocol} from '../requests/caller_protocol.js';
 import {PlatformDirectory} from '../store/platform_directory.js';
-import {MemoryStore, PlainProtocol} from './gateway_fixtures.js';
+import {
+  createEntry,
+  createKeyed,
+  MemoryStore,
+  PlainProtocol,
+} from './gateway_fixtures.js';
 
 /** A platform whose log says nothing that can be used. */
 class EmptyDirectory extends PlatformDirectory {
   readonly configTopic = 'config';
   readonly endpointTopic = 'endpoints';
   decodeConfigRecord = () => fail(createError('bad_request'));
-  decodeEndpoint = () => fail(createError('bad_request'));
+  decodeEndpoint: PlatformDirectory['decodeEndpoint'] = () =>
+    fail(createError('bad_request'));
 }
 
 /** Callers of whom none is understood. */
@@ -24,7 +31,26 @@
   answerHeaders = () => ({});
 }
 
-function createGateway(t: ExecutionContext) {
+/** A platform on whose list every record is an endpoint. */
+class FullDirectory extends EmptyDirectory {
+  override decodeEndpoint = (id: string) =>
+    succeed({...createEntry(1), id, bornMs: 1});
+}
+
+/** A log in which only the list of endpoints has news. */
+class EndpointStore extends MemoryStore {
+  override readKeyed(...args: Parameters<MemoryStore['readKeyed']>) {
+    const [topic] = args;
+    if (topic === 'endpoints') return super.readKeyed(...args);
+    return new Promise<never>(() => undefined);
+  }
+}
+
+function createGateway(
+  t: ExecutionContext,
+  directory: PlatformDirectory = new EmptyDirectory(),
+  store = new MemoryStore(),
+) {
   const events: string[] = [];
   const logger: EventLogger = {log: (_level, event) => events.push(event)};
   const gateway = new Gateway(
@@ -41,8 +67,8 @@
       patienceMs: 0,
     },
     {
-      store: new MemoryStore(),
-      directory: new EmptyDirectory(),
+      store,
+      directory,
       callers: new NoCallers(),
       endpoints: new PlainProtocol(),
       logger,
@@ -81,3 +107,30 @@
   t.true(events.includes('stopped'));
   await first;
 });
+
+// What happened can not be found among what every VM says at its start.
+// 1. A fleet of hundreds of VMs comes back and reads the list of endpoints.
+// 2. Each VM wrote a line for each endpoint there was.
+test('endpoints that are there at the start take one line, later ones a line each', async t => {
+  const store = new EndpointStore();
+  const records = Array.from({length: 50}, (_, i) =>
+    createKeyed(`e${i}`, i, '1'),
+  );
+  store.newest.push({kind: 'page', records, endOffset: 50});
+  store.keyedReads.push({
+    kind: 'page',
+    records: [createKeyed('e50', 50, '1'), createKeyed('e0', 51)],
+    endOffset: 52,
+  });
+  const {gateway, events} = createGateway(t, new FullDirectory(), store);
+  await gateway.start();
+  for (let i = 0; i < 200 && !events.includes('endpoint left'); i++) {
+    await sleep(10);
+  }
+  const told = events.filter(event => event.includes('endpoint'));
+  t.deepEqual(told, [
+    'list of endpoints read',
+    'endpoint joined',
+    'endpoint left',
+  ]);
+});
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -161,7 +161,7 @@
         directory.endpointTopic,
         ROSTER_GATHER_MS,
         record => this.takeEndpointRecord(record),
-        () => (this.isRosterKnown = true),
+        () => this.noteRosterKnown(),
       ),
     ];
     this.config.onChange(table => {
@@ -327,6 +327,14 @@
     this.logEndpoint(kind, entry, offset);
   }
 
+  private noteRosterKnown(): void {
+    if (this.isRosterKnown) return;
+    this.isRosterKnown = true;
+    this.parts.logger.log('info', 'list of endpoints read', {
+      endpoints: this.roster.size,
+    });
+  }
+
   private sweep(): void {
     for (const entry of this.roster.sweep(this.clock.now())) {
       this.forget(entry);
@@ -382,6 +390,9 @@
     offset: number,
   ): void {
     if (change === 'updated') return;
+    // The first reading brings all endpoints at once, which are no news: a line
+    // for each on each VM that starts buries the others of a large fleet.
+    if (!this.isRosterKnown) return;
     this.parts.logger.log('info', `endpoint ${change}`, {
       endpoint: entry.id,
       service: entry.service,
--- a/packages/shared/src/log_event.ts
+++ b/packages/shared/src/log_event.ts
@@ -99,6 +99,8 @@
     readonly fencingToken: number;
     readonly holder: string | undefined;
   };
+  /** All endpoints there were at the start; later changes have a line each. */
+  readonly 'list of endpoints read': {readonly endpoints: number};
   readonly 'endpoint joined': EndpointFields;
   readonly 'endpoint reborn': EndpointFields;
   readonly 'endpoint draining': EndpointFields;
