feat(core,daemon): what nobody may ask for any more is trimmed from the log

Cause: the log holds 400 MB over all topics and then refuses every append, from whomever.

Change: the coordinator trims payloads that are older than callers may ask for (180 s) and progress that no successor would go on from (60 s), by the times of its own appends.

--- a/packages/daemon/src/gateway/__tests__/gateway_fixtures.ts
+++ b/packages/daemon/src/gateway/__tests__/gateway_fixtures.ts
@@ -157,6 +157,7 @@
   /** Answers of the next reads of a keyed topic; then nothing comes. */
   readonly keyedReads: KeyedReadOutcome[] = [];
   appends = 0;
+  readonly trims: string[] = [];
   /** Bytes that reads returned. */
   readBytes = 0;
 
@@ -233,7 +234,12 @@
     return next ?? {kind: 'page', records: [], endOffset: 0};
   }
 
-  async trim(): Promise<boolean> {
+  async trim(
+    topic: string,
+    partition: number,
+    offset: number,
+  ): Promise<boolean> {
+    this.trims.push(`${topic}/${partition} before ${offset}`);
     return true;
   }
 
--- a/packages/daemon/src/gateway/batches/__tests__/record_writer.spec.ts
+++ b/packages/daemon/src/gateway/batches/__tests__/record_writer.spec.ts
@@ -1,4 +1,6 @@
+import {syncBuiltinESMExports} from 'node:module';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {install} from '@sinonjs/fake-timers';
 import test from 'ava';
 import {decodeIndexRecord} from '../batch_codec.js';
 import {INDEX_TOPIC, PAYLOAD_TOPIC} from '../batch_topics.js';
@@ -46,6 +48,31 @@
   writer.stop();
 });
 
+// The log refuses every append once it holds as much as it may in all.
+// 1. Items run for minutes, and their output is written down twice a second.
+// 2. Nobody trims what no successor would go on from.
+test.serial(
+  'progress that nobody goes on from any more is trimmed',
+  async t => {
+    const clock = install();
+    // Modules that import `node:timers/promises` see the paused clock only then.
+    syncBuiltinESMExports();
+    t.teardown(() => {
+      clock.uninstall();
+      syncBuiltinESMExports();
+    });
+    const store = new MemoryStore();
+    const writer = new ProgressWriter(store, 1);
+    for (let i = 0; i < 90; i++) {
+      writer.write({batchId: 'b', itemId: 'i', events: []});
+      await clock.tickAsync(1000);
+    }
+    t.is(store.trims[0], 'batch_progress/1 before 0');
+    const last = Number(store.trims.at(-1)!.split(' ').at(-1));
+    t.true(last >= 10 && last <= 30, store.trims.join(', '));
+  },
+);
+
 /** Lists an item with `text` and waits until the index has it. */
 async function listText(store: MemoryStore, text: string): Promise<void> {
   const writer = new IndexWriter(store, 0);
--- a/packages/daemon/src/gateway/batches/batch_book.ts
+++ b/packages/daemon/src/gateway/batches/batch_book.ts
@@ -21,7 +21,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {EventLogger} from '../../logger.js';
 import {decodeBatch, decodeIndexRecord} from './batch_codec.js';
-import {INDEX_TOPIC} from './batch_topics.js';
+import {INDEX_TOPIC, KEEP_BATCH_MS} from './batch_topics.js';
 import {PayloadLog} from './payload_log.js';
 import type {LogStore, StoredRecord} from '../store/log_store.js';
 
@@ -29,8 +29,6 @@
 const FOLLOW_WAIT_MS = 900;
 /** Pause of a follower after a failed read, ms. */
 const RETRY_MS = 100;
-/** Batches are forgotten this long after their submission, ms: callers may read for 120 s, and clocks of VMs differ. */
-export const KEEP_BATCH_MS = 180_000;
 /** Records that are applied before other tasks get a turn. */
 const SLICE_RECORDS = 64;
 
--- a/packages/daemon/src/gateway/batches/batch_loader.ts
+++ b/packages/daemon/src/gateway/batches/batch_loader.ts
@@ -23,8 +23,9 @@
 import {decodeProgressRecord} from './batch_codec.js';
 import {PROGRESS_TOPIC} from './batch_topics.js';
 
-/** Pause after a failed read, ms. */
-const RETRY_MS = 100;
+/** First pause after a failed read, ms; doubles up to the next. */
+const FIRST_RETRY_MS = 100;
+const MAX_RETRY_MS = 800;
 /** Batches that are read at once, the oldest first; more would share a small link and none be whole. */
 const MAX_LOADS = 3;
 
@@ -55,13 +56,15 @@
     signal: AbortSignal,
   ): Promise<BatchState | undefined> {
     const wasComplete = isComplete(entry);
+    let retryMs = FIRST_RETRY_MS;
     await this.takeTurn();
     try {
       while (!signal.aborted && isComplete(entry) === wasComplete) {
         const state = await this.loadOnce(entry, options);
         if (state.ok) return state.value;
         this.logFailure(entry, state.error);
-        await sleep(RETRY_MS);
+        await sleep(retryMs);
+        retryMs = Math.min(retryMs * 2, MAX_RETRY_MS);
       }
       return undefined;
     } finally {
--- a/packages/daemon/src/gateway/batches/batch_topics.ts
+++ b/packages/daemon/src/gateway/batches/batch_topics.ts
@@ -6,3 +6,6 @@
 export const PAYLOAD_TOPIC = 'batch_payloads';
 /** Output of items that run, for a coordinator that takes over. */
 export const PROGRESS_TOPIC = 'batch_progress';
+
+/** Batches are forgotten this long after their submission, ms: callers may read for 120 s, and clocks of VMs differ. */
+export const KEEP_BATCH_MS = 180_000;
--- a/packages/daemon/src/gateway/batches/record_writer.ts
+++ b/packages/daemon/src/gateway/batches/record_writer.ts
@@ -10,9 +10,15 @@
   PayloadRef,
   ProgressRecord,
 } from '@radishyoke/core/batches/batch_record';
+import {TrimMarks} from '@radishyoke/core/batches/trim_marks';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {encodeRecord} from './batch_codec.js';
-import {INDEX_TOPIC, PROGRESS_TOPIC} from './batch_topics.js';
+import {
+  INDEX_TOPIC,
+  KEEP_BATCH_MS,
+  PAYLOAD_TOPIC,
+  PROGRESS_TOPIC,
+} from './batch_topics.js';
 import {PayloadLog} from './payload_log.js';
 import type {LogStore} from '../store/log_store.js';
 
@@ -23,17 +29,28 @@
 /** Records that wait may take this much memory, bytes; the oldest are the ones a trainer waits for, so newer are dropped and their items run again. */
 const MAX_WAITING_BYTES = 16 * 1024 * 1024;
 
+/** Progress stays this long, ms: the text of an item that runs for longer is made again by a successor. */
+const KEEP_PROGRESS_MS = 60_000;
+
 /** A queue of what is to stand in the log, written in order and a few at a time. */
 abstract class GatheringWriter<T> {
   private waiting: T[] = [];
   private waitingBytes = 0;
   private isWriting = false;
   private isStopped = false;
+  private readonly marks: TrimMarks;
 
+  /**
+   * @param topic Is trimmed of what is older than `keepMs`.
+   */
   constructor(
     protected readonly store: LogStore,
     protected readonly partition: number,
-  ) {}
+    private readonly topic: string,
+    keepMs: number,
+  ) {
+    this.marks = new TrimMarks(keepMs);
+  }
 
   /** Appends all of `entries`; false where that is to be tried again. */
   protected abstract append(entries: readonly T[]): Promise<boolean>;
@@ -51,6 +68,13 @@
     return true;
   }
 
+  /** A record of the topic stands at `offset`. */
+  protected noteAppended(offset: number): void {
+    const before = this.marks.note(offset, performance.now());
+    if (before === undefined) return;
+    void this.store.trim(this.topic, this.partition, before);
+  }
+
   /** Drops what waits and is not on its way. */
   stop(): void {
     this.isStopped = true;
@@ -86,6 +110,10 @@
 
 /** Writes the output of items that run. */
 export class ProgressWriter extends GatheringWriter<Uint8Array> {
+  constructor(store: LogStore, partition: number) {
+    super(store, partition, PROGRESS_TOPIC, KEEP_PROGRESS_MS);
+  }
+
   /** Queues `record`; false where too much waits already. */
   write(record: ProgressRecord): boolean {
     return this.queue(encodeRecord(record));
@@ -98,7 +126,9 @@
   protected async append(entries: readonly Uint8Array[]): Promise<boolean> {
     const {store, partition} = this;
     const outcome = await store.append(PROGRESS_TOPIC, partition, entries);
-    return outcome.kind === 'appended';
+    if (outcome.kind !== 'appended') return false;
+    this.noteAppended(outcome.offset);
+    return true;
   }
 }
 
@@ -127,7 +157,7 @@
   private stored: StoredTexts | undefined;
 
   constructor(store: LogStore, partition: number) {
-    super(store, partition);
+    super(store, partition, PAYLOAD_TOPIC, KEEP_BATCH_MS);
     this.payloads = new PayloadLog(store);
   }
 
@@ -177,6 +207,8 @@
     const outcome = await this.payloads.append(this.partition, texts);
     if (outcome.kind === 'failed') return undefined;
     this.stored = {entries, refs: outcome.refs};
+    const [first] = outcome.refs.flat();
+    if (first) this.noteAppended(first.offset);
     return outcome.refs;
   }
 }
