fix(daemon): many changes of the list of endpoints share a log line

Changes are told with the end of the reading that brought them; more than three of a kind share one line with all ids up to 50. RosterLog takes this out of the gateway; the trace tool finds an endpoint in such a line.

--- a/packages/core/src/trace/__tests__/trace_path.spec.ts
+++ b/packages/core/src/trace/__tests__/trace_path.spec.ts
@@ -84,6 +84,23 @@
   t.false(endpoints.includes('e9'));
 });
 
+test('endpoints that left together explain the path of each of them', t => {
+  const lines = createItemLog()
+    .filter(({event}) => event !== 'endpoint left')
+    .concat(
+      createLine('b', 3500, 'endpoints left', {endpoints: 'e7,e1', count: 2}),
+      createLine('b', 3510, 'endpoints left', {endpoints: 'e8,e9', count: 2}),
+    );
+  const told = tracePath(lines, 'item').filter(
+    ({line}) => line.event === 'endpoints left',
+  );
+  t.deepEqual(
+    told.map(({line}) => line.fields['endpoints']),
+    ['e7,e1'],
+  );
+  t.true(tracePath(lines, 'e9').length > 0);
+});
+
 // A request is refused for a route that is there.
 // 1. The operator adds the route; all VMs but one learn of it.
 // 2. That one refuses a request for it.
--- a/packages/core/src/trace/trace_path.ts
+++ b/packages/core/src/trace/trace_path.ts
@@ -39,6 +39,9 @@
   'endpoint reborn',
   'endpoint draining',
   'endpoint left',
+  'endpoints reborn',
+  'endpoints draining',
+  'endpoints left',
   'order to an engine',
   'log lines dropped',
 ]);
@@ -90,9 +93,18 @@
 
 /** Whether the line names `id` as its request, item, batch or endpoint. */
 function isAbout(line: TraceLine, id: string): boolean {
-  return ['requestId', 'batch', 'endpoint'].some(
+  const isNamed = ['requestId', 'batch'].some(
     field => readText(line, field) === id,
   );
+  return isNamed || listEndpoints(line).includes(id);
+}
+
+/** Endpoints that the line names: one, or several that changed at once. */
+function listEndpoints(line: TraceLine): readonly string[] {
+  const endpoint = readText(line, 'endpoint');
+  if (endpoint !== '') return [endpoint];
+  const endpoints = readText(line, 'endpoints');
+  return endpoints === '' ? [] : endpoints.split(',');
 }
 
 /** Whether the line tells of one of `batches` as a whole. */
@@ -107,12 +119,12 @@
   if (!CONTEXT_EVENTS.has(line.event)) return false;
   const isNear = path.some(other => Math.abs(other.atMs - atMs) <= CONTEXT_MS);
   if (!isNear) return false;
-  const endpoint = readText(line, 'endpoint');
+  const endpoints = listEndpoints(line);
   const model = readText(line, 'model');
-  if (endpoint !== '') {
+  if (endpoints.length > 0) {
     return path.some(
       other =>
-        readText(other.line, 'endpoint') === endpoint ||
+        endpoints.includes(readText(other.line, 'endpoint')) ||
         (model !== '' && readText(other.line, 'model') === model),
     );
   }
--- a/packages/daemon/src/gateway/__tests__/gateway.spec.ts
+++ b/packages/daemon/src/gateway/__tests__/gateway.spec.ts
@@ -128,9 +128,5 @@
     await sleep(10);
   }
   const told = events.filter(event => event.includes('endpoint'));
-  t.deepEqual(told, [
-    'list of endpoints read',
-    'endpoint joined',
-    'endpoint left',
-  ]);
+  t.deepEqual(told, ['endpoints joined', 'endpoint joined', 'endpoint left']);
 });
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -5,10 +5,7 @@
  */
 
 import type {EndpointEntry} from '@radishyoke/core/fleet/endpoint_entry';
-import {
-  EndpointRoster,
-  type RosterChange,
-} from '@radishyoke/core/fleet/endpoint_roster';
+import {EndpointRoster} from '@radishyoke/core/fleet/endpoint_roster';
 import http from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {listenAt} from '@radishyoke/wire/listen';
@@ -29,6 +26,7 @@
 import type {KeyedRecord, LogStore} from './store/log_store.js';
 import {MeteredStore} from './store/metered_store.js';
 import type {PlatformDirectory} from './store/platform_directory.js';
+import {RosterLog} from './store/roster_log.js';
 import {VmClock} from './vm_clock.js';
 
 export interface GatewayConfig {
@@ -83,6 +81,7 @@
   private readonly clock = new VmClock();
   private readonly store: LogStore;
   private readonly roster = new EndpointRoster(GONE_GRACE_MS);
+  private readonly rosterLog: RosterLog;
   private readonly links = new EndpointLinks();
   private readonly view = new EndpointView();
   private readonly named = new Map<string, number>();
@@ -110,6 +109,7 @@
     const {directory, callers, endpoints, logger} = parts;
     const store = new MeteredStore(parts.store, this.metrics);
     this.store = store;
+    this.rosterLog = new RosterLog(logger);
     this.config = new ConfigHolder(logger);
     this.shelf = new BatchShelf(store, logger);
     this.lease = new LeaseTask(
@@ -161,7 +161,7 @@
         directory.endpointTopic,
         ROSTER_GATHER_MS,
         record => this.takeEndpointRecord(record),
-        () => this.noteRosterKnown(),
+        () => (this.isRosterKnown = true),
       ),
     ];
     this.config.onChange(table => {
@@ -279,6 +279,7 @@
       onRecord,
       onCaughtUp,
       onContact: () => (this.contactMs = this.clock.now()),
+      onRead: () => this.rosterLog.flush(),
       onLost: () => undefined,
     };
     return new KeyedFeed(this.store, cfg, events, this.parts.logger);
@@ -313,7 +314,7 @@
     const nowMs = this.clock.now();
     if (value === undefined) {
       const change = this.roster.remove(key, offset, nowMs);
-      if (change) this.logEndpoint('left', change.entry, offset);
+      if (change) this.rosterLog.note('left', change.entry, offset);
       return;
     }
     const decoded = this.parts.directory.decodeEndpoint(key, value);
@@ -324,15 +325,7 @@
     const {kind, entry} = this.roster.put(decoded.value, offset);
     if (kind === 'reborn') this.forget(entry);
     if (kind !== 'stale') this.runner?.noteEndpoint(entry.id);
-    this.logEndpoint(kind, entry, offset);
-  }
-
-  private noteRosterKnown(): void {
-    if (this.isRosterKnown) return;
-    this.isRosterKnown = true;
-    this.parts.logger.log('info', 'list of endpoints read', {
-      endpoints: this.roster.size,
-    });
+    this.rosterLog.note(kind, entry, offset);
   }
 
   private sweep(): void {
@@ -384,23 +377,6 @@
     res.end();
   }
 
-  private logEndpoint(
-    change: RosterChange['kind'],
-    entry: EndpointEntry,
-    offset: number,
-  ): void {
-    if (change === 'updated') return;
-    // The first reading brings all endpoints at once, which are no news: a line
-    // for each on each VM that starts buries the others of a large fleet.
-    if (!this.isRosterKnown) return;
-    this.parts.logger.log('info', `endpoint ${change}`, {
-      endpoint: entry.id,
-      service: entry.service,
-      address: `${entry.host}:${entry.port}`,
-      offset,
-    });
-  }
-
   private logSkipped(key: string, offset: number, detail: string): void {
     this.parts.logger.log('warn', 'record skipped', {key, offset, detail});
   }
--- a/packages/daemon/src/gateway/store/__tests__/keyed_feed.spec.ts
+++ b/packages/daemon/src/gateway/store/__tests__/keyed_feed.spec.ts
@@ -22,6 +22,7 @@
         ),
       onCaughtUp: () => told.push('caught up'),
       onContact: () => undefined,
+      onRead: () => undefined,
       onLost: () => told.push('lost'),
     },
     silentLogger,
--- a/packages/daemon/src/gateway/store/keyed_feed.ts
+++ b/packages/daemon/src/gateway/store/keyed_feed.ts
@@ -21,6 +21,8 @@
   /** The feed has read all there was; once after each start. */
   onCaughtUp(): void;
   onContact(): void;
+  /** All records of one read were handed over. */
+  onRead(): void;
   onLost(detail: string): void;
 }
 
@@ -88,6 +90,7 @@
     }
     this.next = outcome.endOffset;
     this.noteSuccess();
+    this.events.onRead();
     this.events.onCaughtUp();
     return 'news';
   }
@@ -113,6 +116,7 @@
       return 'expired';
     }
     for (const record of outcome.records) this.take(record);
+    this.events.onRead();
     return outcome.records.length > 0 ? 'news' : 'quiet';
   }
 
--- /dev/null
+++ b/packages/daemon/src/gateway/store/roster_log.ts
@@ -0,0 +1,69 @@
+/**
+ * Tells what reading the list of endpoints changed. Every VM sees the same list,
+ * so lines about it are as many as VMs times changes: a few changes have a line
+ * each, many at once share one.
+ */
+
+import type {EndpointEntry} from '@radishyoke/core/fleet/endpoint_entry';
+import type {RosterChange} from '@radishyoke/core/fleet/endpoint_roster';
+import type {EventLogger} from '../../logger.js';
+
+type Told = Exclude<RosterChange['kind'], 'updated'>;
+
+interface News {
+  readonly change: Told;
+  readonly entry: EndpointEntry;
+  /** Place of the record in the list's history. */
+  readonly offset: number;
+}
+
+/** Changes of one kind in one reading that still have a line each. */
+const MAX_LINES = 3;
+/** Endpoints that a line for many names. */
+const MAX_NAMED = 50;
+
+export class RosterLog {
+  private news: News[] = [];
+
+  constructor(private readonly logger: EventLogger) {}
+
+  /** Takes a change; it is told with the end of the reading that brought it. */
+  note(
+    change: RosterChange['kind'],
+    entry: EndpointEntry,
+    offset: number,
+  ): void {
+    if (change !== 'updated') this.news.push({change, entry, offset});
+  }
+
+  /** A reading has ended. */
+  flush(): void {
+    const {news} = this;
+    if (news.length === 0) return;
+    this.news = [];
+    const kinds = new Set(news.map(({change}) => change));
+    for (const kind of kinds) {
+      const changes = news.filter(({change}) => change === kind);
+      if (changes.length > MAX_LINES) this.logMany(kind, changes);
+      else for (const each of changes) this.logOne(each);
+    }
+  }
+
+  private logOne({change, entry, offset}: News): void {
+    this.logger.log('info', `endpoint ${change}`, {
+      endpoint: entry.id,
+      service: entry.service,
+      address: `${entry.host}:${entry.port}`,
+      offset,
+    });
+  }
+
+  private logMany(change: Told, changes: readonly News[]): void {
+    const named = changes.slice(0, MAX_NAMED).map(({entry}) => entry.id);
+    this.logger.log('info', `endpoints ${change}`, {
+      count: changes.length,
+      endpoints: named.join(','),
+      offset: changes.at(-1)!.offset,
+    });
+  }
+}
--- a/packages/shared/src/log_event.ts
+++ b/packages/shared/src/log_event.ts
@@ -23,6 +23,15 @@
   readonly offset: number;
 };
 
+/** Entries that one reading of the list brought. */
+type EndpointsFields = {
+  readonly count: number;
+  /** Ids of some of them, separated by commas. */
+  readonly endpoints: string;
+  /** Position of the last entry in the list's history. */
+  readonly offset: number;
+};
+
 /** One generation of an item on an engine. */
 type RunFields = Subject & {
   readonly batch: string;
@@ -99,13 +108,17 @@
     readonly fencingToken: number;
     readonly holder: string | undefined;
   };
-  /** All endpoints there were at the start; later changes have a line each. */
-  readonly 'list of endpoints read': {readonly endpoints: number};
   readonly 'endpoint joined': EndpointFields;
   readonly 'endpoint reborn': EndpointFields;
   readonly 'endpoint draining': EndpointFields;
   readonly 'endpoint stale': EndpointFields;
   readonly 'endpoint left': EndpointFields;
+  /** Many at once share a line. */
+  readonly 'endpoints joined': EndpointsFields;
+  readonly 'endpoints reborn': EndpointsFields;
+  readonly 'endpoints draining': EndpointsFields;
+  readonly 'endpoints stale': EndpointsFields;
+  readonly 'endpoints left': EndpointsFields;
   readonly 'report of an engine can not be read': {
     readonly endpoint: string;
     readonly detail: string | undefined;
