refactor(core,daemon): which earlier batches a coordinator reads is the core's decision

listEarlier is a function of the index with tests of its own; the runner only reads what it names. A submission whose bytes can not be decoded is an error that is logged: it would have ended the coordinator, and each successor that opens the batch (test: throws before, an error now).

--- /dev/null
+++ b/packages/core/src/batches/__tests__/earlier_batches.spec.ts
@@ -0,0 +1,53 @@
+import test from 'ava';
+import {BatchIndex, type IndexedBatch} from '../batch_index.js';
+import type {Batch} from '../batch_record.js';
+import {listEarlier} from '../earlier_batches.js';
+import {acceptBatch, createBatch} from './batch_fixtures.js';
+
+interface Step {
+  readonly id: string;
+  readonly items: readonly string[];
+  readonly extra?: Partial<Batch>;
+  readonly isOpen?: boolean;
+}
+
+/** An index of steps, one a second. */
+function createSteps(steps: readonly Step[]): readonly IndexedBatch[] {
+  const index = new BatchIndex();
+  for (const [i, {id, items, extra, isOpen}] of steps.entries()) {
+    const batch = createBatch(id, items, {submittedAtMs: i * 1000, ...extra});
+    index.apply(acceptBatch(batch));
+    if (!isOpen) index.apply({kind: 'ended', batchId: id});
+  }
+  return [...index.entries];
+}
+
+function listIds(steps: readonly Step[]): readonly string[] {
+  const entries = createSteps(steps);
+  return listEarlier(entries.at(-1)!, entries).map(({header}) => header.id);
+}
+
+const LAST: Step = {id: 'last', items: ['g0a', 'g9a'], isOpen: true};
+
+test('batches that are over and share items are found, the oldest first', t => {
+  const steps: readonly Step[] = [
+    {id: 'b0', items: ['g0a', 'g0b']},
+    {id: 'b1', items: ['g1a']},
+    {id: 'b2', items: ['g9a']},
+    LAST,
+  ];
+  t.deepEqual(listIds(steps), ['b0', 'b2']);
+});
+
+test('batches of other models, open ones and those long over are left out', t => {
+  const steps: readonly Step[] = [
+    {id: 'old', items: ['g0a']},
+    {id: 'b1', items: ['g1a']},
+    {id: 'b2', items: ['g2a']},
+    {id: 'b3', items: ['g3a']},
+    {id: 'other', items: ['g0a'], extra: {model: 'other'}},
+    {id: 'open', items: ['g0a'], isOpen: true},
+    LAST,
+  ];
+  t.deepEqual(listIds(steps), []);
+});
--- a/packages/core/src/batches/batch_scheduler.ts
+++ b/packages/core/src/batches/batch_scheduler.ts
@@ -19,6 +19,7 @@
 } from './batch_job.js';
 import type {BatchHeader, ListedResult, OutputEvent} from './batch_record.js';
 import type {BatchState} from './batch_state.js';
+import {KEPT_STEPS} from './earlier_batches.js';
 import {EngineBoard, type EngineView} from './engine_board.js';
 import {
   chooseText,
@@ -42,8 +43,6 @@
 /** Early breaks after which an item is suspected of crashing engines. One that has made output before did not crash the engine that made it, so it may have been unlucky more often. */
 const MAX_EARLY_BREAKS = 3;
 const MAX_EARLY_BREAKS_WITH_TEXT = 6;
-/** Closed batches of a model whose texts are kept: groups that were not complete come again in the next step, or in the one after it where steps are asked for ahead. */
-export const KEPT_STEPS = 3;
 /** Pause of a suspected item, ms: long enough that it reaches no more than two engines within a usual retention of 40 s. */
 const SUSPECT_PAUSE_MS = 15_000;
 
--- a/packages/daemon/src/gateway/batches/__tests__/batch_api.spec.ts
+++ b/packages/daemon/src/gateway/batches/__tests__/batch_api.spec.ts
@@ -18,6 +18,7 @@
 import {ConfigHolder} from '../../store/config_holder.js';
 import {GatewayMetrics} from '../../gateway_metrics.js';
 import {MemoryStore} from '../../__tests__/gateway_fixtures.js';
+import {createBatch} from './batch_fixtures.js';
 
 /** Callers who send one item and name their call in the path. */
 class PlainCallers extends CallerProtocol {
@@ -32,17 +33,7 @@
   }
 
   decodeBatch(_body: Uint8Array, submission: Submission): Result<Batch> {
-    return succeed({
-      id: submission.attemptId,
-      host: 'h',
-      path: '/r/',
-      step: 0,
-      model: 'm',
-      minVersion: 0,
-      groupsWanted: 1,
-      items: [],
-      submittedAtMs: Date.now(),
-    });
+    return succeed(createBatch(submission.attemptId, []));
   }
 
   encodePage(page: ResultPage): Uint8Array {
--- a/packages/daemon/src/gateway/batches/__tests__/batch_book.spec.ts
+++ b/packages/daemon/src/gateway/batches/__tests__/batch_book.spec.ts
@@ -68,6 +68,17 @@
   );
 });
 
+// A coordinator ends, and each of its successors after it.
+// 1. The payload of a submission can not be decoded.
+// 2. Whoever opens the batch meets the same bytes.
+test('a submission that can not be decoded is an error', async t => {
+  const {book, entry, store} = await createColdBook();
+  store.open(PAYLOAD_TOPIC, book.partition)[entry.payload[0].offset].fill(0xc1);
+  const read = await book.readSubmission(entry);
+  t.false(read.ok);
+  if (!read.ok) t.is(read.error.kind, 'internal');
+});
+
 // A fleet that comes back after a loss of all VMs can not read its own batches.
 // 1. Each VM knows nothing and is asked about one batch.
 // 2. Each reads all texts of all batches of the partition; all reads share one
--- a/packages/daemon/src/gateway/batches/batch_api.ts
+++ b/packages/daemon/src/gateway/batches/batch_api.ts
@@ -146,8 +146,9 @@
     const {items, ...header} = batch;
     const itemIds = items.map(({id}) => id);
     const stored = await this.storePayload(book, batch, untilMs);
-    if (stored.kind === 'failed')
+    if (stored.kind === 'failed') {
       return fail(createRefusal(stored.error.detail));
+    }
     const [payload] = stored.refs;
     const record = encodeRecord({kind: 'accepted', header, itemIds, payload});
     if (record.length > this.parts.store.maxRecordBytes) {
--- a/packages/daemon/src/gateway/batches/batch_book.ts
+++ b/packages/daemon/src/gateway/batches/batch_book.ts
@@ -16,8 +16,8 @@
   ItemResult,
   ListedResult,
 } from '@radishyoke/core/batches/batch_record';
-import type {RadishyokeError} from '@radishyoke/shared/error_kind';
-import {type Result, succeed} from '@radishyoke/shared/result';
+import {createError, type RadishyokeError} from '@radishyoke/shared/error_kind';
+import {fail, type Result, succeed} from '@radishyoke/shared/result';
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {EventLogger} from '../../logger.js';
 import {decodeBatch, decodeIndexRecord} from './batch_codec.js';
@@ -117,9 +117,18 @@
   }
 
   /** The batch as it was submitted. */
-  async readSubmission({payload}: IndexedBatch): Promise<Result<Batch>> {
+  async readSubmission({
+    header,
+    payload,
+  }: IndexedBatch): Promise<Result<Batch>> {
     const read = await this.payloads.read(this.partition, [payload]);
-    return read.ok ? succeed(decodeBatch(read.value[0])) : read;
+    if (!read.ok) return read;
+    try {
+      return succeed(decodeBatch(read.value[0]));
+    } catch (err) {
+      const detail = `submission of ${header.id}: ${String(err)}`;
+      return fail(createError('internal', detail));
+    }
   }
 
   /** Applies records as they come, until `signal`. */
--- a/packages/daemon/src/gateway/batches/batch_runner.ts
+++ b/packages/daemon/src/gateway/batches/batch_runner.ts
@@ -4,10 +4,7 @@
  * came of it.
  */
 
-import {
-  BatchScheduler,
-  KEPT_STEPS,
-} from '@radishyoke/core/batches/batch_scheduler';
+import {BatchScheduler} from '@radishyoke/core/batches/batch_scheduler';
 import type {
   RunEnd,
   ScheduleAction,
@@ -28,6 +25,7 @@
 } from '@radishyoke/core/batches/batch_record';
 import {setMaxListeners} from 'node:events';
 import type {LogEventName} from '@radishyoke/shared/log_event';
+import {listEarlier} from '@radishyoke/core/batches/earlier_batches';
 import type {EndpointEntry} from '@radishyoke/core/fleet/endpoint_entry';
 import type {EndpointRoster} from '@radishyoke/core/fleet/endpoint_roster';
 import type {RouteTable} from '@radishyoke/core/routing/route_table';
@@ -234,52 +232,42 @@
     this.decideSoon();
   }
 
-  /** Reads the batch and hands it to the scheduler, behind those whose items it has again. */
+  /** Reads the batch and hands it to the scheduler. */
   private async open(entry: IndexedBatch, isBegun: boolean): Promise<void> {
-    const {id} = entry.header;
-    if (this.loading.has(id) || this.scheduler.knowsBatch(entry.header)) return;
-    this.loading.add(id);
+    const {header} = entry;
+    if (this.loading.has(header.id)) return;
+    if (this.scheduler.knowsBatch(header)) return;
+    this.loading.add(header.id);
+    await this.openEarlier(entry);
     const {signal} = this.abort;
-    const itemIds = new Set(entry.items.keys());
-    for (const earlier of this.listEarlier(entry)) {
-      const options = {isBegun: true, textsOf: itemIds};
-      const state = await this.loader.load(earlier, options, signal);
-      if (state) this.scheduler.openBatch(state, undefined);
-      this.scheduler.closeBatch(earlier.header.id);
-    }
     const options = {isBegun, textsOf: NO_ITEMS};
     const state = await this.loader.load(entry, options, signal);
-    this.loading.delete(id);
+    this.loading.delete(header.id);
     const {table} = this.parts.config;
     if (!state || !table || signal.aborted) return;
-    this.scheduler.openBatch(state, this.findTerms(entry.header, table));
+    this.scheduler.openBatch(state, this.findTerms(header, table));
     // Records that came while the payload was read.
-    if (isComplete(entry)) this.scheduler.closeBatch(id);
+    if (isComplete(entry)) this.scheduler.closeBatch(header.id);
     this.decideSoon();
   }
 
   /**
-   * Ended batches with items of `entry` that the scheduler does not know, since
-   * another coordinator ran them: groups that were not complete come again.
+   * Groups that were not complete come again in a later batch. What another
+   * coordinator made of their items is read before that one begins, or it would
+   * all be made anew.
    */
-  private listEarlier(entry: IndexedBatch): readonly IndexedBatch[] {
-    const {model, submittedAtMs} = entry.header;
-    const books = this.parts.shelf.openAll();
-    return books
-      .flatMap(book => [...book.index.entries])
-      .filter(
-        earlier =>
-          earlier.header.model === model &&
-          earlier.header.submittedAtMs < submittedAtMs &&
-          isComplete(earlier),
-      )
-      .sort((a, b) => a.header.submittedAtMs - b.header.submittedAtMs)
-      .slice(-KEPT_STEPS)
-      .filter(
-        earlier =>
-          !this.scheduler.knowsBatch(earlier.header) &&
-          [...entry.items.keys()].some(id => earlier.items.has(id)),
-      );
+  private async openEarlier(entry: IndexedBatch): Promise<void> {
+    const {shelf} = this.parts;
+    const known = shelf.openAll().flatMap(book => [...book.index.entries]);
+    const textsOf = new Set(entry.items.keys());
+    for (const earlier of listEarlier(entry, known)) {
+      if (this.scheduler.knowsBatch(earlier.header)) continue;
+      const options = {isBegun: true, textsOf};
+      const {signal} = this.abort;
+      const state = await this.loader.load(earlier, options, signal);
+      if (state) this.scheduler.openBatch(state, undefined);
+      this.scheduler.closeBatch(earlier.header.id);
+    }
   }
 
   private findTerms(
--- a/packages/daemon/src/gateway/batches/payload_log.ts
+++ b/packages/daemon/src/gateway/batches/payload_log.ts
@@ -21,7 +21,7 @@
   | {readonly kind: 'stored'; readonly refs: readonly PayloadRef[]}
   | {readonly kind: 'failed'; readonly error: RadishyokeError};
 
-/** Room of a record's length in a read, bytes. */
+/** Room that a read needs for what stands before a record, bytes. */
 const RECORD_HEAD_BYTES = 8;
 
 export class PayloadLog {
--- a/packages/daemon/src/gateway/batches/record_writer.ts
+++ b/packages/daemon/src/gateway/batches/record_writer.ts
@@ -40,9 +40,7 @@
   private isStopped = false;
   private readonly marks: TrimMarks;
 
-  /**
-   * @param topic Is trimmed of what is older than `keepMs`.
-   */
+  /** @param topic Is trimmed of what is older than `keepMs`. */
   constructor(
     protected readonly store: LogStore,
     protected readonly partition: number,
