fix(daemon): results do not wait behind an append whose answer is lost

Cause: results of a partition were written one group after the other, and since texts go before the index each group takes two appends. An answer that is lost shows only after 0.9 s; results that came meanwhile waited for it.

Change: up to four groups of results of a partition are under way at once; the first result of an item counts whatever the order. Progress keeps to one at a time, as a text is joined in the order of the log.

--- a/packages/daemon/src/gateway/batches/__tests__/record_writer.spec.ts
+++ b/packages/daemon/src/gateway/batches/__tests__/record_writer.spec.ts
@@ -2,8 +2,8 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {install} from '@sinonjs/fake-timers';
 import test from 'ava';
-import {decodeIndexRecord} from '../batch_codec.js';
-import {INDEX_TOPIC, PAYLOAD_TOPIC} from '../batch_topics.js';
+import {decodeIndexRecord, decodeProgressRecord} from '../batch_codec.js';
+import {INDEX_TOPIC, PAYLOAD_TOPIC, PROGRESS_TOPIC} from '../batch_topics.js';
 import {IndexWriter, ProgressWriter} from '../record_writer.js';
 import {MemoryStore} from '../../__tests__/gateway_fixtures.js';
 
@@ -48,6 +48,47 @@
   writer.stop();
 });
 
+// A step is late though all but one of its results could stand in time.
+// 1. The answer to an append is lost, which shows only after most of a second.
+// 2. Results that come meanwhile wait behind it.
+test('results do not wait behind an append whose answer is lost', async t => {
+  const store = new MemoryStore();
+  const append = store.append.bind(store);
+  let isFirst = true;
+  store.append = async (...args) => {
+    const isLost = isFirst;
+    isFirst = false;
+    return isLost ? new Promise(() => undefined) : append(...args);
+  };
+  const writer = new IndexWriter(store, 0);
+  writer.write({kind: 'ended', batchId: 'lost'});
+  await sleep(60);
+  for (const batchId of ['b1', 'b2', 'b3']) {
+    writer.write({kind: 'ended', batchId});
+    await sleep(60);
+  }
+  await waitFor(() => store.open(INDEX_TOPIC, 0).length === 3);
+  t.is(store.open(INDEX_TOPIC, 0).length, 3);
+});
+
+// A successor makes a text anew though all of it was written down.
+// Cause: progress that does not follow what is known is dropped.
+test('progress stands in the order in which it was made', async t => {
+  const store = new MemoryStore();
+  store.plan.push('refused', 'refused');
+  const writer = new ProgressWriter(store, 0);
+  for (const itemId of ['a', 'b', 'c']) {
+    writer.write({batchId: 'b', itemId, events: []});
+    await sleep(50);
+  }
+  await waitFor(() => store.open(PROGRESS_TOPIC, 0).length === 3);
+  const records = store.open(PROGRESS_TOPIC, 0).map(decodeProgressRecord);
+  t.deepEqual(
+    records.map(({itemId}) => itemId),
+    ['a', 'b', 'c'],
+  );
+});
+
 // The log refuses every append once it holds as much as it may in all.
 // 1. Items run for minutes, and their output is written down twice a second.
 // 2. Nobody trims what no successor would go on from.
--- a/packages/daemon/src/gateway/batches/record_writer.ts
+++ b/packages/daemon/src/gateway/batches/record_writer.ts
@@ -29,25 +29,39 @@
 /** Records that wait may take this much memory, bytes; the oldest are the ones a trainer waits for, so newer are dropped and their items run again. */
 const MAX_WAITING_BYTES = 16 * 1024 * 1024;
 
+/** Groups of results of one partition under way at once: one whose answer is lost must not hold up those behind it. Their order is of no matter. */
+const MAX_RESULT_WRITES = 4;
 /** Progress stays this long, ms: the text of an item that runs for longer is made again by a successor. */
 const KEEP_PROGRESS_MS = 60_000;
 
-/** A queue of what is to stand in the log, written in order and a few at a time. */
+/** Where a writer's records go, and how. */
+interface WriterTerms {
+  readonly partition: number;
+  /** Is trimmed of what is older than `keepMs`. */
+  readonly topic: string;
+  readonly keepMs: number;
+  /** Groups of records that may be under way at once; 1 keeps their order. */
+  readonly maxWrites: number;
+}
+
+/** A queue of what is to stand in the log, written a few at a time. */
 abstract class GatheringWriter<T> {
   private waiting: T[] = [];
   private waitingBytes = 0;
-  private isWriting = false;
+  private isGathering = false;
+  private writes = 0;
   private isStopped = false;
   private readonly marks: TrimMarks;
 
-  /** @param topic Is trimmed of what is older than `keepMs`. */
   constructor(
     protected readonly store: LogStore,
-    protected readonly partition: number,
-    private readonly topic: string,
-    keepMs: number,
+    private readonly terms: WriterTerms,
   ) {
-    this.marks = new TrimMarks(keepMs);
+    this.marks = new TrimMarks(terms.keepMs);
+  }
+
+  protected get partition(): number {
+    return this.terms.partition;
   }
 
   /** Appends all of `entries`; false where that is to be tried again. */
@@ -62,7 +76,7 @@
     if (this.waitingBytes + bytes > MAX_WAITING_BYTES) return false;
     this.waiting.push(entry);
     this.waitingBytes += bytes;
-    if (!this.isWriting) void this.run();
+    this.writeSoon();
     return true;
   }
 
@@ -70,7 +84,7 @@
   protected noteAppended(offset: number): void {
     const before = this.marks.note(offset, performance.now());
     if (before === undefined) return;
-    void this.store.trim(this.topic, this.partition, before);
+    void this.store.trim(this.terms.topic, this.partition, before);
   }
 
   /** Drops what waits and is not on its way. */
@@ -79,16 +93,24 @@
     this.waiting = [];
   }
 
-  private async run(): Promise<void> {
-    this.isWriting = true;
-    while (this.waiting.length > 0 && !this.isStopped) {
-      await sleep(GATHER_MS);
-      const entries = this.takeSome();
-      while (!this.isStopped && !(await this.append(entries))) {
-        await sleep(RETRY_MS);
-      }
+  private writeSoon(): void {
+    const isFull = this.writes >= this.terms.maxWrites;
+    if (this.isGathering || isFull || this.waiting.length === 0) return;
+    void this.gather();
+  }
+
+  private async gather(): Promise<void> {
+    this.isGathering = true;
+    await sleep(GATHER_MS);
+    this.isGathering = false;
+    this.writes += 1;
+    const entries = this.takeSome();
+    this.writeSoon();
+    while (!this.isStopped && !(await this.append(entries))) {
+      await sleep(RETRY_MS);
     }
-    this.isWriting = false;
+    this.writes -= 1;
+    this.writeSoon();
   }
 
   private takeSome(): readonly T[] {
@@ -109,7 +131,8 @@
 /** Writes the output of items that run. */
 export class ProgressWriter extends GatheringWriter<Uint8Array> {
   constructor(store: LogStore, partition: number) {
-    super(store, partition, PROGRESS_TOPIC, KEEP_PROGRESS_MS);
+    const topic = PROGRESS_TOPIC;
+    super(store, {partition, topic, keepMs: KEEP_PROGRESS_MS, maxWrites: 1});
   }
 
   /** Queues `record`; false where too much waits already. */
@@ -140,22 +163,22 @@
   readonly bytes: number;
 }
 
-interface StoredTexts {
-  readonly entries: readonly WaitingRecord[];
-  readonly refs: readonly PayloadRef[];
-}
-
 /**
  * Writes what becomes of items into the index. The texts go first: a reader who
  * finds a result in the index finds its text too.
  */
 export class IndexWriter extends GatheringWriter<WaitingRecord> {
   private readonly payloads: PayloadLog;
-  /** Texts that stand, of the entries that are on their way. */
-  private stored: StoredTexts | undefined;
+  /** Where texts of entries stand that are on their way. */
+  private readonly stored = new WeakMap<
+    readonly WaitingRecord[],
+    readonly PayloadRef[]
+  >();
 
   constructor(store: LogStore, partition: number) {
-    super(store, partition, PAYLOAD_TOPIC, KEEP_BATCH_MS);
+    const topic = PAYLOAD_TOPIC;
+    const maxWrites = MAX_RESULT_WRITES;
+    super(store, {partition, topic, keepMs: KEEP_BATCH_MS, maxWrites});
     this.payloads = new PayloadLog(store);
   }
 
@@ -200,11 +223,12 @@
   private async storeTexts(
     entries: readonly WaitingRecord[],
   ): Promise<readonly PayloadRef[] | undefined> {
-    if (this.stored?.entries === entries) return this.stored.refs;
+    const known = this.stored.get(entries);
+    if (known) return known;
     const texts = entries.map(({text}) => text);
     const outcome = await this.payloads.append(this.partition, texts);
     if (outcome.kind === 'failed') return undefined;
-    this.stored = {entries, refs: outcome.refs};
+    this.stored.set(entries, outcome.refs);
     const [first] = outcome.refs.flat();
     if (first) this.noteAppended(first.offset);
     return outcome.refs;
