--- a/tools/play_regressions.sh
+++ b/tools/play_regressions.sh
@@ -1,15 +1,17 @@
 #!/usr/bin/env bash
 # Plays the days of deploy/regressions.txt again and prints one line a day.
 # Usage: tools/play_regressions.sh FLEETBENCH SITES_FOLDER OUTPUT_FOLDER [JOBS]
+# Site files may stand one folder deeper.
 set -euo pipefail
 bench=$1 sites=$2 out=$3 jobs=${4:-4}
 mkdir -p "$out"
 cd "$(dirname "$0")/.."
 play() {
-  local site=$4 day=$5 seed=$6 file args=()
+  local site=$4 day=$5 seed=$6 file site_file args=()
+  site_file=$(find "$2" -maxdepth 2 -name "$site.toml" -print -quit)
   file="$3/$site-$day-$seed.txt"
   [ "$seed" = - ] || args=(--seed "$seed" --no-cpu)
-  "$1" run "$2/$site.toml" "$day" "${args[@]}" --jobs 1 --why "regression $site $day $seed" >"$file" 2>&1 || true
+  "$1" run "$site_file" "$day" "${args[@]}" --jobs 1 --why "regression $site $day $seed" >"$file" 2>&1 || true
   echo "$site $(grep -m1 "^$day " "$file" || tail -1 "$file")"
 }
 export -f play
