feat(core,daemon,platform): client accounts: whose request it is

Cause: nothing in the code knew an account. A caller's key went on to endpoints as an ordinary header, no account was named, and a key that was removed or never issued was served like any other.

Change: accounts with keys and priority are part of a configuration; core/accounts decides by rule, key and what the VM knows whether a request is admitted and as whose. Keys end at the VM: not passed on, logged (a fingerprint of eight digits stands for one) or shown in metrics. The account goes on, always ours, also for items, whose batch keeps it in its record (a record without one still reads). A batch of another account is not there for a caller. Before a refusal for good (401, 404) the VM reads the log to its end, once for all requests that wait; where that fails it answers 503 with a true "not run".

Ruled out: refusing by the time since the log was last heard. A key may be new by less than that, and 401 is final for a caller.

--- /dev/null
+++ b/packages/core/src/accounts/__tests__/account_directory.spec.ts
@@ -0,0 +1,105 @@
+import test from 'ava';
+import fc from 'fast-check';
+import {AccountDirectory, isOwner} from '../account_directory.js';
+import type {ClientAccount, Knowledge} from '../client_account.js';
+
+const ACCOUNTS: readonly ClientAccount[] = [
+  {name: 'alpha', keys: ['key-a1', 'key-a2']},
+  {name: 'beta', keys: ['key-b1'], priority: 0},
+];
+
+function admit(
+  key: string | undefined,
+  isPublic: boolean,
+  knowledge: Knowledge,
+  accounts: readonly ClientAccount[] = ACCOUNTS,
+): string {
+  return describe(new AccountDirectory(accounts), key, isPublic, knowledge);
+}
+
+function describe(
+  directory: AccountDirectory,
+  key: string | undefined,
+  isPublic: boolean,
+  knowledge: Knowledge,
+): string {
+  const admission = directory.admit({key, isPublic, knowledge});
+  if (admission.kind !== 'admitted') return admission.kind;
+  const {caller} = admission;
+  return caller.kind === 'account' ? caller.name : caller.kind;
+}
+
+test('any key of an account names it', t => {
+  t.is(admit('key-a1', false, 'current'), 'alpha');
+  t.is(admit('key-a2', false, 'current'), 'alpha');
+  t.is(admit('key-b1', false, 'current'), 'beta');
+});
+
+test('a configuration without accounts asks for no key', t => {
+  const none = new AccountDirectory(undefined);
+  t.is(describe(none, undefined, false, 'current'), 'unchecked');
+  t.is(describe(none, 'key-a1', false, 'expired'), 'unchecked');
+});
+
+test('a configuration with an empty list of accounts admits no key', t => {
+  t.is(admit('key-a1', false, 'current', []), 'refused');
+});
+
+test('guards against a request that runs without an account', t => {
+  t.is(admit(undefined, false, 'current'), 'refused');
+  t.is(admit('', false, 'current'), 'refused');
+  t.is(admit('key-a', false, 'current'), 'refused');
+  t.is(admit('__proto__', false, 'current'), 'refused');
+});
+
+test('a public rule asks for no key, and a key that is known names its account', t => {
+  t.is(admit(undefined, true, 'current'), 'anonymous');
+  t.is(admit('nobody', true, 'behind'), 'anonymous');
+  t.is(admit('key-b1', true, 'current'), 'beta');
+});
+
+test('guards against a final refusal by a VM that is behind', t => {
+  t.is(admit('key-new', false, 'behind'), 'uncertain');
+  t.is(admit(undefined, false, 'behind'), 'uncertain');
+  t.is(admit('key-a1', false, 'behind'), 'alpha');
+});
+
+test('guards against a key that is served long after it may have been taken away', t => {
+  t.is(admit('key-a1', false, 'expired'), 'uncertain');
+  t.is(admit('key-new', false, 'expired'), 'uncertain');
+  t.is(admit(undefined, true, 'expired'), 'anonymous');
+});
+
+test('guards against an account that reads the batches of another', t => {
+  t.true(isOwner({kind: 'account', name: 'alpha'}, 'alpha'));
+  t.false(isOwner({kind: 'account', name: 'beta'}, 'alpha'));
+  t.false(isOwner({kind: 'anonymous'}, 'alpha'));
+});
+
+test('a batch that nobody owns is open to all, and so is any without accounts', t => {
+  t.true(isOwner({kind: 'anonymous'}, undefined));
+  t.true(isOwner({kind: 'account', name: 'beta'}, undefined));
+  t.true(isOwner({kind: 'unchecked'}, 'alpha'));
+});
+
+test('work goes on in the name of the account that it was accepted for', t => {
+  const directory = new AccountDirectory(ACCOUNTS);
+  t.deepEqual(directory.describeOwner('gone'), {kind: 'account', name: 'gone'});
+  t.deepEqual(directory.describeOwner(undefined), {kind: 'anonymous'});
+  const none = new AccountDirectory(undefined);
+  t.deepEqual(none.describeOwner(undefined), {kind: 'unchecked'});
+});
+
+test('only a key of the newest list is admitted, however lists follow each other', t => {
+  const key = fc.constantFrom('k0', 'k1', 'k2', 'k3', 'k4');
+  const list = fc.uniqueArray(key, {maxLength: 5});
+  fc.assert(
+    fc.property(fc.array(list, {minLength: 1}), key, (versions, asked) => {
+      const newest = versions.at(-1)!;
+      const accounts = newest.map(each => ({name: `of ${each}`, keys: [each]}));
+      const expected = newest.includes(asked) ? `of ${asked}` : 'refused';
+      t.is(admit(asked, false, 'current', accounts), expected);
+    }),
+    {seed: 7, numRuns: 300},
+  );
+});
--- a/packages/core/src/batches/batch_record.ts
+++ b/packages/core/src/batches/batch_record.ts
@@ -39,6 +39,8 @@
   /** Host and path it was submitted under: they select its route. */
   readonly host: string;
   readonly path: string;
+  /** Client account it was accepted for; absent where its rule is public or there are no accounts. */
+  readonly account?: string;
   readonly step: number;
   readonly model: string;
   /** Oldest weight version that may generate its tokens. */
--- a/packages/core/src/routing/route_table.ts
+++ b/packages/core/src/routing/route_table.ts
@@ -3,6 +3,9 @@
  * the first match decides, so an answer can name the one rule that caused it.
  */
 
+import {AccountDirectory} from '../accounts/account_directory.js';
+import type {ClientAccount} from '../accounts/client_account.js';
+
 /** What may be done with a request when the outcome of an attempt is unknown. */
 export type RequestKind =
   | 'idempotent'
@@ -47,6 +50,8 @@
   readonly objectiveMs: number;
   /** 0 is the most urgent. */
   readonly priority: number;
+  /** Whether its requests need no key of an account; without it they do. */
+  readonly isPublic?: boolean;
   /** Present where `kind` is `batch`. */
   readonly batch?: BatchTerms;
 }
@@ -85,14 +90,18 @@
   readonly routes: readonly Route[];
   readonly services: readonly ServiceSpec[];
   readonly limits: CallerLimits;
+  /** Who may send requests; without a list nobody is asked for a key. */
+  readonly accounts?: readonly ClientAccount[];
 }
 
 /** The routes of one configuration made ready for look-ups. */
 export class RouteTable {
   private readonly byHost = new Map<string, Map<string, Route>>();
   private readonly services = new Map<string, ServiceSpec>();
+  readonly accounts: AccountDirectory;
 
   constructor(readonly cfg: Configuration) {
+    this.accounts = new AccountDirectory(cfg.accounts);
     for (const route of cfg.routes) this.add(route);
     for (const service of cfg.services)
       this.services.set(service.name, service);
--- a/packages/daemon/src/gateway/__tests__/gateway.spec.ts
+++ b/packages/daemon/src/gateway/__tests__/gateway.spec.ts
@@ -26,6 +26,7 @@
 class NoCallers extends CallerProtocol {
   decodeCall = () => fail(createError('bad_request'));
   readAttempt = () => ({id: undefined, deadlineMs: undefined});
+  readKey = () => undefined;
   decodeBatch = () => fail(createError('bad_request'));
   encodePage = () => new Uint8Array();
   answerHeaders = () => ({});
--- a/packages/daemon/src/gateway/batches/__tests__/batch_api.spec.ts
+++ b/packages/daemon/src/gateway/batches/__tests__/batch_api.spec.ts
@@ -1,6 +1,7 @@
 import http from 'node:http';
 import type {AddressInfo} from 'node:net';
 import test, {type ExecutionContext} from 'ava';
+import type {Caller} from '@radishyoke/core/accounts/client_account';
 import type {Batch} from '@radishyoke/core/batches/batch_record';
 import {type Result, succeed} from '@radishyoke/shared/result';
 import type {Route} from '@radishyoke/core/routing/route_table';
@@ -32,8 +33,14 @@
     return {id: headers['id'] as string | undefined, deadlineMs: undefined};
   }
 
+  readKey(headers: http.IncomingHttpHeaders): string | undefined {
+    return headers['account'] as string | undefined;
+  }
+
   decodeBatch(_body: Uint8Array, submission: Submission): Result<Batch> {
-    return succeed(createBatch(submission.attemptId, []));
+    const {attemptId, account} = submission;
+    const batch = createBatch(attemptId, []);
+    return succeed(account === undefined ? batch : {...batch, account});
   }
 
   encodePage(page: ResultPage): Uint8Array {
@@ -75,21 +82,31 @@
   };
   const api = new BatchApi(parts);
   const server = http.createServer((req, res) => {
+    const name = protocol.readKey(req.headers);
+    const caller: Caller =
+      name === undefined ? {kind: 'unchecked'} : {kind: 'account', name};
     if (req.method === 'POST') {
-      void api.submit(ROUTE, 'h', '/r/', Buffer.from(''), req, res);
+      const body = Buffer.from('');
+      const post = {route: ROUTE, caller, host: 'h', path: '/r/', body};
+      void api.submit(post, req, res);
       return;
     }
     const call = protocol.decodeCall(req.method ?? '', req.url ?? '');
     if (call.ok && call.value.kind !== 'request')
-      void api.answer(call.value, res);
+      void api.answer(call.value, caller, res);
   });
   await new Promise<void>(resolve =>
     server.listen(0, '127.0.0.1', () => resolve()),
   );
   t.teardown(() => server.close());
   const {port} = server.address() as AddressInfo;
-  return async (method: string, path: string): Promise<Response> => {
-    const headers = {id: 'b1', connection: 'close'};
+  return async (
+    method: string,
+    path: string,
+    account?: string,
+  ): Promise<Response> => {
+    const headers = new Headers({id: 'b1', connection: 'close'});
+    if (account !== undefined) headers.set('account', account);
     return fetch(`http://127.0.0.1:${port}${path}`, {method, headers});
   };
 }
@@ -104,6 +121,18 @@
   t.is((await call('GET', '/b2')).status, 404);
 });
 
+test('guards against an account that finds, ends or takes over the batch of another', async t => {
+  const store = new MemoryStore();
+  const call = await startApi(t, store);
+  t.is((await call('POST', '/r/', 'alpha')).status, 202);
+  t.is((await call('GET', '/b1', 'beta')).status, 404);
+  t.is((await call('DELETE', '/b1', 'beta')).status, 404);
+  t.is((await call('POST', '/r/', 'beta')).status, 409);
+  t.is((await call('GET', '/b1', 'alpha')).status, 200);
+  t.is((await call('POST', '/r/', 'alpha')).status, 202);
+  t.is(store.list(INDEX_TOPIC).length, 1);
+});
+
 test('a batch is ended once, however often it is asked', async t => {
   const store = new MemoryStore();
   const call = await startApi(t, store);
--- a/packages/daemon/src/gateway/batches/__tests__/generation.spec.ts
+++ b/packages/daemon/src/gateway/batches/__tests__/generation.spec.ts
@@ -104,7 +104,12 @@
         new PlainProtocol(),
         server.entry,
         ITEM,
-        {endpointId: 'e1', host: 'h', deadlineMs: 1000},
+        {
+          endpointId: 'e1',
+          host: 'h',
+          deadlineMs: 1000,
+          caller: {kind: 'unchecked'},
+        },
         {
           onEvent: ({id, data, version}) =>
             seen.push(`${id}:${data}@${version}`),
--- a/packages/daemon/src/gateway/batches/batch_api.ts
+++ b/packages/daemon/src/gateway/batches/batch_api.ts
@@ -8,6 +8,8 @@
   isComplete,
 } from '@radishyoke/core/batches/batch_index';
 import type {Batch, IndexRecord} from '@radishyoke/core/batches/batch_record';
+import {isOwner} from '@radishyoke/core/accounts/account_directory';
+import type {Caller} from '@radishyoke/core/accounts/client_account';
 import type {Route} from '@radishyoke/core/routing/route_table';
 import {createError, type RadishyokeError} from '@radishyoke/shared/error_kind';
 import {fail, type Result, succeed} from '@radishyoke/shared/result';
@@ -44,6 +46,15 @@
 /** Submissions that are decoded and stored at once on one VM; each holds its body several times over. */
 const MAX_SUBMISSIONS = 16;
 
+/** A batch as it was posted. */
+export interface BatchPost {
+  readonly route: Route;
+  readonly caller: Caller;
+  readonly host: string;
+  readonly path: string;
+  readonly body: Buffer;
+}
+
 export class BatchApi {
   private submissions = 0;
   private readonly payloads: PayloadLog;
@@ -52,16 +63,14 @@
     this.payloads = new PayloadLog(parts.store);
   }
 
-  /** Takes a batch that was posted under `route`. */
+  /** Takes a batch that was posted under a route. */
   async submit(
-    route: Route,
-    host: string,
-    path: string,
-    body: Buffer,
+    post: BatchPost,
     req: http.IncomingMessage,
     res: http.ServerResponse,
   ): Promise<void> {
     const {protocol} = this.parts;
+    const {route} = post;
     const attemptId = protocol.readAttempt(req.headers).id;
     if (attemptId === undefined) {
       const error = createError('bad_request', 'the batch has no id');
@@ -75,16 +84,17 @@
     }
     this.submissions += 1;
     try {
-      const error = await this.store(route, attemptId, host, path, body);
+      const error = await this.store(post, attemptId);
       this.finish(res, 'submit', attemptId, route, error);
     } finally {
       this.submissions -= 1;
     }
   }
 
-  /** Answers a call about a batch. */
+  /** Answers a call about a batch; for a caller of another account it is not there. */
   async answer(
     call: Exclude<CallerCall, {kind: 'request'}>,
+    caller: Caller,
     res: http.ServerResponse,
   ): Promise<void> {
     const book = this.parts.shelf.locate(call.batchId);
@@ -92,8 +102,11 @@
     if (synced.kind === 'failed')
       return this.refuseRead(res, call, synced.error);
     const entry = book.index.get(call.batchId);
-    if (!entry) {
-      const error = createError('not_found', 'there is no such batch');
+    if (!entry || !isOwner(caller, entry.header.account)) {
+      const isKeyless = entry && caller.kind === 'anonymous';
+      const error = isKeyless
+        ? createError('unauthorized')
+        : createError('not_found', 'there is no such batch');
       return this.refuseRead(res, call, error);
     }
     switch (call.kind) {
@@ -107,24 +120,32 @@
   }
 
   private async store(
-    route: Route,
+    {route, caller, host, path, body}: BatchPost,
     attemptId: string,
-    host: string,
-    path: string,
-    body: Buffer,
   ): Promise<RadishyokeError | undefined> {
     const {protocol, shelf, logger} = this.parts;
-    const atMs = Date.now();
-    const batch = protocol.decodeBatch(body, {attemptId, host, path, atMs});
+    const account = caller.kind === 'account' ? caller.name : undefined;
+    const batch = protocol.decodeBatch(body, {
+      attemptId,
+      host,
+      path,
+      account,
+      atMs: Date.now(),
+    });
     if (!batch.ok) return batch.error;
     const book = shelf.locate(attemptId);
-    if (book.index.get(attemptId)) return undefined;
+    const known = book.index.get(attemptId);
+    if (known && !isOwner(caller, known.header.account)) {
+      return createError('duplicate_request', 'the id is taken');
+    }
+    if (known) return undefined;
     const accepted = await this.accept(book, batch.value);
     if (!accepted.ok) return accepted.error;
     logger.log('info', 'batch accepted', {
       requestId: attemptId,
       rule: route.name,
       configVersion: this.parts.config.version,
+      account,
       step: batch.value.step,
       model: batch.value.model,
       minVersion: batch.value.minVersion,
--- a/packages/daemon/src/gateway/batches/batch_runner.ts
+++ b/packages/daemon/src/gateway/batches/batch_runner.ts
@@ -380,6 +380,7 @@
         endpointId: entry.id,
         host: job.batch.batch.host,
         deadlineMs,
+        caller: this.parts.config.describeOwner(job.batch.batch.account),
         ...(lastEventId === undefined ? {} : {lastEventId}),
         ...(expectVersion === undefined ? {} : {expectVersion}),
       },
--- a/packages/daemon/src/gateway/batches/reward_task.ts
+++ b/packages/daemon/src/gateway/batches/reward_task.ts
@@ -125,6 +125,7 @@
     const headers = this.parts.protocol.rewardHeaders(reward, {
       endpointId: entry.id,
       deadlineMs: Math.max(Math.floor(timeoutMs - RETURN_MS), 1),
+      caller: this.parts.config.describeOwner(job.batch.batch.account),
     });
     const outcome = await exchange.run({
       method: 'POST',
--- a/packages/daemon/src/gateway/endpoints/endpoint_protocol.ts
+++ b/packages/daemon/src/gateway/endpoints/endpoint_protocol.ts
@@ -4,6 +4,7 @@
  */
 
 import type {IncomingHttpHeaders, OutgoingHttpHeaders} from 'node:http';
+import type {Caller} from '@radishyoke/core/accounts/client_account';
 import type {
   BatchItem,
   RewardRequest,
@@ -17,6 +18,8 @@
   readonly endpointId: string;
   /** Time that the endpoint may take, ms. */
   readonly deadlineMs: number;
+  /** In whose name; endpoints are told the account, and never a key. */
+  readonly caller: Caller;
   /** The last event that is known; the endpoint goes on after it. */
   readonly lastEventId?: number;
 }
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -50,6 +50,8 @@
   readonly graceMs: number;
   /** Added to the silence after which this VM claims the lease, ms. */
   readonly patienceMs: number;
+  /** A key is served at most so long after it was last known to hold, ms; without a bound where undefined. */
+  readonly maxKeyAgeMs?: number;
 }
 
 export interface GatewayParts {
@@ -110,7 +112,7 @@
     const store = new MeteredStore(parts.store, this.metrics);
     this.store = store;
     this.rosterLog = new RosterLog(logger);
-    this.config = new ConfigHolder(logger);
+    this.config = new ConfigHolder(logger, cfg.maxKeyAgeMs);
     this.shelf = new BatchShelf(store, logger);
     this.lease = new LeaseTask(
       store,
@@ -153,10 +155,14 @@
       res.writeHead(200, {'Content-Type': 'text/plain'});
       res.end(this.metrics.render());
     });
+    const configFeed = this.createFeed(
+      directory.configTopic,
+      CONFIG_GATHER_MS,
+      record => this.takeConfigRecord(record),
+    );
+    this.config.attach(configFeed);
     this.feeds = [
-      this.createFeed(directory.configTopic, CONFIG_GATHER_MS, record =>
-        this.takeConfigRecord(record),
-      ),
+      configFeed,
       this.createFeed(
         directory.endpointTopic,
         ROSTER_GATHER_MS,
--- a/packages/daemon/src/gateway/gateway_metrics.ts
+++ b/packages/daemon/src/gateway/gateway_metrics.ts
@@ -13,6 +13,7 @@
 /** What is counted by outcome and timed, with the name of its label. */
 const FAMILIES = {
   requests: {label: 'route', latency: 'latency_ms'},
+  accounts: {label: 'account', latency: 'account_latency_ms'},
   store_calls: {label: 'call', latency: 'store_call_ms'},
 } as const;
 
--- a/packages/daemon/src/gateway/requests/__tests__/stream_call.spec.ts
+++ b/packages/daemon/src/gateway/requests/__tests__/stream_call.spec.ts
@@ -82,6 +82,7 @@
         headers: req.headers,
         body: Buffer.from('ask'),
         attemptId: 'a1',
+        caller: {kind: 'unchecked'},
         route: {...ROUTE, ...extra},
         configVersion: 1,
         deadlineMs: performance.now() + 4000,
--- a/packages/daemon/src/gateway/requests/caller_protocol.ts
+++ b/packages/daemon/src/gateway/requests/caller_protocol.ts
@@ -48,6 +48,8 @@
   readonly attemptId: string;
   readonly host: string;
   readonly path: string;
+  /** Client account of the submitter, if it has one. */
+  readonly account: string | undefined;
   readonly atMs: number;
 }
 
@@ -60,6 +62,9 @@
 
   abstract readAttempt(headers: IncomingHttpHeaders): CallerAttempt;
 
+  /** The secret by which a caller's account is known. It must not be logged or passed on. */
+  abstract readKey(headers: IncomingHttpHeaders): string | undefined;
+
   abstract decodeBatch(body: Uint8Array, submission: Submission): Result<Batch>;
 
   abstract encodePage(page: ResultPage): Uint8Array;
--- a/packages/daemon/src/gateway/requests/forward_request.ts
+++ b/packages/daemon/src/gateway/requests/forward_request.ts
@@ -1,6 +1,7 @@
 /** A caller's request on its way to endpoints, and what it needs there. */
 
 import type {IncomingHttpHeaders} from 'node:http';
+import type {Caller} from '@radishyoke/core/accounts/client_account';
 import type {EndpointRoster} from '@radishyoke/core/fleet/endpoint_roster';
 import type {Route} from '@radishyoke/core/routing/route_table';
 import type {EventLogger} from '../../logger.js';
@@ -15,6 +16,7 @@
   readonly headers: IncomingHttpHeaders;
   readonly body: Buffer;
   readonly attemptId: string | undefined;
+  readonly caller: Caller;
   readonly route: Route;
   readonly configVersion: number;
   /** Steady ms at which the caller must have its answer. */
--- a/packages/daemon/src/gateway/requests/forwarder.ts
+++ b/packages/daemon/src/gateway/requests/forwarder.ts
@@ -118,13 +118,14 @@
     this.ran += 1;
     view.noteStart(entry);
     const startedMs = performance.now();
-    const {method, path, headers, body, attemptId} = this.req;
+    const {method, path, headers, body, attemptId, caller} = this.req;
     const outcome = await exchange.run({
       method,
       path,
       headers: protocol.forwardHeaders(headers, {
         endpointId: entry.id,
         deadlineMs,
+        caller,
       }),
       body,
       attemptId,
--- a/packages/daemon/src/gateway/requests/front_server.ts
+++ b/packages/daemon/src/gateway/requests/front_server.ts
@@ -8,10 +8,13 @@
 import {createError, type RadishyokeError} from '@radishyoke/shared/error_kind';
 import {listenAt} from '@radishyoke/wire/listen';
 import {readBody} from '@radishyoke/wire/request_body';
+import {fail, type Result, succeed} from '@radishyoke/shared/result';
+import type {Caller} from '@radishyoke/core/accounts/client_account';
 import type {EventLogger} from '../../logger.js';
 import type {BatchApi} from '../batches/batch_api.js';
 import {answerError, copyHeaders} from './caller_answer.js';
 import type {CallerProtocol} from './caller_protocol.js';
+import {describeKey} from './key_fingerprint.js';
 import type {ConfigHolder} from '../store/config_holder.js';
 import type {EndpointAnswer} from '../endpoints/endpoint_exchange.js';
 import type {ForwardRequest} from './forward_request.js';
@@ -28,6 +31,14 @@
   readonly logger: EventLogger;
 }
 
+/** A request with the rule that decides it and the caller whose it is. */
+interface MatchedRequest {
+  readonly route: Route;
+  readonly caller: Caller;
+}
+
+/** When to come back to a VM that can not tell whether it knows the newest configuration, ms; another one may. */
+const NOT_CURRENT_RETRY_MS = 150;
 /** Limits until the operator's are known. */
 const DEFAULT_MAX_HEADER_BYTES = 64 * 1024;
 /** Bodies that are held at once over all requests, bytes: an eighth of the smallest VM's memory. */
@@ -129,32 +140,72 @@
     }
     if (call.value.kind !== 'request') {
       req.resume();
-      return batches.answer(call.value, res);
+      // What was submitted by a public rule needs no key later either; whose
+      // batch it is, the batch itself tells.
+      const isOpen = protocol.readKey(req.headers) === undefined;
+      const admitted = await this.admit(req, isOpen);
+      if (!admitted.ok) return this.refuse(req, res, admitted.error);
+      return batches.answer(call.value, admitted.value, res);
     }
-    const {table} = config;
-    if (!table) {
+    const host = canonicalHost(req.headers.host ?? '');
+    const route = await this.findRoute(host, path);
+    if (!route.ok) {
       req.resume();
-      return this.refuse(req, res, createError('not_current'));
+      return this.refuse(req, res, route.error);
     }
-    const host = canonicalHost(req.headers.host ?? '');
-    const route = table.match(host, path);
-    if (!route) {
+    const caller = await this.admit(req, route.value.isPublic ?? false);
+    if (!caller.ok) {
       req.resume();
-      return this.refuse(req, res, createError('not_found'));
+      return this.refuse(req, res, caller.error);
     }
-    const body = await this.takeBody(req, res, table.cfg.limits.maxBodyBytes);
+    const {maxBodyBytes} = config.table!.cfg.limits;
+    const body = await this.takeBody(req, res, maxBodyBytes);
     if (!body) return;
+    const matched = {route: route.value, caller: caller.value};
     try {
-      if (route.kind === 'batch') {
-        await batches.submit(route, host, path, body, req, res);
+      if (matched.route.kind === 'batch') {
+        await batches.submit({...matched, host, path, body}, req, res);
         return;
       }
-      await this.forward(req, res, route, body, receivedMs);
+      await this.forward(req, res, matched, body, receivedMs);
     } finally {
       this.heldBytes -= body.length;
     }
   }
 
+  /** The rule that decides; that there is none is said only by a VM that has read the newest configuration. */
+  private async findRoute(host: string, path: string): Promise<Result<Route>> {
+    const {config} = this.parts;
+    const known = config.table?.match(host, path);
+    if (known) return succeed(known);
+    if (!config.table || !(await config.isComplete())) {
+      return fail(createError('not_current'));
+    }
+    const route = config.table.match(host, path);
+    return route ? succeed(route) : fail(createError('not_found'));
+  }
+
+  private async admit(
+    req: http.IncomingMessage,
+    isPublic: boolean,
+  ): Promise<Result<Caller>> {
+    const {protocol, config} = this.parts;
+    const key = protocol.readKey(req.headers);
+    const admission = await config.admit(key, isPublic);
+    switch (admission.kind) {
+      case 'admitted':
+        return succeed(admission.caller);
+      case 'refused':
+        return fail(createError('unauthorized'));
+      case 'uncertain':
+        return fail(
+          createError('not_current', undefined, {
+            retryAfterMs: NOT_CURRENT_RETRY_MS,
+          }),
+        );
+    }
+  }
+
   private async takeBody(
     req: http.IncomingMessage,
     res: http.ServerResponse,
@@ -182,7 +233,7 @@
   private async forward(
     req: http.IncomingMessage,
     res: http.ServerResponse,
-    route: Route,
+    {route, caller}: MatchedRequest,
     body: Buffer,
     receivedMs: number,
   ): Promise<void> {
@@ -199,6 +250,7 @@
       headers: req.headers,
       body,
       attemptId: attempt.id,
+      caller,
       route,
       configVersion: config.version,
       deadlineMs: receivedMs + timeoutMs - ANSWER_MS,
@@ -209,10 +261,10 @@
         : await this.exchange(forwarded, res);
     const tookMs = performance.now() - receivedMs;
     if (outcome.kind === 'whole') {
-      return this.report(route, attempt.id, 'whole', tookMs);
+      return this.report(forwarded, 'whole', tookMs);
     }
     if (res.destroyed) return;
-    this.report(route, attempt.id, describeOutcome(outcome), tookMs);
+    this.report(forwarded, describeOutcome(outcome), tookMs);
     if (outcome.kind === 'answered') this.passOn(res, outcome.answer);
     else this.sendError(res, outcome.error);
   }
@@ -253,6 +305,7 @@
       configVersion: this.parts.config.version,
       host: req.headers.host,
       path: req.url,
+      key: describeKey(this.parts.protocol.readKey(req.headers)),
       outcome: error.kind,
     });
     this.sendError(res, error);
@@ -263,17 +316,21 @@
   }
 
   private report(
-    route: Route,
-    requestId: string | undefined,
+    {route, caller, attemptId, configVersion}: ForwardRequest,
     result: string,
     tookMs: number,
   ): void {
-    const {metrics, logger, config} = this.parts;
+    const {metrics, logger} = this.parts;
+    const account = caller.kind === 'account' ? caller.name : undefined;
     metrics.noteResult('requests', route.name, result, tookMs);
+    if (account !== undefined) {
+      metrics.noteResult('accounts', account, result, tookMs);
+    }
     logger.log('info', 'request', {
-      requestId,
+      requestId: attemptId,
       rule: route.name,
-      configVersion: config.version,
+      account,
+      configVersion,
       outcome: result,
       tookMs: Math.round(tookMs),
     });
--- a/packages/daemon/src/gateway/requests/stream_call.ts
+++ b/packages/daemon/src/gateway/requests/stream_call.ts
@@ -128,7 +128,7 @@
 
   private async attempt(entry: EndpointEntry): Promise<StreamOutcome> {
     const {links, view, protocol} = this.parts;
-    const {method, path, headers, body, attemptId} = this.req;
+    const {method, path, headers, body, attemptId, caller} = this.req;
     this.tried.add(entry.id);
     this.ran += 1;
     view.noteStart(entry);
@@ -141,6 +141,7 @@
       headers: protocol.forwardHeaders(headers, {
         endpointId: entry.id,
         deadlineMs: Math.max(Math.floor(this.measureLeftMs() - RETURN_MS), 1),
+        caller,
         ...(lastEventId === undefined ? {} : {lastEventId}),
       }),
       body,
--- a/packages/daemon/src/gateway/store/__tests__/keyed_feed.spec.ts
+++ b/packages/daemon/src/gateway/store/__tests__/keyed_feed.spec.ts
@@ -6,27 +6,33 @@
 import type {KeyedReadOutcome} from '../log_store.js';
 import {createKeyed, MemoryStore} from '../../__tests__/gateway_fixtures.js';
 
-/** Runs a feed until it has told `last`, and returns all that it told. */
-async function follow(
+/** A feed that tells what it hears as text. */
+function createFeed(
   store: MemoryStore,
-  last: string,
-): Promise<readonly string[]> {
-  const told: string[] = [];
-  const feed = new KeyedFeed(
+  tell: (text: string) => void,
+): KeyedFeed {
+  return new KeyedFeed(
     store,
     {topic: 'keys', waitMs: 10, gatherMs: 0},
     {
       onRecord: ({key, value, offset}) =>
-        told.push(
-          `${key}=${value ? Buffer.from(value).toString() : '-'}@${offset}`,
-        ),
-      onCaughtUp: () => told.push('caught up'),
+        tell(`${key}=${value ? Buffer.from(value).toString() : '-'}@${offset}`),
+      onCaughtUp: () => tell('caught up'),
       onContact: () => undefined,
       onRead: () => undefined,
-      onLost: () => told.push('lost'),
+      onLost: () => tell('lost'),
     },
     silentLogger,
   );
+}
+
+/** Runs a feed until it has told `last`, and returns all that it told. */
+async function follow(
+  store: MemoryStore,
+  last: string,
+): Promise<readonly string[]> {
+  const told: string[] = [];
+  const feed = createFeed(store, text => told.push(text));
   const running = feed.run();
   for (let i = 0; i < 2000 && !told.includes(last); i++) await sleep(5);
   feed.stop();
@@ -82,6 +88,35 @@
   t.true(told.includes('lost'));
 });
 
+test('guards against a removal that is undone by a slower read of what came before it', async t => {
+  const store = new MemoryStore();
+  const feed = createFeed(store, () => undefined);
+  const told: string[] = [];
+  const slow = createFeed(store, text => told.push(text));
+  store.keyedReads.push(
+    createPage([createKeyed('a', 0, 'x'), createKeyed('a', 1)], 2),
+  );
+  t.true(await slow.catchUp());
+  store.keyedReads.push(createPage([createKeyed('a', 0, 'x')], 2));
+  t.true(await slow.catchUp());
+  t.deepEqual(told, ['a=x@0', 'a=-@1']);
+  store.keyedReads.push({
+    kind: 'failed',
+    error: createError('log_unavailable'),
+  });
+  t.false(await feed.catchUp());
+});
+
+test('calls that want to catch up at once share one read', async t => {
+  const store = new MemoryStore();
+  const feed = createFeed(store, () => undefined);
+  store.keyedReads.push(createPage([createKeyed('a', 0, 'x')], 1));
+  t.deepEqual(await Promise.all([feed.catchUp(), feed.catchUp()]), [
+    true,
+    true,
+  ]);
+});
+
 test('a failed read is told and tried again', async t => {
   const store = new MemoryStore();
   store.keyedReads.push(
--- a/packages/daemon/src/gateway/store/config_holder.ts
+++ b/packages/daemon/src/gateway/store/config_holder.ts
@@ -1,16 +1,40 @@
-/** The newest configuration that this VM has seen. */
+/** The newest configuration that this VM has seen, and how far that can be relied on. */
 
+import type {AdmissionQuery} from '@radishyoke/core/accounts/account_directory';
+import type {
+  Admission,
+  Caller,
+  Knowledge,
+} from '@radishyoke/core/accounts/client_account';
 import {
   type Configuration,
   RouteTable,
 } from '@radishyoke/core/routing/route_table';
 import type {EventLogger} from '../../logger.js';
 
+/** How a holder learns whether it has missed a version. */
+export interface ConfigSource {
+  /** Reads all versions there are now; says whether that succeeded. */
+  catchUp(): Promise<boolean>;
+  /** Steady ms since the log last answered. */
+  measureSilenceMs(): number;
+}
+
 export class ConfigHolder {
   private current: RouteTable | undefined;
+  private source: ConfigSource | undefined;
   private readonly listeners: Array<(table: RouteTable) => void> = [];
 
-  constructor(private readonly logger: EventLogger) {}
+  /** @param maxKeyAgeMs A key is served at most so long after it was last known to hold, ms. */
+  constructor(
+    private readonly logger: EventLogger,
+    private readonly maxKeyAgeMs = Infinity,
+  ) {}
+
+  /** Names what keeps this holder up to date; until then it is taken to be. */
+  attach(source: ConfigSource): void {
+    this.source = source;
+  }
 
   get table(): RouteTable | undefined {
     return this.current;
@@ -21,6 +45,44 @@
     return this.current?.cfg.version ?? 0;
   }
 
+  /**
+   * Decides whose request it is, by `key`. A key that is not known may stand in
+   * a version that was not read yet, so the log is asked before a refusal, which
+   * is final for a caller.
+   */
+  async admit(key: string | undefined, isPublic: boolean): Promise<Admission> {
+    if (!this.current) return {kind: 'uncertain'};
+    const first = this.decide({key, isPublic, knowledge: this.measureAge()});
+    if (first.kind !== 'uncertain') return first;
+    const knowledge = await this.confirm();
+    return this.decide({key, isPublic, knowledge});
+  }
+
+  /** Whether what is not in `table` is nowhere: asks the log. */
+  async isComplete(): Promise<boolean> {
+    return (await this.confirm()) === 'current';
+  }
+
+  /** In whose name work goes on that was accepted for the account, if for any. */
+  describeOwner(account: string | undefined): Caller {
+    if (account !== undefined) return {kind: 'account', name: account};
+    return this.current?.accounts.describeOwner(account) ?? {kind: 'unchecked'};
+  }
+
+  private decide(query: AdmissionQuery): Admission {
+    return this.current?.accounts.admit(query) ?? {kind: 'uncertain'};
+  }
+
+  private async confirm(): Promise<Knowledge> {
+    const isRead = (await this.source?.catchUp()) ?? true;
+    return isRead ? 'current' : this.measureAge();
+  }
+
+  private measureAge(): Knowledge {
+    const silentMs = this.source?.measureSilenceMs() ?? 0;
+    return silentMs > this.maxKeyAgeMs ? 'expired' : 'behind';
+  }
+
   onChange(listener: (table: RouteTable) => void): void {
     this.listeners.push(listener);
   }
--- a/packages/daemon/src/gateway/store/keyed_feed.ts
+++ b/packages/daemon/src/gateway/store/keyed_feed.ts
@@ -38,6 +38,8 @@
   private readonly known = new Map<string, number>();
   private readonly abort = new AbortController();
   private isLost = false;
+  private contactMs = -Infinity;
+  private catchingUp: Promise<boolean> | undefined;
 
   constructor(
     private readonly store: LogStore,
@@ -69,6 +71,38 @@
     this.abort.abort();
   }
 
+  /** Reads what there is now beside the feed's own reads; says whether that succeeded. Calls that come meanwhile share one read. */
+  catchUp(): Promise<boolean> {
+    this.catchingUp ??= this.readToEnd().finally(
+      () => (this.catchingUp = undefined),
+    );
+    return this.catchingUp;
+  }
+
+  /** Steady ms since the log last answered. */
+  measureSilenceMs(): number {
+    return performance.now() - this.contactMs;
+  }
+
+  private async readToEnd(): Promise<boolean> {
+    const {signal} = this.abort;
+    for (;;) {
+      const {topic} = this.cfg;
+      const outcome = await this.store.readKeyed(topic, this.next, {
+        waitMs: 0,
+        signal,
+      });
+      // The feed itself starts anew where history is gone.
+      if (outcome.kind !== 'page') return false;
+      this.takeNew(outcome.records);
+      this.noteSuccess();
+      this.events.onRead();
+      if (outcome.records.length === 0 || this.next >= outcome.endOffset) {
+        return true;
+      }
+    }
+  }
+
   private async takeSnapshot(): Promise<FeedStep> {
     const outcome = await this.store.readNewest(this.cfg.topic);
     if (outcome.kind !== 'page') {
@@ -115,11 +149,18 @@
       });
       return 'expired';
     }
-    for (const record of outcome.records) this.take(record);
+    this.takeNew(outcome.records);
     this.events.onRead();
     return outcome.records.length > 0 ? 'news' : 'quiet';
   }
 
+  /** Takes what another read did not bring meanwhile: of two reads at once the later may end first. */
+  private takeNew(records: readonly KeyedRecord[]): void {
+    for (const record of records) {
+      if (record.offset >= this.next) this.take(record);
+    }
+  }
+
   private take(record: KeyedRecord): void {
     this.next = Math.max(this.next, record.offset + 1);
     const known = this.known.get(record.key) ?? -1;
@@ -131,6 +172,7 @@
   }
 
   private noteSuccess(): void {
+    this.contactMs = performance.now();
     if (this.isLost) {
       this.isLost = false;
       this.logger.log('info', 'topic is read again', {topic: this.cfg.topic});
--- a/packages/shared/src/log_event.ts
+++ b/packages/shared/src/log_event.ts
@@ -133,11 +133,17 @@
     readonly outcome: string;
   };
   readonly request: Subject &
-    Decided & {readonly outcome: string; readonly tookMs: number};
+    Decided & {
+      readonly account: string | undefined;
+      readonly outcome: string;
+      readonly tookMs: number;
+    };
   readonly 'request refused': Subject & {
     readonly configVersion: number;
     readonly host: string | undefined;
     readonly path: string | undefined;
+    /** Fingerprint of the key that the caller sent. */
+    readonly key: string | undefined;
     readonly outcome: string;
   };
   readonly 'request failed inside': Subject & {readonly detail: string};
@@ -158,6 +164,7 @@
     };
   readonly 'batch accepted': Subject &
     Decided & {
+      readonly account: string | undefined;
       readonly step: number;
       readonly model: string;
       readonly minVersion: number;
