feat(core,daemon,platform): usage by account and window, told by one VM

Cause: the platform asks for a report of each window of true time: for each account the requests that endpoints began in it, exact where an account has few.

Change: each VM counts a plain request from the moment at which its first endpoint had it, a stream from its first event, and writes the counts to the log: the first at once, more within 500 ms together. The coordinator sums them and decides what a window's report says once, in the log, on the condition that it has read all decisions before; then it is sent, by the coordinator or a successor, always in the same words, until the platform has it. Each call is announced like an order to an engine (core/leases), so a new holder stays away for a lease from what the one before may just have called; a token that was refused is not used again.

Ways weighed: counts at the end of a window (fewer calls; a VM that dies takes up to 5 s of counts with it, and one request in some 50 makes a window wrong), each request at once (as many calls as requests), at once and then gathered (this one): a VM with few requests loses none, one with many makes two calls a second. A window is decided 6 s after its end: VMs that are cut off write until then, 4 s are left for calls that fail and for a successor.

Ruled out: a report summed anew by each holder. The model test with two holders, lost calls and lost appends fails for it with two counts for one window.

--- /dev/null
+++ b/packages/core/src/usage/__tests__/usage.spec.ts
@@ -0,0 +1,143 @@
+import test from 'ava';
+import fc from 'fast-check';
+import {ReportBook} from '../report_book.js';
+import {UsageLedger} from '../usage_ledger.js';
+import type {ReportRecord, UsageEntry} from '../usage_record.js';
+import {UsageTally} from '../usage_tally.js';
+
+const WINDOW_MS = 5000;
+
+test('a request counts in the window in which it began', t => {
+  const tally = new UsageTally(WINDOW_MS);
+  tally.note('alpha', 9_999);
+  tally.note('alpha', 10_000);
+  tally.note('beta', 10_001);
+  tally.note('alpha', 14_999);
+  t.deepEqual(tally.take(), [
+    {window: 1, account: 'alpha', requests: 1},
+    {window: 2, account: 'alpha', requests: 2},
+    {window: 2, account: 'beta', requests: 1},
+  ]);
+  t.true(tally.isEmpty);
+  t.deepEqual(tally.take(), []);
+});
+
+test('guards against an entry that is written again and counted twice', t => {
+  const counts = [{window: 1, account: 'alpha', requests: 3}];
+  const ledger = new UsageLedger();
+  ledger.apply({writer: 'vm', number: 0, counts});
+  ledger.apply({writer: 'vm', number: 0, counts});
+  ledger.apply({writer: 'vm-after-restart', number: 0, counts});
+  t.deepEqual(ledger.sum(1), {alpha: 6});
+});
+
+test('what comes for a closed window is told as late and changes nothing', t => {
+  const ledger = new UsageLedger();
+  const count = {account: 'alpha', requests: 2};
+  t.is(
+    ledger.apply({writer: 'a', number: 0, counts: [{window: 1, ...count}]}),
+    0,
+  );
+  ledger.close(2);
+  const counts = [
+    {window: 1, ...count},
+    {window: 2, ...count},
+  ];
+  t.is(ledger.apply({writer: 'b', number: 0, counts}), 2);
+  t.deepEqual(ledger.sum(1), {});
+  t.deepEqual(ledger.sum(2), {alpha: 2});
+});
+
+test('sums do not depend on how entries of writers are mixed or repeated', t => {
+  const entry = fc.record({
+    writer: fc.constantFrom('a', 'b', 'c'),
+    repeats: fc.integer({min: 1, max: 3}),
+    requests: fc.integer({min: 1, max: 5}),
+  });
+  fc.assert(
+    fc.property(fc.array(entry), entries => {
+      const ledger = new UsageLedger();
+      const next = new Map<string, number>();
+      let expected = 0;
+      for (const {writer, repeats, requests} of entries) {
+        const number = next.get(writer) ?? 0;
+        next.set(writer, number + 1);
+        expected += requests;
+        const counts = [{window: 7, account: 'alpha', requests}];
+        for (let i = 0; i < repeats; i++)
+          ledger.apply({writer, number, counts});
+      }
+      t.is(ledger.sum(7)['alpha'] ?? 0, expected);
+    }),
+    {seed: 3, numRuns: 300},
+  );
+});
+
+test('guards against two reports of one window with different counts', t => {
+  const book = new ReportBook();
+  book.apply({kind: 'decided', window: 4, counts: {alpha: 1}});
+  book.apply({kind: 'decided', window: 4, counts: {alpha: 2}});
+  t.deepEqual(book.undelivered, [{window: 4, counts: {alpha: 1}}]);
+  book.apply({kind: 'delivered', window: 4});
+  book.apply({kind: 'decided', window: 4, counts: {alpha: 2}});
+  t.deepEqual(book.undelivered, []);
+});
+
+test('windows are decided without a gap, from the first one of the service on', t => {
+  const book = new ReportBook();
+  t.is(book.findNext(99, 60), undefined);
+  book.apply({kind: 'begun', window: 100});
+  book.apply({kind: 'begun', window: 101});
+  t.is(book.findNext(104, 60), 100);
+  book.apply({kind: 'decided', window: 100, counts: {}});
+  t.is(book.findNext(104, 60), 101);
+  t.is(book.findNext(500, 60), 440);
+});
+
+test('what was decided and not delivered is told oldest first', t => {
+  const book = new ReportBook();
+  for (const window of [5, 3, 4]) {
+    book.apply({kind: 'decided', window, counts: {}});
+  }
+  book.apply({kind: 'delivered', window: 4});
+  t.deepEqual(
+    book.undelivered.map(({window}) => window),
+    [3, 5],
+  );
+});
+
+test('holders that read the same records tell the same counts, however decisions race', t => {
+  const record = fc.oneof(
+    fc.record({
+      kind: fc.constant('decided' as const),
+      window: fc.integer({min: 0, max: 5}),
+      counts: fc.record({alpha: fc.integer({min: 0, max: 9})}),
+    }),
+    fc.record({
+      kind: fc.constant('delivered' as const),
+      window: fc.integer({min: 0, max: 5}),
+    }),
+  );
+  fc.assert(
+    fc.property(fc.array(record), records => {
+      const told = new Map<number, number>();
+      const book = new ReportBook();
+      for (const each of records as readonly ReportRecord[]) {
+        book.apply(each);
+        for (const {window, counts} of book.undelivered) {
+          const known = told.get(window) ?? counts['alpha'];
+          told.set(window, known);
+          t.is(counts['alpha'], known);
+        }
+      }
+    }),
+    {seed: 11, numRuns: 500},
+  );
+});
+
+test('an entry without counts is none', t => {
+  const ledger = new UsageLedger();
+  const empty: UsageEntry = {writer: 'a', number: 0, counts: []};
+  t.is(ledger.apply(empty), 0);
+  t.deepEqual(ledger.sum(0), {});
+});
--- /dev/null
+++ b/packages/core/src/usage/usage_ledger.ts
@@ -0,0 +1,54 @@
+/** Adds up what all VMs have counted, window by window. */
+
+import type {AccountCounts, UsageEntry} from './usage_record.js';
+
+export class UsageLedger {
+  private readonly windows = new Map<number, Map<string, number>>();
+  /** Number of the last entry of each writer. */
+  private readonly writers = new Map<string, number>();
+  /** Windows before this one are closed. */
+  private firstOpen = -Infinity;
+
+  /**
+   * Takes the next entry of its partition, and returns how many requests came
+   * too late for a window that is closed.
+   *
+   * A writer that got no answer writes its entry again before its next one, so
+   * an entry whose number is not above the last stands twice.
+   */
+  apply({writer, number, counts}: UsageEntry): number {
+    if (number <= (this.writers.get(writer) ?? -1)) return 0;
+    this.writers.set(writer, number);
+    let late = 0;
+    for (const {window, account, requests} of counts) {
+      if (window < this.firstOpen) late += requests;
+      else this.add(window, account, requests);
+    }
+    return late;
+  }
+
+  /** The oldest window in which something was counted, of those that are open. */
+  get firstWindow(): number | undefined {
+    const windows = [...this.windows.keys()];
+    return windows.length === 0 ? undefined : Math.min(...windows);
+  }
+
+  /** All requests of a window that were written down so far. */
+  sum(window: number): AccountCounts {
+    return Object.fromEntries(this.windows.get(window) ?? []);
+  }
+
+  /** Closes the windows before `window`, and forgets what was counted in them. */
+  close(window: number): void {
+    this.firstOpen = Math.max(this.firstOpen, window);
+    for (const known of [...this.windows.keys()]) {
+      if (known < this.firstOpen) this.windows.delete(known);
+    }
+  }
+
+  private add(window: number, account: string, requests: number): void {
+    const counts = this.windows.get(window) ?? new Map<string, number>();
+    this.windows.set(window, counts);
+    counts.set(account, (counts.get(account) ?? 0) + requests);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/duties/__tests__/duty_fixtures.ts
@@ -0,0 +1,96 @@
+/** Stand-ins for the platform's API and the lease, as tests of duties need them. */
+
+import type {UsageReport} from '@radishyoke/core/usage/usage_record';
+import {silentLogger} from '../../../logger.js';
+import {GatewayMetrics} from '../../gateway_metrics.js';
+import type {LogStore} from '../../store/log_store.js';
+import {type DutyAnswer, DutyApi, type DutyHolder} from '../duty_api.js';
+import {COUNT_TOPIC, encodeUsage} from '../usage_codec.js';
+import {UsageTask} from '../usage_task.js';
+
+export const WINDOW_MS = 5000;
+export const DUE_MS = 10_000;
+
+/** A call as it arrived. */
+export interface UsageCall {
+  readonly report: UsageReport;
+  readonly holder: DutyHolder;
+}
+
+/** The platform's API; its next answers can be told, then it accepts all. */
+export class FakeDutyApi extends DutyApi {
+  readonly calls: UsageCall[] = [];
+  readonly plan: DutyAnswer[] = [];
+  /** One line for each window that was told with different counts. */
+  readonly problems: string[] = [];
+  private readonly accepted = new Map<number, string>();
+
+  async reportUsage(
+    report: UsageReport,
+    holder: DutyHolder,
+  ): Promise<DutyAnswer> {
+    this.calls.push({report, holder});
+    const answer = this.plan.shift() ?? 'accepted';
+    // What got no answer may have been taken.
+    if (answer === 'accepted' || answer === 'unknown') this.take(report);
+    return answer;
+  }
+
+  get windows(): readonly number[] {
+    return [...this.accepted.keys()];
+  }
+
+  close(): void {}
+
+  private take({window, counts}: UsageReport): void {
+    const text = JSON.stringify(Object.entries(counts).sort());
+    const known = this.accepted.get(window) ?? text;
+    if (known !== text) this.problems.push(`${window}: ${known}, then ${text}`);
+    this.accepted.set(window, known);
+  }
+}
+
+/** A clock that a test sets; Unix ms. */
+export interface FakeTime {
+  nowMs: number;
+}
+
+export interface HolderTerms {
+  readonly vmName?: string;
+  readonly fencingToken?: number;
+  readonly mayCall?: () => boolean;
+}
+
+/** One holder's task, before `store` and `api`. */
+export function createTask(
+  store: LogStore,
+  api: DutyApi,
+  time: FakeTime,
+  {vmName = 'vm-a', fencingToken = 1, mayCall = () => true}: HolderTerms = {},
+): UsageTask {
+  return new UsageTask({
+    store,
+    api,
+    lease: {fencingToken, announce: async () => mayCall()},
+    vmName,
+    terms: {windowMs: WINDOW_MS, dueMs: DUE_MS},
+    metrics: new GatewayMetrics(),
+    logger: silentLogger,
+    now: () => time.nowMs,
+  });
+}
+
+/** Writes an entry as the VM `writer` does. */
+export async function writeCount(
+  store: LogStore,
+  writer: string,
+  number: number,
+  window: number,
+  requests: number,
+): Promise<void> {
+  const counts = [{window, account: 'alpha', requests}];
+  const partition = writer.length % store.partitions;
+  await store.append(COUNT_TOPIC, partition, [
+    encodeUsage({writer, number, counts}),
+  ]);
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/duties/__tests__/usage_task.spec.ts
@@ -0,0 +1,253 @@
+import test from 'ava';
+import fc from 'fast-check';
+import {MemoryStore} from '../../__tests__/gateway_fixtures.js';
+import {REPORT_TOPIC} from '../usage_codec.js';
+import {
+  createTask,
+  DUE_MS,
+  FakeDutyApi,
+  WINDOW_MS,
+  writeCount,
+} from './duty_fixtures.js';
+
+/** When a window may be decided: well after its end and before its report is due. */
+function settledMs(window: number): number {
+  return (window + 1) * WINDOW_MS + DUE_MS * 0.7;
+}
+
+/** A service that began in window 10 and has a holder that knows it. */
+async function startService() {
+  const store = new MemoryStore();
+  const api = new FakeDutyApi();
+  const time = {nowMs: 10 * WINDOW_MS + 1};
+  const task = createTask(store, api, time);
+  await task.tick();
+  return {store, api, time, task};
+}
+
+test('a window is told once, with the counts of all VMs, before it is due', async t => {
+  const {store, api, time, task} = await startService();
+  await writeCount(store, 'a', 0, 10, 2);
+  await writeCount(store, 'bb', 0, 10, 3);
+  time.nowMs = 11 * WINDOW_MS + 100;
+  await task.tick();
+  t.is(api.calls.length, 0);
+  time.nowMs = settledMs(10);
+  t.true(time.nowMs < 11 * WINDOW_MS + DUE_MS);
+  await task.tick();
+  await task.tick();
+  t.deepEqual(api.calls, [
+    {
+      report: {window: 10, counts: {alpha: 5}},
+      holder: {vmName: 'vm-a', fencingToken: 1},
+    },
+  ]);
+});
+
+test('guards against windows that are left out as they ended before there was a holder', async t => {
+  const store = new MemoryStore();
+  const api = new FakeDutyApi();
+  await writeCount(store, 'a', 0, 8, 2);
+  const time = {nowMs: 10 * WINDOW_MS + 1};
+  const task = createTask(store, api, time);
+  await task.tick();
+  time.nowMs = settledMs(9);
+  await task.tick();
+  t.deepEqual(api.windows, [8, 9]);
+});
+
+test('a window without requests is told too', async t => {
+  const {api, time, task} = await startService();
+  time.nowMs = settledMs(11);
+  await task.tick();
+  t.deepEqual(
+    api.calls.map(({report}) => report),
+    [
+      {window: 10, counts: {}},
+      {window: 11, counts: {}},
+    ],
+  );
+});
+
+test('guards against a report that differs when it is sent again by a successor', async t => {
+  const {store, api, time, task} = await startService();
+  await writeCount(store, 'a', 0, 10, 2);
+  api.plan.push('unknown');
+  time.nowMs = settledMs(10);
+  await task.tick();
+  task.stop();
+  // Counts of a VM that was cut off come after the decision.
+  await writeCount(store, 'bb', 0, 10, 3);
+  const successor = createTask(store, api, time, {
+    vmName: 'vm-b',
+    fencingToken: 7,
+  });
+  time.nowMs += 1000;
+  await successor.tick();
+  t.deepEqual(
+    api.calls.map(({report}) => report.counts),
+    [{alpha: 2}, {alpha: 2}],
+  );
+  t.deepEqual(api.problems, []);
+});
+
+test('guards against two decisions where the log did not answer the first', async t => {
+  const {store, api, time, task} = await startService();
+  await writeCount(store, 'a', 0, 10, 2);
+  time.nowMs = settledMs(10);
+  store.plan.push('unknown_but_done');
+  await task.tick();
+  await writeCount(store, 'bb', 0, 10, 3);
+  await task.tick();
+  await task.tick();
+  t.deepEqual(api.problems, []);
+  t.deepEqual(
+    api.calls.map(({report}) => report.counts),
+    [{alpha: 2}],
+  );
+});
+
+test('guards against a decision by a holder that has not read those of its successor', async t => {
+  const {store, api, time, task} = await startService();
+  await writeCount(store, 'a', 0, 10, 2);
+  const successor = createTask(store, api, time, {
+    vmName: 'vm-b',
+    fencingToken: 7,
+  });
+  time.nowMs = settledMs(10);
+  await successor.tick();
+  await writeCount(store, 'bb', 0, 10, 3);
+  await task.tick();
+  t.deepEqual(api.problems, []);
+  const kinds = store.list(REPORT_TOPIC).length;
+  t.true(kinds >= 3);
+});
+
+test('guards against a second call with a token that the platform refused', async t => {
+  const {api, store, time, task} = await startService();
+  time.nowMs = settledMs(10);
+  api.plan.push('fenced');
+  await task.tick();
+  time.nowMs += 5000;
+  await task.tick();
+  t.is(api.calls.length, 1);
+  const successor = createTask(store, api, time, {
+    vmName: 'vm-b',
+    fencingToken: 7,
+  });
+  await successor.tick();
+  t.deepEqual(api.windows.slice(0, 1), [10]);
+});
+
+test('guards against a call by a holder that may not act', async t => {
+  const store = new MemoryStore();
+  const api = new FakeDutyApi();
+  const time = {nowMs: 10 * WINDOW_MS};
+  let may = false;
+  const task = createTask(store, api, time, {mayCall: () => may});
+  await task.tick();
+  time.nowMs = settledMs(10);
+  await task.tick();
+  t.is(api.calls.length, 0);
+  may = true;
+  await task.tick();
+  t.is(api.calls.length, 1);
+});
+
+test('windows that the platform was away for are made up in order', async t => {
+  const {api, time, task} = await startService();
+  api.plan.push('busy', 'unknown', 'busy');
+  for (let i = 0; i < 40; i++) {
+    time.nowMs = settledMs(10) + i * 500;
+    await task.tick();
+  }
+  t.deepEqual(
+    api.windows.filter(window => window <= 13),
+    [10, 11, 12, 13],
+  );
+  t.deepEqual(api.problems, []);
+});
+
+/** One step of a random schedule of two holders that both think that they may act. */
+type Step =
+  | {readonly kind: 'tick'; readonly holder: 0 | 1}
+  | {readonly kind: 'time'; readonly ms: number}
+  | {readonly kind: 'count'; readonly requests: number}
+  | {readonly kind: 'call_lost' | 'call_busy' | 'append_lost' | 'append_done'}
+  | {readonly kind: 'replace'; readonly holder: 0 | 1};
+
+const STEP: fc.Arbitrary<Step> = fc.oneof(
+  fc.record({
+    kind: fc.constant('tick' as const),
+    holder: fc.constantFrom<0 | 1>(0, 1),
+  }),
+  fc.record({
+    kind: fc.constant('time' as const),
+    ms: fc.integer({min: 100, max: 6000}),
+  }),
+  fc.record({
+    kind: fc.constant('count' as const),
+    requests: fc.integer({min: 1, max: 9}),
+  }),
+  fc.record({
+    kind: fc.constantFrom(
+      'call_lost' as const,
+      'call_busy' as const,
+      'append_lost' as const,
+      'append_done' as const,
+    ),
+  }),
+  fc.record({
+    kind: fc.constant('replace' as const),
+    holder: fc.constantFrom<0 | 1>(0, 1),
+  }),
+);
+
+test('no window is told with two different counts, whatever is lost and whoever acts', async t => {
+  await fc.assert(
+    fc.asyncProperty(fc.array(STEP, {maxLength: 60}), async steps => {
+      const store = new MemoryStore();
+      const api = new FakeDutyApi();
+      const time = {nowMs: 10 * WINDOW_MS};
+      let token = 0;
+      const create = () =>
+        createTask(store, api, time, {
+          vmName: `vm-${token}`,
+          fencingToken: ++token,
+        });
+      const holders = [create(), create()];
+      let number = 0;
+      for (const step of steps) {
+        switch (step.kind) {
+          case 'tick':
+            await holders[step.holder].tick();
+            break;
+          case 'time':
+            time.nowMs += step.ms;
+            break;
+          case 'count': {
+            const window = Math.floor(time.nowMs / WINDOW_MS) - 1;
+            await writeCount(store, 'a', number++, window, step.requests);
+            break;
+          }
+          case 'call_lost':
+            api.plan.push('unknown');
+            break;
+          case 'call_busy':
+            api.plan.push('busy');
+            break;
+          case 'append_lost':
+            store.plan.push('unknown');
+            break;
+          case 'append_done':
+            store.plan.push('unknown_but_done');
+            break;
+          case 'replace':
+            holders[step.holder] = create();
+        }
+      }
+      t.deepEqual(api.problems, []);
+    }),
+    {seed: 17, numRuns: 300},
+  );
+});
--- /dev/null
+++ b/packages/daemon/src/gateway/duties/usage_meter.ts
@@ -0,0 +1,85 @@
+/**
+ * Counts the requests that endpoints began for this VM, and writes the counts
+ * down soon after: what was not written dies with the VM.
+ */
+
+import type {Caller} from '@radishyoke/core/accounts/client_account';
+import {drawFromId} from '@radishyoke/core/routing/route_table';
+import type {UsageEntry} from '@radishyoke/core/usage/usage_record';
+import {UsageTally} from '@radishyoke/core/usage/usage_tally';
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {LogStore} from '../store/log_store.js';
+import {COUNT_TOPIC, encodeUsage} from './usage_codec.js';
+
+export interface MeterConfig {
+  /** Decides the partition, so that VMs spread over all. */
+  readonly vmName: string;
+  readonly lifeId: string;
+}
+
+/** Least time between two writes, ms: a VM with few requests writes each at once, one with many gathers them. */
+const GATHER_MS = 500;
+/** Pause after a failed write, ms; doubles up to the next. */
+const FIRST_RETRY_MS = 100;
+const MAX_RETRY_MS = 800;
+
+export class UsageMeter {
+  private readonly tally: UsageTally;
+  private readonly partition: number;
+  private nextNumber = 0;
+  private lastWriteMs = -Infinity;
+  private writing: Promise<void> | undefined;
+  private isStopped = false;
+
+  constructor(
+    private readonly store: LogStore,
+    private readonly cfg: MeterConfig,
+    windowMs: number,
+  ) {
+    this.tally = new UsageTally(windowMs);
+    const draw = drawFromId(cfg.vmName);
+    this.partition = Math.floor(draw * store.partitions);
+  }
+
+  /** An endpoint began a request of the caller at `unixMs`. */
+  note(caller: Caller, unixMs: number): void {
+    if (caller.kind !== 'account') return;
+    this.tally.note(caller.name, unixMs);
+    this.writing ??= this.writeAll().finally(() => (this.writing = undefined));
+  }
+
+  /** Resolves once all that was counted is written down, or `stop` is called. */
+  async finish(): Promise<void> {
+    this.lastWriteMs = -Infinity;
+    await this.writing;
+  }
+
+  stop(): void {
+    this.isStopped = true;
+  }
+
+  private async writeAll(): Promise<void> {
+    while (!this.tally.isEmpty && !this.isStopped) {
+      const waitMs = this.lastWriteMs + GATHER_MS - performance.now();
+      if (waitMs > 0) await sleep(waitMs);
+      this.lastWriteMs = performance.now();
+      const {lifeId: writer} = this.cfg;
+      const number = this.nextNumber++;
+      await this.write({writer, number, counts: this.tally.take()});
+    }
+  }
+
+  /** An entry without an answer is written again, under its number, before the next. */
+  private async write(entry: UsageEntry): Promise<void> {
+    const bytes = encodeUsage(entry);
+    let retryMs = FIRST_RETRY_MS;
+    while (!this.isStopped) {
+      const outcome = await this.store.append(COUNT_TOPIC, this.partition, [
+        bytes,
+      ]);
+      if (outcome.kind === 'appended') return;
+      await sleep(retryMs);
+      retryMs = Math.min(retryMs * 2, MAX_RETRY_MS);
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/duties/usage_task.ts
@@ -0,0 +1,235 @@
+/**
+ * Tells the platform how many requests of each account endpoints began in each
+ * window, while this VM holds the lease. What a window's report says is decided
+ * once, in the log, before it is sent: a report that is sent again, by this VM
+ * or a successor, is the same.
+ */
+
+import {ReportBook} from '@radishyoke/core/usage/report_book';
+import {UsageLedger} from '@radishyoke/core/usage/usage_ledger';
+import {
+  findWindow,
+  type ReportRecord,
+  type UsageReport,
+} from '@radishyoke/core/usage/usage_record';
+import type {EventLogger} from '../../logger.js';
+import type {GatewayMetrics} from '../gateway_metrics.js';
+import type {LogStore} from '../store/log_store.js';
+import type {DutyAnswer, DutyApi, DutyHolder} from './duty_api.js';
+import {LogTail} from './log_tail.js';
+import {
+  COUNT_TOPIC,
+  decodeReportRecord,
+  decodeUsageEntry,
+  encodeUsage,
+  REPORT_PARTITION,
+  REPORT_TOPIC,
+} from './usage_codec.js';
+
+/** What the task needs of the lease. */
+export interface DutyLease {
+  readonly fencingToken: number;
+  /** Writes down that a call on `subject` is about to be made; says whether it may be made now. */
+  announce(subject: string): Promise<boolean>;
+}
+
+export interface UsageTerms {
+  readonly windowMs: number;
+  /** A report is due this long after the end of its window, ms. */
+  readonly dueMs: number;
+}
+
+export interface UsageTaskParts {
+  readonly store: LogStore;
+  readonly api: DutyApi;
+  readonly lease: DutyLease;
+  readonly vmName: string;
+  readonly terms: UsageTerms;
+  readonly metrics: GatewayMetrics;
+  readonly logger: EventLogger;
+  /** Unix ms. */
+  readonly now: () => number;
+}
+
+/** All windows are one subject: their reports come from one holder at a time. */
+const SUBJECT = 'duty usage';
+/** How often the task looks whether something is due, ms. */
+const TICK_MS = 200;
+/** A window is decided once this share of the time until its report is due has passed: VMs that were cut off write their counts until then, and the rest is left for calls that fail. */
+const SETTLE_SHARE = 0.6;
+/** Pause after a call that did not succeed, ms. */
+const RETRY_MS = 400;
+/** Windows further back are not made up, ms: the log keeps what was counted for 300 s. */
+const MAX_BEHIND_MS = 240_000;
+/** Windows between two trims of the counts. */
+const TRIM_EVERY = 12;
+
+export class UsageTask {
+  private readonly ledger = new UsageLedger();
+  private readonly book = new ReportBook();
+  private readonly reports: LogTail;
+  private readonly counts: readonly LogTail[];
+  /** First offset of each partition of counts that a window that is still open needs. */
+  private readonly needed: number[];
+  private isBusy = false;
+  private isStopped = false;
+  private retryAtMs = -Infinity;
+  /** A token that the platform refused is not used again. */
+  private refusedToken = -1;
+  private timer: NodeJS.Timeout | undefined;
+
+  constructor(private readonly parts: UsageTaskParts) {
+    const {store} = parts;
+    this.reports = new LogTail(store, REPORT_TOPIC, REPORT_PARTITION);
+    this.counts = Array.from(
+      {length: store.partitions},
+      (_, partition) => new LogTail(store, COUNT_TOPIC, partition),
+    );
+    this.needed = this.counts.map(() => 0);
+  }
+
+  start(): void {
+    this.timer = setInterval(() => void this.tick(), TICK_MS);
+  }
+
+  stop(): void {
+    this.isStopped = true;
+    clearInterval(this.timer);
+  }
+
+  /** Does what is due now; resolves when it is done or must wait. */
+  async tick(): Promise<void> {
+    if (this.isBusy || this.isStopped) return;
+    this.isBusy = true;
+    try {
+      await this.decideAll();
+      await this.deliverAll();
+    } finally {
+      this.isBusy = false;
+    }
+  }
+
+  private async decideAll(): Promise<void> {
+    const {windowMs, dueMs} = this.parts.terms;
+    const settleMs = dueMs * SETTLE_SHARE;
+    while (!this.isStopped) {
+      const nowMs = this.parts.now();
+      const window = await this.findNext(nowMs);
+      if (window === undefined) return;
+      const endMs = (window + 1) * windowMs;
+      if (nowMs < endMs + settleMs) return;
+      if (!(await this.decide(window))) return;
+    }
+  }
+
+  /** The next window to decide; undefined where the log does not tell. */
+  private async findNext(nowMs: number): Promise<number | undefined> {
+    const {windowMs} = this.parts.terms;
+    const current = findWindow(nowMs, windowMs);
+    const maxBehind = Math.floor(MAX_BEHIND_MS / windowMs);
+    const known = this.book.findNext(current, maxBehind);
+    if (known !== undefined) return known;
+    if (!(await this.readReports())) return undefined;
+    const read = this.book.findNext(current, maxBehind);
+    if (read === undefined) await this.begin(current);
+    return read;
+  }
+
+  /** Callers are served before the first holder is there: reports begin with the first window in which something was counted. */
+  private async begin(current: number): Promise<void> {
+    if (!(await this.readCounts())) return;
+    const window = Math.min(this.ledger.firstWindow ?? current, current);
+    await this.append({kind: 'begun', window});
+  }
+
+  private async decide(window: number): Promise<boolean> {
+    if (!(await this.readCounts()) || this.isStopped) return false;
+    const report = {window, counts: this.ledger.sum(window)};
+    if (!(await this.append({kind: 'decided', ...report}))) return false;
+    this.ledger.close(window + 1);
+    this.parts.logger.log('info', 'usage decided', {
+      window,
+      accounts: Object.keys(report.counts).length,
+      requests: countRequests(report),
+      fencingToken: this.parts.lease.fencingToken,
+    });
+    if (window % TRIM_EVERY === 0) this.forgetBefore(window);
+    return true;
+  }
+
+  /** Appends and reads back; whoever has not read all that stands can not add to it. */
+  private async append(record: ReportRecord): Promise<boolean> {
+    const outcome = await this.parts.store.append(
+      REPORT_TOPIC,
+      REPORT_PARTITION,
+      [encodeUsage(record)],
+      {at: this.reports.nextOffset},
+    );
+    const isRead = await this.readReports();
+    return isRead && outcome.kind === 'appended';
+  }
+
+  private async deliverAll(): Promise<void> {
+    const {lease, now} = this.parts;
+    for (const report of this.book.undelivered) {
+      if (this.isStopped || now() < this.retryAtMs) return;
+      if (lease.fencingToken <= this.refusedToken) return;
+      if (!(await lease.announce(SUBJECT)) || this.isStopped) return;
+      const answer = await this.deliver(report);
+      if (answer !== 'accepted') this.retryAtMs = now() + RETRY_MS;
+      if (answer === 'fenced') this.refusedToken = lease.fencingToken;
+    }
+  }
+
+  private async deliver(report: UsageReport): Promise<DutyAnswer> {
+    const {api, lease, vmName, store, logger, metrics} = this.parts;
+    const {window} = report;
+    const {fencingToken} = lease;
+    const holder: DutyHolder = {vmName, fencingToken};
+    const answer = await api.reportUsage(report, holder);
+    metrics.count(`usage_${answer}`);
+    logger.log(answer === 'accepted' ? 'info' : 'warn', 'usage report', {
+      window,
+      fencingToken,
+      outcome: answer,
+    });
+    // A report that the platform will never take is not sent again either.
+    if (answer === 'accepted' || answer === 'refused') {
+      const record: ReportRecord = {kind: 'delivered', window};
+      this.book.apply(record);
+      await store.append(REPORT_TOPIC, REPORT_PARTITION, [encodeUsage(record)]);
+    }
+    return answer;
+  }
+
+  private async readReports(): Promise<boolean> {
+    return this.reports.read(({bytes}) =>
+      this.book.apply(decodeReportRecord(bytes)),
+    );
+  }
+
+  private async readCounts(): Promise<boolean> {
+    const reads = this.counts.map(tail =>
+      tail.read(({bytes}) => {
+        const late = this.ledger.apply(decodeUsageEntry(bytes));
+        if (late > 0) this.parts.metrics.count('usage_late', late);
+      }),
+    );
+    return (await Promise.all(reads)).every(isRead => isRead);
+  }
+
+  /** Counts that were read before the last call belong to windows that are decided. */
+  private forgetBefore(window: number): void {
+    this.book.forget(window - TRIM_EVERY);
+    this.counts.forEach((tail, partition) => {
+      const before = this.needed[partition];
+      this.needed[partition] = tail.nextOffset;
+      if (before === 0) return;
+      void this.parts.store.trim(COUNT_TOPIC, partition, before);
+    });
+  }
+}
+
+function countRequests({counts}: UsageReport): number {
+  return Object.values(counts).reduce((sum, count) => sum + count, 0);
+}
--- a/packages/daemon/src/gateway/endpoints/endpoint_exchange.ts
+++ b/packages/daemon/src/gateway/endpoints/endpoint_exchange.ts
@@ -44,7 +44,7 @@
 
 export class EndpointExchange {
   private req: http.ClientRequest | undefined;
-  private isConnected = false;
+  private connectedMs: number | undefined;
   private isDone = false;
   private wasAborted = false;
 
@@ -63,7 +63,10 @@
         resolve(outcome);
       };
       const fail = (detail: string) =>
-        settle({kind: this.isConnected ? 'unknown' : 'unsent', detail});
+        settle({
+          kind: this.connectedMs === undefined ? 'unsent' : 'unknown',
+          detail,
+        });
       this.req = this.send(sent);
       this.req.on('error', err => fail(err.message));
       this.req.on('close', () => fail('the connection closed'));
@@ -87,9 +90,9 @@
     return this.wasAborted;
   }
 
-  /** Whether anything may have reached the endpoint. */
-  get isSent(): boolean {
-    return this.isConnected;
+  /** Steady ms from which the endpoint may have had it; undefined where it never did. */
+  get sentMs(): number | undefined {
+    return this.connectedMs;
   }
 
   private send(sent: ExchangeRequest): http.ClientRequest {
@@ -109,7 +112,7 @@
       setHost: false,
     });
     const events = {
-      onConnected: () => (this.isConnected = true),
+      onConnected: () => (this.connectedMs = performance.now()),
       onTimeout: () => req.destroy(),
     };
     watchConnection(req, events, CONNECT_MS);
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -15,6 +15,9 @@
 import {BatchRunner} from './batches/batch_runner.js';
 import type {CallerProtocol} from './requests/caller_protocol.js';
 import {ConfigHolder} from './store/config_holder.js';
+import type {DutyApi} from './duties/duty_api.js';
+import {UsageMeter} from './duties/usage_meter.js';
+import {UsageTask, type UsageTerms} from './duties/usage_task.js';
 import {EndpointLinks} from './endpoints/endpoint_links.js';
 import type {EndpointProtocol} from './endpoints/endpoint_protocol.js';
 import {EndpointView} from './endpoints/endpoint_view.js';
@@ -52,6 +55,8 @@
   readonly patienceMs: number;
   /** A key is served at most so long after it was last known to hold, ms; without a bound where undefined. */
   readonly maxKeyAgeMs?: number;
+  /** Present where usage is to be reported. */
+  readonly usage?: UsageTerms;
 }
 
 export interface GatewayParts {
@@ -59,6 +64,8 @@
   readonly directory: PlatformDirectory;
   readonly callers: CallerProtocol;
   readonly endpoints: EndpointProtocol;
+  /** Present where the platform asks for calls of one VM at a time. */
+  readonly duties?: DutyApi;
   readonly logger: EventLogger;
 }
 
@@ -94,7 +101,9 @@
   private readonly readiness: http.Server;
   private readonly metricsServer: http.Server;
   private readonly feeds: readonly KeyedFeed[];
+  private readonly meter: UsageMeter | undefined;
   private runner: BatchRunner | undefined;
+  private usageTask: UsageTask | undefined;
   private contactMs = -Infinity;
   private nextTerm = 1;
   private isRosterKnown = false;
@@ -122,12 +131,14 @@
       isNamed => this.noteLease(isNamed),
       logger,
     );
+    this.meter = cfg.usage && new UsageMeter(store, cfg, cfg.usage.windowMs);
     const forwarder = new Forwarder({
       roster: this.roster,
       links: this.links,
       view: this.view,
       protocol: endpoints,
       dataCentre: cfg.dataCentre,
+      ...(this.meter ? {meter: this.meter} : {}),
       metrics: this.metrics,
       logger,
     });
@@ -250,12 +261,16 @@
   private async drain(): Promise<void> {
     const endMs = this.clock.now() + this.cfg.graceMs - GRACE_SLACK_MS;
     this.front.startDrain();
-    this.runner?.stop();
-    this.runner = undefined;
+    this.stopHolding();
     await this.lease.release();
     await sleep(UNROUTED_MS);
     const leftMs = Math.max(endMs - this.clock.now(), 0);
-    await Promise.race([this.front.finish(), sleep(leftMs)]);
+    await Promise.race([this.finishRequests(), sleep(leftMs)]);
+  }
+
+  private async finishRequests(): Promise<void> {
+    await this.front.finish();
+    await this.meter?.finish();
   }
 
   private close(): void {
@@ -266,6 +281,8 @@
     this.readiness.close();
     this.metricsServer.close();
     this.links.close();
+    this.meter?.stop();
+    this.parts.duties?.close();
     this.store.close();
   }
 
@@ -347,9 +364,9 @@
   }
 
   private noteLease(isNamed: boolean): void {
-    this.runner?.stop();
-    this.runner = undefined;
+    this.stopHolding();
     if (!isNamed || this.isStopping) return;
+    this.startUsageTask();
     const runner = new BatchRunner({
       store: this.store,
       shelf: this.shelf,
@@ -371,6 +388,35 @@
     void runner.start();
   }
 
+  private startUsageTask(): void {
+    const {cfg, parts, lease} = this;
+    if (!cfg.usage || !parts.duties) return;
+    this.usageTask = new UsageTask({
+      store: this.store,
+      api: parts.duties,
+      lease: {
+        get fencingToken() {
+          return lease.lease.fencingToken;
+        },
+        announce: subject => lease.announceOrder(subject),
+      },
+      vmName: cfg.vmName,
+      terms: cfg.usage,
+      metrics: this.metrics,
+      logger: parts.logger,
+      now: () => Date.now(),
+    });
+    this.usageTask.start();
+  }
+
+  /** Ends what only the coordinator does. */
+  private stopHolding(): void {
+    this.runner?.stop();
+    this.runner = undefined;
+    this.usageTask?.stop();
+    this.usageTask = undefined;
+  }
+
   private answerReady(
     req: http.IncomingMessage,
     res: http.ServerResponse,
--- a/packages/daemon/src/gateway/requests/forwarder.ts
+++ b/packages/daemon/src/gateway/requests/forwarder.ts
@@ -57,6 +57,7 @@
   private ran = 0;
   private notRun = 0;
   private isSettled = false;
+  private isCounted = false;
   private failure: EndpointAnswer | undefined;
   private hedgeTimer: NodeJS.Timeout | undefined;
   private deadlineTimer: NodeJS.Timeout | undefined;
@@ -132,12 +133,23 @@
     });
     view.noteEnd(entry);
     this.pending.delete(exchange);
+    if (mayHaveRun(outcome)) this.noteBegun(exchange);
     if (this.isSettled) return;
     this.learn(entry, outcome);
     this.logAttempt(entry, outcome, performance.now() - startedMs);
     this.conclude(outcome);
   }
 
+  /** A request counts once in usage, from the first endpoint that had it. */
+  private noteBegun(exchange: EndpointExchange): void {
+    if (this.isCounted) return;
+    this.isCounted = true;
+    const sent = [exchange, ...this.pending].map(({sentMs}) => sentMs);
+    const firstMs = Math.min(...sent.map(ms => ms ?? Infinity));
+    const {meter} = this.parts;
+    meter?.note(this.req.caller, toUnixMs(firstMs));
+  }
+
   private learn(entry: EndpointEntry, outcome: ExchangeOutcome): void {
     const {view, links} = this.parts;
     view.noteOutcome(entry, outcome, performance.now());
@@ -232,6 +244,15 @@
   }
 }
 
+/** Whether an endpoint may have begun the request, which is then taken for begun. */
+function mayHaveRun({kind}: ExchangeOutcome): boolean {
+  return kind === 'answered' || kind === 'unknown';
+}
+
+function toUnixMs(steadyMs: number): number {
+  return Date.now() - (performance.now() - steadyMs);
+}
+
 function toAttemptEnd(outcome: ExchangeOutcome): AttemptEnd {
   switch (outcome.kind) {
     case 'answered':
--- a/packages/daemon/src/gateway/requests/stream_call.ts
+++ b/packages/daemon/src/gateway/requests/stream_call.ts
@@ -54,6 +54,7 @@
   private ran = 0;
   private notRun = 0;
   private isOver = false;
+  private isCounted = false;
 
   constructor(
     private readonly parts: ForwarderParts,
@@ -99,6 +100,7 @@
       event.id === undefined ||
       event.id === lastEventId + 1;
     if (!isNext) return false;
+    if (lastEventId === undefined) this.noteBegun();
     this.watchSilence();
     this.sendHead();
     this.res.write(event.bytes);
@@ -106,6 +108,13 @@
     return true;
   }
 
+  /** A stream counts in usage from its first event, at whichever endpoint that was made. */
+  private noteBegun(): void {
+    if (this.isCounted) return;
+    this.isCounted = true;
+    this.parts.meter?.note(this.req.caller, Date.now());
+  }
+
   waitForRoom(): Promise<void> | undefined {
     if (!this.res.writableNeedDrain) return undefined;
     clearTimeout(this.stallTimer);
--- a/packages/shared/src/log_event.ts
+++ b/packages/shared/src/log_event.ts
@@ -108,6 +108,18 @@
     readonly fencingToken: number;
     readonly holder: string | undefined;
   };
+  /** What the report of a window says stands in the log. */
+  readonly 'usage decided': {
+    readonly window: number;
+    readonly accounts: number;
+    readonly requests: number;
+    readonly fencingToken: number;
+  };
+  readonly 'usage report': {
+    readonly window: number;
+    readonly fencingToken: number;
+    readonly outcome: string;
+  };
   readonly 'endpoint joined': EndpointFields;
   readonly 'endpoint reborn': EndpointFields;
   readonly 'endpoint draining': EndpointFields;
