--- a/packages/core/src/batches/batch_scheduler.ts
+++ b/packages/core/src/batches/batch_scheduler.ts
@@ -227,16 +227,6 @@
     return {waiting, minVersion};
   }
 
-  /** Items of the service's open batches without a result. */
-  countUnfinished(service: string): number {
-    let count = 0;
-    for (const {terms, jobs} of this.open.values()) {
-      if (terms?.service !== service) continue;
-      for (const {state} of jobs.values()) if (state !== 'finished') count += 1;
-    }
-    return count;
-  }
-
   /** Runs on an engine, of all models or of one. */
   countRuns(engineId: string, model?: string): number {
     if (model === undefined) return this.runs.countAt(engineId);
--- a/packages/core/src/fleet/endpoint_entry.ts
+++ b/packages/core/src/fleet/endpoint_entry.ts
@@ -17,8 +17,6 @@
   readonly slots: number;
   /** A draining endpoint takes no new work. */
   readonly isDraining: boolean;
-  /** Whether the platform may take it away at short notice. */
-  readonly isReclaimable?: boolean;
   /** Empty for plain services. */
   readonly models: readonly ModelVersion[];
   /** Unix ms of the start of this life, 0 where it is not told; an endpoint may restart under its id. */
--- a/packages/core/src/routing/route_table.ts
+++ b/packages/core/src/routing/route_table.ts
@@ -4,7 +4,6 @@
  */
 
 import {AccountDirectory} from '../accounts/account_directory.js';
-import type {ScalingSpec} from '../scaling/scaling_plan.js';
 import type {ClientAccount} from '../accounts/client_account.js';
 
 /** What may be done with a request when the outcome of an attempt is unknown. */
@@ -65,8 +64,6 @@
   readonly maxConnections: number;
   /** Present for model engines. */
   readonly engine?: EngineSpec;
-  /** Present where the platform takes orders for its endpoints. */
-  readonly scaling?: ScalingSpec;
 }
 
 export interface EngineSpec {
--- a/packages/daemon/src/gateway/batches/batch_runner.ts
+++ b/packages/daemon/src/gateway/batches/batch_runner.ts
@@ -159,11 +159,6 @@
     return this.scheduler.openCount;
   }
 
-  /** Items of a service's open batches that have no result yet. */
-  countItems(service: string): number {
-    return this.scheduler.countUnfinished(service);
-  }
-
   /** Reads what there is and starts to run it. */
   async start(): Promise<void> {
     const {shelf} = this.parts;
--- a/packages/daemon/src/gateway/duties/__tests__/duty_fixtures.ts
+++ b/packages/daemon/src/gateway/duties/__tests__/duty_fixtures.ts
@@ -4,12 +4,7 @@
 import {silentLogger} from '../../../logger.js';
 import {GatewayMetrics} from '../../gateway_metrics.js';
 import type {LogStore} from '../../store/log_store.js';
-import {
-  type DutyAnswer,
-  DutyApi,
-  type DutyHolder,
-  type ScaleOrder,
-} from '../duty_api.js';
+import {type DutyAnswer, DutyApi, type DutyHolder} from '../duty_api.js';
 import {COUNT_TOPIC, encodeUsage} from '../usage_codec.js';
 import {UsageTask} from '../usage_task.js';
 
@@ -22,15 +17,9 @@
   readonly holder: DutyHolder;
 }
 
-export interface ScaleCall {
-  readonly order: ScaleOrder;
-  readonly holder: DutyHolder;
-}
-
 /** The platform's API; its next answers can be told, then it accepts all. */
 export class FakeDutyApi extends DutyApi {
   readonly calls: UsageCall[] = [];
-  readonly orders: ScaleCall[] = [];
   readonly plan: DutyAnswer[] = [];
   /** One line for each window that was told with different counts. */
   readonly problems: string[] = [];
@@ -47,14 +36,6 @@
     return answer;
   }
 
-  async orderEndpoints(
-    order: ScaleOrder,
-    holder: DutyHolder,
-  ): Promise<DutyAnswer> {
-    this.orders.push({order, holder});
-    return this.plan.shift() ?? 'accepted';
-  }
-
   get windows(): readonly number[] {
     return [...this.accepted.keys()];
   }
--- a/packages/daemon/src/gateway/duties/duty_api.ts
+++ b/packages/daemon/src/gateway/duties/duty_api.ts
@@ -12,16 +12,9 @@
   readonly fencingToken: number;
 }
 
-/** How many endpoints that may be taken away a service is to have in a data centre. */
-export interface ScaleOrder {
-  readonly service: string;
-  readonly dataCentre: string;
-  readonly count: number;
-}
-
 export type DutyAnswer =
   | 'accepted'
-  /** The platform has seen a higher token; for endpoints it may also mean that none are to be had. */
+  /** The platform has seen a higher token. */
   | 'fenced'
   /** Nothing was done; it may be asked again. */
   | 'busy'
@@ -36,10 +29,5 @@
     holder: DutyHolder,
   ): Promise<DutyAnswer>;
 
-  abstract orderEndpoints(
-    order: ScaleOrder,
-    holder: DutyHolder,
-  ): Promise<DutyAnswer>;
-
   abstract close(): void;
 }
--- a/packages/daemon/src/gateway/engines/weight_task.ts
+++ b/packages/daemon/src/gateway/engines/weight_task.ts
@@ -110,12 +110,9 @@
     if (this.isStopped) return;
     for (const service of table.engines) {
       const views = engines.filter(view => view.service === service.name);
-      const lasting = views.filter(
-        ({id}) => !this.parts.roster.get(id)?.isReclaimable,
-      );
       const maxLoads = Math.max(
         MIN_LOADS,
-        Math.floor(lasting.length * LOAD_SHARE),
+        Math.floor(views.length * LOAD_SHARE),
       );
       for (const plan of rankModels(this.planModels(service, views))) {
         // What was started for one model is out of reach of the next.
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -17,12 +17,7 @@
 import {ConfigHolder} from './store/config_holder.js';
 import type {DutyApi} from './duties/duty_api.js';
 import {UsageMeter} from './duties/usage_meter.js';
-import {ScaleTask} from './duties/scale_task.js';
-import {
-  type DutyLease,
-  UsageTask,
-  type UsageTerms,
-} from './duties/usage_task.js';
+import {UsageTask, type UsageTerms} from './duties/usage_task.js';
 import {EndpointLinks} from './endpoints/endpoint_links.js';
 import type {EndpointProtocol} from './endpoints/endpoint_protocol.js';
 import {EndpointView} from './endpoints/endpoint_view.js';
@@ -62,8 +57,6 @@
   readonly maxKeyAgeMs?: number;
   /** Present where usage is to be reported. */
   readonly usage?: UsageTerms;
-  /** Whether the platform takes orders for endpoints. */
-  readonly takesScaleOrders?: boolean;
 }
 
 export interface GatewayParts {
@@ -111,7 +104,6 @@
   private readonly meter: UsageMeter | undefined;
   private runner: BatchRunner | undefined;
   private usageTask: UsageTask | undefined;
-  private scaleTask: ScaleTask | undefined;
   private contactMs = -Infinity;
   private nextTerm = 1;
   private isRosterKnown = false;
@@ -374,7 +366,7 @@
   private noteLease(isNamed: boolean): void {
     this.stopHolding();
     if (!isNamed || this.isStopping) return;
-    this.startDuties();
+    this.startUsageTask();
     const runner = new BatchRunner({
       store: this.store,
       shelf: this.shelf,
@@ -396,38 +388,25 @@
     void runner.start();
   }
 
-  private startDuties(): void {
+  private startUsageTask(): void {
     const {cfg, parts, lease} = this;
-    const {duties: api, logger} = parts;
-    if (!api) return;
-    const dutyLease: DutyLease = {
-      get fencingToken() {
-        return lease.lease.fencingToken;
+    if (!cfg.usage || !parts.duties) return;
+    this.usageTask = new UsageTask({
+      store: this.store,
+      api: parts.duties,
+      lease: {
+        get fencingToken() {
+          return lease.lease.fencingToken;
+        },
+        announce: subject => lease.announceOrder(subject),
       },
-      announce: subject => lease.announceOrder(subject),
-    };
-    const {vmName} = cfg;
-    const common = {api, lease: dutyLease, vmName, logger};
-    const {metrics, store, roster} = this;
-    if (cfg.usage) {
-      const now = () => Date.now();
-      const terms = cfg.usage;
-      this.usageTask = new UsageTask({...common, metrics, store, terms, now});
-      this.usageTask.start();
-    }
-    if (cfg.takesScaleOrders) {
-      const findTable = () => this.config.table;
-      const countItems = (service: string) =>
-        this.runner?.countItems(service) ?? 0;
-      this.scaleTask = new ScaleTask({
-        ...common,
-        metrics,
-        roster,
-        findTable,
-        countItems,
-      });
-      this.scaleTask.start();
-    }
+      vmName: cfg.vmName,
+      terms: cfg.usage,
+      metrics: this.metrics,
+      logger: parts.logger,
+      now: () => Date.now(),
+    });
+    this.usageTask.start();
   }
 
   /** Ends what only the coordinator does. */
@@ -436,8 +415,6 @@
     this.runner = undefined;
     this.usageTask?.stop();
     this.usageTask = undefined;
-    this.scaleTask?.stop();
-    this.scaleTask = undefined;
   }
 
   private answerReady(
--- a/packages/shared/src/log_event.ts
+++ b/packages/shared/src/log_event.ts
@@ -120,13 +120,6 @@
     readonly fencingToken: number;
     readonly outcome: string;
   };
-  readonly 'endpoints ordered': {
-    readonly service: string;
-    readonly dataCentre: string;
-    readonly count: number;
-    readonly fencingToken: number;
-    readonly outcome: string;
-  };
   readonly 'endpoint joined': EndpointFields;
   readonly 'endpoint reborn': EndpointFields;
   readonly 'endpoint draining': EndpointFields;
