fix(core,daemon): bounds on questions to the log, on callers that wait for one, and on books of usage

Cause, found by reading: a caller with an unknown key or path waited for the log as long as a call may take (0.9 s of silence), which is longer than an app's whole time; each such request could cost a call of the log, 250 a second and VM; writers of usage and reports that the platform never takes were kept for ever.

Change: a caller waits 200 ms at the most and is then told to come back; a VM asks the log 20 times a second at the most, and all who wait share the answer; writers are forgotten after 100 windows, reports are given up, with a line, once the log does not keep them any more (240 s).

Each has a test that fails without it.

--- a/packages/core/src/usage/__tests__/usage.spec.ts
+++ b/packages/core/src/usage/__tests__/usage.spec.ts
@@ -135,6 +135,20 @@
   );
 });
 
+test('reports that are given up are told, and delivered ones forgotten', t => {
+  const book = new ReportBook();
+  for (const window of [3, 4, 5]) {
+    book.apply({kind: 'decided', window, counts: {}});
+  }
+  book.apply({kind: 'delivered', window: 3});
+  t.deepEqual(book.forget(5), [4]);
+  t.deepEqual(
+    book.undelivered.map(({window}) => window),
+    [5],
+  );
+  t.is(book.findNext(9, 60), 6);
+});
+
 test('an entry without counts is none', t => {
   const ledger = new UsageLedger();
   const empty: UsageEntry = {writer: 'a', number: 0, counts: []};
--- a/packages/core/src/usage/report_book.ts
+++ b/packages/core/src/usage/report_book.ts
@@ -46,10 +46,13 @@
     return Math.max(this.last + 1, current - maxBehind);
   }
 
-  /** Forgets deliveries of windows before `window`. */
-  forget(window: number): void {
+  /** Forgets windows before `window`; returns those that the platform may not have. */
+  forget(window: number): readonly number[] {
     for (const known of [...this.delivered]) {
       if (known < window) this.delivered.delete(known);
     }
+    const given = [...this.open.keys()].filter(known => known < window);
+    for (const known of given) this.open.delete(known);
+    return given;
   }
 }
--- a/packages/core/src/usage/usage_ledger.ts
+++ b/packages/core/src/usage/usage_ledger.ts
@@ -2,12 +2,21 @@
 
 import type {AccountCounts, UsageEntry} from './usage_record.js';
 
+interface WriterMark {
+  readonly number: number;
+  /** The newest window that was open when it came. */
+  readonly window: number;
+}
+
+/** A writer without an entry for so many windows is forgotten: the log does not keep its entries any longer. */
+const KEPT_WINDOWS = 100;
+
 export class UsageLedger {
   private readonly windows = new Map<number, Map<string, number>>();
-  /** Number of the last entry of each writer. */
-  private readonly writers = new Map<string, number>();
+  /** The last entry of each writer. */
+  private readonly writers = new Map<string, WriterMark>();
   /** Windows before this one are closed. */
-  private firstOpen = -Infinity;
+  private firstOpen = 0;
 
   /**
    * Takes the next entry of its partition, and returns how many requests came
@@ -17,8 +26,8 @@
    * an entry whose number is not above the last stands twice.
    */
   apply({writer, number, counts}: UsageEntry): number {
-    if (number <= (this.writers.get(writer) ?? -1)) return 0;
-    this.writers.set(writer, number);
+    if (number <= (this.writers.get(writer)?.number ?? -1)) return 0;
+    this.writers.set(writer, {number, window: this.firstOpen});
     let late = 0;
     for (const {window, account, requests} of counts) {
       if (window < this.firstOpen) late += requests;
@@ -44,6 +53,10 @@
     for (const known of [...this.windows.keys()]) {
       if (known < this.firstOpen) this.windows.delete(known);
     }
+    for (const [writer, mark] of this.writers) {
+      const isOld = mark.window < this.firstOpen - KEPT_WINDOWS;
+      if (isOld) this.writers.delete(writer);
+    }
   }
 
   private add(window: number, account: string, requests: number): void {
--- a/packages/daemon/src/gateway/duties/usage_task.ts
+++ b/packages/daemon/src/gateway/duties/usage_task.ts
@@ -153,7 +153,8 @@
       requests: countRequests(report),
       fencingToken: this.parts.lease.fencingToken,
     });
-    if (window % TRIM_EVERY === 0) this.forgetBefore(window);
+    this.forgetReports(window);
+    if (window % TRIM_EVERY === 0) this.trimCounts();
     return true;
   }
 
@@ -218,9 +219,15 @@
     return (await Promise.all(reads)).every(isRead => isRead);
   }
 
+  private forgetReports(window: number): void {
+    const behind = Math.floor(MAX_BEHIND_MS / this.parts.terms.windowMs);
+    for (const lost of this.book.forget(window - behind)) {
+      this.parts.logger.log('error', 'usage report given up', {window: lost});
+    }
+  }
+
   /** Counts that were read before the last call belong to windows that are decided. */
-  private forgetBefore(window: number): void {
-    this.book.forget(window - TRIM_EVERY);
+  private trimCounts(): void {
     this.counts.forEach((tail, partition) => {
       const before = this.needed[partition];
       this.needed[partition] = tail.nextOffset;
--- a/packages/daemon/src/gateway/store/__tests__/config_holder.spec.ts
+++ b/packages/daemon/src/gateway/store/__tests__/config_holder.spec.ts
@@ -109,3 +109,14 @@
   const holder = new ConfigHolder(silentLogger);
   t.is((await holder.admit('key', false)).kind, 'uncertain');
 });
+
+test('guards against a caller that is held while the log is silent', async t => {
+  const holder = new ConfigHolder(silentLogger);
+  holder.offer(createConfig(1, 'known'));
+  holder.attach({
+    catchUp: () => new Promise<never>(() => undefined),
+    measureSilenceMs: () => 0,
+  });
+  t.is((await holder.admit('new', false)).kind, 'uncertain');
+  t.false(await holder.isComplete());
+});
--- a/packages/daemon/src/gateway/store/__tests__/keyed_feed.spec.ts
+++ b/packages/daemon/src/gateway/store/__tests__/keyed_feed.spec.ts
@@ -117,6 +117,18 @@
   ]);
 });
 
+test('guards against callers with wrong keys that use up the calls of the log', async t => {
+  const store = new MemoryStore();
+  const feed = createFeed(store, () => undefined);
+  store.keyedReads.push(createPage([], 0), createPage([], 0));
+  await feed.catchUp();
+  const second = feed.catchUp();
+  await new Promise(resolve => setImmediate(resolve));
+  t.is(store.keyedReads.length, 1);
+  t.true(await second);
+  t.is(store.keyedReads.length, 0);
+});
+
 test('a failed read is told and tried again', async t => {
   const store = new MemoryStore();
   store.keyedReads.push(
--- a/packages/daemon/src/gateway/store/config_holder.ts
+++ b/packages/daemon/src/gateway/store/config_holder.ts
@@ -10,8 +10,12 @@
   type Configuration,
   RouteTable,
 } from '@radishyoke/core/routing/route_table';
+import {setTimeout as sleep} from 'node:timers/promises';
 import type {EventLogger} from '../../logger.js';
 
+/** A caller waits no longer for the log to say whether its key or rule is new, ms; it is then told to come back. */
+const CONFIRM_MS = 200;
+
 /** How a holder learns whether it has missed a version. */
 export interface ConfigSource {
   /** Reads all versions there are now; says whether that succeeded. */
@@ -74,7 +78,11 @@
   }
 
   private async confirm(): Promise<Knowledge> {
-    const isRead = (await this.source?.catchUp()) ?? true;
+    if (!this.source) return 'current';
+    const isRead = await Promise.race([
+      this.source.catchUp(),
+      sleep(CONFIRM_MS, false),
+    ]);
     return isRead ? 'current' : this.measureAge();
   }
 
--- a/packages/daemon/src/gateway/store/keyed_feed.ts
+++ b/packages/daemon/src/gateway/store/keyed_feed.ts
@@ -29,6 +29,8 @@
 /** First pause after a failed read, ms; doubles up to the next. Short, since a VM out of touch serves on old knowledge. */
 const FIRST_RETRY_MS = 50;
 const MAX_RETRY_MS = 400;
+/** Least time between two reads to catch up, ms: callers with wrong keys must not use up the log's calls. */
+const CATCH_UP_PAUSE_MS = 50;
 
 /** What one read brought. */
 type FeedStep = 'news' | 'quiet' | 'expired' | 'failed';
@@ -39,6 +41,8 @@
   private readonly abort = new AbortController();
   private isLost = false;
   private contactMs = -Infinity;
+  /** Steady ms of the last read to catch up. */
+  private askedMs = -Infinity;
   private catchingUp: Promise<boolean> | undefined;
 
   constructor(
@@ -73,12 +77,19 @@
 
   /** Reads what there is now beside the feed's own reads; says whether that succeeded. Calls that come meanwhile share one read. */
   catchUp(): Promise<boolean> {
-    this.catchingUp ??= this.readToEnd().finally(
+    this.catchingUp ??= this.readSoon().finally(
       () => (this.catchingUp = undefined),
     );
     return this.catchingUp;
   }
 
+  private async readSoon(): Promise<boolean> {
+    const waitMs = this.askedMs + CATCH_UP_PAUSE_MS - performance.now();
+    if (waitMs > 0) await this.pause(waitMs);
+    this.askedMs = performance.now();
+    return this.readToEnd();
+  }
+
   /** Steady ms since the log last answered. */
   measureSilenceMs(): number {
     return performance.now() - this.contactMs;
--- a/packages/shared/src/log_event.ts
+++ b/packages/shared/src/log_event.ts
@@ -115,6 +115,8 @@
     readonly requests: number;
     readonly fencingToken: number;
   };
+  /** The platform did not take it for as long as the log keeps it. */
+  readonly 'usage report given up': {readonly window: number};
   readonly 'usage report': {
     readonly window: number;
     readonly fencingToken: number;
