--- a/packages/daemon/src/gateway/duties/duty_api.ts
+++ b/packages/daemon/src/gateway/control/control_api.ts
@@ -1,5 +1,5 @@
 /**
- * Calls to the platform that one VM at a time may make, in the gateway's own
+ * The calls that the platform takes from one VM at a time, in the gateway's own
  * terms. What the platform did with a call that got no answer is not known, and
  * it may still do it seconds later.
  */
@@ -7,12 +7,12 @@
 import type {UsageReport} from '@radishyoke/core/usage/usage_record';
 
 /** As whom a call is made. */
-export interface DutyHolder {
+export interface CallCredentials {
   readonly vmName: string;
   readonly fencingToken: number;
 }
 
-export type DutyAnswer =
+export type ControlAnswer =
   | 'accepted'
   /** The platform has seen a higher token. */
   | 'fenced'
@@ -23,11 +23,11 @@
   /** It may have been done, or may be yet. */
   | 'unknown';
 
-export abstract class DutyApi {
+export abstract class ControlApi {
   abstract reportUsage(
     report: UsageReport,
-    holder: DutyHolder,
-  ): Promise<DutyAnswer>;
+    holder: CallCredentials,
+  ): Promise<ControlAnswer>;
 
   abstract close(): void;
 }
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -15,9 +15,9 @@
 import {BatchRunner} from './batches/batch_runner.js';
 import type {CallerProtocol} from './requests/caller_protocol.js';
 import {ConfigHolder} from './store/config_holder.js';
-import type {DutyApi} from './duties/duty_api.js';
-import {UsageMeter} from './duties/usage_meter.js';
-import {UsageTask, type UsageTerms} from './duties/usage_task.js';
+import type {ControlApi} from './control/control_api.js';
+import {UsageMeter} from './usage/usage_meter.js';
+import {UsageTask, type UsageTerms} from './usage/usage_task.js';
 import {EndpointLinks} from './endpoints/endpoint_links.js';
 import type {EndpointProtocol} from './endpoints/endpoint_protocol.js';
 import {EndpointView} from './endpoints/endpoint_view.js';
@@ -64,8 +64,8 @@
   readonly directory: PlatformDirectory;
   readonly callers: CallerProtocol;
   readonly endpoints: EndpointProtocol;
-  /** Present where the platform asks for calls of one VM at a time. */
-  readonly duties?: DutyApi;
+  /** Present where the platform asks the coordinator for calls of its own. */
+  readonly control?: ControlApi;
   readonly logger: EventLogger;
 }
 
@@ -282,7 +282,7 @@
     this.metricsServer.close();
     this.links.close();
     this.meter?.stop();
-    this.parts.duties?.close();
+    this.parts.control?.close();
     this.store.close();
   }
 
@@ -390,10 +390,10 @@
 
   private startUsageTask(): void {
     const {cfg, parts, lease} = this;
-    if (!cfg.usage || !parts.duties) return;
+    if (!cfg.usage || !parts.control) return;
     this.usageTask = new UsageTask({
       store: this.store,
-      api: parts.duties,
+      api: parts.control,
       lease: {
         get fencingToken() {
           return lease.lease.fencingToken;
--- a/packages/daemon/src/gateway/requests/forward_request.ts
+++ b/packages/daemon/src/gateway/requests/forward_request.ts
@@ -5,7 +5,7 @@
 import type {EndpointRoster} from '@radishyoke/core/fleet/endpoint_roster';
 import type {Route} from '@radishyoke/core/routing/route_table';
 import type {EventLogger} from '../../logger.js';
-import type {UsageMeter} from '../duties/usage_meter.js';
+import type {UsageMeter} from '../usage/usage_meter.js';
 import type {EndpointLinks} from '../endpoints/endpoint_links.js';
 import type {EndpointProtocol} from '../endpoints/endpoint_protocol.js';
 import type {EndpointView} from '../endpoints/endpoint_view.js';
--- a/packages/daemon/src/gateway/duties/__tests__/duty_fixtures.ts
+++ b/packages/daemon/src/gateway/usage/__tests__/usage_fixtures.ts
@@ -1,10 +1,14 @@
-/** Stand-ins for the platform's API and the lease, as tests of duties need them. */
+/** Stand-ins for the platform's API and the lease, as tests of usage need them. */
 
 import type {UsageReport} from '@radishyoke/core/usage/usage_record';
 import {silentLogger} from '../../../logger.js';
 import {GatewayMetrics} from '../../gateway_metrics.js';
 import type {LogStore} from '../../store/log_store.js';
-import {type DutyAnswer, DutyApi, type DutyHolder} from '../duty_api.js';
+import {
+  type ControlAnswer,
+  ControlApi,
+  type CallCredentials,
+} from '../../control/control_api.js';
 import {COUNT_TOPIC, encodeUsage} from '../usage_codec.js';
 import {UsageTask} from '../usage_task.js';
 
@@ -14,21 +18,21 @@
 /** A call as it arrived. */
 export interface UsageCall {
   readonly report: UsageReport;
-  readonly holder: DutyHolder;
+  readonly holder: CallCredentials;
 }
 
 /** The platform's API; its next answers can be told, then it accepts all. */
-export class FakeDutyApi extends DutyApi {
+export class FakeControlApi extends ControlApi {
   readonly calls: UsageCall[] = [];
-  readonly plan: DutyAnswer[] = [];
+  readonly plan: ControlAnswer[] = [];
   /** One line for each window that was told with different counts. */
   readonly problems: string[] = [];
   private readonly accepted = new Map<number, string>();
 
   async reportUsage(
     report: UsageReport,
-    holder: DutyHolder,
-  ): Promise<DutyAnswer> {
+    holder: CallCredentials,
+  ): Promise<ControlAnswer> {
     this.calls.push({report, holder});
     const answer = this.plan.shift() ?? 'accepted';
     // What got no answer may have been taken.
@@ -64,7 +68,7 @@
 /** One holder's task, before `store` and `api`. */
 export function createTask(
   store: LogStore,
-  api: DutyApi,
+  api: ControlApi,
   time: FakeTime,
   {vmName = 'vm-a', fencingToken = 1, mayCall = () => true}: HolderTerms = {},
 ): UsageTask {
--- a/packages/daemon/src/gateway/duties/__tests__/usage_task.spec.ts
+++ b/packages/daemon/src/gateway/usage/__tests__/usage_task.spec.ts
@@ -5,10 +5,10 @@
 import {
   createTask,
   DUE_MS,
-  FakeDutyApi,
+  FakeControlApi,
   WINDOW_MS,
   writeCount,
-} from './duty_fixtures.js';
+} from './usage_fixtures.js';
 
 /** When a window may be decided: well after its end and before its report is due. */
 function settledMs(window: number): number {
@@ -18,7 +18,7 @@
 /** A service that began in window 10 and has a holder that knows it. */
 async function startService() {
   const store = new MemoryStore();
-  const api = new FakeDutyApi();
+  const api = new FakeControlApi();
   const time = {nowMs: 10 * WINDOW_MS + 1};
   const task = createTask(store, api, time);
   await task.tick();
@@ -46,7 +46,7 @@
 
 test('guards against windows that are left out as they ended before there was a holder', async t => {
   const store = new MemoryStore();
-  const api = new FakeDutyApi();
+  const api = new FakeControlApi();
   await writeCount(store, 'a', 0, 8, 2);
   const time = {nowMs: 10 * WINDOW_MS + 1};
   const task = createTask(store, api, time);
@@ -149,7 +149,7 @@
 
 test('guards against a call by a holder that may not act', async t => {
   const store = new MemoryStore();
-  const api = new FakeDutyApi();
+  const api = new FakeControlApi();
   const time = {nowMs: 10 * WINDOW_MS};
   let may = false;
   const task = createTask(store, api, time, {mayCall: () => may});
@@ -215,7 +215,7 @@
   await fc.assert(
     fc.asyncProperty(fc.array(STEP, {maxLength: 60}), async steps => {
       const store = new MemoryStore();
-      const api = new FakeDutyApi();
+      const api = new FakeControlApi();
       const time = {nowMs: 10 * WINDOW_MS};
       let token = 0;
       const create = () =>
--- a/packages/daemon/src/gateway/duties/usage_task.ts
+++ b/packages/daemon/src/gateway/usage/usage_task.ts
@@ -15,8 +15,12 @@
 import type {EventLogger} from '../../logger.js';
 import type {GatewayMetrics} from '../gateway_metrics.js';
 import type {LogStore} from '../store/log_store.js';
-import type {DutyAnswer, DutyApi, DutyHolder} from './duty_api.js';
-import {LogTail} from './log_tail.js';
+import type {
+  ControlAnswer,
+  ControlApi,
+  CallCredentials,
+} from '../control/control_api.js';
+import {LogTail} from '../store/log_tail.js';
 import {
   COUNT_TOPIC,
   decodeReportRecord,
@@ -27,7 +31,7 @@
 } from './usage_codec.js';
 
 /** What the task needs of the lease. */
-export interface DutyLease {
+export interface CallLease {
   readonly fencingToken: number;
   /** Writes down that a call on `subject` is about to be made; says whether it may be made now. */
   announce(subject: string): Promise<boolean>;
@@ -41,8 +45,8 @@
 
 export interface UsageTaskParts {
   readonly store: LogStore;
-  readonly api: DutyApi;
-  readonly lease: DutyLease;
+  readonly api: ControlApi;
+  readonly lease: CallLease;
   readonly vmName: string;
   readonly terms: UsageTerms;
   readonly metrics: GatewayMetrics;
@@ -52,7 +56,7 @@
 }
 
 /** All windows are one subject: their reports come from one holder at a time. */
-const SUBJECT = 'duty usage';
+const SUBJECT = 'usage reports';
 /** How often the task looks whether something is due, ms. */
 const TICK_MS = 200;
 /** A window is decided once this share of the time until its report is due has passed: writes that failed at first are there by then, and a log that is away for seconds right after it still leaves time. */
@@ -182,11 +186,11 @@
     }
   }
 
-  private async deliver(report: UsageReport): Promise<DutyAnswer> {
+  private async deliver(report: UsageReport): Promise<ControlAnswer> {
     const {api, lease, vmName, store, logger, metrics} = this.parts;
     const {window} = report;
     const {fencingToken} = lease;
-    const holder: DutyHolder = {vmName, fencingToken};
+    const holder: CallCredentials = {vmName, fencingToken};
     const answer = await api.reportUsage(report, holder);
     metrics.count(`usage_${answer}`);
     logger.log(answer === 'accepted' ? 'info' : 'warn', 'usage report', {
