fix(daemon): a record of usage that can not be read is skipped with a line

Cause, found by reading the change: a record that can not be decoded threw out of the coordinator's timer, which ends the process, and each successor's in turn.

Change: the reader of a partition skips it and says where it stands, as the reader of batches does. The test fails without it (an uncaught error).

--- a/packages/daemon/src/gateway/usage/__tests__/usage_task.spec.ts
+++ b/packages/daemon/src/gateway/usage/__tests__/usage_task.spec.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import fc from 'fast-check';
 import {MemoryStore} from '../../__tests__/gateway_fixtures.js';
-import {REPORT_TOPIC} from '../usage_codec.js';
+import {COUNT_TOPIC, REPORT_TOPIC} from '../usage_codec.js';
 import {
   createTask,
   DUE_MS,
@@ -64,6 +64,20 @@
   t.deepEqual(api.windows, [10]);
 });
 
+test('guards against a record that can not be read and stops each holder in turn', async t => {
+  const {store, api, time, task} = await startService();
+  await store.append(COUNT_TOPIC, 0, [Buffer.from([0xc1, 0xff])]);
+  await store.append(REPORT_TOPIC, 0, [Buffer.from([0xc1, 0xff])]);
+  await writeCount(store, 'a', 0, 10, 2);
+  time.nowMs = settledMs(10);
+  await task.tick();
+  await task.tick();
+  t.deepEqual(
+    api.calls.map(({report}) => report.counts),
+    [{alpha: 2}],
+  );
+});
+
 test('a window without requests is told too', async t => {
   const {api, time, task} = await startService();
   time.nowMs = settledMs(11);
--- a/packages/daemon/src/gateway/usage/usage_task.ts
+++ b/packages/daemon/src/gateway/usage/usage_task.ts
@@ -83,11 +83,11 @@
   private timer: NodeJS.Timeout | undefined;
 
   constructor(private readonly parts: UsageTaskParts) {
-    const {store} = parts;
-    this.reports = new LogTail(store, REPORT_TOPIC, REPORT_PARTITION);
+    const {store, logger} = parts;
+    this.reports = new LogTail(store, REPORT_TOPIC, REPORT_PARTITION, logger);
     this.counts = Array.from(
       {length: store.partitions},
-      (_, partition) => new LogTail(store, COUNT_TOPIC, partition),
+      (_, partition) => new LogTail(store, COUNT_TOPIC, partition, logger),
     );
     this.needed = this.counts.map(() => 0);
   }
