perf(core): a decision of the coordinator no longer grows with engines times runs

Cause: for each engine that had shown no speed the typical pace of all was worked out anew (sorted each time); the runs of a model on an engine were counted by going over all runs; each waiting item asked every engine anew whether it may run its batch. A coordinator with 1,002 engines used 0.97 of a core at its worst.

Change: the typical pace is kept until a sample comes; runs are counted by engine and model as they start and end; engines that may run a batch are listed once a decision. Which engine is chosen does not change.

--- a/packages/core/src/batches/batch_scheduler.ts
+++ b/packages/core/src/batches/batch_scheduler.ts
@@ -327,9 +327,9 @@
       runs.push(run);
       byEngine.set(run.engineId, runs);
     }
+    const views = new Map(this.engines.map(view => [view.id, view]));
     for (const [engineId, runs] of byEngine) {
-      const view = this.engines.find(({id}) => id === engineId);
-      const isLoading = (view?.loading.size ?? 0) > 0;
+      const isLoading = (views.get(engineId)?.loading.size ?? 0) > 0;
       if (!isLoading && isAllSilent(runs, nowMs)) {
         this.board.noteSilence(engineId, nowMs);
         for (const run of runs) this.stop(run, 'engine_silent');
--- a/packages/core/src/batches/placement.ts
+++ b/packages/core/src/batches/placement.ts
@@ -34,6 +34,12 @@
   readonly groups: Map<string, number>;
 }
 
+/** An engine that may run the items of one batch, room aside. */
+interface Candidate {
+  readonly engine: EngineView;
+  readonly use: EngineUse;
+}
+
 export class Placement {
   /** Engines that are much slower than the others. */
   readonly slow: ReadonlySet<string>;
@@ -41,6 +47,7 @@
   private readonly choices = new Map<OpenBatch, GroupChoice>();
   private readonly byId: ReadonlyMap<string, EngineView>;
   private readonly paces = new Map<string, number>();
+  private readonly candidates = new Map<OpenBatch, readonly Candidate[]>();
 
   constructor(
     private readonly engines: readonly EngineView[],
@@ -77,9 +84,8 @@
   pick(job: Job): EngineView | undefined {
     let best: EngineView | undefined;
     let bestScore = Infinity;
-    for (const engine of this.engines) {
-      const use = this.open(engine.id);
-      if (use.runs >= engine.slots || !this.canTake(engine, job)) continue;
+    for (const {engine, use} of this.listCandidates(job)) {
+      if (use.runs >= engine.slots) continue;
       if (!this.hasMemory(engine, use, job)) continue;
       const score = this.score(engine, use, job);
       if (score >= bestScore) continue;
@@ -89,6 +95,18 @@
     return best;
   }
 
+  /** Engines that may run the items of the job's batch: the same for all of them within one decision. */
+  private listCandidates(job: Job): readonly Candidate[] {
+    let list = this.candidates.get(job.batch);
+    if (!list) {
+      list = this.engines
+        .filter(engine => this.canTake(engine, job))
+        .map(engine => ({engine, use: this.open(engine.id)}));
+      this.candidates.set(job.batch, list);
+    }
+    return list;
+  }
+
   /** Whether `engine` may run `job` at all, room aside. */
   canTake(engine: EngineView, job: Job): boolean {
     const {batch, terms} = job.batch;
--- a/packages/core/src/batches/run_table.ts
+++ b/packages/core/src/batches/run_table.ts
@@ -4,19 +4,18 @@
 
 export class RunTable {
   private readonly runs = new Map<string, Run>();
-  private readonly counts = new Map<string, number>();
+  /** Runs by engine, then by model. */
+  private readonly counts = new Map<string, Map<string, number>>();
 
   add(run: Run): void {
     this.runs.set(run.id, run);
-    this.counts.set(run.engineId, this.countAt(run.engineId) + 1);
+    this.count(run, 1);
   }
 
   /** False if the run was over before. */
   delete(run: Run): boolean {
     if (!this.runs.delete(run.id)) return false;
-    const left = this.countAt(run.engineId) - 1;
-    if (left > 0) this.counts.set(run.engineId, left);
-    else this.counts.delete(run.engineId);
+    this.count(run, -1);
     return true;
   }
 
@@ -29,16 +28,23 @@
   }
 
   countAt(engineId: string): number {
-    return this.counts.get(engineId) ?? 0;
+    let sum = 0;
+    for (const count of this.counts.get(engineId)?.values() ?? []) sum += count;
+    return sum;
   }
 
   /** Runs of `model` on an engine. */
   countModelAt(engineId: string, model: string): number {
-    let count = 0;
-    for (const run of this.runs.values()) {
-      if (run.engineId !== engineId) continue;
-      if (run.job.batch.batch.model === model) count += 1;
-    }
-    return count;
+    return this.counts.get(engineId)?.get(model) ?? 0;
+  }
+
+  private count({engineId, job}: Run, change: 1 | -1): void {
+    const {model} = job.batch.batch;
+    const models = this.counts.get(engineId) ?? new Map<string, number>();
+    this.counts.set(engineId, models);
+    const count = (models.get(model) ?? 0) + change;
+    if (count > 0) models.set(model, count);
+    else models.delete(model);
+    if (models.size === 0) this.counts.delete(engineId);
   }
 }
--- a/packages/core/src/fleet/speed_board.ts
+++ b/packages/core/src/fleet/speed_board.ts
@@ -7,6 +7,8 @@
  * nature. So what is kept is the pace: the gap that a lone run would see.
  */
 
+import {findLowerMiddle} from './lower_middle.js';
+
 interface Speed {
   /** Smoothed pace, ms an event. */
   paceMs: number;
@@ -36,10 +38,14 @@
 export class SpeedBoard {
   private readonly speeds = new Map<string, Speed>();
   private slow: ReadonlySet<string> = new Set();
+  /** The typical pace as last worked out, until another sample comes. */
+  private typical:
+    {readonly atMs: number; readonly paceMs?: number} | undefined;
 
   /** Two events of one run came `gapMs` apart, with `runs` on the endpoint. */
   note(endpointId: string, gapMs: number, runs: number, nowMs: number): void {
     if (gapMs > MAX_GAP_MS) return;
+    this.typical = undefined;
     const paceMs = gapMs / crowd(runs);
     const speed = this.speeds.get(endpointId);
     if (!speed || nowMs - speed.lastMs > TRUST_MS) {
@@ -57,6 +63,7 @@
 
   forget(endpointId: string): void {
     this.speeds.delete(endpointId);
+    this.typical = undefined;
   }
 
   /**
@@ -71,6 +78,14 @@
 
   /** Pace of a typical endpoint, for those that have shown nothing yet, ms an event. */
   findTypicalPaceMs(nowMs: number): number | undefined {
+    // One decision asks for it once for each endpoint that has shown nothing.
+    if (this.typical?.atMs !== nowMs) {
+      this.typical = {atMs: nowMs, paceMs: this.computeTypicalPaceMs(nowMs)};
+    }
+    return this.typical.paceMs;
+  }
+
+  private computeTypicalPaceMs(nowMs: number): number | undefined {
     const paces: number[] = [];
     for (const id of this.speeds.keys()) {
       const paceMs = this.findPaceMs(id, nowMs);
@@ -117,9 +132,3 @@
 export function crowd(runs: number): number {
   return 1 + CROWDING * Math.max(runs - 1, 0);
 }
-
-/** The lower middle: with two endpoints the faster one is the measure. */
-function findLowerMiddle(values: number[]): number | undefined {
-  values.sort((a, b) => a - b);
-  return values[Math.floor((values.length - 1) / 2)];
-}
