fix(core,daemon): how many engines load weights at once is found out

Trainers waited for steps that ran out of time.

Cause: 0.29 of all engines were ordered to load at once, a share that fits fleets of 6 to 55 engines, whose loads share something that carries 2 to 10. Of 1,002 engines 290 loaded at once, each for many seconds; their load was taken to be over after 0.95 s, so items were sent to engines that refused them: 35,269 of 36,761 arrivals were refused (status 503), 771 loads for 24 steps.

Change: core/fleet/load_pace starts with 10 at the most and a share of the engines as before, lets more load at once while loads take what the shortest took, and fewer once the middle one of five takes half as long again. Small fleets load as many at once as before.

load_pace.spec plays loads that share what carries ten: with a fixed share not one of 1,000 engines has a version when the next is named; 35 and more have it now.

--- /dev/null
+++ b/packages/core/src/fleet/__tests__/load_pace.spec.ts
@@ -0,0 +1,121 @@
+import test from 'ava';
+import {LoadPace} from '../load_pace.js';
+
+const LOAD_MS = 900;
+const STEP_MS = 50;
+/** Time between two versions of a model, ms. */
+const VERSION_MS = 4000;
+
+interface LoadPolicy {
+  computeLimit(engineCount: number): number;
+  noteLoad: LoadPace['noteLoad'];
+}
+
+/** A fixed share of the engines loads, however long that takes. */
+const SHARE_POLICY: LoadPolicy = {
+  computeLimit: engineCount => Math.max(2, Math.floor(engineCount * 0.29)),
+  noteLoad: () => undefined,
+};
+
+interface FleetLoad {
+  readonly startedMs: number;
+  leftMs: number;
+}
+
+interface Span {
+  readonly startedMs: number;
+  readonly tookMs: number;
+}
+
+/**
+ * Engines that always have something to load. Up to `atOnce` loads go on
+ * undisturbed; more share what these would get.
+ */
+function playLoads(
+  policy: LoadPolicy,
+  fleet: {readonly engines: number; readonly atOnce: number},
+  lengthMs: number,
+): readonly Span[] {
+  const ended: Span[] = [];
+  let loads: FleetLoad[] = [];
+  for (let nowMs = 0; nowMs < lengthMs; nowMs += STEP_MS) {
+    const limit = policy.computeLimit(fleet.engines);
+    while (loads.length < limit) {
+      loads.push({startedMs: nowMs, leftMs: LOAD_MS});
+    }
+    const rate = Math.min(1, fleet.atOnce / loads.length);
+    for (const load of loads) load.leftMs -= STEP_MS * rate;
+    const endedMs = nowMs + STEP_MS;
+    for (const {startedMs, leftMs} of loads) {
+      if (leftMs > 0) continue;
+      ended.push({startedMs, tookMs: endedMs - startedMs});
+      policy.noteLoad({startedMs, endedMs}, limit, loads.length >= limit);
+    }
+    loads = loads.filter(({leftMs}) => leftMs > 0);
+  }
+  return ended;
+}
+
+/** Engines that have the version within the time between two versions. */
+function countInTime(loads: readonly Span[]): number {
+  return loads.filter(({startedMs, tookMs}) => startedMs + tookMs <= VERSION_MS)
+    .length;
+}
+
+function findLongest(loads: readonly Span[], fromMs: number): number {
+  const late = loads.filter(({startedMs}) => startedMs >= fromMs);
+  return Math.max(...late.map(({tookMs}) => tookMs));
+}
+
+// Guards against engines of a large fleet that load so many at once that a version comes too late for its step.
+test('a version reaches enough engines of a large fleet in time', t => {
+  const fleet = {engines: 1000, atOnce: 10};
+  t.is(countInTime(playLoads(SHARE_POLICY, fleet, VERSION_MS)), 0);
+  t.true(countInTime(playLoads(new LoadPace(), fleet, VERSION_MS)) >= 35);
+});
+
+test('loads are found to slow each other within a few versions, and are fewer then', t => {
+  const fleet = {engines: 1000, atOnce: 12};
+  const loads = playLoads(new LoadPace(), fleet, 60_000);
+  t.true(findLongest(loads, 20_000) < 2 * LOAD_MS);
+});
+
+// Guards against a first number of loads at once that stays where more would do.
+test('a fleet that can load many at once does', t => {
+  const fleet = {engines: 3000, atOnce: 200};
+  const pace = new LoadPace();
+  const loads = playLoads(pace, fleet, 8000);
+  t.true(pace.computeLimit(fleet.engines) >= 150);
+  t.true(findLongest(loads, 0) < 2 * LOAD_MS);
+});
+
+test('a small fleet loads a share of its engines at once', t => {
+  for (const [engines, atOnce] of [
+    [6, 2],
+    [31, 8],
+    [34, 9],
+  ]) {
+    const pace = new LoadPace();
+    playLoads(pace, {engines, atOnce}, 60_000);
+    t.is(pace.computeLimit(engines), atOnce);
+  }
+});
+
+// Guards against one slow engine that makes all others wait for their weights.
+test('one load in five that takes long changes nothing', t => {
+  const pace = new LoadPace();
+  const before = pace.computeLimit(34);
+  for (let i = 0; i < 200; i++) {
+    const tookMs = i % 5 === 0 ? 4 * LOAD_MS : LOAD_MS;
+    pace.noteLoad({startedMs: i, endedMs: i + tookMs}, before, false);
+  }
+  t.is(pace.computeLimit(34), before);
+});
+
+test('the length of loads that is expected follows them', t => {
+  const pace = new LoadPace();
+  for (let i = 0; i < 40; i++) {
+    pace.noteLoad({startedMs: i, endedMs: i + 400}, 2, true);
+  }
+  t.true(Math.abs(pace.expectedMs - 400) < 10);
+});
--- /dev/null
+++ b/packages/core/src/fleet/load_pace.ts
@@ -0,0 +1,93 @@
+/**
+ * How many engines may load weights at once, and how long a load takes.
+ *
+ * Engines fetch weights over something that they share. Up to a number that
+ * nobody tells, loads do not slow each other; beyond it each takes longer, none
+ * comes sooner, and items are sent to engines that are not ready. So the number
+ * is found out: it grows while loads take what the shortest took, and shrinks
+ * when they take much longer.
+ */
+
+import {findLowerMiddle} from './lower_middle.js';
+
+/** One load that has ended. */
+export interface EndedLoad {
+  /** Steady ms. */
+  readonly startedMs: number;
+  readonly endedMs: number;
+}
+
+/** Engines that load at once at most, as a share of all. */
+const MOST_SHARE = 0.29;
+/** Engines that may load at once however few there are. */
+const FEWEST = 2;
+/** Engines that may load at once until loads have shown more. */
+const FIRST = 10;
+/** Loads that take this many times the shortest slow each other. */
+const SLOWED = 1.5;
+/** Loads of which the middle one is judged, so that one slow engine does not count. */
+const JUDGED = 5;
+/** How long a load is taken to last until one was seen, ms. */
+const FIRST_LOAD_MS = 950;
+/** Bounds on what is learned of the length of loads, ms. */
+const MIN_LOAD_MS = 100;
+const MAX_LOAD_MS = 5000;
+/** Weight of the last load in the expected length. */
+const SMOOTHING = 0.25;
+
+export class LoadPace {
+  private atOnce = FIRST;
+  private expectedLoadMs = FIRST_LOAD_MS;
+  private shortestMs = MAX_LOAD_MS;
+  private judged: number[] = [];
+  /** Loads that began before this steady ms tell of a number that was given up. */
+  private judgedFromMs = -Infinity;
+  private hasBeenSlowed = false;
+
+  /** How long the next load should take, ms. */
+  get expectedMs(): number {
+    return this.expectedLoadMs;
+  }
+
+  /** How many of `engineCount` engines may load at once. */
+  computeLimit(engineCount: number): number {
+    const most = Math.floor(engineCount * MOST_SHARE);
+    return Math.max(FEWEST, Math.min(most, Math.floor(this.atOnce)));
+  }
+
+  /** A load has ended while `limit` engines might load at once, and as many did if `isFull`. */
+  noteLoad(
+    {startedMs, endedMs}: EndedLoad,
+    limit: number,
+    isFull: boolean,
+  ): void {
+    const tookMs = clampLoad(endedMs - startedMs);
+    this.expectedLoadMs += (tookMs - this.expectedLoadMs) * SMOOTHING;
+    this.shortestMs = Math.min(this.shortestMs, tookMs);
+    if (startedMs < this.judgedFromMs) return;
+    this.judged.push(tookMs);
+    if (this.judged.length < JUDGED) return;
+    const typicalMs = findLowerMiddle(this.judged)!;
+    this.judged = [];
+    if (typicalMs > this.shortestMs * SLOWED) {
+      this.shrink(limit * (this.shortestMs / typicalMs), endedMs);
+    } else if (isFull) {
+      this.grow();
+    }
+  }
+
+  private shrink(atOnce: number, nowMs: number): void {
+    this.atOnce = Math.max(FEWEST, atOnce);
+    this.judgedFromMs = nowMs;
+    this.hasBeenSlowed = true;
+  }
+
+  /** Doubles with each round of loads until they slow each other for the first time, then one by one. */
+  private grow(): void {
+    this.atOnce += this.hasBeenSlowed ? JUDGED / this.atOnce : JUDGED;
+  }
+}
+
+function clampLoad(tookMs: number): number {
+  return Math.min(Math.max(tookMs, MIN_LOAD_MS), MAX_LOAD_MS);
+}
--- a/packages/daemon/src/gateway/engines/weight_task.ts
+++ b/packages/daemon/src/gateway/engines/weight_task.ts
@@ -9,6 +9,7 @@
 import type {EngineView} from '@radishyoke/core/batches/engine_board';
 import type {EndpointEntry} from '@radishyoke/core/fleet/endpoint_entry';
 import type {EndpointRoster} from '@radishyoke/core/fleet/endpoint_roster';
+import {LoadPace} from '@radishyoke/core/fleet/load_pace';
 import {
   computeShare,
   type LoadCandidate,
@@ -66,22 +67,14 @@
 const MIN_ENGINES = 2;
 /** Runs that a model brings to an engine with its newest version: about 32 items at a time on 4 engines. */
 const RUNS_PER_MODEL = 8;
-/** Engines that load at once at most, as a share of all and at least; more slow each other down (2 of 6, 10 of 34 and 9 of 31 do not). */
-const LOAD_SHARE = 0.29;
-const MIN_LOADS = 2;
 /** An engine answers an order in a few ms; without an answer the same order is sent again, which is void if the first was accepted. */
 const ORDER_MS = 150;
-/** How long a load is taken to last until one was seen, ms. */
-const FIRST_LOAD_MS = 950;
 /** Reports tell of the end of a load about this much late, ms. */
 const REPORT_BEHIND_MS = 250;
 /** Pause between looks at the end of a load, ms. */
 const LOOK_MS = 150;
 /** After this many looks a report that shows no load and no new version is believed: it has caught up. */
 const SETTLED_LOOKS = 4;
-/** Bounds on what is learned of the length of loads, ms. */
-const MIN_LOAD_MS = 100;
-const MAX_LOAD_MS = 5000;
 /** Looks until a load is given up and begun anew. */
 const MAX_LOOKS = 24;
 /** Reports lag by some hundred ms, so an order in conflict with another is judged this long after it, ms. */
@@ -96,8 +89,9 @@
   private readonly working = new Map<string, LoadTarget>();
   private readonly restUntilMs = new Map<string, number>();
   private isStopped = false;
-  /** How long the last load took, ms. */
-  private loadMs = FIRST_LOAD_MS;
+  private readonly pace = new LoadPace();
+  /** Engines that may load at once. */
+  private maxLoads = 0;
 
   constructor(private readonly parts: WeightParts) {}
 
@@ -110,14 +104,11 @@
     if (this.isStopped) return;
     for (const service of table.engines) {
       const views = engines.filter(view => view.service === service.name);
-      const maxLoads = Math.max(
-        MIN_LOADS,
-        Math.floor(views.length * LOAD_SHARE),
-      );
+      this.maxLoads = this.pace.computeLimit(views.length);
       for (const plan of rankModels(this.planModels(service, views))) {
         // What was started for one model is out of reach of the next.
         const candidates = this.listCandidates(plan.model, service, views);
-        this.startLoads({...plan, candidates}, table, maxLoads);
+        this.startLoads({...plan, candidates}, table);
       }
     }
   }
@@ -144,10 +135,9 @@
   private startLoads(
     {model, candidates, need}: ModelPlan,
     table: RouteTable,
-    maxLoads: number,
   ): void {
     const {roster} = this.parts;
-    const maxMore = maxLoads - this.working.size;
+    const maxMore = this.maxLoads - this.working.size;
     for (const id of pickLoads(candidates, need, maxMore)) {
       const entry = roster.get(id);
       if (!entry) continue;
@@ -287,7 +277,7 @@
     const {fleet} = this.parts;
     const {entry, model, version} = target;
     const startedMs = performance.now();
-    await sleep(this.loadMs);
+    await sleep(this.pace.expectedMs);
     if (this.isOutOfDate(entry)) return 'over';
     fleet.assumeLoaded(entry, model, version);
     for (let looks = 0; looks < MAX_LOOKS; looks++) {
@@ -296,7 +286,7 @@
       const report = await this.parts.reports.fetch(entry);
       if (!report) continue;
       if (hasVersion(report, model, version)) {
-        this.learnLoad(performance.now() - startedMs - REPORT_BEHIND_MS);
+        this.learnLoad(startedMs);
         return 'over';
       }
       if (!report.isBusy && looks >= SETTLED_LOOKS) {
@@ -304,13 +294,14 @@
         return 'again';
       }
     }
+    this.learnLoad(startedMs);
     return 'again';
   }
 
-  /** Loads of one deployment take about the same time. */
-  private learnLoad(tookMs: number): void {
-    const bounded = Math.min(Math.max(tookMs, MIN_LOAD_MS), MAX_LOAD_MS);
-    this.loadMs += (bounded - this.loadMs) / 4;
+  private learnLoad(startedMs: number): void {
+    const endedMs = performance.now() - REPORT_BEHIND_MS;
+    const isFull = this.working.size >= this.maxLoads;
+    this.pace.noteLoad({startedMs, endedMs}, this.maxLoads, isFull);
   }
 
   private isOutOfDate(entry: EndpointEntry): boolean {
