fix(core,daemon): a coordinator of thousands of engines has time for its work

A coordinator that is late looked late at engines, took their loads for slow and let fewer load at once.

Change: engines are listed once a tick and model, and not at all while as many load as may; the lease is asked once a tick for what does not depend on the engine; a look that itself took long says nothing of a load; loads that were not seen to end count as long; never fewer than ten load at once for their sake.

--- a/packages/core/src/fleet/load_pace.ts
+++ b/packages/core/src/fleet/load_pace.ts
@@ -21,7 +21,7 @@
 const MOST_SHARE = 0.29;
 /** Engines that may load at once however few there are. */
 const FEWEST = 2;
-/** Engines that may load at once until loads have shown more. */
+/** Engines that may load at once until loads have shown more, and never fewer for their sake. */
 const FIRST = 10;
 /** Loads that take this many times the shortest slow each other. */
 const SLOWED = 1.5;
@@ -77,7 +77,7 @@
   }
 
   private shrink(atOnce: number, nowMs: number): void {
-    this.atOnce = Math.max(FEWEST, atOnce);
+    this.atOnce = Math.max(FIRST, atOnce);
     this.judgedFromMs = nowMs;
     this.hasBeenSlowed = true;
   }
--- a/packages/core/src/fleet/weight_plan.ts
+++ b/packages/core/src/fleet/weight_plan.ts
@@ -15,7 +15,7 @@
   /** Version of the model that it has. */
   readonly version: number;
   /** Version of the model that it loads now, if it does. */
-  readonly loadingVersion?: number;
+  readonly loadingVersion?: number | undefined;
   /** Whether it can not be ordered now: it carries out an order, for any model, or may have had one from another VM just before. */
   readonly isBusy: boolean;
   /** Whether it answers and keeps pace. */
--- a/packages/core/src/leases/order_marks.ts
+++ b/packages/core/src/leases/order_marks.ts
@@ -49,10 +49,10 @@
 
   /** How long no other holder has given orders to the engine, ms; Infinity where none ever did. */
   measureQuietMs(engineId: string, nowMs: number): number {
-    const quietMs = [this.byEngine.get(engineId), this.all].map(mark =>
-      mark ? this.measureAgeMs(mark, nowMs) : Infinity,
+    return Math.min(
+      this.measureAgeMs(this.byEngine.get(engineId), nowMs),
+      this.measureAgeMs(this.all, nowMs),
     );
-    return Math.min(...quietMs);
   }
 
   /**
@@ -60,7 +60,8 @@
    * behind it took their time: after all VMs lost power, engines that were
    * ordered seconds before are free at once.
    */
-  private measureAgeMs(mark: OrderMark, nowMs: number): number {
+  private measureAgeMs(mark: OrderMark | undefined, nowMs: number): number {
+    if (!mark) return Infinity;
     const renewedMs = (this.renewals - mark.renewals) * this.renewMs;
     return Math.max(nowMs - mark.readMs, renewedMs) - mark.windowMs;
   }
--- a/packages/daemon/src/gateway/engines/lease_task.ts
+++ b/packages/daemon/src/gateway/engines/lease_task.ts
@@ -111,16 +111,21 @@
    * it that is still on its way is refused by its older token.
    */
   mayOrder(engineId: string): boolean {
+    return this.createOrderCheck()(engineId);
+  }
+
+  /** `mayOrder` for many engines at this moment. */
+  createOrderCheck(): (engineId: string) => boolean {
     const nowMs = this.clock.now();
     this.checkSuspension(nowMs);
-    const isSafe = this.lease.isHandedOver && this.cfg.isFencingEnforced;
-    const waitMs = isSafe ? 0 : this.cfg.orderLeaseMs + ORDER_SLACK_MS;
-    return (
+    const isHolder =
       this.lease.isHeld(nowMs) &&
       !this.isReleased &&
-      this.lease.measureQuietMs(engineId, nowMs) >= waitMs &&
-      nowMs - this.thawedMs > LEASE_TIMING.trustMs
-    );
+      nowMs - this.thawedMs > LEASE_TIMING.trustMs;
+    if (!isHolder) return () => false;
+    const isSafe = this.lease.isHandedOver && this.cfg.isFencingEnforced;
+    const waitMs = isSafe ? 0 : this.cfg.orderLeaseMs + ORDER_SLACK_MS;
+    return engineId => this.lease.measureQuietMs(engineId, nowMs) >= waitMs;
   }
 
   /** Writes down that the engine is about to be ordered; says whether the order may be given now. */
--- a/packages/daemon/src/gateway/engines/weight_task.ts
+++ b/packages/daemon/src/gateway/engines/weight_task.ts
@@ -60,6 +60,15 @@
   isUnanswered: boolean;
 }
 
+/** What all engines are judged by at one moment. */
+interface Moment {
+  /** Steady ms. */
+  readonly nowMs: number;
+  /** Engines that are much slower than the others. */
+  readonly slow: ReadonlySet<string>;
+  readonly mayOrder: (engineId: string) => boolean;
+}
+
 /** What follows one try to load. */
 type LoadStep = 'again' | 'over' | 'hopeless';
 
@@ -73,6 +82,8 @@
 const REPORT_BEHIND_MS = 250;
 /** Pause between looks at the end of a load, ms. */
 const LOOK_MS = 150;
+/** A look that takes longer than this, its pause included, says nothing of the length of a load, ms. */
+const MAX_LOOK_MS = 2 * LOOK_MS;
 /** After this many looks a report that shows no load and no new version is believed: it has caught up. */
 const SETTLED_LOOKS = 4;
 /** Looks until a load is given up and begun anew. */
@@ -105,10 +116,9 @@
     for (const service of table.engines) {
       const views = engines.filter(view => view.service === service.name);
       this.maxLoads = this.pace.computeLimit(views.length);
+      if (this.working.size >= this.maxLoads) continue;
       for (const plan of rankModels(this.planModels(service, views))) {
-        // What was started for one model is out of reach of the next.
-        const candidates = this.listCandidates(plan.model, service, views);
-        this.startLoads({...plan, candidates}, table);
+        this.startLoads(plan, table);
       }
     }
   }
@@ -119,6 +129,7 @@
   ): readonly ModelPlan[] {
     const {models} = service.engine!;
     const share = computeShare(views.length, models.length, MIN_ENGINES);
+    const moment = this.look();
     return models.flatMap(model => {
       const newest = this.parts.named.get(model);
       if (newest === undefined) return [];
@@ -127,18 +138,34 @@
         share,
         ...this.parts.scheduler.measureNeed(model),
       };
-      const candidates = this.listCandidates(model, service, views);
+      const candidates = this.listCandidates(model, service, views, moment);
       return [{model, candidates, need}];
     });
   }
 
+  private look(): Moment {
+    const {scheduler, lease} = this.parts;
+    const nowMs = performance.now();
+    return {
+      nowMs,
+      slow: scheduler.board.speeds.listSlow(nowMs),
+      mayOrder: lease.createOrderCheck(),
+    };
+  }
+
   private startLoads(
     {model, candidates, need}: ModelPlan,
     table: RouteTable,
   ): void {
     const {roster} = this.parts;
     const maxMore = this.maxLoads - this.working.size;
-    for (const id of pickLoads(candidates, need, maxMore)) {
+    // What was just started for another model is out of reach.
+    const open = candidates.map(candidate =>
+      !candidate.isBusy && this.working.has(candidate.id)
+        ? {...candidate, isBusy: true}
+        : candidate,
+    );
+    for (const id of pickLoads(open, need, maxMore)) {
       const entry = roster.get(id);
       if (!entry) continue;
       const mode = isSingleVersion(model, table) ? 'wait' : 'keep';
@@ -156,24 +183,21 @@
     model: string,
     service: ServiceSpec,
     views: readonly EngineView[],
+    {nowMs, slow, mayOrder}: Moment,
   ): readonly LoadCandidate[] {
-    const {scheduler, lease} = this.parts;
+    const {scheduler} = this.parts;
     const {speeds} = scheduler.board;
-    const nowMs = performance.now();
-    const slow = speeds.listSlow(nowMs);
     return views
       .filter(({id}) => nowMs >= (this.restUntilMs.get(id) ?? 0))
       .map(({id, slots, versions}) => {
         const target = this.working.get(id);
-        const loadingVersion =
-          target?.model === model ? target.version : undefined;
         const running = scheduler.countRuns(id);
         const expected = this.countOthers(model, service, versions);
         return {
           id,
           version: versions.get(model) ?? 0,
-          ...(loadingVersion === undefined ? {} : {loadingVersion}),
-          isBusy: target !== undefined || !lease.mayOrder(id),
+          loadingVersion: target?.model === model ? target.version : undefined,
+          isBusy: target !== undefined || !mayOrder(id),
           isSound: !slow.has(id) && !scheduler.board.isTroubled(id),
           running: scheduler.countRuns(id, model),
           free: Math.max(slots - running, 0),
@@ -280,13 +304,15 @@
     await sleep(this.pace.expectedMs);
     if (this.isOutOfDate(entry)) return 'over';
     fleet.assumeLoaded(entry, model, version);
+    let lookedMs = 0;
     for (let looks = 0; looks < MAX_LOOKS; looks++) {
+      lookedMs = performance.now();
       await sleep(LOOK_MS);
       if (this.isOutOfDate(entry)) return 'over';
       const report = await this.parts.reports.fetch(entry);
       if (!report) continue;
       if (hasVersion(report, model, version)) {
-        this.learnLoad(startedMs);
+        this.learnLoad(startedMs, lookedMs);
         return 'over';
       }
       if (!report.isBusy && looks >= SETTLED_LOOKS) {
@@ -294,12 +320,15 @@
         return 'again';
       }
     }
-    this.learnLoad(startedMs);
+    this.learnLoad(startedMs, lookedMs);
     return 'again';
   }
 
-  private learnLoad(startedMs: number): void {
-    const endedMs = performance.now() - REPORT_BEHIND_MS;
+  /** A look that itself took long, as on a busy VM, does not tell when the load ended. */
+  private learnLoad(startedMs: number, lookedMs: number): void {
+    const nowMs = performance.now();
+    if (nowMs - lookedMs > MAX_LOOK_MS) return;
+    const endedMs = nowMs - REPORT_BEHIND_MS;
     const isFull = this.working.size >= this.maxLoads;
     this.pace.noteLoad({startedMs, endedMs}, this.maxLoads, isFull);
   }
