--- a/packages/daemon/src/gateway/engines/__tests__/weight_task.spec.ts
+++ b/packages/daemon/src/gateway/engines/__tests__/weight_task.spec.ts
@@ -8,6 +8,8 @@
 import {WeightTask, type WeightParts} from '../weight_task.js';
 
 const MODELS = ['m0', 'm1', 'm2'];
+/** Engines begin with version 1, which no open step may use any more. */
+const NEWEST = 3;
 const GRACE_MS = 1000;
 const PORT = 1;
 
@@ -41,7 +43,7 @@
       },
     },
     scheduler: new BatchScheduler({tokensPerEvent: 1, runPrefix: 'vm'}),
-    named: new Map(MODELS.map(model => [model, 2])),
+    named: new Map(MODELS.map(model => [model, NEWEST])),
   } as unknown as WeightParts);
   return {
     tick: () => task.tick(table, fleet.describe([spec], 0)),
