--- a/packages/daemon/src/gateway/engines/__tests__/weight_task.spec.ts
+++ b/packages/daemon/src/gateway/engines/__tests__/weight_task.spec.ts
@@ -13,13 +13,17 @@
 const GRACE_MS = 1000;
 const PORT = 1;
 
-/** A coordinator whose engines never answer, so that whatever it began to load goes on. */
-function createWeights(engineCount: number) {
+/**
+ * A coordinator whose engines never answer, so that whatever it began to load
+ * goes on. The first `loadedCount` engines have the newest weights.
+ */
+function createWeights(engineCount: number, loadedCount = 0) {
   const roster = new EndpointRoster(GRACE_MS);
   const fleet = new EngineFleet(roster);
   const {service} = createEntry(PORT);
   for (let i = 0; i < engineCount; i++) {
-    const models = MODELS.map(model => ({model, version: 1}));
+    const version = i < loadedCount ? NEWEST : 1;
+    const models = MODELS.map(model => ({model, version}));
     roster.put({...createEntry(PORT), id: `e${i}`, models}, i);
   }
   const engine = {slots: 4, kvTokens: 1000, models: MODELS, tokensPerEvent: 1};
@@ -54,7 +58,8 @@
 
 // Guards against two orders to one engine at a time, for two models.
 test('an engine that begins to load one model is not ordered for another', t => {
-  const {tick, asked} = createWeights(34);
+  // Of the 11 engines that each model should have, 8 have its weights.
+  const {tick, asked} = createWeights(34, 8);
   tick();
   t.is(asked.length, 9);
   t.is(new Set(asked).size, 9);
