--- a/packages/core/src/batches/group_choice.ts
+++ b/packages/core/src/batches/group_choice.ts
@@ -5,7 +5,7 @@
 
 import {estimateRemaining, type Job, type OpenBatch} from './batch_job.js';
 
-/** What is left of an item that only waits for its score, in events of a generation: a reward call takes 229 ms, an event 35 to 49. */
+/** What is left of an item that only waits for its score, in events of a generation. */
 const REWARD_EVENTS = 6;
 
 /** How the groups of a batch stand. */
--- a/packages/core/src/batches/placement.ts
+++ b/packages/core/src/batches/placement.ts
@@ -17,7 +17,7 @@
 
 /** Share of an engine's memory that is planned with; estimates are often off, and a full memory restarts the newest run. */
 const MEMORY_SHARE = 0.9;
-/** Items of one group on one engine share their prompt there, which saves about 3 ms; an engine that has this many runs more is not chosen for that, as each slows all others by 2%. */
+/** Items of one group on one engine share their prompt there, which saves reading it again; an engine that has this many runs more is not chosen for that, as each slows all others. */
 const AFFINITY_RUNS = 1;
 /** A slow engine counts as this many times slower still: how slow it is now says little of how slow it will be. */
 const SLOW_PENALTY = 2;
@@ -162,9 +162,8 @@
 
   /**
    * The gap between events that `job` would see on the engine, ms. Engines
-   * differ by a third in speed, as much as a dozen runs make: by the number of
-   * runs alone the longest items were as late as the slowest engine, 8.0 s for
-   * 171 events in place of 6.0 s (measured over a calm day).
+   * differ by as much in speed as a dozen runs make: by the number of runs alone
+   * the longest items would be as late as the slowest engine.
    */
   private score(engine: EngineView, use: EngineUse, job: Job): number {
     const isShared = use.groups.has(nameGroup(job));
--- a/packages/core/src/fleet/speed_board.ts
+++ b/packages/core/src/fleet/speed_board.ts
@@ -18,7 +18,7 @@
   usualMs: number;
 }
 
-/** Each run beside a run makes its events come this much later: 33 ms an event with 2 runs and 42 ms with 14, measured over a day of an installation with 16 slots. */
+/** Each run beside a run makes its events come this much later, as a share. */
 const CROWDING = 0.023;
 /** Weight of a new sample; about the last eight count. Follows a change within half a second at usual rates. */
 const SMOOTHING = 0.12;
--- a/packages/core/src/fleet/weight_plan.ts
+++ b/packages/core/src/fleet/weight_plan.ts
@@ -82,8 +82,8 @@
 /**
  * The models in the order in which they should load. Few engines load at once,
  * so a model whose step waits with no engine that may run it goes before all
- * others: in a fixed order the last of three models waited for 3.6 s behind
- * loads that nobody waited for, after a coordinator had been replaced.
+ * others: in a fixed order the last model would wait behind loads that nobody
+ * waits for, after a coordinator has been replaced.
  */
 export function rankModels(plans: readonly ModelPlan[]): readonly ModelPlan[] {
   return [...plans].sort(
--- a/packages/core/src/leases/log_lease.ts
+++ b/packages/core/src/leases/log_lease.ts
@@ -51,9 +51,7 @@
    * Whether the VM can do a holder's work.
    *
    * One that has just started and does not know the configuration yet could
-   * not run a single item, while its renewals keep all others away: steps stood
-   * still for 4.7 s until its links failed (seen while VMs were restarted in
-   * turn and the log was away).
+   * not run a single item, while its renewals keep all others away.
    */
   readonly mayClaim?: boolean;
   /** Engines that the holder wants to order. */
--- a/packages/core/src/leases/order_marks.ts
+++ b/packages/core/src/leases/order_marks.ts
@@ -3,10 +3,6 @@
  * as the log tells. An engine that does not check tokens must never hear two
  * holders by turns, so a new holder leaves alone what the one before may just
  * have ordered, and may order all other engines at once.
- *
- * Leaving all engines alone for a whole lease instead, trainers were 10.1 s
- * behind their time at the end of a day with lost coordinators, and 5.4 s with
- * this (sum over three trainers, mean of ten plays in pairs).
  */
 
 /** A moment up to which orders may have been given. */
--- a/packages/core/src/rewards/reward_desk.ts
+++ b/packages/core/src/rewards/reward_desk.ts
@@ -3,8 +3,8 @@
  * them, so some of their slots stay free of reward calls.
  *
  * The load this answers: when a step's items end, a burst of calls comes to
- * endpoints that hold one for 229 ms of a slot, while an app's request there
- * takes 29 ms and is to be answered within 162.
+ * endpoints that hold one for several times as long as an app's request there
+ * may take altogether.
  */
 
 import type {Job} from '../batches/batch_job.js';
@@ -49,7 +49,7 @@
   | {readonly kind: 'call'; readonly call: RewardCall}
   | {readonly kind: 'cancel'; readonly call: RewardCall};
 
-/** Slots of an endpoint that reward calls leave to other requests, of 6. Without them an app was served 0.89 in place of 0.99 of what it was owed while three of its four endpoints were gone (mean of three plays in pairs). */
+/** Slots of an endpoint that reward calls leave to other requests, which find none while most endpoints are gone otherwise. */
 const RESERVED_SLOTS = 2;
 /** Time of a call until some were seen, ms. */
 const FIRST_CALL_MS = 250;
--- a/packages/daemon/src/gateway/engines/weight_task.ts
+++ b/packages/daemon/src/gateway/engines/weight_task.ts
@@ -74,7 +74,7 @@
 
 /** Engines that serve one model at least: one alone would stop its trainer when it loads or fails. */
 const MIN_ENGINES = 2;
-/** Runs that a model brings to an engine with its newest version: about 32 items at a time on 4 engines. */
+/** Runs that a model brings to an engine with its newest version. */
 const RUNS_PER_MODEL = 8;
 /** An engine answers an order in a few ms; without an answer the same order is sent again, which is void if the first was accepted. */
 const ORDER_MS = 150;
--- a/packages/daemon/src/gateway/gateway_metrics.ts
+++ b/packages/daemon/src/gateway/gateway_metrics.ts
@@ -4,8 +4,7 @@
  */
 
 // The package's main module also loads its log writer, a number formatter and a
-// compressor; without them a start takes 0.18 s of processor time in place of
-// 0.24 s and 47 MB in place of 56 MB (/usr/bin/time over the bundle, 5 starts).
+// compressor, which cost a fifth of the memory of a VM that has just started.
 import histograms from 'hdr-histogram-js/dist/Int16Histogram.js';
 
 type LatencyHistogram = InstanceType<typeof histograms.default>;
--- a/packages/daemon/src/process_signals.ts
+++ b/packages/daemon/src/process_signals.ts
@@ -9,10 +9,7 @@
  * be evaluated first. What came before somebody listens is kept for them, so
  * that no reload is missed.
  *
- * It gains half of the time without a handler: 38 ms in place of 72, as for a
- * script of one statement, and 76 in place of 136 beside eight busy processes
- * (median of 25 starts of the gateway's program, by the signal masks that Linux
- * shows). The rest is the start of Node.js, in which no code of ours runs.
+ * What is left is the start of Node.js, in which no code of ours runs.
  */
 
 /** What a supervisor sends: two ways to ask for the end, and one for settings that changed. */
