perf(core): engines without runs cost a decision nothing

The typical pace was worked out anew after each event.

Change: engines without runs share one record, the map of engines is made when the list changes, the group is named once an item, the typical pace once in 50 ms.

--- a/packages/core/src/batches/__tests__/placement.spec.ts
+++ b/packages/core/src/batches/__tests__/placement.spec.ts
@@ -15,7 +15,7 @@
   const runs = listStarts(scheduler.decide(0));
   const other = runs.find(({job}) => job.item.group === 'g1')!;
   const group = runs.filter(run => run !== other);
-  const engines = [createEngine('a'), createEngine('b')];
+  const engines = new Map(['a', 'b'].map(id => [id, createEngine(id)]));
   const place = new Placement(engines, group, new EngineBoard(), 1, 0);
   for (let i = 0; i < othersOnA; i++) place.add('a', other.job);
   for (let i = 0; i < othersOnB; i++) place.add('b', other.job);
--- a/packages/core/src/batches/batch_scheduler.ts
+++ b/packages/core/src/batches/batch_scheduler.ts
@@ -69,7 +69,7 @@
   /** The batches of each model that were closed last. */
   private readonly closed = new Map<string, OpenBatch[]>();
   private readonly runs = new RunTable();
-  private engines: readonly EngineView[] = [];
+  private engines: ReadonlyMap<string, EngineView> = new Map();
   private nextRunNumber = 1;
   private actions: ScheduleAction[] = [];
   private readonly outcomes = new JobOutcomes(action =>
@@ -208,7 +208,7 @@
   }
 
   setEngines(engines: readonly EngineView[]): void {
-    this.engines = engines;
+    this.engines = new Map(engines.map(engine => [engine.id, engine]));
   }
 
   /** Items of `model` that wait, with the greatest minimum version of its batches. */
@@ -327,9 +327,8 @@
       runs.push(run);
       byEngine.set(run.engineId, runs);
     }
-    const views = new Map(this.engines.map(view => [view.id, view]));
     for (const [engineId, runs] of byEngine) {
-      const isLoading = (views.get(engineId)?.loading.size ?? 0) > 0;
+      const isLoading = (this.engines.get(engineId)?.loading.size ?? 0) > 0;
       if (!isLoading && isAllSilent(runs, nowMs)) {
         this.board.noteSilence(engineId, nowMs);
         for (const run of runs) this.stop(run, 'engine_silent');
--- a/packages/core/src/batches/placement.ts
+++ b/packages/core/src/batches/placement.ts
@@ -34,35 +34,31 @@
   readonly groups: Map<string, number>;
 }
 
-/** An engine that may run the items of one batch, room aside. */
-interface Candidate {
-  readonly engine: EngineView;
-  readonly use: EngineUse;
-}
+/** Of an engine without runs; most engines of a large fleet have none. */
+const UNUSED: EngineUse = {runs: 0, tokens: 0, groups: new Map()};
 
 export class Placement {
   /** Engines that are much slower than the others. */
   readonly slow: ReadonlySet<string>;
   private readonly uses = new Map<string, EngineUse>();
   private readonly choices = new Map<OpenBatch, GroupChoice>();
-  private readonly byId: ReadonlyMap<string, EngineView>;
   private readonly paces = new Map<string, number>();
-  private readonly candidates = new Map<OpenBatch, readonly Candidate[]>();
+  /** Engines that may run the items of a batch, room aside. */
+  private readonly candidates = new Map<OpenBatch, readonly EngineView[]>();
 
   constructor(
-    private readonly engines: readonly EngineView[],
+    private readonly engines: ReadonlyMap<string, EngineView>,
     runs: Iterable<Run>,
     private readonly board: EngineBoard,
     private readonly tokensPerEvent: number,
     private readonly nowMs: number,
   ) {
     this.slow = board.speeds.listSlow(nowMs);
-    this.byId = new Map(engines.map(engine => [engine.id, engine]));
     for (const run of runs) this.add(run.engineId, run.job);
   }
 
   getEngine(id: string): EngineView | undefined {
-    return this.byId.get(id);
+    return this.engines.get(id);
   }
 
   /** The groups of `batch` to finish first. */
@@ -84,10 +80,12 @@
   pick(job: Job): EngineView | undefined {
     let best: EngineView | undefined;
     let bestScore = Infinity;
-    for (const {engine, use} of this.listCandidates(job)) {
+    const group = nameGroup(job);
+    for (const engine of this.listCandidates(job)) {
+      const use = this.uses.get(engine.id) ?? UNUSED;
       if (use.runs >= engine.slots) continue;
       if (!this.hasMemory(engine, use, job)) continue;
-      const score = this.score(engine, use, job);
+      const score = this.score(engine, use, group);
       if (score >= bestScore) continue;
       best = engine;
       bestScore = score;
@@ -96,12 +94,12 @@
   }
 
   /** Engines that may run the items of the job's batch: the same for all of them within one decision. */
-  private listCandidates(job: Job): readonly Candidate[] {
+  private listCandidates(job: Job): readonly EngineView[] {
     let list = this.candidates.get(job.batch);
     if (!list) {
-      list = this.engines
-        .filter(engine => this.canTake(engine, job))
-        .map(engine => ({engine, use: this.open(engine.id)}));
+      list = [...this.engines.values()].filter(engine =>
+        this.canTake(engine, job),
+      );
       this.candidates.set(job.batch, list);
     }
     return list;
@@ -161,12 +159,12 @@
   }
 
   /**
-   * The gap between events that `job` would see on the engine, ms. Engines
+   * The gap between events that an item of `group` would see on the engine, ms. Engines
    * differ by as much in speed as a dozen runs make: by the number of runs alone
    * the longest items would be as late as the slowest engine.
    */
-  private score(engine: EngineView, use: EngineUse, job: Job): number {
-    const isShared = use.groups.has(nameGroup(job));
+  private score(engine: EngineView, use: EngineUse, group: string): number {
+    const isShared = use.groups.has(group);
     const runs = use.runs + 1 - (isShared ? AFFINITY_RUNS : 0);
     return this.predictGapMs(engine.id, runs);
   }
--- a/packages/core/src/fleet/speed_board.ts
+++ b/packages/core/src/fleet/speed_board.ts
@@ -32,20 +32,21 @@
 const RECOVERED_FACTOR = 1.4;
 /** Pace of an endpoint that has shown nothing, with no other to compare, ms an event; only the proportion matters. */
 const UNKNOWN_PACE_MS = 40;
+/** The typical pace is worked out this often, ms; a decision follows each few ms. */
+const LOOK_MS = 50;
 /** A longer gap is a pause, such as a load of weights, and tells nothing of the speed, ms. The slowest engines seen make an event in 250. */
 const MAX_GAP_MS = 500;
 
 export class SpeedBoard {
   private readonly speeds = new Map<string, Speed>();
   private slow: ReadonlySet<string> = new Set();
-  /** The typical pace as last worked out, until another sample comes. */
-  private typical:
-    {readonly atMs: number; readonly paceMs?: number} | undefined;
+  private typicalPaceMs: number | undefined;
+  /** When the typical pace was worked out last, steady ms. */
+  private typicalAtMs = -Infinity;
 
   /** Two events of one run came `gapMs` apart, with `runs` on the endpoint. */
   note(endpointId: string, gapMs: number, runs: number, nowMs: number): void {
     if (gapMs > MAX_GAP_MS) return;
-    this.typical = undefined;
     const paceMs = gapMs / crowd(runs);
     const speed = this.speeds.get(endpointId);
     if (!speed || nowMs - speed.lastMs > TRUST_MS) {
@@ -63,7 +64,7 @@
 
   forget(endpointId: string): void {
     this.speeds.delete(endpointId);
-    this.typical = undefined;
+    this.typicalAtMs = -Infinity;
   }
 
   /**
@@ -78,11 +79,12 @@
 
   /** Pace of a typical endpoint, for those that have shown nothing yet, ms an event. */
   findTypicalPaceMs(nowMs: number): number | undefined {
-    // One decision asks for it once for each endpoint that has shown nothing.
-    if (this.typical?.atMs !== nowMs) {
-      this.typical = {atMs: nowMs, paceMs: this.computeTypicalPaceMs(nowMs)};
+    // Asked for once for each endpoint that has shown nothing.
+    if (nowMs - this.typicalAtMs >= LOOK_MS) {
+      this.typicalAtMs = nowMs;
+      this.typicalPaceMs = this.computeTypicalPaceMs(nowMs);
     }
-    return this.typical.paceMs;
+    return this.typicalPaceMs;
   }
 
   private computeTypicalPaceMs(nowMs: number): number | undefined {
