fix(core,daemon): one load that seems short no longer holds back all others

One cause, shown by load_pace.spec, which fails before: the shortest load ever counted as what a load takes, so a load that was heard of late made all others count as slow, and the number that may load at once never grew again.

Change: the least that a middle load of five took counts. A load whose order got no answer is not judged, and after the number has shrunk it is judged again only by loads that began a load's time later; those that began beside too many end late as well. A log line 'loads at once' says when the number changes.

--- a/packages/core/src/fleet/__tests__/load_pace.spec.ts
+++ b/packages/core/src/fleet/__tests__/load_pace.spec.ts
@@ -89,6 +89,28 @@
   t.true(findLongest(loads, 0) < 2 * LOAD_MS);
 });
 
+// Guards against one load that seemed short, as its order was accepted before it was heard of, after which all others count as slow.
+test('one load that seems short does not keep a fleet from loading more at once', t => {
+  const fleet = {engines: 3000, atOnce: 200};
+  const pace = new LoadPace();
+  const before = pace.computeLimit(fleet.engines);
+  pace.noteLoad({startedMs: 0, endedMs: LOAD_MS / 4}, before, true);
+  playLoads(pace, fleet, 8000);
+  t.true(pace.computeLimit(fleet.engines) >= 150);
+});
+
+// Guards against a number that falls to a fraction of what is carried, as loads that began beside too many still end late.
+test('after too many loads at once about as many as are carried go on', t => {
+  const fleet = {engines: 3000, atOnce: 60};
+  for (let lengthMs = 10_000; lengthMs <= 30_000; lengthMs += 500) {
+    const played = new LoadPace();
+    playLoads(played, fleet, lengthMs);
+    const limit = played.computeLimit(fleet.engines);
+    t.true(limit >= 40, `${limit} at ${lengthMs} ms`);
+    t.true(limit <= 110, `${limit} at ${lengthMs} ms`);
+  }
+});
+
 test('a small fleet loads a share of its engines at once', t => {
   for (const [engines, atOnce] of [
     [6, 2],
--- a/packages/core/src/fleet/load_pace.ts
+++ b/packages/core/src/fleet/load_pace.ts
@@ -4,8 +4,8 @@
  * Engines fetch weights over something that they share. Up to a number that
  * nobody tells, loads do not slow each other; beyond it each takes longer, none
  * comes sooner, and items are sent to engines that are not ready. So the number
- * is found out: it grows while loads take what the shortest took, and shrinks
- * when they take much longer.
+ * is found out: it grows while loads take what they took at their best, and
+ * shrinks when they take much longer.
  */
 
 import {findLowerMiddle} from './lower_middle.js';
@@ -23,9 +23,9 @@
 const FEWEST = 2;
 /** Engines that may load at once until loads have shown more, and never fewer for their sake. */
 const FIRST = 10;
-/** Loads that take this many times the shortest slow each other. */
+/** Loads that take this many times their best slow each other. */
 const SLOWED = 1.5;
-/** Loads of which the middle one is judged, so that one slow engine does not count. */
+/** Loads of which the middle one is judged, so that one slow engine, or one load that had begun before, does not count. */
 const JUDGED = 5;
 /** How long a load is taken to last until one was seen, ms. */
 const FIRST_LOAD_MS = 950;
@@ -38,7 +38,8 @@
 export class LoadPace {
   private atOnce = FIRST;
   private expectedLoadMs = FIRST_LOAD_MS;
-  private shortestMs = MAX_LOAD_MS;
+  /** The least that a middle load took. */
+  private bestMs = MAX_LOAD_MS;
   private judged: number[] = [];
   /** Loads that began before this steady ms tell of a number that was given up. */
   private judgedFromMs = -Infinity;
@@ -63,22 +64,23 @@
   ): void {
     const tookMs = clampLoad(endedMs - startedMs);
     this.expectedLoadMs += (tookMs - this.expectedLoadMs) * SMOOTHING;
-    this.shortestMs = Math.min(this.shortestMs, tookMs);
     if (startedMs < this.judgedFromMs) return;
     this.judged.push(tookMs);
     if (this.judged.length < JUDGED) return;
     const typicalMs = findLowerMiddle(this.judged)!;
     this.judged = [];
-    if (typicalMs > this.shortestMs * SLOWED) {
-      this.shrink(limit * (this.shortestMs / typicalMs), endedMs);
+    this.bestMs = Math.min(this.bestMs, typicalMs);
+    if (typicalMs > this.bestMs * SLOWED) {
+      // Loads that began beside too many others end late as well.
+      this.judgedFromMs = endedMs + typicalMs;
+      this.shrink(limit * (this.bestMs / typicalMs));
     } else if (isFull) {
       this.grow();
     }
   }
 
-  private shrink(atOnce: number, nowMs: number): void {
+  private shrink(atOnce: number): void {
     this.atOnce = Math.max(FIRST, atOnce);
-    this.judgedFromMs = nowMs;
     this.hasBeenSlowed = true;
   }
 
--- a/packages/daemon/src/gateway/engines/__tests__/weight_task.spec.ts
+++ b/packages/daemon/src/gateway/engines/__tests__/weight_task.spec.ts
@@ -3,6 +3,7 @@
 import type {EndpointEntry} from '@radishyoke/core/fleet/endpoint_entry';
 import {EndpointRoster} from '@radishyoke/core/fleet/endpoint_roster';
 import {RouteTable} from '@radishyoke/core/routing/route_table';
+import {silentLogger} from '../../../logger.js';
 import {createEntry} from '../../__tests__/gateway_fixtures.js';
 import {EngineFleet} from '../engine_fleet.js';
 import {WeightTask, type WeightParts} from '../weight_task.js';
@@ -47,6 +48,7 @@
       },
     },
     scheduler: new BatchScheduler({tokensPerEvent: 1, runPrefix: 'vm'}),
+    logger: silentLogger,
     named: new Map(MODELS.map(model => [model, NEWEST])),
   } as unknown as WeightParts);
   return {
--- a/packages/daemon/src/gateway/engines/weight_task.ts
+++ b/packages/daemon/src/gateway/engines/weight_task.ts
@@ -115,7 +115,7 @@
     if (this.isStopped) return;
     for (const service of table.engines) {
       const views = engines.filter(view => view.service === service.name);
-      this.maxLoads = this.pace.computeLimit(views.length);
+      this.limitLoads(views.length);
       if (this.working.size >= this.maxLoads) continue;
       for (const plan of rankModels(this.planModels(service, views))) {
         this.startLoads(plan, table);
@@ -123,6 +123,15 @@
     }
   }
 
+  private limitLoads(engines: number): void {
+    const limit = this.pace.computeLimit(engines);
+    if (limit === this.maxLoads) return;
+    this.maxLoads = limit;
+    const expectedMs = Math.round(this.pace.expectedMs);
+    const fields = {engines, limit, expectedMs};
+    this.parts.logger.log('info', 'loads at once', fields);
+  }
+
   private planModels(
     service: ServiceSpec,
     views: readonly EngineView[],
@@ -312,7 +321,7 @@
       const report = await this.parts.reports.fetch(entry);
       if (!report) continue;
       if (hasVersion(report, model, version)) {
-        this.learnLoad(startedMs, lookedMs);
+        this.learnLoad(target, startedMs, lookedMs);
         return 'over';
       }
       if (!report.isBusy && looks >= SETTLED_LOOKS) {
@@ -320,14 +329,21 @@
         return 'again';
       }
     }
-    this.learnLoad(startedMs, lookedMs);
+    this.learnLoad(target, startedMs, lookedMs);
     return 'again';
   }
 
-  /** A look that itself took long, as on a busy VM, does not tell when the load ended. */
-  private learnLoad(startedMs: number, lookedMs: number): void {
+  /**
+   * A look that itself took long, as on a busy VM, does not tell when the load
+   * ended, and an order that got no answer not when it began.
+   */
+  private learnLoad(
+    {isUnanswered}: LoadTarget,
+    startedMs: number,
+    lookedMs: number,
+  ): void {
     const nowMs = performance.now();
-    if (nowMs - lookedMs > MAX_LOOK_MS) return;
+    if (isUnanswered || nowMs - lookedMs > MAX_LOOK_MS) return;
     const endedMs = nowMs - REPORT_BEHIND_MS;
     const isFull = this.working.size >= this.maxLoads;
     this.pace.noteLoad({startedMs, endedMs}, this.maxLoads, isFull);
--- a/packages/shared/src/log_event.ts
+++ b/packages/shared/src/log_event.ts
@@ -137,6 +137,13 @@
     readonly endpoint: string;
     readonly detail: string | undefined;
   };
+  /** How many engines may load weights at once has changed. */
+  readonly 'loads at once': {
+    readonly engines: number;
+    readonly limit: number;
+    /** How long a load is expected to take. */
+    readonly expectedMs: number;
+  };
   readonly 'order to an engine': {
     readonly endpoint: string;
     readonly model: string;
