fix(daemon): the number of loads at once is kept by service

Found on reading the change: with two engine services of different size the one number changed with each look, a log line each time, and loads of one were judged by the other's.

--- a/packages/core/src/batches/placement.ts
+++ b/packages/core/src/batches/placement.ts
@@ -159,9 +159,9 @@
   }
 
   /**
-   * The gap between events that an item of `group` would see on the engine, ms. Engines
-   * differ by as much in speed as a dozen runs make: by the number of runs alone
-   * the longest items would be as late as the slowest engine.
+   * The gap between events that an item of `group` would see on the engine, ms.
+   * Engines differ by as much in speed as a dozen runs make: by the number of
+   * runs alone the longest items would be as late as the slowest engine.
    */
   private score(engine: EngineView, use: EngineUse, group: string): number {
     const isShared = use.groups.has(group);
--- a/packages/core/src/fleet/load_pace.ts
+++ b/packages/core/src/fleet/load_pace.ts
@@ -10,9 +10,8 @@
 
 import {findLowerMiddle} from './lower_middle.js';
 
-/** One load that has ended. */
+/** One load that has ended, in ms of the steady clock. */
 export interface EndedLoad {
-  /** Steady ms. */
   readonly startedMs: number;
   readonly endedMs: number;
 }
@@ -21,7 +20,7 @@
 const MOST_SHARE = 0.29;
 /** Engines that may load at once however few there are. */
 const FEWEST = 2;
-/** Engines that may load at once until loads have shown more, and never fewer for their sake. */
+/** Engines that may load at once until loads have shown that more may; never fewer later, as a VM that is late itself takes all loads for slow. */
 const FIRST = 10;
 /** Loads that take this many times their best slow each other. */
 const SLOWED = 1.5;
@@ -35,10 +34,11 @@
 /** Weight of the last load in the expected length. */
 const SMOOTHING = 0.25;
 
+/** Learns from the loads of one coordinator's term. */
 export class LoadPace {
   private atOnce = FIRST;
   private expectedLoadMs = FIRST_LOAD_MS;
-  /** The least that a middle load took. */
+  /** The least that a middle load of `JUDGED` took, ms. */
   private bestMs = MAX_LOAD_MS;
   private judged: number[] = [];
   /** Loads that began before this steady ms tell of a number that was given up. */
--- a/packages/daemon/src/gateway/engines/weight_task.ts
+++ b/packages/daemon/src/gateway/engines/weight_task.ts
@@ -101,8 +101,8 @@
   private readonly restUntilMs = new Map<string, number>();
   private isStopped = false;
   private readonly pace = new LoadPace();
-  /** Engines that may load at once. */
-  private maxLoads = 0;
+  /** Engines that may load at once, by service. */
+  private readonly limits = new Map<string, number>();
 
   constructor(private readonly parts: WeightParts) {}
 
@@ -115,21 +115,23 @@
     if (this.isStopped) return;
     for (const service of table.engines) {
       const views = engines.filter(view => view.service === service.name);
-      this.limitLoads(views.length);
-      if (this.working.size >= this.maxLoads) continue;
+      const limit = this.limitLoads(service.name, views.length);
+      if (this.working.size >= limit) continue;
       for (const plan of rankModels(this.planModels(service, views))) {
-        this.startLoads(plan, table);
+        this.startLoads(plan, table, limit);
       }
     }
   }
 
-  private limitLoads(engines: number): void {
+  private limitLoads(service: string, engines: number): number {
     const limit = this.pace.computeLimit(engines);
-    if (limit === this.maxLoads) return;
-    this.maxLoads = limit;
-    const expectedMs = Math.round(this.pace.expectedMs);
-    const fields = {engines, limit, expectedMs};
-    this.parts.logger.log('info', 'loads at once', fields);
+    if (limit !== this.limits.get(service)) {
+      this.limits.set(service, limit);
+      const expectedMs = Math.round(this.pace.expectedMs);
+      const fields = {service, engines, limit, expectedMs};
+      this.parts.logger.log('info', 'loads at once', fields);
+    }
+    return limit;
   }
 
   private planModels(
@@ -165,9 +167,10 @@
   private startLoads(
     {model, candidates, need}: ModelPlan,
     table: RouteTable,
+    limit: number,
   ): void {
     const {roster} = this.parts;
-    const maxMore = this.maxLoads - this.working.size;
+    const maxMore = limit - this.working.size;
     // What was just started for another model is out of reach.
     const open = candidates.map(candidate =>
       !candidate.isBusy && this.working.has(candidate.id)
@@ -338,15 +341,16 @@
    * ended, and an order that got no answer not when it began.
    */
   private learnLoad(
-    {isUnanswered}: LoadTarget,
+    {entry, isUnanswered}: LoadTarget,
     startedMs: number,
     lookedMs: number,
   ): void {
     const nowMs = performance.now();
     if (isUnanswered || nowMs - lookedMs > MAX_LOOK_MS) return;
     const endedMs = nowMs - REPORT_BEHIND_MS;
-    const isFull = this.working.size >= this.maxLoads;
-    this.pace.noteLoad({startedMs, endedMs}, this.maxLoads, isFull);
+    const limit = this.limits.get(entry.service) ?? 0;
+    const isFull = this.working.size >= limit;
+    this.pace.noteLoad({startedMs, endedMs}, limit, isFull);
   }
 
   private isOutOfDate(entry: EndpointEntry): boolean {
--- a/packages/shared/src/log_event.ts
+++ b/packages/shared/src/log_event.ts
@@ -139,9 +139,10 @@
   };
   /** How many engines may load weights at once has changed. */
   readonly 'loads at once': {
+    readonly service: string;
     readonly engines: number;
     readonly limit: number;
-    /** How long a load is expected to take. */
+    /** How long a load is expected to take, ms. */
     readonly expectedMs: number;
   };
   readonly 'order to an engine': {
