refactor(core): the record of an engine without runs can not be written to

Read again: one record stands for all engines without runs, and nothing but care kept a placement from counting a run there. Its type is read-only now, in all that takes it.

--- a/packages/core/src/batches/placement.ts
+++ b/packages/core/src/batches/placement.ts
@@ -34,8 +34,12 @@
   readonly groups: Map<string, number>;
 }
 
+type ReadonlyUse = Readonly<Omit<EngineUse, 'groups'>> & {
+  readonly groups: ReadonlyMap<string, number>;
+};
+
 /** Of an engine without runs; most engines of a large fleet have none. */
-const UNUSED: EngineUse = {runs: 0, tokens: 0, groups: new Map()};
+const UNUSED: ReadonlyUse = {runs: 0, tokens: 0, groups: new Map()};
 
 export class Placement {
   /** Engines that are much slower than the others. */
@@ -82,7 +86,7 @@
     let bestScore = Infinity;
     const group = nameGroup(job);
     for (const engine of this.listCandidates(job)) {
-      const use = this.uses.get(engine.id) ?? UNUSED;
+      const use: ReadonlyUse = this.uses.get(engine.id) ?? UNUSED;
       if (use.runs >= engine.slots) continue;
       if (!this.hasMemory(engine, use, job)) continue;
       const score = this.score(engine, use, group);
@@ -163,7 +167,7 @@
    * Engines differ by as much in speed as a dozen runs make: by the number of
    * runs alone the longest items would be as late as the slowest engine.
    */
-  private score(engine: EngineView, use: EngineUse, group: string): number {
+  private score(engine: EngineView, use: ReadonlyUse, group: string): number {
     const isShared = use.groups.has(group);
     const runs = use.runs + 1 - (isShared ? AFFINITY_RUNS : 0);
     return this.predictGapMs(engine.id, runs);
@@ -184,7 +188,7 @@
     return paceMs;
   }
 
-  private hasMemory(engine: EngineView, use: EngineUse, job: Job): boolean {
+  private hasMemory(engine: EngineView, use: ReadonlyUse, job: Job): boolean {
     if (use.runs === 0) return true;
     const tokens = estimateFootprint(job, this.tokensPerEvent);
     return use.tokens + tokens <= engine.kvTokens * MEMORY_SHARE;
