refactor(daemon): one way to ask which engines may be ordered

createOrderCheck had taken over the only caller of mayOrder but one in its own class; the wrapper and its second doc comment go. No behaviour changes.

--- a/packages/daemon/src/gateway/engines/lease_task.ts
+++ b/packages/daemon/src/gateway/engines/lease_task.ts
@@ -104,17 +104,12 @@
   }
 
   /**
-   * Whether this VM may order the engine now, once the order is announced. A new
+   * Tells which engines this VM may order now, once the order is announced. A new
    * holder waits until orders of those before it are a whole lease old, since an
    * engine must never hear two holders by turns. After a holder that gave up by
    * itself there is nothing to wait for where engines check tokens: an order of
    * it that is still on its way is refused by its older token.
    */
-  mayOrder(engineId: string): boolean {
-    return this.createOrderCheck()(engineId);
-  }
-
-  /** `mayOrder` for many engines at this moment. */
   createOrderCheck(): (engineId: string) => boolean {
     const nowMs = this.clock.now();
     this.checkSuspension(nowMs);
@@ -138,7 +133,7 @@
     this.announcements.delete(engineId);
     const nowMs = this.clock.now();
     return (
-      this.mayOrder(engineId) &&
+      this.createOrderCheck()(engineId) &&
       this.lease.isAnnounced(engineId, nowMs + ORDER_TRAVEL_MS)
     );
   }
