feat(core,daemon): lines of failed attempts name what was asked, so that repeats are known

A failed attempt was logged with the id of its attempt, which differs at each repeat: the logs could not tell a request that comes again from many that fail.

--- a/packages/core/src/trace/__tests__/trace_path.spec.ts
+++ b/packages/core/src/trace/__tests__/trace_path.spec.ts
@@ -132,6 +132,16 @@
   t.deepEqual(events, ['attempt failed', 'request']);
 });
 
+test('all repeats of one request are found by its fingerprint', t => {
+  const lines = [
+    createLine('a', 1000, 'attempt failed', {requestId: 'x', fingerprint: 'f'}),
+    createLine('b', 2000, 'run broken', {requestId: 'y', fingerprint: 'f'}),
+    createLine('b', 2500, 'run broken', {requestId: 'z', fingerprint: 'g'}),
+  ];
+  const ids = tracePath(lines, 'f').map(({line}) => line.fields['requestId']);
+  t.deepEqual(ids, ['x', 'y']);
+});
+
 test('a path that nobody wrote of is empty', t => {
   t.deepEqual(tracePath(createItemLog(), 'unheard'), []);
 });
--- a/packages/core/src/trace/trace_path.ts
+++ b/packages/core/src/trace/trace_path.ts
@@ -91,9 +91,9 @@
   return sortSteps(steps, lines);
 }
 
-/** Whether the line names `id` as its request, item, batch or endpoint. */
+/** Whether the line names `id` as its request, item, batch or endpoint, or as what was asked. */
 function isAbout(line: TraceLine, id: string): boolean {
-  const isNamed = ['requestId', 'batch'].some(
+  const isNamed = ['requestId', 'batch', 'fingerprint'].some(
     field => readText(line, field) === id,
   );
   return isNamed || listEndpoints(line).includes(id);
--- a/packages/daemon/src/gateway/batches/batch_runner.ts
+++ b/packages/daemon/src/gateway/batches/batch_runner.ts
@@ -36,6 +36,7 @@
 import {KEEP_BATCH_MS} from './batch_topics.js';
 import type {ConfigHolder} from '../store/config_holder.js';
 import type {EndpointLinks} from '../endpoints/endpoint_links.js';
+import {fingerprintItem} from '../requests/request_fingerprints.js';
 import type {EndpointProtocol} from '../endpoints/endpoint_protocol.js';
 import type {EndpointView} from '../endpoints/endpoint_view.js';
 import {EngineFleet} from '../engines/engine_fleet.js';
@@ -87,7 +88,7 @@
 const NO_ITEMS: ReadonlySet<string> = new Set();
 
 /** What the log tells of a run. */
-type RunEvent = Extract<LogEventName, `run ${string}`>;
+type RunEvent = Exclude<Extract<LogEventName, `run ${string}`>, 'run broken'>;
 
 interface LiveRun {
   readonly run: Run;
@@ -405,7 +406,7 @@
   private endRun(run: Run, end: RunEnd, detail: string): void {
     const live = this.live.get(run.id);
     this.live.delete(run.id);
-    if (end !== 'stopped') this.logRun(run, `run ${end}`, detail);
+    this.logEnd(run, end, detail);
     this.parts.metrics.count(`run_${end}`);
     if (end === 'broken' || end === 'unreachable') {
       this.parts.links.renew(run.engineId);
@@ -427,15 +428,26 @@
     for (const {run} of this.live.values()) this.itemLog.writeProgress(run.job);
   }
 
+  private logEnd(run: Run, end: RunEnd, reason: string): void {
+    if (end === 'stopped') return;
+    if (end !== 'broken') return this.logRun(run, `run ${end}`, reason);
+    const fingerprint = fingerprintItem(run.job);
+    const fields = {...this.describeRun(run, reason), fingerprint};
+    this.parts.logger.log('info', 'run broken', fields);
+  }
+
   private logRun(run: Run, message: RunEvent, reason: string): void {
-    const {job} = run;
-    this.parts.logger.log('info', message, {
+    this.parts.logger.log('info', message, this.describeRun(run, reason));
+  }
+
+  private describeRun({job, engineId}: Run, reason: string) {
+    return {
       requestId: job.item.id,
       batch: job.batch.batch.id,
-      endpoint: run.engineId,
+      endpoint: engineId,
       reason,
       from: job.transcript.lastEventId ?? -1,
       configVersion: this.parts.config.version,
-    });
+    };
   }
 }
--- a/packages/daemon/src/gateway/batches/reward_task.ts
+++ b/packages/daemon/src/gateway/batches/reward_task.ts
@@ -27,6 +27,7 @@
 import type {EndpointProtocol} from '../endpoints/endpoint_protocol.js';
 import type {EndpointView} from '../endpoints/endpoint_view.js';
 import type {GatewayMetrics} from '../gateway_metrics.js';
+import {fingerprintReward} from '../requests/request_fingerprints.js';
 import type {ConfigHolder} from '../store/config_holder.js';
 
 export interface RewardParts {
@@ -189,6 +190,8 @@
       outcome: end.kind,
       detail,
       tookMs: Math.round(now() - startedMs),
+      fingerprint:
+        end.kind === 'broken' ? fingerprintReward(job, reward) : undefined,
     });
   }
 }
--- a/packages/daemon/src/gateway/requests/forwarder.ts
+++ b/packages/daemon/src/gateway/requests/forwarder.ts
@@ -20,6 +20,7 @@
 } from '../endpoints/endpoint_exchange.js';
 import {pickEndpoint} from '../endpoints/endpoint_picker.js';
 import type {ForwarderParts, ForwardRequest} from './forward_request.js';
+import {fingerprintForward} from './request_fingerprints.js';
 import {StreamCall} from './stream_call.js';
 
 export type ForwardOutcome =
@@ -240,6 +241,7 @@
         outcome.kind === 'answered'
           ? `status ${outcome.answer.status}`
           : outcome.detail,
+      fingerprint: fingerprintForward(this.req),
     });
   }
 }
--- a/packages/daemon/src/gateway/requests/stream_call.ts
+++ b/packages/daemon/src/gateway/requests/stream_call.ts
@@ -25,6 +25,7 @@
 import type {RawEvent} from '../endpoints/event_splitter.js';
 import {copyHeaders} from './caller_answer.js';
 import type {ForwarderParts, ForwardRequest} from './forward_request.js';
+import {fingerprintForward} from './request_fingerprints.js';
 
 /** What became of a stream. */
 export type StreamResult =
@@ -251,6 +252,7 @@
       lastEvent: this.lastEventId ?? -1,
       outcome: outcome.kind,
       detail,
+      fingerprint: fingerprintForward(this.req),
     });
   }
 }
--- a/packages/shared/src/log_event.ts
+++ b/packages/shared/src/log_event.ts
@@ -3,7 +3,7 @@
  * line. Whoever reads logs can rely on it: a line has one of these messages.
  */
 
-/** Names a request, a batch or an item of a batch. */
+/** Names a request, a batch or an item of a batch. A `fingerprint` beside it names what is asked: repeats share it. */
 type Subject = {
   readonly requestId: string | undefined;
 };
@@ -175,6 +175,7 @@
       readonly tookMs: number;
       readonly outcome: string;
       readonly detail: string;
+      readonly fingerprint: string;
     };
   readonly 'stream attempt ended': Subject &
     Decided & {
@@ -183,6 +184,7 @@
       readonly lastEvent: number;
       readonly outcome: string;
       readonly detail: string;
+      readonly fingerprint: string;
     };
   readonly 'batch accepted': Subject &
     Decided & {
@@ -211,12 +213,14 @@
   readonly 'run refused': RunFields;
   readonly 'run misdirected': RunFields;
   readonly 'run unreachable': RunFields;
-  readonly 'run broken': RunFields;
+  readonly 'run broken': RunFields & {readonly fingerprint: string};
   readonly 'reward call started': RewardFields & Decided;
   readonly 'reward call ended': RewardFields & {
     readonly outcome: string;
     readonly detail: string;
     readonly tookMs: number;
+    /** Where its connection broke. */
+    readonly fingerprint: string | undefined;
   };
   readonly 'items are run by another VM': {readonly runs: number};
   /** A coordinator tries again until it can. */
