fix(core,daemon): a request that crashes endpoints is held back, by all VMs and whatever restarts

Cause: the gateway remembered a request for one attempt of its caller; for items and reward calls a count of breaks stood in the coordinator's memory and was cleared by the first event. So each attempt, each VM, each coordinator and each batch began from nothing. Class: knowledge that must outlive a process kept in one.

How: a crash is a connection that breaks at an endpoint that is gone right after; resets and lost answers are none. It is held against what ran there (core/crashes/crash_book), by a digest of method, host, path, account and body. Three crashes without one good answer hold the request back: 503 with Retry-After, which is true as the attempt was not sent, 502 where it was. It is tried again after 1 s, 10 s, 5 min, 6 h, 24 h. VMs tell each other through one record a request in a keyed topic, which outlives all VMs; a VM that can not read goes by what it saw.

Bystanders: a good answer clears a request on all VMs; a suspect goes only to endpoints that are there; a crash beside a heavier suspect is not counted; what was answered in the last 10 s is not blamed.

--- a/packages/core/src/batches/batch_scheduler.ts
+++ b/packages/core/src/batches/batch_scheduler.ts
@@ -59,6 +59,8 @@
   readonly tokensPerEvent: number;
   /** Makes the ids of runs unique over all schedulers there ever were. */
   readonly runPrefix: string;
+  /** Whether an item must not run now, as requests like it crash engines. */
+  readonly isHeld?: (job: Job) => boolean;
 }
 
 export class BatchScheduler {
@@ -366,6 +368,7 @@
       if (!terms || place.getChoice(open).isSatisfied) continue;
       for (const job of open.jobs.values()) {
         if (job.state !== 'waiting' || nowMs < job.notBeforeMs) continue;
+        if (this.cfg.isHeld?.(job)) continue;
         const isNeeded = place.isNeeded(job);
         ranked.push({job, rank: this.rankJob(job, terms, isNeeded)});
       }
--- a/packages/core/src/rewards/reward_desk.ts
+++ b/packages/core/src/rewards/reward_desk.ts
@@ -19,8 +19,9 @@
   readonly endpoints: readonly EndpointChoice[];
 }
 
-/** Finds where `reward` may go now; undefined where no rule allows it. */
+/** Finds where the reward call of `job` may go now; undefined where nowhere. */
 export type FindRewardRoute = (
+  job: Job,
   reward: RewardRequest,
 ) => RewardRoute | undefined;
 
@@ -158,7 +159,7 @@
     draw: number,
   ): RewardCall | undefined {
     const reward = job.item.reward;
-    const endpoints = reward && findRoute(reward)?.endpoints;
+    const endpoints = reward && findRoute(job, reward)?.endpoints;
     if (!reward || !endpoints) return undefined;
     const state = this.open(job);
     const busy = new Set([...state.calls].map(({endpointId}) => endpointId));
--- a/packages/daemon/src/gateway/__tests__/gateway.spec.ts
+++ b/packages/daemon/src/gateway/__tests__/gateway.spec.ts
@@ -11,12 +11,14 @@
   createKeyed,
   MemoryStore,
   PlainProtocol,
+  QUIET_TOPIC,
 } from './gateway_fixtures.js';
 
 /** A platform whose log says nothing that can be used. */
 class EmptyDirectory extends PlatformDirectory {
   readonly configTopic = 'config';
   readonly endpointTopic = 'endpoints';
+  readonly crashTopic = QUIET_TOPIC;
   decodeConfigRecord = () => fail(createError('bad_request'));
   decodeEndpoint: PlatformDirectory['decodeEndpoint'] = () =>
     fail(createError('bad_request'));
--- a/packages/daemon/src/gateway/__tests__/gateway_fixtures.ts
+++ b/packages/daemon/src/gateway/__tests__/gateway_fixtures.ts
@@ -6,9 +6,14 @@
   BatchItem,
   RewardRequest,
 } from '@radishyoke/core/batches/batch_record';
+import {CrashBook} from '@radishyoke/core/crashes/crash_book';
 import type {EndpointEntry} from '@radishyoke/core/fleet/endpoint_entry';
 import {createError} from '@radishyoke/shared/error_kind';
 import {fail, type Result} from '@radishyoke/shared/result';
+import {silentLogger} from '../../logger.js';
+import {CrashWatch} from '../crashes/crash_watch.js';
+import type {ProbeTarget} from '../crashes/endpoint_probe.js';
+import {GatewayMetrics} from '../gateway_metrics.js';
 import {
   type AnswerFacts,
   type EndpointCall,
@@ -24,6 +29,7 @@
   type KeyedReadOutcome,
   type KeyedRecord,
   LogStore,
+  type NewKeyedRecord,
   type ReadOptions,
   type ReadOutcome,
   type StoredRecord,
@@ -86,6 +92,20 @@
   }
 }
 
+/** A watch that tells nobody; its endpoints are there unless `isThere` says otherwise. */
+export function createCrashWatch(
+  isThere: (target: ProbeTarget) => boolean = () => true,
+  book = new CrashBook(0),
+): CrashWatch {
+  return new CrashWatch({
+    book,
+    news: {tell: () => undefined},
+    metrics: new GatewayMetrics(),
+    logger: silentLogger,
+    probe: async target => isThere(target),
+  });
+}
+
 /** A server that answers each connection's first bytes with fixed text. */
 export interface RawServer {
   readonly entry: EndpointEntry;
@@ -144,6 +164,9 @@
 export type AppendPlan =
   'appended' | 'refused' | 'unknown' | 'unknown_but_done';
 
+/** A keyed topic that never has records. */
+export const QUIET_TOPIC = 'quiet';
+
 /** A log in memory whose next appends can be told how to end. */
 export class MemoryStore extends LogStore {
   readonly partitions = 2;
@@ -197,6 +220,19 @@
     return {kind: 'appended', offset};
   }
 
+  /** Keyed records that were written, with the outcomes that are planned. */
+  readonly keyedWrites: NewKeyedRecord[] = [];
+
+  async appendKeyed(
+    topic: string,
+    records: readonly NewKeyedRecord[],
+  ): Promise<AppendOutcome> {
+    const bytes = records.map(({key}) => Buffer.from(key));
+    const outcome = await this.append(topic, 0, bytes);
+    if (outcome.kind === 'appended') this.keyedWrites.push(...records);
+    return outcome;
+  }
+
   async read(
     topic: string,
     partition: number,
@@ -216,11 +252,11 @@
   }
 
   async readKeyed(
-    _topic: string,
+    topic: string,
     _from: number,
     options: ReadOptions,
   ): Promise<KeyedReadOutcome> {
-    const next = this.keyedReads.shift();
+    const next = topic === QUIET_TOPIC ? undefined : this.keyedReads.shift();
     if (next) return next;
     return new Promise(resolve => {
       options.signal?.addEventListener('abort', () =>
@@ -229,7 +265,8 @@
     });
   }
 
-  async readNewest(): Promise<KeyedReadOutcome> {
+  async readNewest(topic: string): Promise<KeyedReadOutcome> {
+    if (topic === QUIET_TOPIC) return {kind: 'page', records: [], endOffset: 0};
     const next = this.newest.length > 1 ? this.newest.shift() : this.newest[0];
     return next ?? {kind: 'page', records: [], endOffset: 0};
   }
--- a/packages/daemon/src/gateway/batches/batch_runner.ts
+++ b/packages/daemon/src/gateway/batches/batch_runner.ts
@@ -41,6 +41,7 @@
 import type {EndpointView} from '../endpoints/endpoint_view.js';
 import {EngineFleet} from '../engines/engine_fleet.js';
 import type {GatewayMetrics} from '../gateway_metrics.js';
+import type {CrashWatch, StayEnd, WatchedStay} from '../crashes/crash_watch.js';
 import {Generation} from './generation.js';
 import {ItemLog} from './item_log.js';
 import type {LeaseTask} from '../engines/lease_task.js';
@@ -67,6 +68,7 @@
   readonly termId: string;
   readonly view: EndpointView;
   readonly dataCentre: string;
+  readonly crashes: CrashWatch;
   readonly logger: EventLogger;
 }
 
@@ -92,7 +94,11 @@
 
 interface LiveRun {
   readonly run: Run;
-  readonly generation: Generation;
+  /** Absent while it is found out whether the engine is there. */
+  readonly work?: {
+    readonly generation: Generation;
+    readonly stay: WatchedStay;
+  };
 }
 
 export class BatchRunner {
@@ -104,6 +110,7 @@
   /** Steady ms at which another VM was found to run the items; nothing starts here until the log tells more. */
   private yieldedMs = -Infinity;
   private readonly live = new Map<string, LiveRun>();
+  private readonly fingerprints = new WeakMap<Job, string>();
   private readonly itemLog: ItemLog;
   private readonly loader: BatchLoader;
   /** Batches that are read from the log. */
@@ -119,7 +126,11 @@
       parts;
     const engine = parts.config.table?.engines[0]?.engine;
     const tokensPerEvent = engine?.tokensPerEvent ?? DEFAULT_TOKENS_PER_EVENT;
-    this.scheduler = new BatchScheduler({tokensPerEvent, runPrefix: termId});
+    this.scheduler = new BatchScheduler({
+      tokensPerEvent,
+      runPrefix: termId,
+      isHeld: job => this.isHeld(job),
+    });
     this.itemLog = new ItemLog(parts.store, parts.shelf, termId);
     this.loader = new BatchLoader(parts.store, parts.shelf, logger);
     this.fleet = new EngineFleet(roster);
@@ -194,7 +205,7 @@
     this.weights.stop();
     this.rewards.stop();
     for (const book of this.parts.shelf.openAll()) book.unlisten(this.listener);
-    for (const {generation} of [...this.live.values()]) generation.stop();
+    this.stopRuns();
   }
 
   /** An endpoint's entry changed. */
@@ -258,8 +269,7 @@
    * all be made anew.
    */
   private async openEarlier(entry: IndexedBatch): Promise<void> {
-    const {shelf} = this.parts;
-    const known = shelf.openAll().flatMap(book => [...book.index.entries]);
+    const known = this.listKnown();
     const textsOf = new Set(entry.items.keys());
     for (const earlier of listEarlier(entry, known)) {
       if (this.scheduler.knowsBatch(earlier.header)) continue;
@@ -271,6 +281,12 @@
     }
   }
 
+  /** Batches that the index has, of all partitions. */
+  private listKnown(): readonly IndexedBatch[] {
+    const books = this.parts.shelf.openAll();
+    return books.flatMap(book => [...book.index.entries]);
+  }
+
   private findTerms(
     batch: BatchHeader,
     table: RouteTable,
@@ -332,7 +348,7 @@
     this.parts.logger.log('warn', 'items are run by another VM', {
       runs: foreign,
     });
-    for (const {generation} of [...this.live.values()]) generation.stop();
+    this.stopRuns();
     this.rewards.decide([]);
   }
 
@@ -343,7 +359,7 @@
         return;
       case 'stop':
         this.logRun(action.run, 'run stopped', action.reason);
-        this.live.get(action.run.id)?.generation.stop();
+        this.stopRun(action.run);
         return;
       case 'list':
         this.parts.logger.log('info', 'item has a result', {
@@ -358,20 +374,33 @@
   }
 
   private startRun(run: Run, reason: string): void {
-    const {roster, links, protocol, clock} = this.parts;
-    const {job} = run;
+    const {roster, clock, crashes} = this.parts;
     const entry = roster.get(run.engineId);
     if (!entry) {
       this.scheduler.noteEnd(run, 'unreachable', clock.now());
       return;
     }
+    this.logRun(run, 'run started', reason);
+    const name = () => this.fingerprint(run.job);
+    if (!crashes.isSuspect(name)) return this.generate(run, entry);
+    this.live.set(run.id, {run});
+    void crashes.isFit(entry, name).then(isFit => {
+      if (!this.live.has(run.id)) return;
+      if (isFit) this.generate(run, entry);
+      else this.endRun(run, 'unreachable', 'the engine is gone');
+    });
+  }
+
+  private generate(run: Run, entry: EndpointEntry): void {
+    const {links, protocol, clock} = this.parts;
+    const {job} = run;
     const terms = job.batch.terms!;
     const {lastEventId} = job.transcript;
     const deadlineMs = Math.max(Math.floor(terms.giveUpAtMs - clock.now()), 1);
     const expectVersion = terms.singleVersion
       ? this.fleet.getVersion(entry.id, job.batch.batch.model)
       : undefined;
-    this.logRun(run, 'run started', reason);
+    const stay = this.parts.crashes.begin(entry, () => this.fingerprint(job));
     const generation = new Generation(
       links.open(entry),
       protocol,
@@ -386,11 +415,14 @@
         ...(expectVersion === undefined ? {} : {expectVersion}),
       },
       {
-        onEvent: event => this.takeEvent(run, {...event, run: run.id}),
+        onEvent: event => {
+          stay.noteEvent();
+          this.takeEvent(run, {...event, run: run.id});
+        },
         onEnd: (end, detail) => this.endRun(run, end, detail),
       },
     );
-    this.live.set(run.id, {run, generation});
+    this.live.set(run.id, {run, work: {generation, stay}});
   }
 
   private takeEvent(run: Run, event: OutputEvent): void {
@@ -400,12 +432,24 @@
     if (this.scheduler.noteEvent(run, event, nowMs)) return;
     // A gap or a repeat: what this stream says can not be joined to the rest.
     this.logRun(run, 'run out of order', `event ${event.id}`);
-    this.live.get(run.id)?.generation.stop();
+    this.stopRun(run);
+  }
+
+  private stopRuns(): void {
+    for (const {run} of [...this.live.values()]) this.stopRun(run);
+  }
+
+  private stopRun(run: Run): void {
+    const live = this.live.get(run.id);
+    if (!live) return;
+    if (live.work) live.work.generation.stop();
+    else this.endRun(run, 'stopped', 'stopped');
   }
 
   private endRun(run: Run, end: RunEnd, detail: string): void {
     const live = this.live.get(run.id);
     this.live.delete(run.id);
+    live?.work?.stay.end(judgeStay(end));
     this.logEnd(run, end, detail);
     this.parts.metrics.count(`run_${end}`);
     if (end === 'broken' || end === 'unreachable') {
@@ -424,6 +468,21 @@
     this.decideSoon();
   }
 
+  /** Whether the item must not run now, or not before a crash beside it is known or not. */
+  private isHeld(job: Job): boolean {
+    const {crashes} = this.parts;
+    const name = () => this.fingerprint(job);
+    return crashes.isHeld(name) || crashes.isAsked(name);
+  }
+
+  private fingerprint(job: Job): string {
+    const known = this.fingerprints.get(job);
+    if (known !== undefined) return known;
+    const fingerprint = fingerprintItem(job);
+    this.fingerprints.set(job, fingerprint);
+    return fingerprint;
+  }
+
   private writeProgress(): void {
     for (const {run} of this.live.values()) this.itemLog.writeProgress(run.job);
   }
@@ -431,7 +490,7 @@
   private logEnd(run: Run, end: RunEnd, reason: string): void {
     if (end === 'stopped') return;
     if (end !== 'broken') return this.logRun(run, `run ${end}`, reason);
-    const fingerprint = fingerprintItem(run.job);
+    const fingerprint = this.fingerprint(run.job);
     const fields = {...this.describeRun(run, reason), fingerprint};
     this.parts.logger.log('info', 'run broken', fields);
   }
@@ -451,3 +510,19 @@
     };
   }
 }
+
+function judgeStay(end: RunEnd): StayEnd {
+  switch (end) {
+    case 'finished':
+    case 'failed':
+    case 'impossible':
+      return 'answered';
+    case 'broken':
+      return 'broken';
+    case 'refused':
+    case 'misdirected':
+    case 'unreachable':
+    case 'stopped':
+      return 'left';
+  }
+}
--- a/packages/daemon/src/gateway/batches/reward_task.ts
+++ b/packages/daemon/src/gateway/batches/reward_task.ts
@@ -18,6 +18,7 @@
   type Route,
 } from '@radishyoke/core/routing/route_table';
 import type {EventLogger} from '../../logger.js';
+import {type CrashWatch, judgeStay} from '../crashes/crash_watch.js';
 import {
   EndpointExchange,
   type ExchangeOutcome,
@@ -37,6 +38,7 @@
   readonly protocol: EndpointProtocol;
   readonly config: ConfigHolder;
   readonly dataCentre: string;
+  readonly crashes: CrashWatch;
   readonly metrics: GatewayMetrics;
   readonly logger: EventLogger;
 }
@@ -56,6 +58,12 @@
 /** The status that says that an endpoint ran the call and it failed; others, such as its own time-out, may pass. */
 const FAILED_STATUS = 500;
 
+/** Nothing was sent: the endpoint was found to be away. */
+const ENDPOINT_GONE: ExchangeOutcome = {
+  kind: 'unsent',
+  detail: 'the endpoint is gone',
+};
+
 export class RewardTask {
   private readonly desk: RewardDesk;
   private readonly live = new Map<number, EndpointExchange>();
@@ -72,7 +80,8 @@
   decide(jobs: readonly Job[]): void {
     if (this.isStopped) return;
     const nowMs = performance.now();
-    const find = (reward: RewardRequest) => this.findEndpoints(reward, nowMs);
+    const find = (job: Job, reward: RewardRequest) =>
+      this.findEndpoints(job, reward, nowMs);
     for (const action of this.desk.decide(jobs, find, nowMs, Math.random())) {
       if (action.kind === 'call') void this.run(action.call);
       else this.live.get(action.call.number)?.abort();
@@ -88,7 +97,10 @@
     return this.parts.config.table?.match(host, path);
   }
 
-  private findEndpoints(reward: RewardRequest, nowMs: number) {
+  private findEndpoints(job: Job, reward: RewardRequest, nowMs: number) {
+    const {crashes} = this.parts;
+    const name = () => fingerprintReward(job, reward);
+    if (crashes.isHeld(name) || crashes.isAsked(name)) return undefined;
     const route = this.findRoute(reward);
     const service = route && pickService(route, drawFromId(reward.id));
     if (service === undefined) return undefined;
@@ -121,6 +133,11 @@
     entry: EndpointEntry,
     exchange: EndpointExchange,
   ): Promise<ExchangeOutcome> {
+    const {crashes} = this.parts;
+    const name = () => fingerprintReward(job, reward);
+    const isFit = await crashes.isFit(entry, name);
+    if (!isFit || exchange.isAborted) return ENDPOINT_GONE;
+    const stay = crashes.begin(entry, name);
     const timeoutMs = this.measureTimeoutMs(job, reward);
     const timer = setTimeout(() => exchange.giveUp(), timeoutMs);
     const headers = this.parts.protocol.rewardHeaders(reward, {
@@ -136,6 +153,7 @@
       attemptId: reward.id,
     });
     clearTimeout(timer);
+    stay.end(judgeStay(outcome.kind, exchange.isOwnEnd));
     return outcome;
   }
 
--- /dev/null
+++ b/packages/daemon/src/gateway/crashes/__tests__/crash_news.spec.ts
@@ -0,0 +1,86 @@
+import {
+  CrashBook,
+  type CrashMark,
+  MAX_REQUESTS,
+} from '@radishyoke/core/crashes/crash_book';
+import {setTimeout as sleep} from 'node:timers/promises';
+import test, {type ExecutionContext} from 'ava';
+import {silentLogger} from '../../../logger.js';
+import {createKeyed, MemoryStore} from '../../__tests__/gateway_fixtures.js';
+import {decodeMarks, encodeMarks} from '../crash_codec.js';
+import {CrashNews} from '../crash_news.js';
+
+const MARK: CrashMark = {endpointId: 'e1', atMs: Date.now(), weight: 2};
+
+function createNews(t: ExecutionContext, store = new MemoryStore()) {
+  const book = new CrashBook(0);
+  const heard: string[] = [];
+  const onNews = (fingerprint: string) => heard.push(fingerprint);
+  const news = new CrashNews(store, 'crashes', book, onNews, silentLogger);
+  t.teardown(() => news.stop());
+  return {book, news, store, heard};
+}
+
+async function waitUntil(isSo: () => boolean): Promise<void> {
+  for (let i = 0; i < 400 && !isSo(); i++) await sleep(10);
+}
+
+test('what is told stands in the log, and what is clear is withdrawn', async t => {
+  const {book, news, store} = createNews(t);
+  book.merge('f', [MARK], Date.now());
+  news.tell('f');
+  await waitUntil(() => store.keyedWrites.length === 1);
+  const [{key, value}] = store.keyedWrites;
+  t.is(key, 'f');
+  t.deepEqual(decodeMarks(value!), {ok: true, value: [MARK]});
+  book.clear('f');
+  news.tell('f');
+  await waitUntil(() => store.keyedWrites.length === 2);
+  t.deepEqual(store.keyedWrites[1], {key: 'f'});
+});
+
+// Guards against news that a log which is away has not taken.
+test('what the log did not take is written again', async t => {
+  const {book, news, store} = createNews(t);
+  store.plan.push('refused', 'unknown');
+  book.merge('f', [MARK], Date.now());
+  news.tell('f');
+  await waitUntil(() => store.keyedWrites.length === 1);
+  t.is(store.keyedWrites[0].key, 'f');
+});
+
+// Guards against VMs that know nothing after they have all been lost.
+test('a VM that starts knows what stands in the log', async t => {
+  const store = new MemoryStore();
+  const value = Buffer.from(encodeMarks([MARK]));
+  store.newest.push({
+    kind: 'page',
+    records: [{key: 'f', value, offset: 0}, createKeyed('bad', 1, 'not marks')],
+    endOffset: 2,
+  });
+  store.keyedReads.push({
+    kind: 'page',
+    records: [{key: 'g', value, offset: 2}, createKeyed('f', 3)],
+    endOffset: 4,
+  });
+  const {book, news, heard} = createNews(t, store);
+  void news.run();
+  await waitUntil(() => book.has('g'));
+  t.false(book.has('f'), 'withdrawn by another VM');
+  t.deepEqual(book.getMarks('g'), [MARK]);
+  t.false(book.has('bad'));
+  t.deepEqual(heard, ['f', 'g']);
+});
+
+// Guards against a caller that fills the log with ever new requests.
+test('requests beyond the bound are withdrawn by who tells of more', async t => {
+  const {book, news, store} = createNews(t);
+  for (let i = 0; i < MAX_REQUESTS; i++) {
+    book.merge(`f${i}`, [{...MARK, atMs: Date.now()}], Date.now());
+  }
+  book.merge('new', [{...MARK, atMs: Date.now()}], Date.now());
+  news.tell('new');
+  await waitUntil(() => store.keyedWrites.length === 2);
+  t.deepEqual(store.keyedWrites[0], {key: 'f0'});
+  t.is(store.keyedWrites[1].key, 'new');
+});
--- /dev/null
+++ b/packages/daemon/src/gateway/crashes/__tests__/crash_watch.spec.ts
@@ -0,0 +1,152 @@
+import {CrashBook} from '@radishyoke/core/crashes/crash_book';
+import test from 'ava';
+import {silentLogger} from '../../../logger.js';
+import {createEntry} from '../../__tests__/gateway_fixtures.js';
+import {GatewayMetrics} from '../../gateway_metrics.js';
+import {CrashWatch} from '../crash_watch.js';
+
+/** A watch whose endpoints are there unless they stand in `gone`. */
+function createWatch() {
+  const book = new CrashBook(0);
+  const told: string[] = [];
+  const gone = new Set<string>();
+  const entries = new Map(
+    Array.from({length: 8}, (_, i) => [
+      `e${i}`,
+      {...createEntry(i + 1), id: `e${i}`},
+    ]),
+  );
+  const watch = new CrashWatch({
+    book,
+    news: {tell: fingerprint => told.push(fingerprint)},
+    metrics: new GatewayMetrics(),
+    logger: silentLogger,
+    probe: async ({port}) => !gone.has(`e${port - 1}`),
+  });
+  const begin = (id: string, fingerprint: string) =>
+    watch.begin(entries.get(id)!, () => fingerprint);
+  /** `fingerprint` runs alone at `id`, which crashes. */
+  const crash = async (id: string, fingerprint: string) => {
+    gone.add(id);
+    begin(id, fingerprint).end('broken');
+    await watch.settle(id);
+  };
+  return {watch, book, told, gone, begin, crash};
+}
+
+test('a request whose endpoints crash is held back after the third', async t => {
+  const {watch, crash} = createWatch();
+  await crash('e0', 'f');
+  await crash('e1', 'f');
+  t.false(watch.isHeld(() => 'f'));
+  await crash('e2', 'f');
+  t.true(watch.isHeld(() => 'f'));
+  t.false(watch.isHeld(() => 'g'));
+});
+
+// Guards against links that are reset being taken for crashes.
+test('a broken connection to an endpoint that is there is no crash', async t => {
+  const {watch, book, begin} = createWatch();
+  begin('e0', 'f').end('broken');
+  await watch.settle('e0');
+  t.is(book.size, 0);
+});
+
+test('a broken connection beside one that goes on is no crash', async t => {
+  const {watch, book, gone, begin} = createWatch();
+  gone.add('e0');
+  begin('e0', 'g');
+  begin('e0', 'f').end('broken');
+  await watch.settle('e0');
+  t.is(book.size, 0);
+});
+
+test('what this VM ends itself is no crash', async t => {
+  const {watch, book, gone, begin} = createWatch();
+  gone.add('e0');
+  begin('e0', 'f').end('left');
+  await watch.settle('e0');
+  t.is(book.size, 0);
+});
+
+// Guards against bystanders being blamed for a crash.
+test('what ends well before or after a crash is known is clear', async t => {
+  const {watch, book, told, gone, begin} = createWatch();
+  gone.add('e0');
+  begin('e0', 'f').end('broken');
+  begin('e0', 'g').end('broken');
+  begin('e1', 'g').end('answered');
+  await watch.settle('e0');
+  t.true(book.has('f'));
+  t.false(book.has('g'));
+  begin('e1', 'f').end('answered');
+  t.is(book.size, 0);
+  t.deepEqual(told, ['f'], 'the others are told that it is clear');
+});
+
+// Guards against a request that is asked all the time being held back on all VMs.
+test('a request that was answered a moment ago is cleared for all VMs', async t => {
+  const {watch, book, told, begin, crash} = createWatch();
+  begin('e0', 'f').end('answered');
+  await crash('e1', 'f');
+  t.is(book.size, 0);
+  book.noteCrash('f', {endpointId: 'e2', atMs: Date.now(), weight: 2});
+  watch.noteNews('f');
+  t.is(book.size, 0);
+  t.deepEqual(told, ['f']);
+  book.noteCrash('g', {endpointId: 'e2', atMs: Date.now(), weight: 2});
+  watch.noteNews('g');
+  t.true(book.has('g'));
+});
+
+test('a crash late in a stream weighs half, and events clear a run that lives', async t => {
+  const {watch, book, gone, begin} = createWatch();
+  for (const id of ['e0', 'e1', 'e2', 'e3', 'e4']) {
+    gone.add(id);
+    const stay = begin(id, 'f');
+    for (let i = 0; i < 10; i++) stay.noteEvent();
+    stay.end('broken');
+    await watch.settle(id);
+  }
+  t.is(book.getMarks('f').length, 5);
+  t.false(watch.isHeld(() => 'f'));
+  const stay = begin('e5', 'f');
+  for (let i = 0; i < 10; i++) stay.noteEvent();
+  stay.end('left');
+  t.is(book.size, 0);
+});
+
+// Guards against a bystander being blamed for endpoints that others had crashed before.
+test('a suspect goes only to endpoints that are there', async t => {
+  const {watch, gone, crash} = createWatch();
+  const fit = (id: string) =>
+    watch.isFit({...createEntry(Number(id[1]) + 1), id}, () => 'f');
+  gone.add('e1');
+  t.true(await fit('e1'), 'nothing speaks against it: it is just sent');
+  await crash('e0', 'f');
+  t.false(await fit('e1'));
+  t.true(await fit('e2'));
+});
+
+// Guards against a write to the log for each bystander of a crash.
+test('others are told at once from the second crash on', async t => {
+  const {told, crash} = createWatch();
+  await crash('e0', 'f');
+  t.deepEqual(told, []);
+  await crash('e1', 'f');
+  t.deepEqual(told, ['f']);
+});
+
+test('while a held request is tried once more no other one like it goes out', async t => {
+  const {watch, book, begin} = createWatch();
+  const longAgoMs = Date.now() - 60_000;
+  for (let i = 0; i < 3; i++) {
+    const endpointId = `e${i}`;
+    book.noteCrash('f', {endpointId, atMs: longAgoMs + i, weight: 2});
+  }
+  t.false(watch.isHeld(() => 'f'));
+  const stay = begin('e3', 'f');
+  t.true(watch.isHeld(() => 'f'));
+  stay.end('answered');
+  t.false(watch.isHeld(() => 'f'));
+});
--- /dev/null
+++ b/packages/daemon/src/gateway/crashes/__tests__/endpoint_probe.spec.ts
@@ -0,0 +1,27 @@
+import net from 'node:net';
+import test from 'ava';
+import {startRawServer} from '../../__tests__/gateway_fixtures.js';
+import {probeEndpoint} from '../endpoint_probe.js';
+
+test('an endpoint that keeps a connection open is there', async t => {
+  const server = await startRawServer('', 'keep');
+  t.teardown(() => server.close());
+  t.true(await probeEndpoint(server.entry));
+});
+
+test('an endpoint that refuses connections is gone', async t => {
+  const server = await startRawServer('', 'keep');
+  await server.close();
+  t.false(await probeEndpoint(server.entry));
+});
+
+// Guards against a proxy before a dead endpoint being taken for the endpoint.
+test('an endpoint whose connections close at once is gone', async t => {
+  const server = net.createServer(socket => socket.destroy());
+  await new Promise<void>(resolve =>
+    server.listen(0, '127.0.0.1', () => resolve()),
+  );
+  t.teardown(() => server.close());
+  const {port} = server.address() as net.AddressInfo;
+  t.false(await probeEndpoint({host: '127.0.0.1', port}));
+});
--- a/packages/daemon/src/gateway/endpoints/endpoint_exchange.ts
+++ b/packages/daemon/src/gateway/endpoints/endpoint_exchange.ts
@@ -47,6 +47,7 @@
   private connectedMs: number | undefined;
   private isDone = false;
   private wasAborted = false;
+  private wasGivenUp = false;
 
   constructor(
     private readonly agent: http.Agent,
@@ -82,6 +83,7 @@
 
   /** Ends the attempt because its endpoint took too long. */
   giveUp(): void {
+    this.wasGivenUp = true;
     this.req?.destroy();
   }
 
@@ -90,6 +92,11 @@
     return this.wasAborted;
   }
 
+  /** Whether this side ended it, so that its end is no broken connection. */
+  get isOwnEnd(): boolean {
+    return this.wasAborted || this.wasGivenUp;
+  }
+
   /** Steady ms from which the endpoint may have had it; undefined where it never did. */
   get sentMs(): number | undefined {
     return this.connectedMs;
--- a/packages/daemon/src/gateway/endpoints/endpoint_stream.ts
+++ b/packages/daemon/src/gateway/endpoints/endpoint_stream.ts
@@ -47,6 +47,7 @@
 export class EndpointStream {
   private req: http.ClientRequest | undefined;
   private isConnected = false;
+  private wasBrokenOff = false;
   private resolve: (outcome: StreamOutcome) => void = () => undefined;
   private readonly splitter = new EventSplitter();
 
@@ -88,10 +89,16 @@
 
   /** Ends the attempt; the endpoint sees its connection close. */
   breakOff(detail: string): void {
+    this.wasBrokenOff = true;
     this.fail(detail);
     this.req?.destroy();
   }
 
+  /** Whether this side ended it, so that its end is no broken connection. */
+  get isOwnEnd(): boolean {
+    return this.wasBrokenOff;
+  }
+
   private receive(
     res: http.IncomingMessage,
     attemptId: string | undefined,
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -15,7 +15,10 @@
 import {BatchRunner} from './batches/batch_runner.js';
 import type {CallerProtocol} from './requests/caller_protocol.js';
 import {ConfigHolder} from './store/config_holder.js';
+import {CrashBook} from '@radishyoke/core/crashes/crash_book';
 import type {ControlApi} from './control/control_api.js';
+import {CrashNews} from './crashes/crash_news.js';
+import {CrashWatch} from './crashes/crash_watch.js';
 import {UsageMeter} from './usage/usage_meter.js';
 import {UsageTask, type UsageTerms} from './usage/usage_task.js';
 import {EndpointLinks} from './endpoints/endpoint_links.js';
@@ -102,6 +105,8 @@
   private readonly metricsServer: http.Server;
   private readonly feeds: readonly KeyedFeed[];
   private readonly meter: UsageMeter | undefined;
+  private readonly crashNews: CrashNews;
+  private readonly crashes: CrashWatch;
   private runner: BatchRunner | undefined;
   private usageTask: UsageTask | undefined;
   private contactMs = -Infinity;
@@ -131,6 +136,21 @@
       isNamed => this.noteLease(isNamed),
       logger,
     );
+    const book = new CrashBook(Math.random());
+    this.crashNews = new CrashNews(
+      store,
+      directory.crashTopic,
+      book,
+      fingerprint => this.crashes.noteNews(fingerprint),
+      logger,
+    );
+    this.crashes = new CrashWatch({
+      book,
+      news: this.crashNews,
+      metrics: this.metrics,
+      logger,
+    });
+    this.metrics.observe('crash_suspects', () => book.size);
     this.meter = cfg.usage && new UsageMeter(store, cfg, cfg.usage.windowMs);
     const forwarder = new Forwarder({
       roster: this.roster,
@@ -138,6 +158,7 @@
       view: this.view,
       protocol: endpoints,
       dataCentre: cfg.dataCentre,
+      crashes: this.crashes,
       ...(this.meter ? {meter: this.meter} : {}),
       metrics: this.metrics,
       logger,
@@ -210,6 +231,7 @@
     await this.front.listen(cfg.frontAddress);
     if (this.isStopping) return;
     for (const feed of this.feeds) void feed.run();
+    void this.crashNews.run();
     this.lease.start();
     this.sweepTimer = setInterval(() => this.sweep(), SWEEP_MS);
     this.isServing = true;
@@ -276,6 +298,7 @@
   private close(): void {
     clearInterval(this.sweepTimer);
     for (const feed of this.feeds) feed.stop();
+    this.crashNews.stop();
     this.lease.stop();
     this.front.close();
     this.readiness.close();
@@ -382,6 +405,7 @@
       termId: `${this.cfg.lifeId}.${this.nextTerm++}`,
       view: this.view,
       dataCentre: this.cfg.dataCentre,
+      crashes: this.crashes,
       logger: this.parts.logger,
     });
     this.runner = runner;
--- a/packages/daemon/src/gateway/requests/__tests__/stream_call.spec.ts
+++ b/packages/daemon/src/gateway/requests/__tests__/stream_call.spec.ts
@@ -5,7 +5,11 @@
 import {EndpointRoster} from '@radishyoke/core/fleet/endpoint_roster';
 import type {Route} from '@radishyoke/core/routing/route_table';
 import {silentLogger} from '../../../logger.js';
-import {createEntry, PlainProtocol} from '../../__tests__/gateway_fixtures.js';
+import {
+  createCrashWatch,
+  createEntry,
+  PlainProtocol,
+} from '../../__tests__/gateway_fixtures.js';
 import {EndpointLinks} from '../../endpoints/endpoint_links.js';
 import {EndpointView} from '../../endpoints/endpoint_view.js';
 import {GatewayMetrics} from '../../gateway_metrics.js';
@@ -69,6 +73,7 @@
     view: new EndpointView(),
     protocol: new PlainProtocol(),
     dataCentre: 'dc',
+    crashes: createCrashWatch(),
     metrics: new GatewayMetrics(),
     logger: silentLogger,
   };
--- a/packages/daemon/src/gateway/requests/forward_request.ts
+++ b/packages/daemon/src/gateway/requests/forward_request.ts
@@ -5,6 +5,7 @@
 import type {EndpointRoster} from '@radishyoke/core/fleet/endpoint_roster';
 import type {Route} from '@radishyoke/core/routing/route_table';
 import type {EventLogger} from '../../logger.js';
+import type {CrashWatch} from '../crashes/crash_watch.js';
 import type {UsageMeter} from '../usage/usage_meter.js';
 import type {EndpointLinks} from '../endpoints/endpoint_links.js';
 import type {EndpointProtocol} from '../endpoints/endpoint_protocol.js';
@@ -30,6 +31,7 @@
   readonly view: EndpointView;
   readonly protocol: EndpointProtocol;
   readonly dataCentre: string;
+  readonly crashes: CrashWatch;
   /** Present where usage is to be reported. */
   readonly meter?: UsageMeter;
   readonly metrics: GatewayMetrics;
--- a/packages/daemon/src/gateway/requests/forwarder.ts
+++ b/packages/daemon/src/gateway/requests/forwarder.ts
@@ -13,6 +13,7 @@
 import {drawFromId, pickService} from '@radishyoke/core/routing/route_table';
 import {createError, type RadishyokeError} from '@radishyoke/shared/error_kind';
 import type {ServerResponse} from 'node:http';
+import {judgeStay} from '../crashes/crash_watch.js';
 import {
   type EndpointAnswer,
   EndpointExchange,
@@ -20,7 +21,7 @@
 } from '../endpoints/endpoint_exchange.js';
 import {pickEndpoint} from '../endpoints/endpoint_picker.js';
 import type {ForwarderParts, ForwardRequest} from './forward_request.js';
-import {fingerprintForward} from './request_fingerprints.js';
+import {RequestGuard} from './request_guard.js';
 import {StreamCall} from './stream_call.js';
 
 export type ForwardOutcome =
@@ -34,6 +35,12 @@
 /** When to come back after nothing could take the request, ms: about as long as the list of endpoints lags. */
 const RETRY_AFTER_MS = 150;
 
+/** Nothing was sent: the endpoint was found to be away. */
+const ENDPOINT_GONE: ExchangeOutcome = {
+  kind: 'unsent',
+  detail: 'the endpoint is gone',
+};
+
 export class Forwarder {
   constructor(private readonly parts: ForwarderParts) {}
 
@@ -55,6 +62,7 @@
   private readonly pending = new Set<EndpointExchange>();
   private readonly terms: RequestTerms;
   private readonly service: string | undefined;
+  private readonly guard: RequestGuard;
   private ran = 0;
   private notRun = 0;
   private isSettled = false;
@@ -78,6 +86,7 @@
     const draw =
       attemptId === undefined ? Math.random() : drawFromId(attemptId);
     this.service = pickService(route, draw);
+    this.guard = new RequestGuard(parts, req);
     this.outcome = new Promise(resolve => (this.resolve = resolve));
     const leftMs = Math.max(req.deadlineMs - performance.now(), 0);
     this.deadlineTimer = setTimeout(() => this.expire(), leftMs);
@@ -95,17 +104,18 @@
     if (hedgeMs === undefined || this.isSettled) return;
     this.hedgeTimer = setTimeout(() => {
       const isFree = this.pending.size === 1 && this.ran < this.terms.attempts;
-      if (isFree) this.attempt();
+      if (isFree && !this.guard.isSuspect) this.attempt();
     }, hedgeMs);
   }
 
   private attempt(): void {
     const leftMs = this.req.deadlineMs - performance.now();
     if (leftMs < MIN_ATTEMPT_MS) return this.expire();
+    if (this.guard.isHeld) return this.endHeld();
     const entry = this.choose();
     if (!entry) return this.endWithoutEndpoint();
     this.tried.add(entry.id);
-    void this.runAt(entry, Math.floor(leftMs - RETURN_MS));
+    void this.runAt(entry);
   }
 
   private choose(): EndpointEntry | undefined {
@@ -113,32 +123,47 @@
     return pickEndpoint(this.parts, this.service, this.tried);
   }
 
-  private async runAt(entry: EndpointEntry, deadlineMs: number): Promise<void> {
+  private async runAt(entry: EndpointEntry): Promise<void> {
     const {links, view, protocol} = this.parts;
     const exchange = new EndpointExchange(links.open(entry), protocol, entry);
     this.pending.add(exchange);
     this.ran += 1;
     view.noteStart(entry);
     const startedMs = performance.now();
+    const outcome = await this.exchange(entry, exchange);
+    view.noteEnd(entry);
+    this.pending.delete(exchange);
+    if (mayHaveRun(outcome)) this.noteBegun(exchange);
+    if (this.isSettled) return;
+    this.learn(entry, outcome);
+    this.logAttempt(entry, outcome, performance.now() - startedMs);
+    if (outcome.kind === 'unknown') await this.guard.settle(entry);
+    if (!this.isSettled) this.conclude(outcome);
+  }
+
+  private async exchange(
+    entry: EndpointEntry,
+    exchange: EndpointExchange,
+  ): Promise<ExchangeOutcome> {
+    const {protocol} = this.parts;
     const {method, path, headers, body, attemptId, caller} = this.req;
+    const isFit = await this.guard.isFit(entry);
+    if (!isFit || this.isSettled) return ENDPOINT_GONE;
+    const stay = this.guard.begin(entry);
+    const leftMs = this.req.deadlineMs - performance.now();
     const outcome = await exchange.run({
       method,
       path,
       headers: protocol.forwardHeaders(headers, {
         endpointId: entry.id,
-        deadlineMs,
+        deadlineMs: Math.max(Math.floor(leftMs - RETURN_MS), 1),
         caller,
       }),
       body,
       attemptId,
     });
-    view.noteEnd(entry);
-    this.pending.delete(exchange);
-    if (mayHaveRun(outcome)) this.noteBegun(exchange);
-    if (this.isSettled) return;
-    this.learn(entry, outcome);
-    this.logAttempt(entry, outcome, performance.now() - startedMs);
-    this.conclude(outcome);
+    stay.end(judgeStay(outcome.kind, exchange.isOwnEnd));
+    return outcome;
   }
 
   /** A request counts once in usage, from the first endpoint that had it. */
@@ -191,6 +216,14 @@
     else this.fail('no other endpoint is usable');
   }
 
+  /** Requests like this one crash endpoints: none is tried any more. */
+  private endHeld(): void {
+    if (this.pending.size > 0) return;
+    const error = this.guard.refuse();
+    if (this.ran === 0) this.settle({kind: 'failed', error});
+    else this.fail(error.detail);
+  }
+
   private refuse(detail: string): void {
     const extra = {retryAfterMs: RETRY_AFTER_MS};
     const error = createError('no_endpoint', detail, extra);
@@ -241,7 +274,7 @@
         outcome.kind === 'answered'
           ? `status ${outcome.answer.status}`
           : outcome.detail,
-      fingerprint: fingerprintForward(this.req),
+      fingerprint: this.guard.fingerprint,
     });
   }
 }
--- a/packages/daemon/src/gateway/requests/stream_call.ts
+++ b/packages/daemon/src/gateway/requests/stream_call.ts
@@ -15,6 +15,7 @@
 } from '@radishyoke/core/routing/attempt_policy';
 import {drawFromId, pickService} from '@radishyoke/core/routing/route_table';
 import {createError, type RadishyokeError} from '@radishyoke/shared/error_kind';
+import {judgeStay, type WatchedStay} from '../crashes/crash_watch.js';
 import type {EndpointAnswer} from '../endpoints/endpoint_exchange.js';
 import {pickEndpoint} from '../endpoints/endpoint_picker.js';
 import {
@@ -25,7 +26,7 @@
 import type {RawEvent} from '../endpoints/event_splitter.js';
 import {copyHeaders} from './caller_answer.js';
 import type {ForwarderParts, ForwardRequest} from './forward_request.js';
-import {fingerprintForward} from './request_fingerprints.js';
+import {RequestGuard} from './request_guard.js';
 
 /** What became of a stream. */
 export type StreamResult =
@@ -43,11 +44,19 @@
 /** When to come back after nothing could take the request, ms: about as long as the list of endpoints lags. */
 const RETRY_AFTER_MS = 150;
 
+/** Nothing was sent: the endpoint was found to be away. */
+const ENDPOINT_GONE: StreamOutcome = {
+  kind: 'unsent',
+  detail: 'the endpoint is gone',
+};
+
 export class StreamCall implements StreamReader {
   private readonly terms: RequestTerms;
   private readonly service: string | undefined;
   private readonly tried = new Set<string>();
+  private readonly guard: RequestGuard;
   private stream: EndpointStream | undefined;
+  private stay: WatchedStay | undefined;
   private stallTimer: NodeJS.Timeout | undefined;
   /** Head of the first endpoint's answer. */
   private head: readonly string[] | undefined;
@@ -71,6 +80,7 @@
     const draw =
       attemptId === undefined ? Math.random() : drawFromId(attemptId);
     this.service = pickService(route, draw);
+    this.guard = new RequestGuard(parts, req);
   }
 
   /** Runs until the caller has its answer; never rejects. */
@@ -101,6 +111,7 @@
       event.id === undefined ||
       event.id === lastEventId + 1;
     if (!isNext) return false;
+    this.stay?.noteEvent();
     if (lastEventId === undefined) this.noteBegun();
     this.watchSilence();
     this.sendHead();
@@ -125,6 +136,7 @@
   private async runAttempts(): Promise<StreamResult> {
     for (;;) {
       if (this.isOver) return this.fail('deadline_passed');
+      if (this.guard.isHeld) return this.endHeld();
       const entry =
         this.service === undefined
           ? undefined
@@ -137,15 +149,30 @@
   }
 
   private async attempt(entry: EndpointEntry): Promise<StreamOutcome> {
-    const {links, view, protocol} = this.parts;
-    const {method, path, headers, body, attemptId, caller} = this.req;
+    const {links, view} = this.parts;
     this.tried.add(entry.id);
     this.ran += 1;
     view.noteStart(entry);
-    this.stream = new EndpointStream(links.open(entry), protocol, entry, this);
+    const outcome = await this.runStream(entry);
+    view.noteEnd(entry);
+    if (outcome.kind === 'unknown') links.renew(entry.id);
+    this.logAttempt(entry, outcome);
+    if (outcome.kind === 'unknown') await this.guard.settle(entry);
+    return outcome;
+  }
+
+  private async runStream(entry: EndpointEntry): Promise<StreamOutcome> {
+    const {links, protocol} = this.parts;
+    const {method, path, headers, body, attemptId, caller} = this.req;
+    const isFit = await this.guard.isFit(entry);
+    if (!isFit || this.isOver) return ENDPOINT_GONE;
+    const stay = this.guard.begin(entry);
+    this.stay = stay;
+    const stream = new EndpointStream(links.open(entry), protocol, entry, this);
+    this.stream = stream;
     this.watchSilence();
     const {lastEventId} = this;
-    const outcome = await this.stream.run({
+    const outcome = await stream.run({
       method,
       path,
       headers: protocol.forwardHeaders(headers, {
@@ -157,9 +184,7 @@
       body,
       attemptId,
     });
-    view.noteEnd(entry);
-    if (outcome.kind === 'unknown') links.renew(entry.id);
-    this.logAttempt(entry, outcome);
+    stay.end(judgeStay(outcome.kind, stream.isOwnEnd));
     return outcome;
   }
 
@@ -220,6 +245,13 @@
     return this.req.deadlineMs - performance.now();
   }
 
+  /** Requests like this one crash endpoints: none is tried any more. */
+  private endHeld(): StreamResult {
+    const error = this.guard.refuse();
+    const hasRun = this.ran > 0 || this.res.headersSent;
+    return hasRun ? this.fail() : {kind: 'failed', error};
+  }
+
   private refuse(): StreamResult {
     // Part of the answer is out: what is left of it has no status of its own.
     if (this.res.headersSent) return this.fail();
@@ -252,7 +284,7 @@
       lastEvent: this.lastEventId ?? -1,
       outcome: outcome.kind,
       detail,
-      fingerprint: fingerprintForward(this.req),
+      fingerprint: this.guard.fingerprint,
     });
   }
 }
--- a/packages/daemon/src/gateway/store/log_store.ts
+++ b/packages/daemon/src/gateway/store/log_store.ts
@@ -42,6 +42,12 @@
   readonly offset: number;
 }
 
+/** A keyed record to be written; without a value the key is removed. */
+export interface NewKeyedRecord {
+  readonly key: string;
+  readonly value?: Uint8Array;
+}
+
 export type KeyedReadOutcome =
   | {
       readonly kind: 'page';
@@ -85,6 +91,12 @@
     options?: AppendOptions,
   ): Promise<AppendOutcome>;
 
+  /** Appends all of `records` to a keyed topic or none. */
+  abstract appendKeyed(
+    topic: string,
+    records: readonly NewKeyedRecord[],
+  ): Promise<AppendOutcome>;
+
   abstract read(
     topic: string,
     partition: number,
--- a/packages/daemon/src/gateway/store/metered_store.ts
+++ b/packages/daemon/src/gateway/store/metered_store.ts
@@ -6,6 +6,7 @@
   type AppendOutcome,
   type KeyedReadOutcome,
   LogStore,
+  type NewKeyedRecord,
   type ReadOptions,
   type ReadOutcome,
 } from './log_store.js';
@@ -42,6 +43,13 @@
     );
   }
 
+  appendKeyed(
+    topic: string,
+    records: readonly NewKeyedRecord[],
+  ): Promise<AppendOutcome> {
+    return this.measure('append_keyed', this.store.appendKeyed(topic, records));
+  }
+
   read(
     topic: string,
     partition: number,
--- a/packages/daemon/src/gateway/store/platform_directory.ts
+++ b/packages/daemon/src/gateway/store/platform_directory.ts
@@ -19,6 +19,8 @@
 export abstract class PlatformDirectory {
   abstract readonly configTopic: string;
   abstract readonly endpointTopic: string;
+  /** Of requests that crash endpoints; this service writes it. */
+  abstract readonly crashTopic: string;
 
   abstract decodeConfigRecord(
     key: string,
--- a/packages/shared/src/error_kind.ts
+++ b/packages/shared/src/error_kind.ts
@@ -21,6 +21,7 @@
   | 'draining'
   | 'not_current'
   | 'suspect_request'
+  | 'held_back'
   | 'duplicate_request'
   | 'endpoint_unreachable'
   | 'endpoint_failed'
@@ -92,6 +93,12 @@
     false,
     'requests like this one crashed endpoints before',
   ),
+  held_back: answer(
+    503,
+    'no',
+    true,
+    'requests like this one crashed endpoints; it is held back for a while',
+  ),
   duplicate_request: answer(
     409,
     'maybe',
--- a/packages/shared/src/log_event.ts
+++ b/packages/shared/src/log_event.ts
@@ -122,6 +122,32 @@
     readonly fencingToken: number;
     readonly outcome: string;
   };
+  /** Its connections broke and it was gone right after. */
+  readonly 'endpoint crashed': {
+    readonly endpoint: string;
+    readonly service: string;
+    /** Requests of this VM that it had. */
+    readonly requests: number;
+    /** Some of them, separated by commas. */
+    readonly fingerprints: string;
+  };
+  /** It goes to no endpoint until it may be tried again. */
+  readonly 'crashing request held back': {
+    readonly fingerprint: string;
+    /** Endpoints that crashed, as far as kept. */
+    readonly crashes: number;
+    readonly retryAfterMs: number;
+  };
+  /** A request beside which endpoints crashed ran to its end. */
+  readonly 'request cleared': {readonly fingerprint: string};
+  readonly 'request held back': Subject &
+    Decided & {
+      readonly fingerprint: string;
+      /** Crashes of endpoints that had it, as far as kept. */
+      readonly crashes: number;
+      /** Until it may be tried again. */
+      readonly retryAfterMs: number;
+    };
   readonly 'endpoint joined': EndpointFields;
   readonly 'endpoint reborn': EndpointFields;
   readonly 'endpoint draining': EndpointFields;
