fix(core,daemon): an item that fails everywhere is not run anew by each batch

Callers saw nothing but late steps: groups that were not complete come again in later batches under the same ids, and an item that gets 422 or 500 wherever it runs was run anew in each, beyond three answers of 422 or three times Attempts of 500.

Cause: failures were counted for one batch, and an answer of 422 was no record at all, so neither a later batch nor a new coordinator knew of it.

Now an answer of 422 is a record of the index like one of 500, and both are summed over all batches that the index has. An item that failed in three batches gets its result, errored, at once.

--- a/packages/core/src/batches/__tests__/batch_fixtures.ts
+++ b/packages/core/src/batches/__tests__/batch_fixtures.ts
@@ -13,6 +13,7 @@
 import {BatchScheduler} from '../batch_scheduler.js';
 import {assembleState, type BatchState, ProgressFold} from '../batch_state.js';
 import type {ScheduleAction} from '../schedule_action.js';
+import type {EarlierFailures} from '../earlier_batches.js';
 import type {EngineView} from '../engine_board.js';
 
 export const MODEL = 'm0';
@@ -137,7 +138,11 @@
 export interface ScheduleFixture {
   readonly scheduler: BatchScheduler;
   readonly log: FixtureLog;
-  open(batch: Batch, terms?: OpenBatchTerms): void;
+  open(
+    batch: Batch,
+    terms?: OpenBatchTerms,
+    failed?: ReadonlyMap<string, EarlierFailures>,
+  ): void;
 }
 
 /** A scheduler with engines, and a log that its batches go through. */
@@ -154,10 +159,11 @@
     open(
       batch: Batch,
       terms = createTerms({minVersion: batch.minVersion}),
+      failed = new Map(),
     ): void {
       batches.push(batch);
       log.apply(acceptBatch(batch));
-      scheduler.openBatch(log.get(batch.id), terms);
+      scheduler.openBatch(log.get(batch.id), terms, failed);
     },
   };
 }
--- a/packages/core/src/batches/__tests__/batch_scheduler.spec.ts
+++ b/packages/core/src/batches/__tests__/batch_scheduler.spec.ts
@@ -169,6 +169,28 @@
   t.deepEqual(scheduler.decide(2000), [], 'now it is');
 });
 
+// Guards against an item that fails everywhere being run anew in each batch.
+test('an item that failed in the batches before is given up after fewer attempts', t => {
+  const {scheduler, open} = createSchedule([createEngine('e0')]);
+  const failed = new Map([
+    ['g0a', {failures: 0, rejections: 3}],
+    ['g1a', {failures: 5, rejections: 2}],
+  ]);
+  const terms = createTerms({attempts: 2});
+  open(createBatch('b0', ['g0a', 'g1a']), terms, failed);
+  const first = scheduler.decide(0);
+  t.like(first[0], {
+    kind: 'list',
+    result: {itemId: 'g0a', state: 'errored'},
+    reason: 'failed_in_earlier_batches',
+  });
+  const [run] = listStarts(first);
+  t.is(run.job.item.id, 'g1a');
+  scheduler.noteEnd(run, 'failed', 10);
+  const [second] = scheduler.decide(20);
+  t.like(second, {kind: 'list', reason: 'failed_in_earlier_batches'});
+});
+
 test('an item is given up after its attempts, and at once if it can never be done', t => {
   const {scheduler, open} = createSchedule([createEngine('e0')]);
   open(createBatch('b0', ['g0a', 'g1a']), createTerms({attempts: 2}));
--- a/packages/core/src/batches/__tests__/earlier_batches.spec.ts
+++ b/packages/core/src/batches/__tests__/earlier_batches.spec.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import {BatchIndex, type IndexedBatch} from '../batch_index.js';
 import type {Batch} from '../batch_record.js';
-import {listEarlier} from '../earlier_batches.js';
+import {countEarlierFailures, listEarlier} from '../earlier_batches.js';
 import {acceptBatch, createBatch} from './batch_fixtures.js';
 
 interface Step {
@@ -51,3 +51,20 @@
   ];
   t.deepEqual(listIds(steps), []);
 });
+
+// Guards against an item that fails everywhere being run anew in each batch.
+test('failures of an item are counted over all batches before', t => {
+  const index = new BatchIndex();
+  const steps = ['b0', 'b1', 'b2'];
+  for (const [i, id] of steps.entries()) {
+    const batch = createBatch(id, ['g0a', 'g0b'], {submittedAtMs: i * 1000});
+    index.apply(acceptBatch(batch));
+    index.apply({kind: 'attempt_failed', batchId: id, itemId: 'g0a'});
+    index.apply({kind: 'attempt_impossible', batchId: id, itemId: 'g0b'});
+  }
+  const entries = [...index.entries];
+  const counts = countEarlierFailures(entries[2], entries);
+  t.deepEqual(counts.get('g0a'), {failures: 2, rejections: 0});
+  t.deepEqual(counts.get('g0b'), {failures: 0, rejections: 2});
+  t.is(countEarlierFailures(entries[0], entries).size, 0);
+});
--- a/packages/core/src/batches/batch_index.ts
+++ b/packages/core/src/batches/batch_index.ts
@@ -21,6 +21,8 @@
   position: number | undefined;
   /** Attempts that an endpoint answered as failed. */
   failures: number;
+  /** Attempts that an endpoint answered as impossible. */
+  rejections: number;
   /** Reward calls that an endpoint answered as failed. */
   rewardFailures: number;
 }
@@ -69,6 +71,11 @@
         if (item) item.failures += 1;
         return undefined;
       }
+      case 'attempt_impossible': {
+        const item = this.findItem(record.batchId, record.itemId);
+        if (item) item.rejections += 1;
+        return undefined;
+      }
       case 'reward_failed': {
         const item = this.findItem(record.batchId, record.itemId);
         if (item) item.rewardFailures += 1;
@@ -99,7 +106,12 @@
     if (this.batches.has(header.id)) return undefined;
     const items = new Map<string, IndexedItem>();
     for (const id of itemIds) {
-      items.set(id, {position: undefined, failures: 0, rewardFailures: 0});
+      items.set(id, {
+        position: undefined,
+        failures: 0,
+        rejections: 0,
+        rewardFailures: 0,
+      });
     }
     const entry = {header, items, payload, results: [], isEnded: false};
     this.batches.set(header.id, entry);
--- a/packages/core/src/batches/batch_job.ts
+++ b/packages/core/src/batches/batch_job.ts
@@ -1,6 +1,7 @@
 /** Items of open batches as work: what is to be run, and what is running. */
 
 import type {Batch, BatchItem, ItemResult} from './batch_record.js';
+import type {EarlierFailures} from './earlier_batches.js';
 import {Transcript, type VersionDemand} from './transcript.js';
 
 export type JobState =
@@ -24,6 +25,8 @@
   result: ItemResult | undefined;
   /** Attempts that an endpoint answered as failed. */
   failures: number;
+  /** Those in batches before this one. */
+  readonly earlier: EarlierFailures;
   /** Reward calls that an endpoint answered as failed. */
   rewardFailures: number;
   /** Connections that broke before the first event of a run, one after another. */
@@ -65,11 +68,14 @@
   isStopping: boolean;
 }
 
+const NO_FAILURES: EarlierFailures = {failures: 0, rejections: 0};
+
 /** Builds a job for `item` that goes on from `transcript`. */
 export function createJob(
   batch: OpenBatch,
   item: BatchItem,
   transcript = new Transcript(),
+  earlier: EarlierFailures = NO_FAILURES,
 ): Job {
   return {
     batch,
@@ -79,6 +85,7 @@
     recorded: 0,
     result: undefined,
     failures: 0,
+    earlier,
     rewardFailures: 0,
     earlyBreaks: 0,
     notBeforeMs: -Infinity,
--- a/packages/core/src/batches/batch_record.ts
+++ b/packages/core/src/batches/batch_record.ts
@@ -120,6 +120,12 @@
       readonly batchId: string;
       readonly itemId: string;
     }
+  /** An endpoint answered that the item can never be done. */
+  | {
+      readonly kind: 'attempt_impossible';
+      readonly batchId: string;
+      readonly itemId: string;
+    }
   /** An endpoint answered that the item's reward call failed. */
   | {
       readonly kind: 'reward_failed';
--- a/packages/core/src/batches/batch_scheduler.ts
+++ b/packages/core/src/batches/batch_scheduler.ts
@@ -19,7 +19,7 @@
 } from './batch_job.js';
 import type {BatchHeader, ListedResult, OutputEvent} from './batch_record.js';
 import type {BatchState} from './batch_state.js';
-import {KEPT_STEPS} from './earlier_batches.js';
+import {type EarlierFailures, KEPT_STEPS} from './earlier_batches.js';
 import {EngineBoard, type EngineView} from './engine_board.js';
 import {
   chooseText,
@@ -90,7 +90,11 @@
   }
 
   /** Takes a batch from the log, with the results and output it has. */
-  openBatch(state: BatchState, terms: OpenBatchTerms | undefined): void {
+  openBatch(
+    state: BatchState,
+    terms: OpenBatchTerms | undefined,
+    failed: ReadonlyMap<string, EarlierFailures> = new Map(),
+  ): void {
     const {batch} = state;
     if (this.open.has(batch.id)) return;
     const jobs = new Map<string, Job>();
@@ -107,7 +111,7 @@
       const earlier = this.lastJobs.get(item.id);
       if (earlier) carriedGroups.add(item.group);
       const text = chooseText(known.transcript, earlier);
-      const job = createJob(open, item, copyText(text));
+      const job = createJob(open, item, copyText(text), failed.get(item.id));
       if (text === known.transcript) job.recorded = text.events.length;
       job.failures = known.failures;
       job.rewardFailures = known.rewardFailures;
@@ -126,6 +130,7 @@
   private takeWhatIsKnown(job: Job, earlier: Job | undefined): void {
     if (earlier) this.outcomes.reuseResult(job, earlier);
     this.outcomes.takeKnownText(job);
+    this.outcomes.giveUpHopeless(job);
   }
 
   /** Whether the batch is open, or was closed so lately that its texts are kept. */
@@ -191,7 +196,10 @@
     const open = this.open.get(batchId);
     if (!open) return;
     open.terms = terms;
-    for (const job of open.jobs.values()) this.outcomes.takeKnownText(job);
+    for (const job of open.jobs.values()) {
+      this.outcomes.takeKnownText(job);
+      this.outcomes.giveUpHopeless(job);
+    }
   }
 
   /** Jobs whose texts are whole, in the order in which they should get their scores. */
--- a/packages/core/src/batches/earlier_batches.ts
+++ b/packages/core/src/batches/earlier_batches.ts
@@ -1,4 +1,4 @@
-/** Which batches before one have items that it asks for again. */
+/** What batches before one have of the items that it asks for again. */
 
 import {type IndexedBatch, isComplete} from './batch_index.js';
 
@@ -24,3 +24,36 @@
     .slice(-KEPT_STEPS)
     .filter(({items}) => itemIds.some(id => items.has(id)));
 }
+
+/** How an item failed in batches before one that asks for it again. */
+export interface EarlierFailures {
+  /** Attempts that an endpoint answered as failed. */
+  readonly failures: number;
+  /** Attempts that an endpoint answered as impossible. */
+  readonly rejections: number;
+}
+
+/** By item of `entry`, those of `known` that failed; an item that comes again must not be run for ever. */
+export function countEarlierFailures(
+  entry: IndexedBatch,
+  known: readonly IndexedBatch[],
+): ReadonlyMap<string, EarlierFailures> {
+  const earlier = known.filter(
+    other =>
+      other !== entry &&
+      other.header.submittedAtMs <= entry.header.submittedAtMs,
+  );
+  const counts = new Map<string, EarlierFailures>();
+  for (const {items} of earlier) {
+    for (const id of entry.items.keys()) {
+      const item = items.get(id);
+      if (!item || item.failures + item.rejections === 0) continue;
+      const {failures = 0, rejections = 0} = counts.get(id) ?? {};
+      counts.set(id, {
+        failures: failures + item.failures,
+        rejections: rejections + item.rejections,
+      });
+    }
+  }
+  return counts;
+}
--- a/packages/core/src/batches/job_outcomes.ts
+++ b/packages/core/src/batches/job_outcomes.ts
@@ -11,6 +11,9 @@
 /** Pause before an item that failed is tried again, ms; most failures of an engine pass within a few requests. */
 const REPEAT_PAUSE_MS = 50;
 
+/** Batches in which an item may fail for good; one that asks for it again gets that answer at once. */
+const MAX_BATCHES = 3;
+
 export class JobOutcomes {
   /** @param push Takes what the owner of the scheduler is to do. */
   constructor(private readonly push: (action: ScheduleAction) => void) {}
@@ -81,6 +84,18 @@
     const attempts = job.batch.terms?.attempts ?? 1;
     if (job.failures >= attempts) this.giveUp(job, 'attempts_used_up');
     else job.notBeforeMs = nowMs + REPEAT_PAUSE_MS;
+    this.giveUpHopeless(job);
+  }
+
+  /** An item that failed in one batch after the other is not run again. */
+  giveUpHopeless(job: Job): void {
+    const {batch, earlier} = job;
+    if (job.state !== 'waiting' || !batch.terms) return;
+    const most = batch.terms.attempts * MAX_BATCHES;
+    const isHopeless =
+      earlier.rejections >= MAX_BATCHES ||
+      earlier.failures + job.failures >= most;
+    if (isHopeless) this.giveUp(job, 'failed_in_earlier_batches');
   }
 
   /** An endpoint answered that the reward call failed; `attempts` of these are enough. */
--- a/packages/core/src/batches/schedule_action.ts
+++ b/packages/core/src/batches/schedule_action.ts
@@ -50,6 +50,7 @@
   | 'known_from_earlier_batch'
   | 'impossible'
   | 'attempts_used_up'
+  | 'failed_in_earlier_batches'
   | 'reward_attempts_used_up'
   | 'retention_over'
   | 'route_removed';
--- a/packages/daemon/src/gateway/batches/batch_runner.ts
+++ b/packages/daemon/src/gateway/batches/batch_runner.ts
@@ -25,7 +25,10 @@
 } from '@radishyoke/core/batches/batch_record';
 import {setMaxListeners} from 'node:events';
 import type {LogEventName} from '@radishyoke/shared/log_event';
-import {listEarlier} from '@radishyoke/core/batches/earlier_batches';
+import {
+  countEarlierFailures,
+  listEarlier,
+} from '@radishyoke/core/batches/earlier_batches';
 import type {EndpointEntry} from '@radishyoke/core/fleet/endpoint_entry';
 import type {EndpointRoster} from '@radishyoke/core/fleet/endpoint_roster';
 import type {RouteTable} from '@radishyoke/core/routing/route_table';
@@ -257,7 +260,8 @@
     this.loading.delete(header.id);
     const {table} = this.parts.config;
     if (!state || !table || signal.aborted) return;
-    this.scheduler.openBatch(state, this.findTerms(header, table));
+    const failed = countEarlierFailures(entry, this.listKnown());
+    this.scheduler.openBatch(state, this.findTerms(header, table), failed);
     // Records that came while the payload was read.
     if (isComplete(entry)) this.scheduler.closeBatch(header.id);
     this.decideSoon();
@@ -457,6 +461,9 @@
     }
     if (live && end !== 'finished') this.itemLog.writeProgress(run.job);
     if (end === 'failed') this.itemLog.writeFailure('attempt_failed', run.job);
+    if (end === 'impossible') {
+      this.itemLog.writeFailure('attempt_impossible', run.job);
+    }
     this.scheduler.noteEnd(run, end, this.parts.clock.now());
     if (run.job.state === 'unscored') this.itemLog.writeWholeText(run.job);
     this.decideSoon();
--- a/packages/daemon/src/gateway/batches/item_log.ts
+++ b/packages/daemon/src/gateway/batches/item_log.ts
@@ -6,6 +6,8 @@
 import type {BatchShelf} from './batch_book.js';
 import {IndexWriter, ProgressWriter} from './record_writer.js';
 
+type FailureKind = 'attempt_failed' | 'attempt_impossible' | 'reward_failed';
+
 /** Of one partition. */
 interface Writers {
   readonly index: IndexWriter;
@@ -30,7 +32,7 @@
   }
 
   /** An endpoint answered that an attempt, or a reward call, failed. */
-  writeFailure(kind: 'attempt_failed' | 'reward_failed', job: Job): void {
+  writeFailure(kind: FailureKind, job: Job): void {
     const {id: batchId} = job.batch.batch;
     this.open(batchId).index.write({kind, batchId, itemId: job.item.id});
   }
