fix(daemon): the list of endpoints tells of crashes that a connection does not

Where something in between answers for a dead endpoint's address, a connection can still be made after the crash, and no request would be held against it. An endpoint whose entry vanishes without draining, or names a new life, within 10 s of a broken connection has crashed as well. News of crashes are read again each 3 s at the latest, as long as a VM counts as out of touch after its link was harmed.

--- a/packages/daemon/src/gateway/crashes/__tests__/crash_watch.spec.ts
+++ b/packages/daemon/src/gateway/crashes/__tests__/crash_watch.spec.ts
@@ -52,6 +52,21 @@
   t.is(book.size, 0);
 });
 
+// Guards against endpoints whose address is answered for while they are away.
+test('a broken connection is a crash once the list says that its endpoint is gone', async t => {
+  const {watch, book, begin} = createWatch();
+  const entry = {...createEntry(1), id: 'e0'};
+  begin('e0', 'f').end('broken');
+  begin('e0', 'g').end('broken');
+  await watch.settle('e0');
+  begin('e1', 'g').end('answered');
+  watch.noteGone(entry);
+  t.is(book.getMarks('f').length, 1);
+  t.false(book.has('g'));
+  watch.noteGone(entry);
+  t.is(book.getMarks('f').length, 1);
+});
+
 test('a broken connection beside one that goes on is no crash', async t => {
   const {watch, book, gone, begin} = createWatch();
   gone.add('e0');
--- a/packages/daemon/src/gateway/crashes/crash_news.ts
+++ b/packages/daemon/src/gateway/crashes/crash_news.ts
@@ -16,7 +16,7 @@
 import {decodeMarks, encodeMarks} from './crash_codec.js';
 
 /** The log may hold a read this long, ms: there are hardly any news, and a connection that has gone silent hides them for no longer. */
-const READ_WAIT_MS = 5000;
+const READ_WAIT_MS = 3000;
 /** Pause after news, ms: a crash brings those of several VMs. */
 const GATHER_MS = 20;
 /** Requests that one append tells of. */
--- a/packages/daemon/src/gateway/crashes/crash_watch.ts
+++ b/packages/daemon/src/gateway/crashes/crash_watch.ts
@@ -76,6 +76,18 @@
   readonly verdict: Promise<void>;
 }
 
+/** A connection that broke, at an endpoint that seemed to be there. */
+interface OpenBreak {
+  readonly fingerprint: string;
+  readonly stay: Stay;
+  /** Unix ms. */
+  readonly atMs: number;
+}
+
+/** The list tells of a crash this long after it at most, ms: an entry lapses, or names a new life, within seconds. */
+const LISTED_MS = 10_000;
+/** Breaks of one endpoint that may still turn out to be a crash. */
+const MAX_OPEN_BREAKS = 50;
 /** Time for all connections to a crashed endpoint to break, ms. */
 const BREAK_MS = 50;
 /** Events after which a request did not crash its endpoint by being begun. */
@@ -110,6 +122,8 @@
 export class CrashWatch {
   private readonly stays = new Map<string, Set<Stay>>();
   private readonly inquiries = new Map<string, Inquiry>();
+  /** By endpoint. */
+  private readonly openBreaks = new Map<string, readonly OpenBreak[]>();
   private readonly answers = new RecentAnswers();
 
   constructor(private readonly parts: WatchParts) {}
@@ -172,6 +186,23 @@
     return new WatchedStay(this, stay);
   }
 
+  /** The list says that the endpoint is gone, or has a new life: what broke there lately was a crash. */
+  noteGone(entry: EndpointEntry): void {
+    const open = this.openBreaks.get(entry.id) ?? [];
+    this.openBreaks.delete(entry.id);
+    const recent = open.filter(({atMs}) => Date.now() - atMs < LISTED_MS);
+    if (recent.length === 0) return;
+    const broken = recent.map(
+      ({fingerprint, stay}) => [fingerprint, stay] as const,
+    );
+    this.noteCrash(entry, new Map(broken), recent[0].atMs);
+  }
+
+  /** The endpoint is another one now, or gone. */
+  forget(endpointId: string): void {
+    this.openBreaks.delete(endpointId);
+  }
+
   /** Resolves once it is known whether the endpoint has crashed, if that is asked. */
   async settle(endpointId: string): Promise<void> {
     await this.inquiries.get(endpointId)?.verdict;
@@ -237,8 +268,24 @@
     const crashedAtMs = Date.now();
     const [isThere] = await Promise.all([probe(entry), sleep(BREAK_MS)]);
     this.inquiries.delete(entry.id);
-    if (isThere || this.hasSurvivor(entry.id, startedMs)) return;
-    this.noteCrash(entry, broken, crashedAtMs);
+    if (this.hasSurvivor(entry.id, startedMs)) return;
+    if (isThere) this.keepBreaks(entry.id, broken, crashedAtMs);
+    else this.noteCrash(entry, broken, crashedAtMs);
+  }
+
+  private keepBreaks(
+    endpointId: string,
+    broken: ReadonlyMap<string, Stay>,
+    atMs: number,
+  ): void {
+    const more = [...broken].map(([fingerprint, stay]) => ({
+      fingerprint,
+      stay,
+      atMs,
+    }));
+    const known = this.openBreaks.get(endpointId) ?? [];
+    const all = [...known, ...more].slice(-MAX_OPEN_BREAKS);
+    this.openBreaks.set(endpointId, all);
   }
 
   /** Whether a request that was there before goes on. */
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -361,6 +361,9 @@
     if (value === undefined) {
       const change = this.roster.remove(key, offset, nowMs);
       if (change) this.rosterLog.note('left', change.entry, offset);
+      if (change && !change.entry.isDraining) {
+        this.crashes.noteGone(change.entry);
+      }
       return;
     }
     const decoded = this.parts.directory.decodeEndpoint(key, value);
@@ -369,7 +372,10 @@
       return;
     }
     const {kind, entry} = this.roster.put(decoded.value, offset);
-    if (kind === 'reborn') this.forget(entry);
+    if (kind === 'reborn') {
+      this.crashes.noteGone(entry);
+      this.forget(entry);
+    }
     if (kind !== 'stale') this.runner?.noteEndpoint(entry.id);
     this.rosterLog.note(kind, entry, offset);
   }
@@ -383,6 +389,7 @@
 
   private forget(entry: EndpointEntry): void {
     this.view.forget(entry.id);
+    this.crashes.forget(entry.id);
     this.runner?.forgetEndpoint(entry.id);
   }
 
