--- a/packages/daemon/src/gateway/batches/reward_task.ts
+++ b/packages/daemon/src/gateway/batches/reward_task.ts
@@ -18,8 +18,10 @@
   type Route,
 } from '@radishyoke/core/routing/route_table';
 import type {EventLogger} from '../../logger.js';
-import {type CrashWatch, judgeStay} from '../crashes/crash_watch.js';
+import type {CrashWatch} from '../crashes/crash_watch.js';
+import {judgeStay} from '../crashes/watched_stay.js';
 import {
+  ENDPOINT_GONE,
   EndpointExchange,
   type ExchangeOutcome,
   isSuccess,
@@ -58,12 +60,6 @@
 /** The status that says that an endpoint ran the call and it failed; others, such as its own time-out, may pass. */
 const FAILED_STATUS = 500;
 
-/** Nothing was sent: the endpoint was found to be away. */
-const ENDPOINT_GONE: ExchangeOutcome = {
-  kind: 'unsent',
-  detail: 'the endpoint is gone',
-};
-
 export class RewardTask {
   private readonly desk: RewardDesk;
   private readonly live = new Map<number, EndpointExchange>();
--- /dev/null
+++ b/packages/daemon/src/gateway/crashes/watched_stay.ts
@@ -0,0 +1,77 @@
+/** The time that one request spends at one endpoint. */
+
+import type {EndpointEntry} from '@radishyoke/core/fleet/endpoint_entry';
+import type {ExchangeOutcome} from '../endpoints/endpoint_exchange.js';
+import type {StreamOutcome} from '../endpoints/endpoint_stream.js';
+
+/** How the time of a request at an endpoint ended. */
+export type StayEnd =
+  /** The endpoint answered, whatever it said. */
+  | 'answered'
+  /** The connection broke, and not by this VM. */
+  | 'broken'
+  /** This VM ended it, or the endpoint did not run it. */
+  | 'left';
+
+/** One request at one endpoint. */
+export interface Stay {
+  readonly entry: EndpointEntry;
+  /** Computes the request's fingerprint, which only those need that are beside a crash. */
+  readonly fingerprint: () => string;
+  /** Steady ms. */
+  readonly startedMs: number;
+  /** Events that its stream has brought. */
+  readonly events: number;
+}
+
+/** Events after which a request did not crash its endpoint by being begun. */
+const EARLY_EVENTS = 3;
+
+/** Whether the request had only just begun there. */
+export function isEarly({events}: Stay): boolean {
+  return events <= EARLY_EVENTS;
+}
+
+/** A request at an endpoint, until `end`. */
+export class WatchedStay implements Stay {
+  readonly startedMs = performance.now();
+  private eventCount = 0;
+  private isOver = false;
+
+  constructor(
+    readonly entry: EndpointEntry,
+    readonly fingerprint: () => string,
+    private readonly onEnd: (stay: WatchedStay, how: StayEnd) => void,
+  ) {}
+
+  get events(): number {
+    return this.eventCount;
+  }
+
+  noteEvent(): void {
+    this.eventCount += 1;
+  }
+
+  end(how: StayEnd): void {
+    if (this.isOver) return;
+    this.isOver = true;
+    this.onEnd(this, how);
+  }
+}
+
+/** Reads off the outcome of an exchange or a stream how the time there ended. */
+export function judgeStay(
+  kind: ExchangeOutcome['kind'] | StreamOutcome['kind'],
+  isOwnEnd: boolean,
+): StayEnd {
+  switch (kind) {
+    case 'answered':
+    case 'whole':
+      return 'answered';
+    case 'unknown':
+      return isOwnEnd ? 'left' : 'broken';
+    case 'not_executed':
+    case 'unsent':
+      return 'left';
+  }
+}
--- a/packages/daemon/src/gateway/endpoints/endpoint_exchange.ts
+++ b/packages/daemon/src/gateway/endpoints/endpoint_exchange.ts
@@ -36,6 +36,12 @@
   /** It was sent; whether it ran is not known. */
   | {readonly kind: 'unknown'; readonly detail: string};
 
+/** Nothing was sent: the endpoint was found to be away before. */
+export const ENDPOINT_GONE = {
+  kind: 'unsent',
+  detail: 'the endpoint is gone',
+} as const;
+
 /** Answers of plain services are held in memory whole; longer ones are refused, bytes. */
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
 const MISDIRECTED = 421;
--- a/packages/daemon/src/gateway/requests/forwarder.ts
+++ b/packages/daemon/src/gateway/requests/forwarder.ts
@@ -13,8 +13,9 @@
 import {drawFromId, pickService} from '@radishyoke/core/routing/route_table';
 import {createError, type RadishyokeError} from '@radishyoke/shared/error_kind';
 import type {ServerResponse} from 'node:http';
-import {judgeStay} from '../crashes/crash_watch.js';
+import {judgeStay} from '../crashes/watched_stay.js';
 import {
+  ENDPOINT_GONE,
   type EndpointAnswer,
   EndpointExchange,
   type ExchangeOutcome,
@@ -35,12 +36,6 @@
 /** When to come back after nothing could take the request, ms: about as long as the list of endpoints lags. */
 const RETRY_AFTER_MS = 150;
 
-/** Nothing was sent: the endpoint was found to be away. */
-const ENDPOINT_GONE: ExchangeOutcome = {
-  kind: 'unsent',
-  detail: 'the endpoint is gone',
-};
-
 export class Forwarder {
   constructor(private readonly parts: ForwarderParts) {}
 
--- a/packages/daemon/src/gateway/requests/request_guard.ts
+++ b/packages/daemon/src/gateway/requests/request_guard.ts
@@ -2,7 +2,7 @@
 
 import type {EndpointEntry} from '@radishyoke/core/fleet/endpoint_entry';
 import {createError, type RadishyokeError} from '@radishyoke/shared/error_kind';
-import type {WatchedStay} from '../crashes/crash_watch.js';
+import type {WatchedStay} from '../crashes/watched_stay.js';
 import type {ForwarderParts, ForwardRequest} from './forward_request.js';
 import {fingerprintForward} from './request_fingerprints.js';
 
--- a/packages/daemon/src/gateway/requests/stream_call.ts
+++ b/packages/daemon/src/gateway/requests/stream_call.ts
@@ -15,8 +15,11 @@
 } from '@radishyoke/core/routing/attempt_policy';
 import {drawFromId, pickService} from '@radishyoke/core/routing/route_table';
 import {createError, type RadishyokeError} from '@radishyoke/shared/error_kind';
-import {judgeStay, type WatchedStay} from '../crashes/crash_watch.js';
-import type {EndpointAnswer} from '../endpoints/endpoint_exchange.js';
+import {judgeStay, type WatchedStay} from '../crashes/watched_stay.js';
+import {
+  ENDPOINT_GONE,
+  type EndpointAnswer,
+} from '../endpoints/endpoint_exchange.js';
 import {pickEndpoint} from '../endpoints/endpoint_picker.js';
 import {
   EndpointStream,
@@ -44,12 +47,6 @@
 /** When to come back after nothing could take the request, ms: about as long as the list of endpoints lags. */
 const RETRY_AFTER_MS = 150;
 
-/** Nothing was sent: the endpoint was found to be away. */
-const ENDPOINT_GONE: StreamOutcome = {
-  kind: 'unsent',
-  detail: 'the endpoint is gone',
-};
-
 export class StreamCall implements StreamReader {
   private readonly terms: RequestTerms;
   private readonly service: string | undefined;
