fix(core,daemon): a try of a held request that ends with a broken connection counts at once

Where a crash is known only seconds later from the list of endpoints, a request on trial was tried each 2 s until then.

--- a/packages/core/src/crashes/__tests__/crash_book.spec.ts
+++ b/packages/core/src/crashes/__tests__/crash_book.spec.ts
@@ -88,6 +88,7 @@
 test('a held request is tried again, and is clear once it ended well', t => {
   const book = createBook(3);
   t.is(book.judge('f', 1200).kind, 'suspect');
+  t.true(book.isOnTrial('f'));
   book.noteStart('f', 1200);
   t.is(book.judge('f', 1300).kind, 'held', 'one try at a time');
   book.clear('f');
--- a/packages/core/src/crashes/crash_book.ts
+++ b/packages/core/src/crashes/crash_book.ts
@@ -97,6 +97,12 @@
     return nowMs < untilMs ? {kind: 'held', untilMs} : SUSPECT;
   }
 
+  /** Whether the request was held back, so that it runs for a try only. */
+  isOnTrial(fingerprint: string): boolean {
+    const entry = this.entries.get(fingerprint);
+    return entry !== undefined && this.findHeldUntil(entry) !== undefined;
+  }
+
   /** The request begins at an endpoint; where it was held back that is its one try. */
   noteStart(fingerprint: string, nowMs: number): void {
     const entry = this.entries.get(fingerprint);
--- a/packages/daemon/src/gateway/crashes/__tests__/crash_watch.spec.ts
+++ b/packages/daemon/src/gateway/crashes/__tests__/crash_watch.spec.ts
@@ -152,6 +152,19 @@
   t.deepEqual(told, ['f']);
 });
 
+// Guards against tries without end where a crash is known only from the list of endpoints.
+test('a try that ends with a broken connection is held against its request at once', t => {
+  const {watch, book, begin} = createWatch();
+  const longAgoMs = Date.now() - 60_000;
+  for (let i = 0; i < 3; i++) {
+    const endpointId = `e${i}`;
+    book.noteCrash('f', {endpointId, atMs: longAgoMs + i, weight: 2});
+  }
+  begin('e3', 'f').end('broken');
+  t.is(book.getMarks('f').length, 4);
+  t.true(watch.measureHoldMs('f') > 9000);
+});
+
 test('while a held request is tried once more no other one like it goes out', async t => {
   const {watch, book, begin} = createWatch();
   const longAgoMs = Date.now() - 60_000;
--- a/packages/daemon/src/gateway/crashes/crash_watch.ts
+++ b/packages/daemon/src/gateway/crashes/crash_watch.ts
@@ -145,7 +145,7 @@
     const here = this.stays.get(entry.id);
     here?.delete(stay);
     if (here?.size === 0) this.stays.delete(entry.id);
-    if (how === 'broken') return this.inquiries.open(stay);
+    if (how === 'broken') return this.takeBreak(stay);
     if (how === 'answered') {
       this.answers.note(stay.fingerprint(), performance.now());
     }
@@ -153,6 +153,15 @@
     if (hasRun) this.clear(stay);
   }
 
+  /** Of a request on trial a broken connection is enough: a crash may be known for one only seconds later. */
+  private takeBreak(stay: Stay): void {
+    const name = stay.fingerprint();
+    const isTrial = this.parts.book.isOnTrial(name);
+    if (isTrial)
+      this.noteCrash(stay.entry, new Map([[name, stay]]), Date.now());
+    this.inquiries.open(stay);
+  }
+
   /** What ran there without a crash is not to blame for earlier ones. */
   private clear({fingerprint}: Stay): void {
     if (!this.isAlert && !this.inquiries.isBusy) return;
