--- a/packages/daemon/src/gateway/batches/batch_runner.ts
+++ b/packages/daemon/src/gateway/batches/batch_runner.ts
@@ -45,7 +45,7 @@
 import {EngineFleet} from '../engines/engine_fleet.js';
 import type {GatewayMetrics} from '../gateway_metrics.js';
 import type {CrashWatch} from '../crashes/crash_watch.js';
-import type {StayEnd, WatchedStay} from '../crashes/watched_stay.js';
+import type {WatchedEnd, WatchedRequest} from '../crashes/watched_request.js';
 import {Generation} from './generation.js';
 import {ItemLog} from './item_log.js';
 import type {LeaseTask} from '../engines/lease_task.js';
@@ -101,7 +101,7 @@
   /** Absent while it is found out whether the engine is there. */
   readonly work?: {
     readonly generation: Generation;
-    readonly stay: WatchedStay;
+    readonly watched: WatchedRequest;
   };
 }
 
@@ -405,7 +405,9 @@
     const expectVersion = terms.singleVersion
       ? this.fleet.getVersion(entry.id, job.batch.batch.model)
       : undefined;
-    const stay = this.parts.crashes.begin(entry, () => this.fingerprint(job));
+    const watched = this.parts.crashes.begin(entry, () =>
+      this.fingerprint(job),
+    );
     const generation = new Generation(
       links.open(entry),
       protocol,
@@ -421,13 +423,13 @@
       },
       {
         onEvent: event => {
-          stay.noteEvent();
+          watched.noteEvent();
           this.takeEvent(run, {...event, run: run.id});
         },
         onEnd: (end, detail) => this.endRun(run, end, detail),
       },
     );
-    this.live.set(run.id, {run, work: {generation, stay}});
+    this.live.set(run.id, {run, work: {generation, watched}});
   }
 
   private takeEvent(run: Run, event: OutputEvent): void {
@@ -454,7 +456,7 @@
   private endRun(run: Run, end: RunEnd, detail: string): void {
     const live = this.live.get(run.id);
     this.live.delete(run.id);
-    live?.work?.stay.end(judgeStay(end));
+    live?.work?.watched.end(judgeEnd(end));
     this.logEnd(run, end, detail);
     this.parts.metrics.count(`run_${end}`);
     if (end === 'broken' || end === 'unreachable') {
@@ -519,7 +521,7 @@
   }
 }
 
-function judgeStay(end: RunEnd): StayEnd {
+function judgeEnd(end: RunEnd): WatchedEnd {
   switch (end) {
     case 'finished':
     case 'failed':
--- a/packages/daemon/src/gateway/batches/reward_task.ts
+++ b/packages/daemon/src/gateway/batches/reward_task.ts
@@ -19,7 +19,7 @@
 } from '@radishyoke/core/routing/route_table';
 import type {EventLogger} from '../../logger.js';
 import type {CrashWatch} from '../crashes/crash_watch.js';
-import {judgeStay} from '../crashes/watched_stay.js';
+import {judgeEnd} from '../crashes/watched_request.js';
 import {
   ENDPOINT_GONE,
   EndpointExchange,
@@ -133,7 +133,7 @@
     const name = () => fingerprintReward(job, reward);
     const isFit = await crashes.isFit(entry, name);
     if (!isFit || exchange.isAborted) return ENDPOINT_GONE;
-    const stay = crashes.begin(entry, name);
+    const watched = crashes.begin(entry, name);
     const timeoutMs = this.measureTimeoutMs(job, reward);
     const timer = setTimeout(() => exchange.giveUp(), timeoutMs);
     const headers = this.parts.protocol.rewardHeaders(reward, {
@@ -149,7 +149,7 @@
       attemptId: reward.id,
     });
     clearTimeout(timer);
-    stay.end(judgeStay(outcome.kind, exchange.isOwnEnd));
+    watched.end(judgeEnd(outcome.kind, exchange.isOwnEnd));
     return outcome;
   }
 
--- a/packages/daemon/src/gateway/crashes/__tests__/crash_watch.spec.ts
+++ b/packages/daemon/src/gateway/crashes/__tests__/crash_watch.spec.ts
@@ -118,16 +118,16 @@
   const {watch, book, gone, begin} = createWatch();
   for (const id of ['e0', 'e1', 'e2', 'e3', 'e4']) {
     gone.add(id);
-    const stay = begin(id, 'f');
-    for (let i = 0; i < 10; i++) stay.noteEvent();
-    stay.end('broken');
+    const watched = begin(id, 'f');
+    for (let i = 0; i < 10; i++) watched.noteEvent();
+    watched.end('broken');
     await watch.settle(id);
   }
   t.is(book.getMarks('f').length, 5);
   t.false(watch.isHeld(() => 'f'));
-  const stay = begin('e5', 'f');
-  for (let i = 0; i < 10; i++) stay.noteEvent();
-  stay.end('left');
+  const watched = begin('e5', 'f');
+  for (let i = 0; i < 10; i++) watched.noteEvent();
+  watched.end('left');
   t.is(book.size, 0);
 });
 
@@ -173,8 +173,8 @@
     book.noteCrash('f', {endpointId, atMs: longAgoMs + i, weight: 2});
   }
   t.false(watch.isHeld(() => 'f'));
-  const stay = begin('e3', 'f');
+  const watched = begin('e3', 'f');
   t.true(watch.isHeld(() => 'f'));
-  stay.end('answered');
+  watched.end('answered');
   t.false(watch.isHeld(() => 'f'));
 });
--- a/packages/daemon/src/gateway/crashes/crash_inquiries.ts
+++ b/packages/daemon/src/gateway/crashes/crash_inquiries.ts
@@ -7,10 +7,10 @@
 import type {EndpointEntry} from '@radishyoke/core/fleet/endpoint_entry';
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {ProbeTarget} from './endpoint_probe.js';
-import type {Stay} from './watched_stay.js';
+import type {InFlightRequest} from './watched_request.js';
 
 /** Requests whose connections to one endpoint broke, by fingerprint. */
-export type BrokenStays = ReadonlyMap<string, Stay>;
+export type BrokenRequests = ReadonlyMap<string, InFlightRequest>;
 
 export interface InquiryParts {
   /** Whether an endpoint is there. */
@@ -20,21 +20,21 @@
   /** An endpoint has crashed, at `atMs` (Unix), and had these requests. */
   readonly onCrash: (
     entry: EndpointEntry,
-    broken: BrokenStays,
+    broken: BrokenRequests,
     atMs: number,
   ) => void;
 }
 
 /** Whether one endpoint has crashed, while that is being found out. */
 interface Inquiry {
-  readonly broken: Map<string, Stay>;
+  readonly broken: Map<string, InFlightRequest>;
   readonly verdict: Promise<void>;
 }
 
 /** A connection that broke, at an endpoint that seemed to be there. */
 interface OpenBreak {
   readonly fingerprint: string;
-  readonly stay: Stay;
+  readonly watched: InFlightRequest;
   /** Unix ms. */
   readonly atMs: number;
 }
@@ -65,15 +65,15 @@
   }
 
   /** A connection broke: finds out whether its endpoint has crashed. */
-  open(stay: Stay): void {
-    const {id} = stay.entry;
+  open(watched: InFlightRequest): void {
+    const {id} = watched.entry;
     const open = this.inquiries.get(id);
     if (open) {
-      open.broken.set(stay.fingerprint(), stay);
+      open.broken.set(watched.fingerprint(), watched);
       return;
     }
-    const broken = new Map([[stay.fingerprint(), stay]]);
-    const verdict = this.conclude(stay.entry, broken);
+    const broken = new Map([[watched.fingerprint(), watched]]);
+    const verdict = this.conclude(watched.entry, broken);
     this.inquiries.set(id, {broken, verdict});
   }
 
@@ -94,7 +94,7 @@
     const recent = open.filter(({atMs}) => Date.now() - atMs < LISTED_MS);
     if (recent.length === 0) return;
     const broken = recent.map(
-      ({fingerprint, stay}) => [fingerprint, stay] as const,
+      ({fingerprint, watched}) => [fingerprint, watched] as const,
     );
     this.parts.onCrash(entry, new Map(broken), recent[0].atMs);
   }
@@ -106,7 +106,7 @@
 
   private async conclude(
     entry: EndpointEntry,
-    broken: BrokenStays,
+    broken: BrokenRequests,
   ): Promise<void> {
     const {probe, hasSurvivor, onCrash} = this.parts;
     const brokenMs = performance.now();
@@ -118,10 +118,10 @@
     else onCrash(entry, broken, brokenAtMs);
   }
 
-  private keep(endpointId: string, broken: BrokenStays, atMs: number): void {
-    const more = [...broken].map(([fingerprint, stay]) => ({
+  private keep(endpointId: string, broken: BrokenRequests, atMs: number): void {
+    const more = [...broken].map(([fingerprint, watched]) => ({
       fingerprint,
-      stay,
+      watched,
       atMs,
     }));
     const known = this.openBreaks.get(endpointId) ?? [];
--- a/packages/daemon/src/gateway/crashes/crash_watch.ts
+++ b/packages/daemon/src/gateway/crashes/crash_watch.ts
@@ -13,9 +13,14 @@
 import type {EndpointEntry} from '@radishyoke/core/fleet/endpoint_entry';
 import type {EventLogger} from '../../logger.js';
 import type {GatewayMetrics} from '../gateway_metrics.js';
-import {type BrokenStays, CrashInquiries} from './crash_inquiries.js';
+import {type BrokenRequests, CrashInquiries} from './crash_inquiries.js';
 import {probeEndpoint, type ProbeTarget} from './endpoint_probe.js';
-import {isEarly, type Stay, type StayEnd, WatchedStay} from './watched_stay.js';
+import {
+  isEarly,
+  type InFlightRequest,
+  type WatchedEnd,
+  WatchedRequest,
+} from './watched_request.js';
 
 /** What tells the other VMs. */
 export interface CrashTeller {
@@ -40,7 +45,7 @@
 
 export class CrashWatch {
   /** By endpoint. */
-  private readonly stays = new Map<string, Set<Stay>>();
+  private readonly inFlight = new Map<string, Set<InFlightRequest>>();
   private readonly answers = new RecentAnswers();
   private readonly probe: (target: ProbeTarget) => Promise<boolean>;
   private readonly inquiries: CrashInquiries;
@@ -92,14 +97,14 @@
   }
 
   /** A request goes to an endpoint. */
-  begin(entry: EndpointEntry, fingerprint: () => string): WatchedStay {
+  begin(entry: EndpointEntry, fingerprint: () => string): WatchedRequest {
     if (this.isAlert) this.parts.book.noteStart(fingerprint(), Date.now());
-    const stay = new WatchedStay(entry, fingerprint, (ended, how) =>
+    const watched = new WatchedRequest(entry, fingerprint, (ended, how) =>
       this.noteEnd(ended, how),
     );
-    const here = this.stays.get(entry.id) ?? new Set();
-    this.stays.set(entry.id, here.add(stay));
-    return stay;
+    const here = this.inFlight.get(entry.id) ?? new Set();
+    this.inFlight.set(entry.id, here.add(watched));
+    return watched;
   }
 
   /** Resolves once it is known whether the endpoint has crashed, if that is asked. */
@@ -136,34 +141,34 @@
   }
 
   private hasSurvivor(endpointId: string, beforeMs: number): boolean {
-    const here = this.stays.get(endpointId) ?? [];
+    const here = this.inFlight.get(endpointId) ?? [];
     return [...here].some(({startedMs}) => startedMs < beforeMs);
   }
 
-  private noteEnd(stay: Stay, how: StayEnd): void {
-    const {entry} = stay;
-    const here = this.stays.get(entry.id);
-    here?.delete(stay);
-    if (here?.size === 0) this.stays.delete(entry.id);
-    if (how === 'broken') return this.takeBreak(stay);
+  private noteEnd(watched: InFlightRequest, how: WatchedEnd): void {
+    const {entry} = watched;
+    const here = this.inFlight.get(entry.id);
+    here?.delete(watched);
+    if (here?.size === 0) this.inFlight.delete(entry.id);
+    if (how === 'broken') return this.takeBreak(watched);
     if (how === 'answered') {
-      this.answers.note(stay.fingerprint(), performance.now());
+      this.answers.note(watched.fingerprint(), performance.now());
     }
-    const hasRun = how === 'answered' || !isEarly(stay);
-    if (hasRun) this.clear(stay);
+    const hasRun = how === 'answered' || !isEarly(watched);
+    if (hasRun) this.clear(watched);
   }
 
   /** Of a request on trial a broken connection is enough: a crash may be known for one only seconds later. */
-  private takeBreak(stay: Stay): void {
-    const name = stay.fingerprint();
+  private takeBreak(watched: InFlightRequest): void {
+    const name = watched.fingerprint();
     const isTrial = this.parts.book.isOnTrial(name);
     if (isTrial)
-      this.noteCrash(stay.entry, new Map([[name, stay]]), Date.now());
-    this.inquiries.open(stay);
+      this.noteCrash(watched.entry, new Map([[name, watched]]), Date.now());
+    this.inquiries.open(watched);
   }
 
   /** What ran there without a crash is not to blame for earlier ones. */
-  private clear({fingerprint}: Stay): void {
+  private clear({fingerprint}: InFlightRequest): void {
     if (!this.isAlert && !this.inquiries.isBusy) return;
     this.inquiries.clear(fingerprint());
     this.withdraw(fingerprint());
@@ -178,14 +183,14 @@
 
   private noteCrash(
     {id, service}: EndpointEntry,
-    broken: BrokenStays,
+    broken: BrokenRequests,
     atMs: number,
   ): void {
     const {book, metrics, logger} = this.parts;
     metrics.count('endpoint_crashes');
-    for (const [fingerprint, stay] of broken) {
+    for (const [fingerprint, watched] of broken) {
       if (this.isAnswered(fingerprint)) continue;
-      const weight = isEarly(stay) ? EARLY_WEIGHT : LATE_WEIGHT;
+      const weight = isEarly(watched) ? EARLY_WEIGHT : LATE_WEIGHT;
       book.noteCrash(fingerprint, {endpointId: id, atMs, weight});
       this.tellSoon(fingerprint);
       this.logHold(fingerprint);
--- a/packages/daemon/src/gateway/crashes/watched_stay.ts
+++ b/packages/daemon/src/gateway/crashes/watched_request.ts
@@ -1,11 +1,11 @@
-/** The time that one request spends at one endpoint. */
+/** A request in flight at an endpoint, watched for a crash there. */
 
 import type {EndpointEntry} from '@radishyoke/core/fleet/endpoint_entry';
 import type {ExchangeOutcome} from '../endpoints/endpoint_exchange.js';
 import type {StreamOutcome} from '../endpoints/endpoint_stream.js';
 
-/** How the time of a request at an endpoint ended. */
-export type StayEnd =
+/** How a request ended at an endpoint. */
+export type WatchedEnd =
   /** The endpoint answered, whatever it said. */
   | 'answered'
   /** The connection broke, and not by this VM. */
@@ -14,7 +14,7 @@
   | 'left';
 
 /** One request at one endpoint. */
-export interface Stay {
+export interface InFlightRequest {
   readonly entry: EndpointEntry;
   /** Computes the request's fingerprint, which only those need that are beside a crash. */
   readonly fingerprint: () => string;
@@ -28,12 +28,12 @@
 const EARLY_EVENTS = 3;
 
 /** Whether the request had only just begun there. */
-export function isEarly({events}: Stay): boolean {
+export function isEarly({events}: InFlightRequest): boolean {
   return events <= EARLY_EVENTS;
 }
 
 /** A request at an endpoint, until `end`. */
-export class WatchedStay implements Stay {
+export class WatchedRequest implements InFlightRequest {
   readonly startedMs = performance.now();
   private eventCount = 0;
   private isOver = false;
@@ -41,7 +41,7 @@
   constructor(
     readonly entry: EndpointEntry,
     readonly fingerprint: () => string,
-    private readonly onEnd: (stay: WatchedStay, how: StayEnd) => void,
+    private readonly onEnd: (watched: WatchedRequest, how: WatchedEnd) => void,
   ) {}
 
   get events(): number {
@@ -52,18 +52,18 @@
     this.eventCount += 1;
   }
 
-  end(how: StayEnd): void {
+  end(how: WatchedEnd): void {
     if (this.isOver) return;
     this.isOver = true;
     this.onEnd(this, how);
   }
 }
 
-/** Reads off the outcome of an exchange or a stream how the time there ended. */
-export function judgeStay(
+/** Reads off the outcome of an exchange or a stream how the request ended there. */
+export function judgeEnd(
   kind: ExchangeOutcome['kind'] | StreamOutcome['kind'],
   isOwnEnd: boolean,
-): StayEnd {
+): WatchedEnd {
   switch (kind) {
     case 'answered':
     case 'whole':
--- a/packages/daemon/src/gateway/requests/forwarder.ts
+++ b/packages/daemon/src/gateway/requests/forwarder.ts
@@ -13,7 +13,7 @@
 import {drawFromId, pickService} from '@radishyoke/core/routing/route_table';
 import {createError, type RadishyokeError} from '@radishyoke/shared/error_kind';
 import type {ServerResponse} from 'node:http';
-import {judgeStay} from '../crashes/watched_stay.js';
+import {judgeEnd} from '../crashes/watched_request.js';
 import {
   ENDPOINT_GONE,
   type EndpointAnswer,
@@ -144,7 +144,7 @@
     const {method, path, headers, body, attemptId, caller} = this.req;
     const isFit = await this.guard.isFit(entry);
     if (!isFit || this.isSettled) return ENDPOINT_GONE;
-    const stay = this.guard.begin(entry);
+    const watched = this.guard.begin(entry);
     const leftMs = this.req.deadlineMs - performance.now();
     const outcome = await exchange.run({
       method,
@@ -157,7 +157,7 @@
       body,
       attemptId,
     });
-    stay.end(judgeStay(outcome.kind, exchange.isOwnEnd));
+    watched.end(judgeEnd(outcome.kind, exchange.isOwnEnd));
     return outcome;
   }
 
--- a/packages/daemon/src/gateway/requests/request_guard.ts
+++ b/packages/daemon/src/gateway/requests/request_guard.ts
@@ -2,7 +2,7 @@
 
 import type {EndpointEntry} from '@radishyoke/core/fleet/endpoint_entry';
 import {createError, type RadishyokeError} from '@radishyoke/shared/error_kind';
-import type {WatchedStay} from '../crashes/watched_stay.js';
+import type {WatchedRequest} from '../crashes/watched_request.js';
 import type {ForwarderParts, ForwardRequest} from './forward_request.js';
 import {fingerprintForward} from './request_fingerprints.js';
 
@@ -34,7 +34,7 @@
     return this.parts.crashes.isFit(entry, this.name);
   }
 
-  begin(entry: EndpointEntry): WatchedStay {
+  begin(entry: EndpointEntry): WatchedRequest {
     return this.parts.crashes.begin(entry, this.name);
   }
 
--- a/packages/daemon/src/gateway/requests/stream_call.ts
+++ b/packages/daemon/src/gateway/requests/stream_call.ts
@@ -15,7 +15,7 @@
 } from '@radishyoke/core/routing/attempt_policy';
 import {drawFromId, pickService} from '@radishyoke/core/routing/route_table';
 import {createError, type RadishyokeError} from '@radishyoke/shared/error_kind';
-import {judgeStay, type WatchedStay} from '../crashes/watched_stay.js';
+import {judgeEnd, type WatchedRequest} from '../crashes/watched_request.js';
 import {
   ENDPOINT_GONE,
   type EndpointAnswer,
@@ -53,7 +53,7 @@
   private readonly tried = new Set<string>();
   private readonly guard: RequestGuard;
   private stream: EndpointStream | undefined;
-  private stay: WatchedStay | undefined;
+  private watched: WatchedRequest | undefined;
   private stallTimer: NodeJS.Timeout | undefined;
   /** Head of the first endpoint's answer. */
   private head: readonly string[] | undefined;
@@ -108,7 +108,7 @@
       event.id === undefined ||
       event.id === lastEventId + 1;
     if (!isNext) return false;
-    this.stay?.noteEvent();
+    this.watched?.noteEvent();
     if (lastEventId === undefined) this.noteBegun();
     this.watchSilence();
     this.sendHead();
@@ -163,8 +163,8 @@
     const {method, path, headers, body, attemptId, caller} = this.req;
     const isFit = await this.guard.isFit(entry);
     if (!isFit || this.isOver) return ENDPOINT_GONE;
-    const stay = this.guard.begin(entry);
-    this.stay = stay;
+    const watched = this.guard.begin(entry);
+    this.watched = watched;
     const stream = new EndpointStream(links.open(entry), protocol, entry, this);
     this.stream = stream;
     this.watchSilence();
@@ -181,7 +181,7 @@
       body,
       attemptId,
     });
-    stay.end(judgeStay(outcome.kind, stream.isOwnEnd));
+    watched.end(judgeEnd(outcome.kind, stream.isOwnEnd));
     return outcome;
   }
 
