fix(daemon): a VM takes from the log what its own earlier life saw crash

A VM that started again read the crashes in the log and left out those of its own name, as it knew them already; its earlier life did, it does not. Records of this life alone are left out now.

--- a/packages/daemon/src/peers/peer_wiring.ts
+++ b/packages/daemon/src/peers/peer_wiring.ts
@@ -48,7 +48,7 @@
       if (change.kind !== 'state') return;
       const {value} = change.judged.record;
       if (value.kind !== 'crash_seen') return;
-      if (value.stamp.vm === this.options.vm) return;
+      if (log.isOwn(value.stamp)) return;
       const {fingerprints} = value;
       dispatcher.post({kind: 'suspects', fingerprints});
     });
