--- a/packages/daemon/src/gateway/requests/request_fingerprints.ts
+++ b/packages/daemon/src/gateway/requests/request_fingerprints.ts
@@ -2,8 +2,14 @@
 
 import type {Caller} from '@radishyoke/core/accounts/client_account';
 import type {Job} from '@radishyoke/core/batches/batch_job';
-import type {RewardRequest} from '@radishyoke/core/batches/batch_record';
-import {fingerprintRequest} from '@radishyoke/core/crashes/request_fingerprint';
+import type {
+  BatchHeader,
+  RewardRequest,
+} from '@radishyoke/core/batches/batch_record';
+import {
+  fingerprintRequest,
+  type RequestContent,
+} from '@radishyoke/core/crashes/request_fingerprint';
 import type {ForwardRequest} from './forward_request.js';
 
 /** Items and reward calls are sent with this method. */
@@ -16,25 +22,21 @@
 }
 
 export function fingerprintItem({item, batch}: Job): string {
-  const {host, account} = batch.batch;
-  return fingerprintRequest({
-    method: BATCH_METHOD,
-    host,
-    path: item.path,
-    body: item.body,
-    ...(account === undefined ? {} : {account}),
-  });
+  const {host} = batch.batch;
+  return fingerprintCall(batch.batch, {host, path: item.path, body: item.body});
 }
 
 export function fingerprintReward({batch}: Job, reward: RewardRequest): string {
-  const {account} = batch.batch;
-  return fingerprintRequest({
-    method: BATCH_METHOD,
-    host: reward.host,
-    path: reward.path,
-    body: reward.body,
-    ...(account === undefined ? {} : {account}),
-  });
+  return fingerprintCall(batch.batch, reward);
+}
+
+/** What is sent for a batch is asked in the name of its account. */
+function fingerprintCall(
+  {account}: BatchHeader,
+  {host, path, body}: Pick<RequestContent, 'host' | 'path' | 'body'>,
+): string {
+  const owner = account === undefined ? {} : {account};
+  return fingerprintRequest({method: BATCH_METHOD, host, path, body, ...owner});
 }
 
 function nameOwner(caller: Caller): {readonly account?: string} {
