--- a/review/harness.mjs
+++ b/review/harness.mjs
@@ -493,10 +493,12 @@
   }
 
   get isRunning() {
-    return this.process.exitCode === null && this.process.signalCode === null;
+    const {exitCode, signalCode} = this.process ?? {};
+    return exitCode === null && signalCode === null;
   }
 
   async kill() {
+    if (!this.process) return;
     if (this.isRunning) this.process.kill('SIGKILL');
     await this.ended;
   }
@@ -873,13 +875,15 @@
   const record = new Record(fileURLToPath(new URL('.', folderUrl)));
   const deployment = new Deployment(record, options);
   let code = 2;
-  const abandon = async () => {
-    record.add('the case is given up');
-    await deployment.stop();
+  const abandon = async reason => {
+    record.add(`the case is given up: ${reason?.stack ?? reason ?? 'time'}`);
+    await deployment.stop().catch(() => undefined);
     process.exit(2);
   };
   process.once('SIGTERM', abandon);
   process.once('SIGINT', abandon);
+  // An uncaught error would end Node.js with 1, which says that the rule broke.
+  process.once('uncaughtException', abandon);
   const timer = setTimeout(abandon, 110_000);
   try {
     await deployment.start(options);
