fix(daemon): a read to catch up begins after the call that waits for it

What callers saw: a key or a route that the operator had just added could be refused for good, with 401 or 404, by a VM that had not read the version yet.

Cause: calls to catch up shared the read in flight. The log may have answered that read before the call came, so the caller took "nothing newer" for an answer to its own question, and a refusal that needs the newest version was given from an older one. It shows while reads take long.

Change: calls made before a read begins share it; calls made during a read share the next one, as the index does (`IndexReplica.sync`). At most one read is in flight, and the pause between two stays as it is.

Evidence: the new test of keyed_feed failed before ("no further read was made") and passes now; the other 7 tests of the file are unchanged and pass.

--- a/packages/daemon/src/gateway/store/__tests__/keyed_feed.spec.ts
+++ b/packages/daemon/src/gateway/store/__tests__/keyed_feed.spec.ts
@@ -40,6 +40,23 @@
   return events;
 }
 
+/** A log whose reads of keyed topics are answered by the test. */
+class HeldStore extends MemoryStore {
+  private readonly held: Array<(outcome: KeyedReadOutcome) => void> = [];
+
+  override readKeyed(): Promise<KeyedReadOutcome> {
+    return new Promise(resolve => this.held.push(resolve));
+  }
+
+  /** Waits for the next read and returns the function that answers it. */
+  async nextRead(): Promise<(outcome: KeyedReadOutcome) => void> {
+    for (let i = 0; i < 2000 && this.held.length === 0; i++) await sleep(5);
+    const answer = this.held.shift();
+    if (!answer) throw new Error('no further read was made');
+    return answer;
+  }
+}
+
 function createPage(
   records: ReturnType<typeof createKeyed>[],
   endOffset: number,
@@ -114,6 +131,23 @@
   ]);
 });
 
+// Guards against a final answer from records that were read before the question was asked.
+test('a call during a read to catch up waits for a read that begins after it', async t => {
+  const store = new HeldStore();
+  const events: string[] = [];
+  const feed = createFeed(store, text => events.push(text));
+  const first = feed.catchUp();
+  const answerFirst = await store.nextRead();
+  const second = feed.catchUp();
+  answerFirst(createPage([], 0));
+  t.true(await first);
+  const answerSecond = await store.nextRead();
+  t.deepEqual(events, []);
+  answerSecond(createPage([createKeyed('a', 0, 'x')], 1));
+  t.true(await second);
+  t.deepEqual(events, ['a=x@0']);
+});
+
 test('callers with wrong keys can not overload the log', async t => {
   const store = new MemoryStore();
   const feed = createFeed(store, () => undefined);
--- a/packages/daemon/src/gateway/store/keyed_feed.ts
+++ b/packages/daemon/src/gateway/store/keyed_feed.ts
@@ -44,7 +44,8 @@
   private lastContactMs = -Infinity;
   /** Steady ms at which the last read to catch up began. */
   private lastCatchUpMs = -Infinity;
-  private pendingCatchUp: Promise<boolean> | undefined;
+  private currentCatchUp: Promise<boolean> | undefined;
+  private nextCatchUp: Promise<boolean> | undefined;
 
   constructor(
     private readonly store: LogStore,
@@ -76,19 +77,26 @@
     this.abort.abort();
   }
 
-  /** Reads to the end of the topic, in addition to the feed's own reads; returns whether that succeeded. Concurrent calls share one read. */
+  /**
+   * Reads to the end of the topic, in addition to the feed's own reads; returns
+   * whether that succeeded. Calls made before the read begins share it. Calls made
+   * during a read share the next one, since the log may have answered the current
+   * one before they came.
+   */
   catchUp(): Promise<boolean> {
-    this.pendingCatchUp ??= this.readThrottled().finally(
-      () => (this.pendingCatchUp = undefined),
-    );
-    return this.pendingCatchUp;
+    this.nextCatchUp ??= this.readThrottled();
+    return this.nextCatchUp;
   }
 
   private async readThrottled(): Promise<boolean> {
+    // Its error reaches the callers that wait for it.
+    await this.currentCatchUp?.catch(() => undefined);
     const waitMs = this.lastCatchUpMs + CATCH_UP_PAUSE_MS - performance.now();
     if (waitMs > 0) await this.pause(waitMs);
     this.lastCatchUpMs = performance.now();
-    return this.readToEnd();
+    this.currentCatchUp = this.readToEnd();
+    this.nextCatchUp = undefined;
+    return this.currentCatchUp;
   }
 
   /** Steady ms since the log last answered. */
