fix(daemon): a batch waits until the configuration that accepted it was read

What callers saw: right after an outage of the log of 1.5 s the operator adds a batch route; a step on it is accepted with 202, and within 60 ms all its items are errored for good. None ran, and the route was in force all the while.

The coordinator (vm 0) reads batches and configuration from two topics. It knew the batch 269 ms before the version that accepted it, found no route in version 1, and took that for a removed route. The class: a final answer is given from a configuration that is older than the one under which the work was accepted. The same order of events runs a step on a route that moved at the service it had before, gives items up by an older retention, and drops output by older terms.

Change: the record of an accepted batch tells the version whose route accepted it and the retention that this route promised. A coordinator opens a batch only once it has read that version; until then no item is started, given up or has its output dropped. Records of builds before have no version; for these a complete read that began after the coordinator learnt of the batch is needed, because the VM that accepted it had read its version before that. A batch that is known before any configuration is opened later and no longer forgotten. A route that is removed by a version which the coordinator has read ends its items as before.

Logs: `batch waited for its configuration` and the version in `item has a result`, which the trace had to infer from other lines; gauge `batches_without_config`.

--- a/packages/core/src/batches/__tests__/batch_fixtures.ts
+++ b/packages/core/src/batches/__tests__/batch_fixtures.ts
@@ -174,7 +174,7 @@
     ): void {
       batches.push(batch);
       log.apply(acceptBatch(batch));
-      scheduler.openBatch(log.get(batch.id), terms, failed);
+      scheduler.openBatch(log.get(batch.id), terms, {failed});
     },
   };
 }
--- a/packages/core/src/batches/__tests__/batch_scheduler.spec.ts
+++ b/packages/core/src/batches/__tests__/batch_scheduler.spec.ts
@@ -213,6 +213,22 @@
   t.like(scheduler.decide(1001)[0], {reason: 'retention_over'});
 });
 
+test('without a route, items are given up, and the reason tells whether their time was over', t => {
+  const {scheduler, log, open} = createSchedule([]);
+  open(createBatch('removed', ['g0a']));
+  open(createBatch('overdue', ['g1a']));
+  for (const id of ['removed', 'overdue']) scheduler.closeBatch(id);
+  const successor = createSchedule([]).scheduler;
+  const promises = {removed: 2000, overdue: 500};
+  for (const [id, promisedUntilMs] of Object.entries(promises)) {
+    successor.openBatch(log.get(id), undefined, {promisedUntilMs});
+  }
+  const listed = successor
+    .decide(1000)
+    .map(action => (action.kind === 'list' ? action.reason : action.kind));
+  t.deepEqual(listed, ['route_removed', 'retention_over']);
+});
+
 // Guards against a trainer that waits for groups that it requested before.
 // 1. A step ends with one group incomplete; its output so far is retained.
 // 2. The next step requests the group again.
--- a/packages/core/src/batches/__tests__/job_order.spec.ts
+++ b/packages/core/src/batches/__tests__/job_order.spec.ts
@@ -28,6 +28,7 @@
   return {
     batch: createBatch('b', [], header),
     terms: createTerms(terms),
+    promisedUntilMs: Infinity,
     jobs: new Map(),
     carriedGroups: new Set(),
     chosenGroups: new Set(),
--- a/packages/core/src/batches/batch_job.ts
+++ b/packages/core/src/batches/batch_job.ts
@@ -62,6 +62,11 @@
   readonly batch: Batch;
   /** Undefined if no route allows the batch any more. */
   terms: OpenBatchTerms | undefined;
+  /**
+   * Until then, in steady ms, the batch was promised when it was accepted that
+   * its items are not given up for being old.
+   */
+  readonly promisedUntilMs: number;
   readonly jobs: ReadonlyMap<string, Job>;
   /**
    * Groups that an earlier batch left incomplete; the trainer needs all of
--- a/packages/core/src/batches/batch_record.ts
+++ b/packages/core/src/batches/batch_record.ts
@@ -38,6 +38,14 @@
   readonly reward?: RewardRequest;
 }
 
+/** What the configuration promised when it accepted a batch. */
+export interface AcceptanceTerms {
+  /** Version of the configuration whose route accepted the batch. */
+  readonly configVersion: number;
+  /** Items may be given up this long after the submission, ms. */
+  readonly retentionMs: number;
+}
+
 /** A batch without its items. */
 export interface BatchHeader {
   readonly id: string;
@@ -57,6 +65,8 @@
   readonly groupsWanted: number;
   /** Unix ms of the first submission. */
   readonly submittedAtMs: number;
+  /** Absent in records of builds that did not store it. */
+  readonly acceptedUnder?: AcceptanceTerms;
 }
 
 /** A batch as submitted. */
--- a/packages/core/src/batches/batch_scheduler.ts
+++ b/packages/core/src/batches/batch_scheduler.ts
@@ -83,6 +83,14 @@
  */
 const MIN_RUN_MS = 800;
 
+/** What else is known of a batch when it is opened. */
+export interface OpenOptions {
+  /** By item id, failures in earlier batches. */
+  readonly failed?: ReadonlyMap<string, EarlierFailures>;
+  /** See `OpenBatch`; Infinity if absent. */
+  readonly promisedUntilMs?: number;
+}
+
 /** Parameters of the deployment. */
 export interface SchedulerConfig {
   /** Output tokens per event. */
@@ -167,7 +175,7 @@
   openBatch(
     state: BatchState,
     terms: OpenBatchTerms | undefined,
-    failed: ReadonlyMap<string, EarlierFailures> = new Map(),
+    {failed, promisedUntilMs = Infinity}: OpenOptions = {},
   ): void {
     const {batch} = state;
     if (this.open.has(batch.id)) return;
@@ -177,6 +185,7 @@
     const open: OpenBatch = {
       batch,
       terms,
+      promisedUntilMs,
       jobs,
       carriedGroups,
       chosenGroups: new Set(),
@@ -194,7 +203,7 @@
         open,
         item,
         copyTranscript(transcript),
-        failed.get(item.id),
+        failed?.get(item.id),
       );
       if (transcript === storedItem.transcript)
         job.recordedEvents = transcript.events.length;
--- a/packages/core/src/batches/job_rules.ts
+++ b/packages/core/src/batches/job_rules.ts
@@ -85,8 +85,10 @@
   open: OpenBatch,
   nowMs: number,
 ): ListReason | undefined {
-  if (!open.terms) return 'route_removed';
-  return nowMs > open.terms.giveUpAtMs ? 'retention_over' : undefined;
+  const {terms, promisedUntilMs} = open;
+  const giveUpAtMs = terms?.giveUpAtMs ?? promisedUntilMs;
+  if (nowMs > giveUpAtMs) return 'retention_over';
+  return terms ? undefined : 'route_removed';
 }
 
 /**
--- a/packages/daemon/src/gateway/batches/__tests__/batch_api.spec.ts
+++ b/packages/daemon/src/gateway/batches/__tests__/batch_api.spec.ts
@@ -7,6 +7,7 @@
 import type {Route} from '@radishyoke/core/routing/route_table';
 import {silentLogger} from '../../../logger.js';
 import {BatchApi} from '../batch_api.js';
+import {decodeIndexRecord} from '../batch_codec.js';
 import {IndexReplicas} from '../index_replica.js';
 import {INDEX_TOPIC, PAYLOAD_TOPIC} from '../batch_topics.js';
 import {
@@ -67,6 +68,7 @@
   timeoutMs: 1000,
   objectiveMs: 400,
   priority: 0,
+  batch: {dueMs: 500, retentionMs: 4000, singleVersion: false},
 };
 
 /** Serves a batch API that uses `store`; returns a function that calls it. */
@@ -88,7 +90,8 @@
       name === undefined ? {kind: 'unchecked'} : {kind: 'account', name};
     if (req.method === 'POST') {
       const body = Buffer.from('');
-      const post = {route: ROUTE, caller, host: 'h', path: '/r/', body};
+      const route = {route: ROUTE, configVersion: 7};
+      const post = {...route, caller, host: 'h', path: '/r/', body};
       void api.submit(post, req, res);
       return;
     }
@@ -122,6 +125,17 @@
   t.is((await call('GET', '/b2')).status, 404);
 });
 
+test('an accepted batch is stored with the version and retention of its route', async t => {
+  const store = new MemoryStore();
+  const call = await startApi(t, store);
+  await call('POST', '/r/');
+  const record = decodeIndexRecord(store.list(INDEX_TOPIC)[0]);
+  t.like(record, {
+    kind: 'accepted',
+    header: {acceptedUnder: {configVersion: 7, retentionMs: 4000}},
+  });
+});
+
 test('an account can not read, end or replace the batch of another account', async t => {
   const store = new MemoryStore();
   const call = await startApi(t, store);
--- a/packages/daemon/src/gateway/batches/batch_api.ts
+++ b/packages/daemon/src/gateway/batches/batch_api.ts
@@ -55,6 +55,8 @@
 /** A batch submission as received over HTTP. */
 export interface BatchPost {
   readonly route: Route;
+  /** Version of the configuration that `route` is from. */
+  readonly configVersion: number;
   readonly caller: Caller;
   readonly host: string;
   readonly path: string;
@@ -126,7 +128,7 @@
   }
 
   private async store(
-    {route, caller, host, path, body}: BatchPost,
+    {route, configVersion, caller, host, path, body}: BatchPost,
     attemptId: string,
   ): Promise<RadishyokeError | undefined> {
     const {protocol, replicas, logger} = this.deps;
@@ -145,12 +147,15 @@
       return createError('duplicate_request', 'the id is already in use');
     }
     if (existing) return undefined;
-    const accepted = await this.accept(replica, batch.value);
+    const accepted = await this.accept(replica, {
+      ...batch.value,
+      ...describeAcceptance(route, configVersion),
+    });
     if (!accepted.ok) return accepted.error;
     logger.log('info', 'batch accepted', {
       requestId: attemptId,
       rule: route.name,
-      configVersion: this.deps.config.version,
+      configVersion,
       account,
       step: batch.value.step,
       model: batch.value.model,
@@ -387,6 +392,16 @@
   }
 }
 
+/** Describes what `route` promises to a batch that it accepts. */
+function describeAcceptance(
+  {batch}: Route,
+  configVersion: number,
+): Pick<Batch, 'acceptedUnder'> {
+  if (!batch) return {};
+  const {retentionMs} = batch;
+  return {acceptedUnder: {configVersion, retentionMs}};
+}
+
 /** Creates the error for a batch that was not stored and never will be. */
 function createRefusal(detail: string): RadishyokeError {
   return createError('log_unavailable', detail, {
--- a/packages/daemon/src/gateway/batches/batch_runner.ts
+++ b/packages/daemon/src/gateway/batches/batch_runner.ts
@@ -29,11 +29,13 @@
   countEarlierFailures,
   listEarlierBatches,
 } from '@radishyoke/core/batches/earlier_batches';
+import type {BatchState} from '@radishyoke/core/batches/batch_state';
+import {findPromisedUntilMs} from '@radishyoke/core/batches/config_knowledge';
 import type {EndpointEntry} from '@radishyoke/core/fleet/endpoint_entry';
 import type {EndpointRoster} from '@radishyoke/core/fleet/endpoint_roster';
-import type {RouteTable} from '@radishyoke/core/routing/route_table';
 import {pickService} from '@radishyoke/core/routing/route_table';
 import type {EventLogger} from '../../logger.js';
+import {AcceptanceWait} from './acceptance_wait.js';
 import type {IndexReplicas} from './index_replica.js';
 import {BatchLoader} from './batch_loader.js';
 import {BATCH_RETENTION_MS} from './batch_topics.js';
@@ -123,6 +125,7 @@
   private readonly fingerprints = new WeakMap<Job, string>();
   private readonly itemLog: ItemLog;
   private readonly loader: BatchLoader;
+  private readonly acceptanceWait: AcceptanceWait;
   /** Ids of the batches that are being read from the log. */
   private readonly loading = new Set<string>();
   private readonly abort = new AbortController();
@@ -157,6 +160,7 @@
     );
     this.itemLog = new ItemLog(deps.store, deps.replicas, termId);
     this.loader = new BatchLoader(deps.store, deps.replicas, logger);
+    this.acceptanceWait = new AcceptanceWait(deps.config, logger);
     this.fleet = new EngineFleet(roster);
     const reports = new EngineReports(links, protocol, this.fleet, logger);
     this.failover = new FailoverWatch({
@@ -197,6 +201,11 @@
     return this.scheduler.openCount;
   }
 
+  /** Number of batches that wait until this VM has read their configuration. */
+  get withoutConfigCount(): number {
+    return this.acceptanceWait.waitingCount;
+  }
+
   /** How far the trainer that is furthest behind its cadence is, ms. */
   get longestLagMs(): number {
     return this.scheduler.longestLagMs;
@@ -253,9 +262,10 @@
     this.fleet.forget(id);
   }
 
-  applyConfig(table: RouteTable): void {
+  /** Applies a new version of the configuration to the open batches. */
+  applyConfig(): void {
     for (const {batch} of this.scheduler.openBatches) {
-      this.scheduler.setTerms(batch.id, this.findTerms(batch, table));
+      this.scheduler.setTerms(batch.id, this.findTerms(batch));
     }
     this.scheduleDecision();
   }
@@ -277,7 +287,10 @@
     this.scheduleDecision();
   }
 
-  /** Reads the batch from the log and adds it to the scheduler. */
+  /**
+   * Reads the batch from the log and adds it to the scheduler, once the
+   * configuration that accepted it is known.
+   */
   private async open(
     entry: IndexedBatch,
     mayHaveProgress: boolean,
@@ -286,20 +299,34 @@
     if (this.loading.has(header.id)) return;
     if (this.scheduler.hasBatch(header)) return;
     this.loading.add(header.id);
-    await this.loadEarlier(entry);
     const {signal} = this.abort;
-    const options = {mayHaveProgress, textsOf: NO_ITEMS};
-    const state = await this.loader.load(entry, options, signal);
+    const waited = await this.acceptanceWait.wait(entry, signal);
+    const state =
+      waited === 'obsolete'
+        ? undefined
+        : await this.load(entry, mayHaveProgress);
     this.loading.delete(header.id);
-    const {table} = this.deps.config;
-    if (!state || !table || signal.aborted) return;
+    if (!state || signal.aborted) return;
+    const terms = waited === 'known' ? this.findTerms(header) : undefined;
     const failed = countEarlierFailures(entry, this.listIndexed());
-    this.scheduler.openBatch(state, this.findTerms(header, table), failed);
+    this.scheduler.openBatch(state, terms, {
+      failed,
+      promisedUntilMs: this.deps.clock.toSteady(findPromisedUntilMs(header)),
+    });
     // The batch may have completed while its payload was read.
     if (isComplete(entry)) this.scheduler.closeBatch(header.id);
     this.scheduleDecision();
   }
 
+  private async load(
+    entry: IndexedBatch,
+    mayHaveProgress: boolean,
+  ): Promise<BatchState | undefined> {
+    await this.loadEarlier(entry);
+    const options = {mayHaveProgress, textsOf: NO_ITEMS};
+    return this.loader.load(entry, options, this.abort.signal);
+  }
+
   /**
    * Reads the earlier batches that share items with `entry`: a trainer submits
    * incomplete groups again in a later batch. Without their output so far, the
@@ -324,12 +351,11 @@
     return replicaList.flatMap(replica => [...replica.index.entries]);
   }
 
-  private findTerms(
-    batch: BatchHeader,
-    table: RouteTable,
-  ): OpenBatchTerms | undefined {
-    const route = table.match(batch.host, batch.path);
-    if (!route?.batch) return undefined;
+  /** Returns undefined if the configuration has no route for the batch. */
+  private findTerms(batch: BatchHeader): OpenBatchTerms | undefined {
+    const {table} = this.deps.config;
+    const route = table?.match(batch.host, batch.path);
+    if (!table || !route?.batch) return undefined;
     const service = pickService(route, 0);
     if (service === undefined) return undefined;
     const submittedMs = this.deps.clock.toSteady(batch.submittedAtMs);
@@ -414,6 +440,7 @@
         this.deps.logger.log('info', 'item has a result', {
           requestId: action.result.itemId,
           batch: action.batchId,
+          configVersion: this.deps.config.version,
           outcome: action.result.state,
           reason: action.reason,
           versions: action.result.versions.join(','),
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -218,7 +218,7 @@
     ];
     this.config.onChange(table => {
       this.front.applyLimits();
-      this.runner?.applyConfig(table);
+      this.runner?.applyConfig();
       this.admission?.applyConfig(table);
     });
     this.metrics.registerGauge('config_version', () => this.config.version);
@@ -235,6 +235,10 @@
       'batches_open',
       () => this.runner?.openCount ?? 0,
     );
+    this.metrics.registerGauge(
+      'batches_without_config',
+      () => this.runner?.withoutConfigCount ?? 0,
+    );
     this.metrics.registerGauge('trainer_lag_ms', () =>
       Math.round(this.runner?.longestLagMs ?? 0),
     );
--- a/packages/daemon/src/gateway/requests/front_server.ts
+++ b/packages/daemon/src/gateway/requests/front_server.ts
@@ -34,9 +34,14 @@
   readonly logger: EventLogger;
 }
 
-/** The route that matches a request and the caller it is accounted to. */
-interface MatchedRequest {
+/** The route that matches a request, and the configuration that it is from. */
+interface MatchedRoute {
   readonly route: Route;
+  readonly configVersion: number;
+}
+
+/** A matched request and the caller it is accounted to. */
+interface MatchedRequest extends MatchedRoute {
   readonly caller: Caller;
 }
 
@@ -151,12 +156,13 @@
       return batches.answer(call.value, admitted.value, res);
     }
     const host = canonicalizeHost(req.headers.host ?? '');
-    const route = await this.findRoute(host, path);
-    if (!route.ok) {
+    const match = await this.findRoute(host, path);
+    if (!match.ok) {
       req.resume();
-      return this.refuse(req, res, route.error);
+      return this.refuse(req, res, match.error);
     }
-    const caller = await this.admit(req, route.value.isPublic ?? false);
+    const isPublic = match.value.route.isPublic ?? false;
+    const caller = await this.admit(req, isPublic);
     if (!caller.ok) {
       req.resume();
       return this.refuse(req, res, caller.error);
@@ -164,7 +170,7 @@
     const {maxBodyBytes} = config.table!.cfg.limits;
     const body = await this.receiveBody(req, res, maxBodyBytes);
     if (!body) return;
-    const matched = {route: route.value, caller: caller.value};
+    const matched = {...match.value, caller: caller.value};
     try {
       if (matched.route.kind === 'batch') {
         await batches.submit({...matched, host, path, body}, req, res);
@@ -177,17 +183,26 @@
   }
 
   /** Finds the matching route; answers that there is none only if this VM's configuration is confirmed to be current. */
-  private async findRoute(host: string, path: string): Promise<Result<Route>> {
+  private async findRoute(
+    host: string,
+    path: string,
+  ): Promise<Result<MatchedRoute>> {
     const {config} = this.deps;
-    const match = config.table?.match(host, path);
+    const match = this.matchRoute(host, path);
     if (match) return succeed(match);
     if (!config.table || !(await config.confirmCurrent())) {
       return fail(createError('not_current'));
     }
-    const route = config.table.match(host, path);
+    const route = this.matchRoute(host, path);
     return route ? succeed(route) : fail(createError('not_found'));
   }
 
+  private matchRoute(host: string, path: string): MatchedRoute | undefined {
+    const {table, version} = this.deps.config;
+    const route = table?.match(host, path);
+    return route && {route, configVersion: version};
+  }
+
   private async admit(
     req: http.IncomingMessage,
     isPublic: boolean,
--- a/packages/daemon/src/gateway/store/config_holder.ts
+++ b/packages/daemon/src/gateway/store/config_holder.ts
@@ -10,6 +10,7 @@
   type Configuration,
   RouteTable,
 } from '@radishyoke/core/routing/route_table';
+import type {ConfigKnowledge} from '@radishyoke/core/batches/config_knowledge';
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {EventLogger} from '../../logger.js';
 
@@ -18,7 +19,7 @@
 
 /** Source that keeps a holder up to date. */
 export interface ConfigSource {
-  /** Reads all versions up to the end of the log; returns whether that succeeded. */
+  /** Reads all versions up to the end of the log, beginning after the call; returns whether that succeeded. */
   catchUp(): Promise<boolean>;
   /** Steady ms since the log last answered. */
   measureSilenceMs(): number;
@@ -27,6 +28,8 @@
 export class ConfigHolder {
   private current: RouteTable | undefined;
   private source: ConfigSource | undefined;
+  /** Steady ms. All versions that the log had at this time were read. */
+  private completeAtMs = -Infinity;
   private readonly listeners: Array<(table: RouteTable) => void> = [];
 
   /** @param maxKeyAgeMs Longest time that a key is accepted after the log last answered, ms. */
@@ -49,6 +52,12 @@
     return this.current?.cfg.version ?? 0;
   }
 
+  /** How much of the configuration's history was read; all of it without a source. */
+  get knowledge(): ConfigKnowledge {
+    const {version, source} = this;
+    return {version, completeAtMs: source ? this.completeAtMs : Infinity};
+  }
+
   /**
    * Determines by `key` which caller a request belongs to. An unknown key may be in a
    * version that was not read yet, so the log is read before the request is refused,
@@ -84,12 +93,19 @@
   private async catchUp(): Promise<ConfigFreshness> {
     if (!this.source) return 'current';
     const isRead = await Promise.race([
-      this.source.catchUp(),
+      this.readSource(this.source),
       sleep(CATCH_UP_TIMEOUT_MS, false),
     ]);
     return isRead ? 'current' : this.assessFreshness();
   }
 
+  private async readSource(source: ConfigSource): Promise<boolean> {
+    const calledMs = performance.now();
+    const isRead = await source.catchUp();
+    if (isRead) this.completeAtMs = Math.max(this.completeAtMs, calledMs);
+    return isRead;
+  }
+
   private assessFreshness(): ConfigFreshness {
     const silentMs = this.source?.measureSilenceMs() ?? 0;
     return silentMs > this.maxKeyAgeMs ? 'expired' : 'behind';
--- a/packages/shared/src/log_event.ts
+++ b/packages/shared/src/log_event.ts
@@ -292,6 +292,15 @@
       readonly partition: number;
       readonly offset: number;
     };
+  /** The coordinator had not read the configuration that accepted the batch. */
+  readonly 'batch waited for its configuration': RequestFields & {
+    /** Version that this VM has read. */
+    readonly configVersion: number;
+    /** Version that accepted the batch, if its record tells. */
+    readonly acceptedUnder: number | undefined;
+    readonly outcome: string;
+    readonly tookMs: number;
+  };
   readonly 'batch end': RequestFields;
   readonly 'batch submit failed': BatchFailureFields;
   readonly 'batch end failed': BatchFailureFields;
@@ -326,6 +335,7 @@
   };
   readonly 'item has a result': RequestFields & {
     readonly batch: string;
+    readonly configVersion: number;
     readonly outcome: string;
     readonly reason: string;
     readonly versions: string;
