fix(core): an item is given up once the configuration at that time is known

What callers would see: an item is errored for good by limits that the operator had already lifted.

Reasons to give up follow from the route, and each was acted on at once with the version at hand, however old it was.

Change: a reason waits until the configuration is known as it was when a decision first saw the reason. The scheduler asks for a read (`confirm_config`), and looks again at each decision: a reason that no longer holds is forgotten, and the item goes on. Meanwhile the item is not started. A read takes a few ms, so callers see a result later by that. If it can not be had for 2 s and the retention promised at the acceptance is over, the item is given up without it, so no item stays open for ever. An answer of 422 is final by itself and does not wait. Attempts of reward calls take the same way; their limit is looked up when it is needed.

A route that is gone stops the runs of its batch (`route_removed`): while they went on, nothing was left to judge the versions of their output by.

`findTerms` refuses such versions now.

--- a/packages/core/src/batches/__tests__/step_play.ts
+++ b/packages/core/src/batches/__tests__/step_play.ts
@@ -416,6 +416,7 @@
 }
 
 function describeAction(action: ScheduleAction, nowMs: number): string {
+  if (action.kind === 'confirm_config') return `${nowMs} ${action.kind}`;
   if (action.kind === 'list') return `${nowMs} list ${action.result.itemId}`;
   const {run, kind, reason} = action;
   return `${nowMs} ${kind} ${run.id} ${run.job.item.id} ${run.engineId} ${reason}`;
--- a/packages/core/src/batches/batch_scheduler.ts
+++ b/packages/core/src/batches/batch_scheduler.ts
@@ -33,12 +33,12 @@
   copyTranscript,
   isAllSilent,
   findMoveReason,
-  findGiveUpReason,
 } from './job_rules.js';
 import {CadenceTracker} from './cadence_tracker.js';
 import {findAccount, orderJobs, type OrderContext} from './job_order.js';
 import {rankUnscored} from '../rewards/reward_order.js';
 import {JobOutcomes} from './job_outcomes.js';
+import {PendingGiveUps} from './pending_give_ups.js';
 import {type Avoidance, Placement} from './placement.js';
 import {type DisplaceableRun, SlotDisplacement} from './slot_displacement.js';
 import {RunTable} from './run_table.js';
@@ -109,6 +109,11 @@
    * Whether the item must not run now because requests like it crash engines.
    */
   readonly isQuarantined?: (job: Job) => boolean;
+  /**
+   * Returns how many reward calls of the item may fail before it is given up;
+   * absent if no item has a reward call.
+   */
+  readonly findRewardAttempts?: (job: Job) => number;
 }
 
 /** Runs that may be stopped so that a needed item gets a slot. */
@@ -137,6 +142,7 @@
   private engines: ReadonlyMap<string, EngineView> = new Map();
   private nextRunNumber = 1;
   private actions: ScheduleAction[] = [];
+  private readonly giveUps: PendingGiveUps;
   private readonly outcomes: JobOutcomes;
   private rebalancedMs = -Infinity;
   private readonly cadence = new CadenceTracker();
@@ -148,8 +154,13 @@
 
   constructor(private readonly cfg: SchedulerConfig) {
     this.engineHealth = new EngineHealth(cfg.isCapacityContended);
+    const {findRewardAttempts} = cfg;
+    this.giveUps = new PendingGiveUps(
+      job => findRewardAttempts?.(job) ?? Infinity,
+    );
     this.outcomes = new JobOutcomes(
       action => this.actions.push(action),
+      this.giveUps,
       cfg.isCapacityContended,
     );
     if (!cfg.isCapacityContended) return;
@@ -244,10 +255,15 @@
     const open = this.open.get(batchId);
     if (!open) return;
     this.open.delete(batchId);
+    this.giveUps.drop(open);
+    this.stopBatch(open, 'ended');
+    this.retainClosed(open);
+  }
+
+  private stopBatch(open: OpenBatch, reason: StopReason): void {
     for (const run of this.runs.values()) {
-      if (run.job.batch === open) this.stop(run, 'ended');
+      if (run.job.batch === open) this.stop(run, reason);
     }
-    this.retainClosed(open);
   }
 
   /**
@@ -292,10 +308,16 @@
     }
   }
 
+  /**
+   * Applies a new version of the configuration to a batch; `terms` is undefined
+   * if it has no route for it. Runs then stop, as nothing is left to judge their
+   * output by.
+   */
   setTerms(batchId: string, terms: OpenBatchTerms | undefined): void {
     const open = this.open.get(batchId);
     if (!open) return;
     open.terms = terms;
+    if (!terms) this.stopBatch(open, 'route_removed');
     for (const job of open.jobs.values()) {
       if (job.state === 'waiting') dropUnusableOutput(job);
       this.outcomes.useStoredOutput(job);
@@ -307,7 +329,8 @@
    * Jobs whose output is complete, in the order in which they should be scored.
    */
   listUnscored(): readonly Job[] {
-    return rankUnscored(this.open.values());
+    const unscored = rankUnscored(this.open.values());
+    return unscored.filter(job => !this.giveUps.has(job));
   }
 
   /** Handles the score from the reward call of `job`. */
@@ -315,12 +338,9 @@
     this.outcomes.onScore(job, score);
   }
 
-  /**
-   * Handles a failed reward call of `job`; after `attempts` failures the item
-   * is given up.
-   */
-  onRewardFailure(job: Job, attempts: number): void {
-    this.outcomes.countRewardFailure(job, attempts);
+  /** Handles a failed reward call of `job`. */
+  onRewardFailure(job: Job): void {
+    this.outcomes.countRewardFailure(job);
   }
 
   setEngines(engines: readonly EngineView[]): void {
@@ -425,9 +445,12 @@
     }
   }
 
-  /** Returns what has to be done now. */
-  decide(nowMs: number): readonly ScheduleAction[] {
-    this.giveUpOverdue(nowMs);
+  /**
+   * Returns what has to be done now. All versions of the configuration that the
+   * log had at `configKnownMs` have been applied.
+   */
+  decide(nowMs: number, configKnownMs = Infinity): readonly ScheduleAction[] {
+    this.giveUpItems(nowMs, configKnownMs);
     this.stopSilent(nowMs);
     const placement = new Placement(
       this.engines,
@@ -493,14 +516,12 @@
     }
   }
 
-  private giveUpOverdue(nowMs: number): void {
-    for (const open of this.open.values()) {
-      const reason = findGiveUpReason(open, nowMs);
-      if (!reason) continue;
-      for (const job of open.jobs.values()) {
-        this.outcomes.giveUp(job, reason);
-      }
+  private giveUpItems(nowMs: number, configKnownMs: number): void {
+    const moment = {nowMs, configKnownMs};
+    for (const {job, reason} of this.giveUps.take(this.open.values(), moment)) {
+      this.outcomes.giveUp(job, reason);
     }
+    if (this.giveUps.isWaiting) this.actions.push({kind: 'confirm_config'});
   }
 
   private stopSilent(nowMs: number): void {
@@ -548,7 +569,7 @@
       if (!open.terms || placement.getChoice(open).isSatisfied) continue;
       for (const job of open.jobs.values()) {
         if (job.state !== 'waiting' || nowMs < job.notBeforeMs) continue;
-        if (this.cfg.isQuarantined?.(job)) continue;
+        if (this.giveUps.has(job) || this.cfg.isQuarantined?.(job)) continue;
         waiting.push(job);
       }
     }
--- a/packages/core/src/batches/config_knowledge.ts
+++ b/packages/core/src/batches/config_knowledge.ts
@@ -5,7 +5,7 @@
  * it. By an older version, the batch's route may be missing or lead elsewhere.
  */
 
-import type {AcceptanceTerms, BatchHeader} from './batch_record.js';
+import type {BatchHeader} from './batch_record.js';
 
 /** How much of the configuration's history a VM has read. */
 export interface ConfigKnowledge {
@@ -15,6 +15,14 @@
   readonly completeAtMs: number;
 }
 
+/** Whether `version` is known to be older than the one that accepted the batch. */
+export function isBeforeAcceptance(
+  version: number,
+  {acceptedUnder}: BatchHeader,
+): boolean {
+  return acceptedUnder !== undefined && version < acceptedUnder.configVersion;
+}
+
 /**
  * Whether `known` includes the version under which a batch was accepted. The
  * coordinator learnt of the batch at `learntMs`, in steady ms. The VM that
@@ -23,11 +31,12 @@
  */
 export function includesAcceptance(
   known: ConfigKnowledge,
-  acceptedUnder: AcceptanceTerms | undefined,
+  header: BatchHeader,
   learntMs: number,
 ): boolean {
-  if (acceptedUnder) return known.version >= acceptedUnder.configVersion;
-  return known.version > 0 && known.completeAtMs >= learntMs;
+  if (known.version === 0) return false;
+  if (isBeforeAcceptance(known.version, header)) return false;
+  return header.acceptedUnder !== undefined || known.completeAtMs >= learntMs;
 }
 
 /**
--- a/packages/core/src/batches/job_outcomes.ts
+++ b/packages/core/src/batches/job_outcomes.ts
@@ -6,7 +6,13 @@
 import type {Job} from './batch_job.js';
 import {isStepComplete} from './group_choice.js';
 import type {ItemResult, RewardRequest} from './batch_record.js';
-import {clearTranscript, recordEarlierEvents} from './job_rules.js';
+import {
+  clearTranscript,
+  isHopeless,
+  isUsedUp,
+  recordEarlierEvents,
+} from './job_rules.js';
+import type {PendingGiveUps} from './pending_give_ups.js';
 import type {ListReason, ScheduleAction} from './schedule_action.js';
 
 /**
@@ -15,19 +21,15 @@
  */
 const RETRY_PAUSE_MS = 50;
 
-/**
- * Number of batches in which an item may use up its attempts; batches that
- * request it afterwards give it up at once.
- */
-const MAX_FAILED_BATCHES = 3;
-
 export class JobOutcomes {
   /**
    * @param emit Receives the actions for the owner of the scheduler.
+   * @param giveUps Receives the items that have reached a limit.
    * @param marksStepEnds Whether results say that they end a step.
    */
   constructor(
     private readonly emit: (action: ScheduleAction) => void,
+    private readonly giveUps: PendingGiveUps,
     private readonly marksStepEnds = false,
   ) {}
 
@@ -98,10 +100,9 @@
   /** Counts an attempt that an engine answered as failed. */
   countFailure(job: Job, nowMs: number): void {
     job.failures += 1;
-    const attempts = job.batch.terms?.attempts ?? 1;
-    if (job.failures >= attempts) this.giveUp(job, 'attempts_used_up');
-    else job.notBeforeMs = nowMs + RETRY_PAUSE_MS;
-    this.giveUpRepeatedlyFailed(job);
+    job.notBeforeMs = nowMs + RETRY_PAUSE_MS;
+    if (isUsedUp(job)) this.giveUps.add(job, 'attempts_used_up');
+    else this.giveUpRepeatedlyFailed(job);
   }
 
   /**
@@ -109,24 +110,15 @@
    * again.
    */
   giveUpRepeatedlyFailed(job: Job): void {
-    const {batch, earlierFailures} = job;
-    if (job.state !== 'waiting' || !batch.terms) return;
-    const maxFailures = batch.terms.attempts * MAX_FAILED_BATCHES;
-    const isHopeless =
-      earlierFailures.rejections >= MAX_FAILED_BATCHES ||
-      earlierFailures.failures + job.failures >= maxFailures;
-    if (isHopeless) this.giveUp(job, 'failed_in_earlier_batches');
+    if (job.state !== 'waiting' || !isHopeless(job)) return;
+    this.giveUps.add(job, 'failed_in_earlier_batches');
   }
 
-  /**
-   * Counts a failed reward call; after `attempts` failures the item is given
-   * up.
-   */
-  countRewardFailure(job: Job, attempts: number): void {
+  /** Counts a failed reward call. */
+  countRewardFailure(job: Job): void {
     if (job.state !== 'unscored') return;
     job.rewardFailures += 1;
-    const isUsedUp = job.rewardFailures >= attempts;
-    if (isUsedUp) this.giveUp(job, 'reward_attempts_used_up');
+    this.giveUps.add(job, 'reward_attempts_used_up');
   }
 
   giveUp(job: Job, reason: ListReason): void {
--- a/packages/core/src/batches/job_rules.ts
+++ b/packages/core/src/batches/job_rules.ts
@@ -17,6 +17,12 @@
  */
 const MIN_SILENT_RUNS = 2;
 
+/**
+ * Number of batches in which an item may use up its attempts; batches that
+ * request it afterwards give it up at once.
+ */
+const MAX_FAILED_BATCHES = 3;
+
 /** Drops the output of `job`, which starts over. */
 export function clearTranscript(job: Job): void {
   job.transcript.clear();
@@ -80,8 +86,8 @@
   return engine.loading.has(model) ? 'engine_loading' : undefined;
 }
 
-/** Returns why the unfinished items of `open` are given up, if they are. */
-export function findGiveUpReason(
+/** Returns why all unfinished items of `open` are to be given up, if they are. */
+export function findBatchGiveUpReason(
   open: OpenBatch,
   nowMs: number,
 ): ListReason | undefined {
@@ -91,6 +97,21 @@
   return terms ? undefined : 'route_removed';
 }
 
+/** Whether `job` has failed as often as its route allows. */
+export function isUsedUp({batch, failures}: Job): boolean {
+  return batch.terms !== undefined && failures >= batch.terms.attempts;
+}
+
+/** Whether `job` failed in so many batches that running it again is no use. */
+export function isHopeless({batch, failures, earlierFailures}: Job): boolean {
+  if (!batch.terms) return false;
+  const maxFailures = batch.terms.attempts * MAX_FAILED_BATCHES;
+  return (
+    earlierFailures.rejections >= MAX_FAILED_BATCHES ||
+    earlierFailures.failures + failures >= maxFailures
+  );
+}
+
 /**
  * Whether an engine with these runs has become silent. One run suffices if
  * another one has just left the engine early.
--- a/packages/core/src/batches/schedule_action.ts
+++ b/packages/core/src/batches/schedule_action.ts
@@ -36,7 +36,9 @@
       readonly batchId: string;
       readonly result: ItemResult;
       readonly reason: ListReason;
-    };
+    }
+  /** Items are to be given up as soon as the newest configuration is known. */
+  | {readonly kind: 'confirm_config'};
 
 export type StartReason = 'first' | 'resume';
 export type StopReason =
@@ -52,7 +54,9 @@
   | 'run_stalled_early'
   /** It gave way to an item that would be late, as it could wait. */
   | 'had_slack'
-  | 'stale_text';
+  | 'stale_text'
+  /** The configuration has no route for its batch any more. */
+  | 'route_removed';
 export type ListReason =
   | 'finished'
   | 'scored'
--- a/packages/core/src/rewards/__tests__/reward_fixtures.ts
+++ b/packages/core/src/rewards/__tests__/reward_fixtures.ts
@@ -12,6 +12,9 @@
 import type {EndpointCandidate} from '../../routing/endpoint_choice.js';
 import type {RewardAction, RewardCall} from '../reward_scheduler.js';
 
+/** Failed reward calls after which an item is given up. */
+const REWARD_ATTEMPTS = 2;
+
 export function createRewardItem(id: string) {
   const reward = {
     id: `r-${id}`,
@@ -31,7 +34,9 @@
   groupsWanted = new Set(itemIds.map(id => id.slice(0, 2))).size,
 ) {
   const engine = createEngine('e0', {slots: itemIds.length});
-  const {scheduler, open, log} = createSchedule([engine]);
+  const {scheduler, open, log} = createSchedule([engine], {
+    findRewardAttempts: () => REWARD_ATTEMPTS,
+  });
   const items = itemIds.map(createRewardItem);
   open(createBatch('b0', [], {items, groupsWanted}));
   const runs = listStarts(scheduler.decide(0));
--- a/packages/core/src/rewards/__tests__/reward_order.spec.ts
+++ b/packages/core/src/rewards/__tests__/reward_order.spec.ts
@@ -53,9 +53,9 @@
   const {scheduler, finish} = createRewardSchedule(['g0a']);
   finish('g0a');
   const [job] = scheduler.listUnscored();
-  scheduler.onRewardFailure(job, 2);
+  scheduler.onRewardFailure(job);
   t.deepEqual(listResults(scheduler), []);
-  scheduler.onRewardFailure(job, 2);
+  scheduler.onRewardFailure(job);
   t.like(listResults(scheduler), [{state: 'errored'}]);
 });
 
--- a/packages/daemon/src/gateway/batches/acceptance_wait.ts
+++ b/packages/daemon/src/gateway/batches/acceptance_wait.ts
@@ -75,7 +75,6 @@
   }
 
   private isKnown({header}: IndexedBatch, learntMs: number): boolean {
-    const {knowledge} = this.config;
-    return includesAcceptance(knowledge, header.acceptedUnder, learntMs);
+    return includesAcceptance(this.config.knowledge, header, learntMs);
   }
 }
--- a/packages/daemon/src/gateway/batches/batch_runner.ts
+++ b/packages/daemon/src/gateway/batches/batch_runner.ts
@@ -30,7 +30,10 @@
   listEarlierBatches,
 } from '@radishyoke/core/batches/earlier_batches';
 import type {BatchState} from '@radishyoke/core/batches/batch_state';
-import {findPromisedUntilMs} from '@radishyoke/core/batches/config_knowledge';
+import {
+  findPromisedUntilMs,
+  isBeforeAcceptance,
+} from '@radishyoke/core/batches/config_knowledge';
 import type {EndpointEntry} from '@radishyoke/core/fleet/endpoint_entry';
 import type {EndpointRoster} from '@radishyoke/core/fleet/endpoint_roster';
 import {pickService} from '@radishyoke/core/routing/route_table';
@@ -130,6 +133,7 @@
   private readonly loading = new Set<string>();
   private readonly abort = new AbortController();
   private readonly listener = (change: IndexChange) => this.applyChange(change);
+  private isConfirming = false;
   private isDecisionScheduled = false;
   private isTickScheduled = false;
   private tickTimer: NodeJS.Timeout | undefined;
@@ -153,6 +157,7 @@
       runPrefix: termId,
       isCapacityContended: deps.isCapacityContended,
       isQuarantined: job => this.isBlocked(job),
+      findRewardAttempts: job => this.rewards.findMaxAttempts(job),
     });
     this.speedMonitor = new SpeedMonitor(
       this.scheduler.engineHealth.speeds,
@@ -176,7 +181,7 @@
         this.scheduler.onScore(job, score);
         this.scheduleDecision();
       },
-      onFailed: (job, attempts) => this.recordRewardFailure(job, attempts),
+      onFailed: job => this.recordRewardFailure(job),
       onFree: () => this.scheduleDecision(),
     });
     this.weights = new WeightTask({
@@ -307,9 +312,8 @@
         : await this.load(entry, mayHaveProgress);
     this.loading.delete(header.id);
     if (!state || signal.aborted) return;
-    const terms = waited === 'known' ? this.findTerms(header) : undefined;
     const failed = countEarlierFailures(entry, this.listIndexed());
-    this.scheduler.openBatch(state, terms, {
+    this.scheduler.openBatch(state, this.findTerms(header), {
       failed,
       promisedUntilMs: this.deps.clock.toSteady(findPromisedUntilMs(header)),
     });
@@ -351,11 +355,12 @@
     return replicaList.flatMap(replica => [...replica.index.entries]);
   }
 
-  /** Returns undefined if the configuration has no route for the batch. */
+  /** Returns undefined if the configuration has no route for the batch, or is older than the one that accepted it. */
   private findTerms(batch: BatchHeader): OpenBatchTerms | undefined {
-    const {table} = this.deps.config;
-    const route = table?.match(batch.host, batch.path);
-    if (!table || !route?.batch) return undefined;
+    const {table, version} = this.deps.config;
+    if (!table || isBeforeAcceptance(version, batch)) return undefined;
+    const route = table.match(batch.host, batch.path);
+    if (!route?.batch) return undefined;
     const service = pickService(route, 0);
     if (service === undefined) return undefined;
     const submittedMs = this.deps.clock.toSteady(batch.submittedAtMs);
@@ -406,7 +411,9 @@
     const {lastContactMs} = this.deps.lease;
     if (lastContactMs < this.supersededMs) return;
     if (nowMs - lastContactMs > MAX_LOG_SILENCE_MS) return;
-    for (const action of this.scheduler.decide(nowMs)) this.perform(action);
+    const {completeAtMs} = this.deps.config.knowledge;
+    const actions = this.scheduler.decide(nowMs, completeAtMs);
+    for (const action of actions) this.perform(action);
     this.rewards.decide(this.scheduler.listUnscored());
   }
 
@@ -446,9 +453,21 @@
           versions: action.result.versions.join(','),
         });
         this.itemLog.writeResult(action.batchId, action.result);
+        return;
+      case 'confirm_config':
+        void this.confirmConfig();
     }
   }
 
+  /** Reads the configuration up to its end; each further decision may ask for another try. */
+  private async confirmConfig(): Promise<void> {
+    if (this.isConfirming) return;
+    this.isConfirming = true;
+    await this.deps.config.confirmCurrent();
+    this.isConfirming = false;
+    this.scheduleDecision();
+  }
+
   private startRun(run: Run, reason: string): void {
     const {roster, clock, crashes} = this.deps;
     const entry = roster.get(run.engineId);
@@ -550,9 +569,9 @@
     this.scheduleDecision();
   }
 
-  private recordRewardFailure(job: Job, attempts: number): void {
+  private recordRewardFailure(job: Job): void {
     this.itemLog.writeFailure('reward_failed', job);
-    this.scheduler.onRewardFailure(job, attempts);
+    this.scheduler.onRewardFailure(job);
     this.scheduleDecision();
   }
 
--- a/packages/daemon/src/gateway/batches/reward_task.ts
+++ b/packages/daemon/src/gateway/batches/reward_task.ts
@@ -47,8 +47,8 @@
 
 export interface RewardEvents {
   onScore(job: Job, score: string): void;
-  /** An endpoint answered that the call failed; the job is given up after `attempts` such failures. */
-  onFailed(job: Job, attempts: number): void;
+  /** An endpoint answered that the call failed. */
+  onFailed(job: Job): void;
   /** A call ended without a result for its job, so another call may start. */
   onFree(): void;
 }
@@ -181,13 +181,13 @@
     this.deps.metrics.count(`reward_${end.kind}`);
     this.logEnd(call, end, detail);
     if (this.isStopped) return;
-    const {job, reward} = call;
+    const {job} = call;
     switch (end.kind) {
       case 'scored':
         this.events.onScore(job, end.score);
         return;
       case 'failed':
-        this.events.onFailed(job, this.getMaxAttempts(job, reward));
+        this.events.onFailed(job);
         return;
       default:
         this.events.onFree();
@@ -195,9 +195,9 @@
   }
 
   /** Returns the number of failures after which the job is given up: the larger limit of the item's rule and the call's rule. */
-  private getMaxAttempts(job: Job, reward: RewardRequest): number {
-    const own = this.findRoute(reward)?.attempts ?? 1;
-    return Math.max(own, job.batch.terms?.attempts ?? 1);
+  findMaxAttempts({item, batch}: Job): number {
+    const own = item.reward && this.findRoute(item.reward)?.attempts;
+    return Math.max(own ?? 1, batch.terms?.attempts ?? 1);
   }
 
   private logStart({job, reward, endpointId}: RewardCall): void {
