--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -33,6 +33,7 @@
 import type {KeyedRecord, LogStore} from './store/log_store.js';
 import {MeteredStore} from './store/metered_store.js';
 import type {PlatformDirectory} from './store/platform_directory.js';
+import {SkippedRecords} from './store/skipped_records.js';
 import {RosterChangeLogger} from './store/roster_change_logger.js';
 import {VmClock} from './vm_clock.js';
 
@@ -101,6 +102,8 @@
   private readonly roster = new EndpointRoster(GONE_GRACE_MS);
   private readonly rosterChangeLogger: RosterChangeLogger;
   private readonly links = new EndpointLinks();
+  private readonly skippedConfig: SkippedRecords;
+  private readonly skippedEndpoints: SkippedRecords;
   private readonly view: EndpointView;
   private readonly newestVersions = new Map<string, number>();
   private readonly config: ConfigHolder;
@@ -134,6 +137,8 @@
     const store = new MeteredStore(deps.store, this.metrics);
     this.store = store;
     this.rosterChangeLogger = new RosterChangeLogger(logger);
+    this.skippedConfig = new SkippedRecords(this.metrics, logger);
+    this.skippedEndpoints = new SkippedRecords(this.metrics, logger);
     this.view = new EndpointView(cfg);
     this.config = new ConfigHolder(logger, cfg.maxKeyAgeMs);
     this.replicas = new IndexReplicas(store, logger);
@@ -385,9 +390,10 @@
     if (value === undefined) return;
     const decoded = this.deps.directory.decodeConfigRecord(key, value);
     if (!decoded.ok) {
-      this.logSkipped(key, offset, decoded.error.detail);
+      this.skippedConfig.record(key, offset, decoded.error.detail);
       return;
     }
+    this.skippedConfig.forget(key);
     switch (decoded.value.kind) {
       case 'configuration':
         this.config.offer(decoded.value.cfg);
@@ -409,6 +415,7 @@
   private applyEndpointRecord({key, value, offset}: KeyedRecord): void {
     const nowMs = this.clock.now();
     if (value === undefined) {
+      this.skippedEndpoints.forget(key);
       const change = this.roster.remove(key, offset, nowMs);
       if (change) this.rosterChangeLogger.record('left', change.entry, offset);
       if (change && !change.entry.isDraining) {
@@ -418,9 +425,10 @@
     }
     const decoded = this.deps.directory.decodeEndpoint(key, value);
     if (!decoded.ok) {
-      this.logSkipped(key, offset, decoded.error.detail);
+      this.skippedEndpoints.record(key, offset, decoded.error.detail);
       return;
     }
+    this.skippedEndpoints.forget(key);
     const {kind, entry} = this.roster.put(decoded.value, offset);
     if (kind === 'reborn') {
       this.crashes.onEndpointGone(entry);
@@ -510,8 +518,4 @@
     });
     res.end();
   }
-
-  private logSkipped(key: string, offset: number, detail: string): void {
-    this.deps.logger.log('warn', 'record skipped', {key, offset, detail});
-  }
 }
