fix(daemon): a request that Node.js does not make ends as unsent

Cause: `http.request` throws at once for a header, path or port that it does not take. In `EndpointExchange` and `EndpointStream` that rejected a promise nobody waits for, `Generation` threw inside the timer of a decision, and `callOnce` left timers that read a request which was never there. Each ends the process. The documentation of the first two says that they never reject.

Change: each of the four ends with the outcome for "nothing was sent", with the reason; it reaches the one request, run or call. A run ends only after its owner has got it. There is no handler that goes on after an unknown error.

Evidence: two new tests failed before (rejected promise, ERR_UNESCAPED_CHARACTERS thrown) and pass now; 27 tests of the two files.

--- a/packages/daemon/src/gateway/batches/__tests__/generation.spec.ts
+++ b/packages/daemon/src/gateway/batches/__tests__/generation.spec.ts
@@ -6,6 +6,7 @@
 import {Generation} from '../generation.js';
 import {
   type ConnectionEnding,
+  createEntry,
   PlainProtocol,
   startRawServer,
 } from '../../__tests__/gateway_fixtures.js';
@@ -24,6 +25,33 @@
 const HEAD =
   'HTTP/1.1 200 OK\r\nId: a1\r\nStamp: s\r\nVersion: 6\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n';
 
+// Guards against a coordinator that ends because one of its items can not be sent.
+test('a run whose request can not be made ends, after its owner knows it', async t => {
+  const agent = new http.Agent();
+  const terms = {
+    endpointId: 'e1',
+    host: 'h',
+    deadlineMs: 100,
+    caller: {kind: 'unchecked'},
+  } as const;
+  const order: string[] = [];
+  await new Promise<void>(resolve => {
+    const item = {...ITEM, path: '/a b'};
+    const events = {
+      onEvent: () => undefined,
+      onSlowdown: () => undefined,
+      onEnd: (end: RunEnd) => {
+        order.push(end);
+        resolve();
+      },
+    };
+    const protocol = new PlainProtocol();
+    new Generation(agent, protocol, createEntry(1), item, terms, events);
+    order.push('created');
+  });
+  t.deepEqual(order, ['created', 'unreachable']);
+});
+
 interface GenerationCase {
   readonly name: string;
   readonly text: string;
--- a/packages/daemon/src/gateway/batches/generation.ts
+++ b/packages/daemon/src/gateway/batches/generation.ts
@@ -11,7 +11,7 @@
 import type {RunEnd} from '@radishyoke/core/batches/schedule_action';
 import type {EndpointEntry} from '@radishyoke/core/fleet/endpoint_entry';
 import {createParser, type EventSourceParser} from 'eventsource-parser';
-import {watchConnection} from '../endpoints/connections.js';
+import {describeUnmade, watchConnection} from '../endpoints/connections.js';
 import type {
   AnswerMetadata,
   EndpointProtocol,
@@ -31,7 +31,8 @@
 const MISDIRECTED = 421;
 
 export class Generation {
-  private readonly req: http.ClientRequest;
+  /** Undefined if no request could be made. */
+  private readonly req: http.ClientRequest | undefined;
   private isConnected = false;
   private hasEnded = false;
   private version: number | undefined;
@@ -53,9 +54,23 @@
           this.handleField(err.field, err.value);
       },
     });
-    const headers = protocol.generationHeaders(item, terms);
+    try {
+      this.req = this.send(agent, entry, terms);
+    } catch (err) {
+      // The owner does not know this run yet.
+      setImmediate(() => this.end('unreachable', describeUnmade(err)));
+    }
+  }
+
+  private send(
+    agent: http.Agent,
+    entry: EndpointEntry,
+    terms: GenerationTerms,
+  ): http.ClientRequest {
+    const {item} = this;
+    const headers = this.protocol.generationHeaders(item, terms);
     headers['Content-Length'] = item.body.length;
-    this.req = http.request({
+    const req = http.request({
       agent,
       host: entry.host,
       port: entry.port,
@@ -68,17 +83,18 @@
       onConnected: () => (this.isConnected = true),
       onTimeout: () => this.giveUpConnecting(),
     };
-    watchConnection(this.req, connection, CONNECT_TIMEOUT_MS);
-    this.req.on('error', err => this.onDisconnect(err.message));
-    this.req.on('close', () => this.onDisconnect('the connection closed'));
-    this.req.on('response', res => this.receive(res));
-    this.req.end(item.body);
+    watchConnection(req, connection, CONNECT_TIMEOUT_MS);
+    req.on('error', err => this.onDisconnect(err.message));
+    req.on('close', () => this.onDisconnect('the connection closed'));
+    req.on('response', res => this.receive(res));
+    req.end(item.body);
+    return req;
   }
 
   /** Stops the run. The engine drops it when the connection closes. */
   stop(): void {
     this.end('stopped', 'stopped');
-    this.req.destroy();
+    this.req?.destroy();
   }
 
   private giveUpConnecting(): void {
@@ -153,7 +169,7 @@
 
   private reject(end: RunEnd, detail: string): void {
     this.end(end, detail);
-    this.req.destroy();
+    this.req?.destroy();
   }
 
   private onDisconnect(detail: string): void {
--- a/packages/daemon/src/gateway/endpoints/__tests__/endpoint_exchange.spec.ts
+++ b/packages/daemon/src/gateway/endpoints/__tests__/endpoint_exchange.spec.ts
@@ -1,6 +1,13 @@
 import http from 'node:http';
+import {setTimeout as sleep} from 'node:timers/promises';
 import test from 'ava';
-import {EndpointExchange, type ExchangeOutcome} from '../endpoint_exchange.js';
+import {
+  EndpointExchange,
+  type ExchangeOutcome,
+  type ExchangeRequest,
+} from '../endpoint_exchange.js';
+import {EndpointStream} from '../endpoint_stream.js';
+import {callOnce} from '../http_call.js';
 import {
   createEntry,
   type ConnectionEnding,
@@ -10,6 +17,46 @@
 
 const HEAD = 'HTTP/1.1 200 OK\r\nId: a1\r\nStamp: s\r\n';
 
+/** Texts that Node.js refuses when the request is made. */
+const UNMADE: ReadonlyArray<Partial<ExchangeRequest>> = [
+  {path: '/a b'},
+  {path: '/\u0131'},
+  {headers: {title: 'kod\u0131'}},
+  {headers: {'ti tle': 'a'}},
+];
+const REQUEST: ExchangeRequest = {
+  method: 'POST',
+  path: '/',
+  headers: {},
+  body: Buffer.from('ask'),
+  attemptId: 'a1',
+};
+
+// Guards against a process that ends because nobody waits for the error of a request that could not be made.
+test('a request that can not be made ends as unsent', async t => {
+  const agent = new http.Agent();
+  const protocol = new PlainProtocol();
+  const reader = {
+    onHead: () => undefined,
+    onEvent: () => true,
+    waitForDrain: () => undefined,
+  };
+  for (const extra of UNMADE) {
+    const entry = createEntry(1);
+    const req = {...REQUEST, ...extra};
+    const exchange = new EndpointExchange(agent, protocol, entry);
+    t.is((await exchange.run(req)).kind, 'unsent');
+    const stream = new EndpointStream(agent, protocol, entry, reader);
+    t.is((await stream.run(req)).kind, 'unsent');
+    const call = {...entry, ...req, timeoutMs: 10};
+    t.is((await callOnce(agent, call)).kind, 'unsent');
+  }
+  const call = {...REQUEST, host: '127.0.0.1', port: 99_999, timeoutMs: 10};
+  t.is((await callOnce(agent, call)).kind, 'unsent');
+  // A timer that is left behind would fail now.
+  await sleep(30);
+});
+
 interface FaultCase {
   readonly name: string;
   readonly text: string;
--- a/packages/daemon/src/gateway/endpoints/connections.ts
+++ b/packages/daemon/src/gateway/endpoints/connections.ts
@@ -10,6 +10,11 @@
   onTimeout?(): void;
 }
 
+/** Describes why Node.js did not make a request; nothing was sent. */
+export function describeUnmade(err: unknown): string {
+  return `the request can not be made: ${String(err)}`;
+}
+
 /** Reports when `req` has a connection, either a reused one or a new one made within `timeoutMs`. */
 export function watchConnection(
   req: ClientRequest,
--- a/packages/daemon/src/gateway/endpoints/endpoint_exchange.ts
+++ b/packages/daemon/src/gateway/endpoints/endpoint_exchange.ts
@@ -6,7 +6,7 @@
 
 import http from 'node:http';
 import type {EndpointEntry} from '@radishyoke/core/fleet/endpoint_entry';
-import {watchConnection} from './connections.js';
+import {describeUnmade, watchConnection} from './connections.js';
 import type {
   AnswerMetadata,
   EndpointLoad,
@@ -86,10 +86,16 @@
           kind: this.connectedMs === undefined ? 'unsent' : 'unknown',
           detail,
         });
-      this.req = this.send(request);
-      this.req.on('error', err => fail(err.message));
-      this.req.on('close', () => fail('the connection closed'));
-      this.req.on('response', res => this.receive(res, request, settle, fail));
+      let req: http.ClientRequest;
+      try {
+        req = this.send(request);
+      } catch (err) {
+        return fail(describeUnmade(err));
+      }
+      this.req = req;
+      req.on('error', err => fail(err.message));
+      req.on('close', () => fail('the connection closed'));
+      req.on('response', res => this.receive(res, request, settle, fail));
     });
   }
 
--- a/packages/daemon/src/gateway/endpoints/endpoint_stream.ts
+++ b/packages/daemon/src/gateway/endpoints/endpoint_stream.ts
@@ -5,7 +5,7 @@
 
 import http from 'node:http';
 import type {EndpointEntry} from '@radishyoke/core/fleet/endpoint_entry';
-import {watchConnection} from './connections.js';
+import {describeUnmade, watchConnection} from './connections.js';
 import {
   type EndpointAnswer,
   type ExchangeRequest,
@@ -63,6 +63,15 @@
     const outcome = new Promise<StreamOutcome>(resolve => {
       this.resolve = resolve;
     });
+    try {
+      this.send(request);
+    } catch (err) {
+      this.fail(describeUnmade(err));
+    }
+    return outcome;
+  }
+
+  private send(request: ExchangeRequest): void {
     const {host, port} = this.entry;
     const {method, path, body} = request;
     const req = http.request({
@@ -84,7 +93,6 @@
     req.on('close', () => this.fail('the connection closed'));
     req.on('response', res => this.receive(res, request.attemptId));
     req.end(body);
-    return outcome;
   }
 
   /** Ends the attempt; the endpoint sees its connection close. */
--- a/packages/daemon/src/gateway/endpoints/http_call.ts
+++ b/packages/daemon/src/gateway/endpoints/http_call.ts
@@ -1,7 +1,7 @@
 /** A single HTTP call with a time limit, whose outcome says whether it may have been executed. */
 
 import http from 'node:http';
-import {watchConnection} from './connections.js';
+import {describeUnmade, watchConnection} from './connections.js';
 
 export interface CallRequest {
   readonly host: string;
@@ -37,6 +37,7 @@
 ): Promise<CallOutcome> {
   return new Promise(resolve => {
     let isConnected = false;
+    let req: http.ClientRequest;
     const timeOut = (ms: number) => {
       fail(`no answer in ${ms} ms`);
       req.destroy();
@@ -56,14 +57,18 @@
     };
     const fail = (detail: string) =>
       finish({kind: isConnected ? 'unknown' : 'unsent', detail});
-    const req = http.request({
-      agent,
-      host: call.host,
-      port: call.port,
-      method: call.method,
-      path: call.path,
-      headers: {...call.headers, 'Content-Length': call.body?.length ?? 0},
-    });
+    try {
+      req = http.request({
+        agent,
+        host: call.host,
+        port: call.port,
+        method: call.method,
+        path: call.path,
+        headers: {...call.headers, 'Content-Length': call.body?.length ?? 0},
+      });
+    } catch (err) {
+      return fail(describeUnmade(err));
+    }
     watchConnection(req, {onConnected: () => (isConnected = true)});
     req.on('error', err => fail(err.message));
     req.on('response', res => {
