fix(core): a stored item that can not be sent costs that item alone

Each coordinator that took it over ended by itself, and no other step was run.

Cause: the decision loop sent what the log held.

Change: a job knows whether HTTP can carry its item and its reward call. The others of its step go on. A batch whose stored parts are not what a VM writes is left out with a line in place of a rejected promise (`tryOpen`).

--- a/packages/core/src/batches/__tests__/batch_scheduler.spec.ts
+++ b/packages/core/src/batches/__tests__/batch_scheduler.spec.ts
@@ -213,6 +213,29 @@
   t.like(scheduler.decide(1001)[0], {reason: 'retention_over'});
 });
 
+// Guards against a stored item that ends each coordinator which sends it, or that takes its batch along.
+test('an item that can not be sent never runs, and the others go on', t => {
+  const {scheduler, open} = createSchedule([createEngine('e0', {slots: 8})]);
+  const reward = {id: 'r', host: 'h', path: '/s', body: new Uint8Array()};
+  const items = [
+    createItem('g0a'),
+    createItem('g0b', {path: '/a b'}),
+    createItem('g0c', {headers: {'X-Title': 'kod\u0131'}}),
+    createItem('g0d\n'),
+    createItem('g0e', {reward: {...reward, host: 'h\u0131'}}),
+    createItem('g0f', {reward}),
+  ];
+  const batch = createBatch('b0', [], {items, groupsWanted: 1});
+  open(batch, createTerms({giveUpAtMs: 1000}));
+  const runs = listStarts(scheduler.decide(0));
+  t.deepEqual(runs.map(({job}) => job.item.id).sort(), ['g0a', 'g0f']);
+  t.deepEqual(listStarts(scheduler.decide(900)), []);
+  const listed = scheduler
+    .decide(1001)
+    .map(action => (action.kind === 'list' ? action.reason : action.kind));
+  t.deepEqual(listed, Array(6).fill('retention_over'));
+});
+
 test('without a route, items are given up, and the reason tells whether their time was over', t => {
   const {scheduler, log, open} = createSchedule([]);
   open(createBatch('removed', ['g0a']));
--- a/packages/core/src/batches/batch_job.ts
+++ b/packages/core/src/batches/batch_job.ts
@@ -2,6 +2,7 @@
 
 import type {Batch, BatchItem, ItemResult} from './batch_record.js';
 import type {EarlierFailures} from './earlier_batches.js';
+import {findUnsendableField} from './sendable_item.js';
 import {Transcript, type VersionRequirement} from './transcript.js';
 
 /** Assumed gap between events while no engine has a reading, ms. */
@@ -19,6 +20,11 @@
 export interface Job {
   readonly batch: OpenBatch;
   readonly item: BatchItem;
+  /**
+   * The field of `item` that no HTTP request can carry, if there is one. Such an
+   * item never runs; it is given up when its retention is over.
+   */
+  readonly unsendableField: string | undefined;
   /**
    * Output so far; later batches that request the item again continue from it.
    */
@@ -105,6 +111,7 @@
   return {
     batch,
     item,
+    unsendableField: findUnsendableField(item),
     transcript,
     state: 'waiting',
     recordedEvents: 0,
--- a/packages/core/src/batches/batch_scheduler.ts
+++ b/packages/core/src/batches/batch_scheduler.ts
@@ -182,14 +182,17 @@
     return this.open.values();
   }
 
-  /** Opens a batch with the results and output that the log has for it. */
+  /**
+   * Opens a batch with the results and output that the log has for it. Returns
+   * the jobs that can not be sent.
+   */
   openBatch(
     state: BatchState,
     terms: OpenBatchTerms | undefined,
     {failed, promisedUntilMs = Infinity}: OpenOptions = {},
-  ): void {
+  ): readonly Job[] {
     const {batch} = state;
-    if (this.open.has(batch.id)) return;
+    if (this.open.has(batch.id)) return [];
     this.cadence.record(batch);
     const jobs = new Map<string, Job>();
     const carriedGroups = new Set<string>();
@@ -232,6 +235,9 @@
     }
     if (state.isEnded) this.retainClosed(open);
     else this.open.set(batch.id, open);
+    return [...jobs.values()].filter(
+      ({unsendableField}) => unsendableField !== undefined,
+    );
   }
 
   private reuseExisting(job: Job, earlier: Job | undefined): void {
@@ -330,7 +336,9 @@
    */
   listUnscored(): readonly Job[] {
     const unscored = rankUnscored(this.open.values());
-    return unscored.filter(job => !this.giveUps.has(job));
+    return unscored.filter(
+      job => job.unsendableField === undefined && !this.giveUps.has(job),
+    );
   }
 
   /** Handles the score from the reward call of `job`. */
@@ -569,7 +577,7 @@
       if (!open.terms || placement.getChoice(open).isSatisfied) continue;
       for (const job of open.jobs.values()) {
         if (job.state !== 'waiting' || nowMs < job.notBeforeMs) continue;
-        if (this.giveUps.has(job) || this.cfg.isQuarantined?.(job)) continue;
+        if (this.isHeldBack(job)) continue;
         waiting.push(job);
       }
     }
@@ -582,6 +590,15 @@
       .map(({job}) => job);
   }
 
+  /** Whether the item must not be sent, now or at all. */
+  private isHeldBack(job: Job): boolean {
+    return (
+      job.unsendableField !== undefined ||
+      this.giveUps.has(job) ||
+      (this.cfg.isQuarantined?.(job) ?? false)
+    );
+  }
+
   private createOrderContext(
     placement: Placement,
     nowMs: number,
--- a/packages/daemon/src/gateway/batches/batch_runner.ts
+++ b/packages/daemon/src/gateway/batches/batch_runner.ts
@@ -227,7 +227,7 @@
     const indexed = replicaList.flatMap(replica => [...replica.index.entries]);
     indexed.sort((a, b) => a.header.submittedAtMs - b.header.submittedAtMs);
     for (const entry of indexed) {
-      if (!isComplete(entry)) void this.open(entry, true);
+      if (!isComplete(entry)) void this.tryOpen(entry, true);
     }
     for (const replica of replicaList) {
       replica.addListener(this.listener);
@@ -280,7 +280,7 @@
     const {id} = entry.header;
     switch (change.kind) {
       case 'opened':
-        void this.open(entry, false);
+        void this.tryOpen(entry, false);
         return;
       case 'ended':
         this.scheduler.closeBatch(id);
@@ -292,6 +292,21 @@
     this.scheduleDecision();
   }
 
+  /** Opens a batch; one whose stored parts are not what a VM writes is left out. */
+  private async tryOpen(
+    entry: IndexedBatch,
+    mayHaveProgress: boolean,
+  ): Promise<void> {
+    try {
+      await this.open(entry, mayHaveProgress);
+    } catch (err) {
+      this.deps.logger.log('error', 'batch can not be read', {
+        batch: entry.header.id,
+        detail: String(err),
+      });
+    }
+  }
+
   /**
    * Reads the batch from the log and adds it to the scheduler, once the
    * configuration that accepted it is known.
@@ -313,15 +328,25 @@
     this.loading.delete(header.id);
     if (!state || signal.aborted) return;
     const failed = countEarlierFailures(entry, this.listIndexed());
-    this.scheduler.openBatch(state, this.findTerms(header), {
+    const unsendable = this.scheduler.openBatch(state, this.findTerms(header), {
       failed,
       promisedUntilMs: this.deps.clock.toSteady(findPromisedUntilMs(header)),
     });
+    for (const job of unsendable) this.logUnsendable(job);
     // The batch may have completed while its payload was read.
     if (isComplete(entry)) this.scheduler.closeBatch(header.id);
     this.scheduleDecision();
   }
 
+  private logUnsendable({item, batch, unsendableField}: Job): void {
+    this.deps.metrics.count('items_unsendable');
+    this.deps.logger.log('warn', 'item can not be sent', {
+      requestId: item.id,
+      batch: batch.batch.id,
+      field: unsendableField,
+    });
+  }
+
   private async load(
     entry: IndexedBatch,
     mayHaveProgress: boolean,
--- a/packages/shared/src/log_event.ts
+++ b/packages/shared/src/log_event.ts
@@ -340,6 +340,11 @@
     readonly reason: string;
     readonly versions: string;
   };
+  /** A stored item that no HTTP request can carry; it stays without a result until its retention is over. */
+  readonly 'item can not be sent': RequestFields & {
+    readonly batch: string;
+    readonly field: string | undefined;
+  };
   readonly 'log lines dropped': {readonly dropped: number};
 }
 
