fix(core): the configuration is not read for items that have their results

What operators would see: after an item of a batch was to be given up and ended in another way meanwhile, the coordinator reads the configuration again and again until the batch is closed, at most 20 times a second.

Cause: a batch without unfinished items kept its reason to give up.

Change: the reason is dropped with its last item.

Evidence: the new test of batch_scheduler failed before (`confirm_config` after both items were listed) and passes now.

--- a/packages/core/src/batches/__tests__/batch_scheduler.spec.ts
+++ b/packages/core/src/batches/__tests__/batch_scheduler.spec.ts
@@ -213,6 +213,21 @@
   t.like(scheduler.decide(1001)[0], {reason: 'retention_over'});
 });
 
+// Guards against reads of the configuration that never end for a batch with nothing left to give up.
+test('the configuration is read only as long as an item is to be given up', t => {
+  const {scheduler, open} = createSchedule([createEngine('e0')]);
+  open(createBatch('b0', ['g0a', 'g0b']), createTerms({giveUpAtMs: 1000}));
+  const runs = listStarts(scheduler.decide(900));
+  for (const run of runs) scheduler.onEvent(run, createEvent(1, run.id), 950);
+  t.deepEqual(scheduler.decide(1001, 900), [{kind: 'confirm_config'}]);
+  for (const run of runs) scheduler.onRunEnd(run, 'finished', 1003);
+  const actions = scheduler.decide(1004, 900);
+  t.deepEqual(
+    actions.map(({kind}) => kind),
+    ['list', 'list'],
+  );
+});
+
 // Guards against a stored item that ends each coordinator which sends it, or that takes its batch along.
 test('an item that can not be sent never runs, and the others go on', t => {
   const {scheduler, open} = createSchedule([createEngine('e0', {slots: 8})]);
--- a/packages/core/src/batches/batch_job.ts
+++ b/packages/core/src/batches/batch_job.ts
@@ -69,8 +69,8 @@
   /** Undefined if no route allows the batch any more. */
   terms: OpenBatchTerms | undefined;
   /**
-   * Until then, in steady ms, the batch was promised when it was accepted that
-   * its items are not given up for being old.
+   * Steady ms until which the route that accepted the batch promised to keep its
+   * items; Infinity if that is unknown.
    */
   readonly promisedUntilMs: number;
   readonly jobs: ReadonlyMap<string, Job>;
--- a/packages/core/src/batches/config_knowledge.ts
+++ b/packages/core/src/batches/config_knowledge.ts
@@ -40,8 +40,8 @@
 }
 
 /**
- * Returns the Unix ms until which the items of a batch may not be given up
- * without knowing why; Infinity if its record does not tell.
+ * Returns the Unix ms until which the route that accepted a batch promised to keep
+ * its items; Infinity if the record of the batch does not tell.
  */
 export function findPromisedUntilMs({
   submittedAtMs,
--- a/packages/core/src/batches/pending_give_ups.ts
+++ b/packages/core/src/batches/pending_give_ups.ts
@@ -22,15 +22,15 @@
   readonly reason: ListReason;
 }
 
-/** What the last decision knows. */
+/** What a decision knows; times are steady ms. */
 export interface GiveUpMoment {
   readonly nowMs: number;
-  /** Steady ms. All versions that the log had at this time were read. */
+  /** All versions that the log had at this time were read. */
   readonly configKnownMs: number;
 }
 
 /**
- * Time for which a reason waits for the configuration, ms, if the retention that
+ * Time for which a reason waits for the configuration, ms, once the retention that
  * the batch was promised is over: many times what a read takes.
  */
 const CONFIRM_TIMEOUT_MS = 2000;
@@ -82,21 +82,18 @@
     return due;
   }
 
-  /** Whether a reason waits for the configuration. */
+  /** Whether any reason waits for the configuration. */
   get isWaiting(): boolean {
     return this.limits.size > 0 || this.sinceByBatch.size > 0;
   }
 
   private takeBatch(batch: OpenBatch, moment: GiveUpMoment): readonly GiveUp[] {
     const reason = findBatchGiveUpReason(batch, moment.nowMs);
-    if (!reason) {
+    const unfinished = reason ? listUnfinished(batch) : [];
+    if (!reason || unfinished.length === 0) {
       this.sinceByBatch.delete(batch);
       return [];
     }
-    const unfinished = [...batch.jobs.values()].filter(
-      ({state}) => state !== 'finished',
-    );
-    if (unfinished.length === 0) return [];
     const sinceMs = this.sinceByBatch.get(batch) ?? moment.nowMs;
     this.sinceByBatch.set(batch, sinceMs);
     if (!isConfirmed(batch, sinceMs, moment)) return [];
@@ -121,6 +118,11 @@
   }
 }
 
+function listUnfinished({jobs}: OpenBatch): readonly Job[] {
+  return [...jobs.values()].filter(({state}) => state !== 'finished');
+}
+
+/** Whether a reason that a decision first saw at `sinceMs` may be acted on. */
 function isConfirmed(
   {promisedUntilMs}: OpenBatch,
   sinceMs: number,
