--- a/packages/core/src/batches/__tests__/config_lag_model.ts
+++ b/packages/core/src/batches/__tests__/config_lag_model.ts
@@ -82,9 +82,10 @@
   private readonly failedAtMs = new Map<string, number>();
   /** Batches that the coordinator has read in the index, with the time. */
   private learnt = new Map<string, number>();
+  /** Number of times that a VM became the coordinator. */
+  private termCount = 0;
   private scheduler = this.createScheduler();
   private coordinator = 0;
-  private terms = 0;
   private runs: Run[] = [];
   /** Steady ms at which the coordinator asked for a read of the configuration. */
   private askedMs: number | undefined;
@@ -199,10 +200,10 @@
   }
 
   private createScheduler(): BatchScheduler {
-    this.terms = (this.terms ?? 0) + 1;
+    this.termCount += 1;
     const scheduler = new BatchScheduler({
       tokensPerEvent: 1,
-      runPrefix: `vm-${this.terms}`,
+      runPrefix: `vm-${this.termCount}`,
     });
     const engines = SERVICES.map(service => createEngine(service, {service}));
     scheduler.setEngines(engines);
