--- a/packages/core/src/batches/batch_job.ts
+++ b/packages/core/src/batches/batch_job.ts
@@ -66,7 +66,10 @@
 /** A batch whose items are still being run. */
 export interface OpenBatch {
   readonly batch: Batch;
-  /** Undefined if no route allows the batch any more. */
+  /**
+   * Undefined if no route allows the batch any more, or if its retention ended
+   * before the configuration that accepted it was read.
+   */
   terms: OpenBatchTerms | undefined;
   /**
    * Steady ms until which the route that accepted the batch promised to keep its
