fix(core): a failure counts once, however often its record is stored

Cause: a failure record named only the item, and the index counted records. The coordinator that wrote it counts in memory, so only the next one is wrong. The same for `attempt_impossible` (three in earlier batches give an item up) and `reward_failed`, and for the counts of earlier batches.

Change: the record says which run or reward call failed, by an id that is unique over VMs and terms as coordinator, and the fold collects ids in place of a count. So a copy is void wherever it comes: seconds later, behind other records, in another group or in the term of the next coordinator. Comparing with the record before would not do, as 4 appends are under way at once.

Records without an id (earlier builds, a mixed fleet) count as one for each item and kind: a copy can not be told from a further failure, an item that is errored too early is lost for good, one that runs again is not. Such an item gets at most 2 x Attempts - 1 answers of 500 in its batch.

The type of the index records now says what makes a copy void for each kind.

Two tests counted records without ids and asserted the fault: "failed reward calls are counted ..." now records two calls and is joined by copies, and "failures of an item are summed over all earlier batches" stores each record twice and expects the same sums.

--- a/packages/core/src/batches/__tests__/batch_index.spec.ts
+++ b/packages/core/src/batches/__tests__/batch_index.spec.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import fc from 'fast-check';
-import {BatchIndex, isStepReady} from '../batch_index.js';
-import type {IndexRecord, ListedResult} from '../batch_record.js';
+import {BatchIndex, type IndexedItem, isStepReady} from '../batch_index.js';
+import type {FailureKind, IndexRecord, ListedResult} from '../batch_record.js';
 import {acceptBatch, createBatch, listResult} from './batch_fixtures.js';
 
 const BATCH = createBatch('b0', ['g0a', 'g0b', 'g1a']);
@@ -88,15 +88,58 @@
   t.is(index.get('b0'), undefined);
 });
 
+function recordFailure(
+  kind: FailureKind,
+  attempt?: string,
+  itemId = 'g0a',
+): IndexRecord {
+  const id = attempt === undefined ? {} : {attempt};
+  return {kind, batchId: 'b0', itemId, ...id};
+}
+
 test('failed reward calls are counted for a coordinator that takes over', t => {
   const index = createIndex();
-  index.apply({kind: 'reward_failed', batchId: 'b0', itemId: 'g0a'});
-  index.apply({kind: 'reward_failed', batchId: 'b0', itemId: 'g0a'});
+  index.apply(recordFailure('reward_failed', 'call-1'));
+  index.apply(recordFailure('reward_failed', 'call-2'));
   const {items} = index.get('b0')!;
-  t.is(items.get('g0a')!.rewardFailures, 2);
-  t.is(items.get('g0b')!.rewardFailures, 0);
+  t.is(items.get('g0a')!.failedRewardCalls.length, 2);
+  t.is(items.get('g0b')!.failedRewardCalls.length, 0);
 });
 
+interface FailureCase {
+  readonly kind: FailureKind;
+  readonly list: (item: IndexedItem) => readonly string[];
+}
+
+const FAILURE_CASES: readonly FailureCase[] = [
+  {kind: 'attempt_failed', list: ({failedRuns}) => failedRuns},
+  {kind: 'attempt_impossible', list: ({rejectedRuns}) => rejectedRuns},
+  {kind: 'reward_failed', list: ({failedRewardCalls}) => failedRewardCalls},
+];
+
+for (const {kind, list: listAttempts} of FAILURE_CASES) {
+  // Guards against an item that is given up before its attempts are used up, as a repeated append counts twice.
+  test(`a failure is counted once, wherever copies of its record are: ${kind}`, t => {
+    const index = createIndex();
+    const attempts = ['vm.0-1', 'vm.0-2', 'vm.0-1', 'vm.1-1', 'vm.0-2'];
+    for (const attempt of attempts) index.apply(recordFailure(kind, attempt));
+    index.apply(recordFailure(kind, 'vm.0-3', 'g0b'));
+    const {items} = index.get('b0')!;
+    const counted = ['vm.0-1', 'vm.0-2', 'vm.1-1'];
+    t.deepEqual(listAttempts(items.get('g0a')!), counted);
+    t.deepEqual(listAttempts(items.get('g0b')!), ['vm.0-3']);
+  });
+
+  // Guards against the same where a VM of an earlier build wrote the records.
+  test(`failures without an id count as one beside those with an id: ${kind}`, t => {
+    const index = createIndex();
+    const attempts = [undefined, 'vm.0-1', undefined, 'vm.0-2', undefined];
+    for (const attempt of attempts) index.apply(recordFailure(kind, attempt));
+    const {items} = index.get('b0')!;
+    t.is(listAttempts(items.get('g0a')!).length, 3);
+  });
+}
+
 // Guards against a step that never counts as ready, as its groups are not known.
 test('a step is ready once enough groups are complete, or at once without groups', t => {
   const index = new BatchIndex();
--- a/packages/core/src/batches/__tests__/config_lag_model.ts
+++ b/packages/core/src/batches/__tests__/config_lag_model.ts
@@ -226,7 +226,12 @@
     const {id: itemId} = run.job.item;
     const batchId = run.job.batch.batch.id;
     if (isFailure) {
-      this.log.apply({kind: 'attempt_failed', batchId, itemId});
+      this.log.apply({
+        kind: 'attempt_failed',
+        batchId,
+        itemId,
+        attempt: run.id,
+      });
       this.failedAtMs.set(itemId, this.nowMs);
       this.scheduler.onRunEnd(run, 'failed', this.nowMs);
       return;
@@ -325,7 +330,8 @@
             (!version.route && this.nowMs > this.findPromise(id)),
         );
       case 'attempts_used_up': {
-        const failures = this.log.index.get(id)!.items.get(itemId)!.failures;
+        const failures = this.log.index.get(id)!.items.get(itemId)!.failedRuns
+          .length;
         const sinceMs = this.failedAtMs.get(itemId) ?? submittedAtMs;
         return this.listInForce(sinceMs).some(
           ({route}) => route && failures >= route.attempts,
--- a/packages/core/src/batches/__tests__/earlier_batches.spec.ts
+++ b/packages/core/src/batches/__tests__/earlier_batches.spec.ts
@@ -61,8 +61,13 @@
   for (const [i, id] of steps.entries()) {
     const batch = createBatch(id, ['g0a', 'g0b'], {submittedAtMs: i * 1000});
     index.apply(acceptBatch(batch));
-    index.apply({kind: 'attempt_failed', batchId: id, itemId: 'g0a'});
-    index.apply({kind: 'attempt_impossible', batchId: id, itemId: 'g0b'});
+    const failed = {batchId: id, itemId: 'g0a', attempt: `run-${2 * i}`};
+    const rejected = {batchId: id, itemId: 'g0b', attempt: `run-${2 * i + 1}`};
+    // The second record of each attempt is a copy.
+    for (let copy = 0; copy < 2; copy++) {
+      index.apply({kind: 'attempt_failed', ...failed});
+      index.apply({kind: 'attempt_impossible', ...rejected});
+    }
   }
   const entries = [...index.entries];
   const counts = countEarlierFailures(entries[2], entries);
--- a/packages/core/src/batches/__tests__/step_load.ts
+++ b/packages/core/src/batches/__tests__/step_load.ts
@@ -308,8 +308,8 @@
         {
           item,
           transcript: new Transcript(),
-          failures: 0,
-          rewardFailures: 0,
+          failedRuns: [],
+          failedRewardCalls: [],
           isListed: false,
           result: undefined,
         },
--- a/packages/core/src/batches/batch_index.ts
+++ b/packages/core/src/batches/batch_index.ts
@@ -8,8 +8,10 @@
  * a partition before it can answer requests about it.
  */
 
+import {addAttempt, type AttemptIds, NO_ATTEMPTS} from './attempt_ids.js';
 import type {
   BatchHeader,
+  FailureRecord,
   IndexRecord,
   ListedResult,
   PayloadRef,
@@ -20,12 +22,12 @@
 export interface IndexedItem {
   /** Undefined until the item has a result. */
   position: number | undefined;
-  /** Attempts that an endpoint answered as failed. */
-  failures: number;
-  /** Attempts that an endpoint answered as impossible. */
-  rejections: number;
+  /** Runs that an endpoint answered as failed. */
+  failedRuns: AttemptIds;
+  /** Runs that an endpoint answered as impossible. */
+  rejectedRuns: AttemptIds;
   /** Reward calls that an endpoint answered as failed. */
-  rewardFailures: number;
+  failedRewardCalls: AttemptIds;
 }
 
 /** State of one batch in the index. */
@@ -71,21 +73,11 @@
         return this.accept(record);
       case 'result':
         return this.list(record.batchId, record.listed);
-      case 'attempt_failed': {
-        const item = this.findItem(record.batchId, record.itemId);
-        if (item) item.failures += 1;
+      case 'attempt_failed':
+      case 'attempt_impossible':
+      case 'reward_failed':
+        this.recordFailure(record);
         return undefined;
-      }
-      case 'attempt_impossible': {
-        const item = this.findItem(record.batchId, record.itemId);
-        if (item) item.rejections += 1;
-        return undefined;
-      }
-      case 'reward_failed': {
-        const item = this.findItem(record.batchId, record.itemId);
-        if (item) item.rewardFailures += 1;
-        return undefined;
-      }
       case 'ended':
         return this.end(record.batchId);
     }
@@ -114,9 +106,9 @@
     for (const id of itemIds) {
       items.set(id, {
         position: undefined,
-        failures: 0,
-        rejections: 0,
-        rewardFailures: 0,
+        failedRuns: NO_ATTEMPTS,
+        rejectedRuns: NO_ATTEMPTS,
+        failedRewardCalls: NO_ATTEMPTS,
       });
     }
     const entry: IndexedBatch = {
@@ -146,8 +138,19 @@
     return {kind: 'listed', entry, listed};
   }
 
-  private findItem(batchId: string, itemId: string): IndexedItem | undefined {
-    return this.batches.get(batchId)?.items.get(itemId);
+  private recordFailure({kind, batchId, itemId, attempt}: FailureRecord): void {
+    const item = this.batches.get(batchId)?.items.get(itemId);
+    if (!item) return;
+    switch (kind) {
+      case 'attempt_failed':
+        item.failedRuns = addAttempt(item.failedRuns, attempt);
+        return;
+      case 'attempt_impossible':
+        item.rejectedRuns = addAttempt(item.rejectedRuns, attempt);
+        return;
+      case 'reward_failed':
+        item.failedRewardCalls = addAttempt(item.failedRewardCalls, attempt);
+    }
   }
 
   private end(batchId: string): IndexChange | undefined {
--- a/packages/core/src/batches/batch_job.ts
+++ b/packages/core/src/batches/batch_job.ts
@@ -1,5 +1,6 @@
 /** Defines jobs, the items of open batches, and their runs on engines. */
 
+import {type AttemptIds, NO_ATTEMPTS} from './attempt_ids.js';
 import type {Batch, BatchItem, ItemResult} from './batch_record.js';
 import type {EarlierFailures} from './earlier_batches.js';
 import {findUnsendableField} from './sendable_item.js';
@@ -41,12 +42,12 @@
   earlierEvents: number;
   /** Set once the item has a result whose output this VM has. */
   result: ItemResult | undefined;
-  /** Attempts that an endpoint answered as failed. */
-  failures: number;
+  /** Runs that an endpoint answered as failed. */
+  failedRuns: AttemptIds;
   /** Failures of the item in earlier batches. */
   readonly earlierFailures: EarlierFailures;
   /** Reward calls that an endpoint answered as failed. */
-  rewardFailures: number;
+  failedRewardCalls: AttemptIds;
   /** Consecutive connections that broke before the first event of a run. */
   earlyBreaks: number;
   /** Steady ms before which no further run starts. */
@@ -120,9 +121,9 @@
     recordedEvents: 0,
     earlierEvents: 0,
     result: undefined,
-    failures: 0,
+    failedRuns: NO_ATTEMPTS,
     earlierFailures,
-    rewardFailures: 0,
+    failedRewardCalls: NO_ATTEMPTS,
     earlyBreaks: 0,
     notBeforeMs: -Infinity,
   };
--- a/packages/core/src/batches/batch_record.ts
+++ b/packages/core/src/batches/batch_record.ts
@@ -126,9 +126,39 @@
   readonly writer: string;
 }
 
-/** One record of the index. */
+/** A failure that counts towards the limits of an item. */
+export type FailureKind =
+  /** An endpoint answered that the run failed. */
+  | 'attempt_failed'
+  /** An endpoint answered that the item can never be done. */
+  | 'attempt_impossible'
+  /** An endpoint answered that the item's reward call failed. */
+  | 'reward_failed';
+
+/** Records the failure of one attempt. Each attempt counts once. */
+export interface FailureRecord {
+  readonly kind: FailureKind;
+  readonly batchId: string;
+  readonly itemId: string;
+  /**
+   * Id of the run or reward call, unique across all VMs and their terms as
+   * coordinator. Absent in records of builds that did not store it.
+   */
+  readonly attempt?: string;
+}
+
+/**
+ * One record of the index. An append without an answer is repeated, and the log
+ * may store both copies, seconds apart and with records of other writers between
+ * them. Each kind must therefore have its effect once, whatever the order of the
+ * copies; the comment on it says what makes a copy void.
+ */
 export type IndexRecord =
-  /** The batch is accepted; its payload was stored before this record. */
+  /**
+   * The batch is accepted; its payload was stored before this record. The first
+   * acceptance of a batch id counts, also once the batch has ended; after the
+   * retention of the batch, none does.
+   */
   | {
       readonly kind: 'accepted';
       readonly header: BatchHeader;
@@ -140,29 +170,15 @@
       readonly groupNumbers?: readonly number[];
       readonly payload: PayloadRef;
     }
+  /** The first result of an item counts. */
   | {
       readonly kind: 'result';
       readonly batchId: string;
       readonly listed: ListedResult;
     }
-  /** An endpoint answered that the attempt failed. */
-  | {
-      readonly kind: 'attempt_failed';
-      readonly batchId: string;
-      readonly itemId: string;
-    }
-  /** An endpoint answered that the item can never be done. */
-  | {
-      readonly kind: 'attempt_impossible';
-      readonly batchId: string;
-      readonly itemId: string;
-    }
-  /** An endpoint answered that the item's reward call failed. */
-  | {
-      readonly kind: 'reward_failed';
-      readonly batchId: string;
-      readonly itemId: string;
-    }
+  /** The first record of an attempt counts. */
+  | FailureRecord
+  /** A batch ends once. */
   | {readonly kind: 'ended'; readonly batchId: string};
 
 /** Output events of a running item, for a coordinator that takes over. */
--- a/packages/core/src/batches/batch_scheduler.ts
+++ b/packages/core/src/batches/batch_scheduler.ts
@@ -222,8 +222,8 @@
       if (transcript === storedItem.transcript)
         job.recordedEvents = transcript.events.length;
       recordEarlierEvents(job, earlier?.transcript.events.length ?? 0);
-      job.failures = storedItem.failures;
-      job.rewardFailures = storedItem.rewardFailures;
+      job.failedRuns = storedItem.failedRuns;
+      job.failedRewardCalls = storedItem.failedRewardCalls;
       if (storedItem.isListed) {
         job.state = 'finished';
         job.result = storedItem.result;
@@ -347,8 +347,8 @@
   }
 
   /** Handles a failed reward call of `job`. */
-  onRewardFailure(job: Job): void {
-    this.outcomes.countRewardFailure(job);
+  onRewardFailure(job: Job, callId: string): void {
+    this.outcomes.countRewardFailure(job, callId);
   }
 
   setEngines(engines: readonly EngineView[]): void {
@@ -433,7 +433,7 @@
         this.outcomes.onOutputComplete(job, nowMs);
         return;
       case 'failed':
-        this.outcomes.countFailure(job, nowMs);
+        this.outcomes.countFailure(job, run.id, nowMs);
         return;
       case 'impossible':
         this.outcomes.giveUp(job, 'impossible');
--- a/packages/core/src/batches/batch_state.ts
+++ b/packages/core/src/batches/batch_state.ts
@@ -3,6 +3,7 @@
  * submission, its state in the index, and the stored output of incomplete items.
  */
 
+import {type AttemptIds, NO_ATTEMPTS} from './attempt_ids.js';
 import type {IndexedBatch} from './batch_index.js';
 import type {
   Batch,
@@ -16,8 +17,10 @@
   readonly item: BatchItem;
   /** Output that was stored before the item had a result. */
   readonly transcript: Transcript;
-  readonly failures: number;
-  readonly rewardFailures: number;
+  /** Runs that an endpoint answered as failed. */
+  readonly failedRuns: AttemptIds;
+  /** Reward calls that an endpoint answered as failed. */
+  readonly failedRewardCalls: AttemptIds;
   /** Whether it has a result. */
   readonly isListed: boolean;
   /** Its result, if the output has been read. */
@@ -53,8 +56,8 @@
     items.set(item.id, {
       item,
       transcript: stored ?? new Transcript(),
-      failures: indexed?.failures ?? 0,
-      rewardFailures: indexed?.rewardFailures ?? 0,
+      failedRuns: indexed?.failedRuns ?? NO_ATTEMPTS,
+      failedRewardCalls: indexed?.failedRewardCalls ?? NO_ATTEMPTS,
       isListed,
       ...(result ? {result} : {}),
     });
--- a/packages/core/src/batches/earlier_batches.ts
+++ b/packages/core/src/batches/earlier_batches.ts
@@ -32,9 +32,9 @@
 
 /** How often an item failed in earlier batches. */
 export interface EarlierFailures {
-  /** Attempts that an endpoint answered as failed. */
+  /** Number of runs that an endpoint answered as failed. */
   readonly failures: number;
-  /** Attempts that an endpoint answered as impossible. */
+  /** Number of runs that an endpoint answered as impossible. */
   readonly rejections: number;
 }
 
@@ -55,11 +55,13 @@
   for (const {items} of earlier) {
     for (const id of entry.items.keys()) {
       const item = items.get(id);
-      if (!item || item.failures + item.rejections === 0) continue;
+      if (!item) continue;
+      const {failedRuns, rejectedRuns} = item;
+      if (failedRuns.length + rejectedRuns.length === 0) continue;
       const {failures = 0, rejections = 0} = counts.get(id) ?? {};
       counts.set(id, {
-        failures: failures + item.failures,
-        rejections: rejections + item.rejections,
+        failures: failures + failedRuns.length,
+        rejections: rejections + rejectedRuns.length,
       });
     }
   }
--- a/packages/core/src/batches/job_outcomes.ts
+++ b/packages/core/src/batches/job_outcomes.ts
@@ -3,6 +3,7 @@
  * earlier batches, and failures. Each item gets exactly one result.
  */
 
+import {addAttempt} from './attempt_ids.js';
 import type {Job} from './batch_job.js';
 import {isStepComplete} from './group_choice.js';
 import type {ItemResult, RewardRequest} from './batch_record.js';
@@ -97,9 +98,9 @@
     this.list(job, result, 'known_from_earlier_batch');
   }
 
-  /** Counts an attempt that an engine answered as failed. */
-  countFailure(job: Job, nowMs: number): void {
-    job.failures += 1;
+  /** Counts a run that an engine answered as failed. */
+  countFailure(job: Job, runId: string, nowMs: number): void {
+    job.failedRuns = addAttempt(job.failedRuns, runId);
     job.notBeforeMs = nowMs + RETRY_PAUSE_MS;
     if (isUsedUp(job)) this.giveUps.add(job, 'attempts_used_up');
     else this.giveUpRepeatedlyFailed(job);
@@ -115,9 +116,9 @@
   }
 
   /** Counts a failed reward call. */
-  countRewardFailure(job: Job): void {
+  countRewardFailure(job: Job, callId: string): void {
     if (job.state !== 'unscored') return;
-    job.rewardFailures += 1;
+    job.failedRewardCalls = addAttempt(job.failedRewardCalls, callId);
     this.giveUps.add(job, 'reward_attempts_used_up');
   }
 
--- a/packages/core/src/batches/job_rules.ts
+++ b/packages/core/src/batches/job_rules.ts
@@ -98,17 +98,17 @@
 }
 
 /** Whether `job` has failed as often as its route allows. */
-export function isUsedUp({batch, failures}: Job): boolean {
-  return batch.terms !== undefined && failures >= batch.terms.attempts;
+export function isUsedUp({batch, failedRuns}: Job): boolean {
+  return batch.terms !== undefined && failedRuns.length >= batch.terms.attempts;
 }
 
 /** Whether `job` failed in so many batches that running it again is no use. */
-export function isHopeless({batch, failures, earlierFailures}: Job): boolean {
+export function isHopeless({batch, failedRuns, earlierFailures}: Job): boolean {
   if (!batch.terms) return false;
   const maxFailures = batch.terms.attempts * MAX_FAILED_BATCHES;
   return (
     earlierFailures.rejections >= MAX_FAILED_BATCHES ||
-    earlierFailures.failures + failures >= maxFailures
+    earlierFailures.failures + failedRuns.length >= maxFailures
   );
 }
 
--- a/packages/core/src/batches/pending_give_ups.ts
+++ b/packages/core/src/batches/pending_give_ups.ts
@@ -108,7 +108,7 @@
       case 'failed_in_earlier_batches':
         return isHopeless(job);
       case 'reward_attempts_used_up':
-        return job.rewardFailures >= this.findRewardAttempts(job);
+        return job.failedRewardCalls.length >= this.findRewardAttempts(job);
     }
   }
 
--- a/packages/core/src/rewards/__tests__/reward_order.spec.ts
+++ b/packages/core/src/rewards/__tests__/reward_order.spec.ts
@@ -53,9 +53,9 @@
   const {scheduler, finish} = createRewardSchedule(['g0a']);
   finish('g0a');
   const [job] = scheduler.listUnscored();
-  scheduler.onRewardFailure(job);
+  scheduler.onRewardFailure(job, 'call-1');
   t.deepEqual(listResults(scheduler), []);
-  scheduler.onRewardFailure(job);
+  scheduler.onRewardFailure(job, 'call-2');
   t.like(listResults(scheduler), [{state: 'errored'}]);
 });
 
@@ -71,14 +71,14 @@
   const item = {batchId: 'b0', itemId: 'g0a'};
   const events = [{id: 1, run: 'old', version: 1, data: 'text'}];
   log.applyProgress({...item, events, isWhole: true});
-  log.apply({kind: 'reward_failed', ...item});
+  log.apply({kind: 'reward_failed', ...item, attempt: 'call-1'});
   scheduler.closeBatch('b0');
   const {scheduler: successor} = createSchedule([createEngine('e0')]);
   successor.openBatch(log.get('b0'), createTerms());
   t.deepEqual(listStarts(successor.decide(0)), []);
   const [job] = successor.listUnscored();
   t.is(job.transcript.joinOutput(), 'text');
-  t.is(job.rewardFailures, 1);
+  t.deepEqual(job.failedRewardCalls, ['call-1']);
 });
 
 // Guards against an item that gets the score of another reward call.
--- a/packages/core/src/rewards/__tests__/reward_scheduler.spec.ts
+++ b/packages/core/src/rewards/__tests__/reward_scheduler.spec.ts
@@ -10,7 +10,7 @@
 } from './reward_fixtures.js';
 
 function createScheduler(endpoints: readonly EndpointCandidate[]) {
-  const scheduler = new RewardScheduler('dc');
+  const scheduler = new RewardScheduler('dc', 'term');
   const decide = (jobs: readonly Job[], nowMs: number) =>
     scheduler.decide(jobs, () => ({endpoints}), nowMs, 0);
   return {scheduler, decide};
@@ -84,13 +84,13 @@
   const jobs = createUnscored(['g0a', 'g0b']);
   const calls = listCalls(decide(jobs, 0));
   const [cancelled] = listCancelled(decide([jobs[0]], 10));
-  t.is(cancelled.number, calls.find(({job}) => job === jobs[1])!.number);
+  t.is(cancelled.id, calls.find(({job}) => job === jobs[1])!.id);
   scheduler.onCallEnd(cancelled, {kind: 'cancelled'}, 11);
   t.deepEqual(decide([jobs[0]], 20), []);
 });
 
 test('no call starts without a route that allows it', t => {
-  const scheduler = new RewardScheduler('dc');
+  const scheduler = new RewardScheduler('dc', 'term');
   const jobs = createUnscored(['g0a']);
   t.deepEqual(
     scheduler.decide(jobs, () => undefined, 0, 0),
--- a/packages/core/src/rewards/reward_scheduler.ts
+++ b/packages/core/src/rewards/reward_scheduler.ts
@@ -29,7 +29,8 @@
 
 /** One reward call on one endpoint. */
 export interface RewardCall {
-  readonly number: number;
+  /** Unique across all VMs and their terms as coordinator. */
+  readonly id: string;
   readonly job: Job;
   readonly reward: RewardRequest;
   readonly endpointId: string;
@@ -97,7 +98,14 @@
   private typicalMs = INITIAL_CALL_MS;
   private nextNumber = 1;
 
-  constructor(private readonly dataCentre: string) {}
+  /**
+   * @param callPrefix Prefix of call ids that makes them unique across all
+   *     schedulers, past ones included.
+   */
+  constructor(
+    private readonly dataCentre: string,
+    private readonly callPrefix: string,
+  ) {}
 
   /**
    * Returns what to do now for `jobs`, ordered by urgency. Calls for any other
@@ -188,7 +196,7 @@
     const endpoint = pick(state.tried) ?? pick(new Set());
     if (!endpoint) return undefined;
     const call: RewardCall = {
-      number: this.nextNumber++,
+      id: `${this.callPrefix}-${this.nextNumber++}`,
       job,
       reward,
       endpointId: endpoint.id,
--- a/packages/daemon/src/gateway/batches/batch_runner.ts
+++ b/packages/daemon/src/gateway/batches/batch_runner.ts
@@ -36,6 +36,7 @@
 } from '@radishyoke/core/batches/config_knowledge';
 import type {EndpointEntry} from '@radishyoke/core/fleet/endpoint_entry';
 import type {EndpointRoster} from '@radishyoke/core/fleet/endpoint_roster';
+import type {RewardCall} from '@radishyoke/core/rewards/reward_scheduler';
 import {pickService} from '@radishyoke/core/routing/route_table';
 import type {EventLogger} from '../../logger.js';
 import {AcceptanceWait} from './acceptance_wait.js';
@@ -181,7 +182,7 @@
         this.scheduler.onScore(job, score);
         this.scheduleDecision();
       },
-      onFailed: job => this.recordRewardFailure(job),
+      onFailed: call => this.recordRewardFailure(call),
       onFree: () => this.scheduleDecision(),
     });
     this.weights = new WeightTask({
@@ -585,18 +586,20 @@
       this.deps.links.closeIdle(run.engineId);
     }
     if (live && end !== 'finished') this.itemLog.writeProgress(run.job);
-    if (end === 'failed') this.itemLog.writeFailure('attempt_failed', run.job);
+    if (end === 'failed') {
+      this.itemLog.writeFailure('attempt_failed', run.job, run.id);
+    }
     if (end === 'impossible') {
-      this.itemLog.writeFailure('attempt_impossible', run.job);
+      this.itemLog.writeFailure('attempt_impossible', run.job, run.id);
     }
     this.scheduler.onRunEnd(run, end, this.deps.clock.now());
     if (run.job.state === 'unscored') this.itemLog.writeCompleteText(run.job);
     this.scheduleDecision();
   }
 
-  private recordRewardFailure(job: Job): void {
-    this.itemLog.writeFailure('reward_failed', job);
-    this.scheduler.onRewardFailure(job);
+  private recordRewardFailure({job, id}: RewardCall): void {
+    this.itemLog.writeFailure('reward_failed', job, id);
+    this.scheduler.onRewardFailure(job, id);
     this.scheduleDecision();
   }
 
--- a/packages/daemon/src/gateway/batches/item_log.ts
+++ b/packages/daemon/src/gateway/batches/item_log.ts
@@ -1,13 +1,14 @@
 /** Writes the progress and results of running items to the log, for callers and for a coordinator that takes over. */
 
 import type {Job} from '@radishyoke/core/batches/batch_job';
-import type {ItemResult} from '@radishyoke/core/batches/batch_record';
+import type {
+  FailureKind,
+  ItemResult,
+} from '@radishyoke/core/batches/batch_record';
 import type {LogStore} from '../store/log_store.js';
 import type {IndexReplicas} from './index_replica.js';
 import {IndexWriter, ProgressWriter} from './record_writer.js';
 
-type FailureKind = 'attempt_failed' | 'attempt_impossible' | 'reward_failed';
-
 /** The writers of one partition. */
 interface Writers {
   readonly index: IndexWriter;
@@ -35,10 +36,11 @@
     );
   }
 
-  /** Records that an endpoint answered an attempt or a reward call with a failure. */
-  writeFailure(kind: FailureKind, job: Job): void {
+  /** Records that an endpoint answered `attempt`, the id of a run or a reward call, with a failure. */
+  writeFailure(kind: FailureKind, job: Job, attempt: string): void {
     const {id: batchId} = job.batch.batch;
-    this.openWriters(batchId).index.write({kind, batchId, itemId: job.item.id});
+    const {id: itemId} = job.item;
+    this.openWriters(batchId).index.write({kind, batchId, itemId, attempt});
   }
 
   /** Writes the events that were added since the last write. */
--- a/packages/daemon/src/gateway/batches/record_writer.ts
+++ b/packages/daemon/src/gateway/batches/record_writer.ts
@@ -1,6 +1,7 @@
 /**
- * Appends the records of one partition in few calls. Duplicates of a batch
- * record have no effect, so an append that got no answer is retried.
+ * Appends the records of one partition in few calls. An append that got no answer
+ * is retried, so the log may store its records twice, in any order with later
+ * ones; `IndexRecord` and `ProgressRecord` say why that changes nothing.
  */
 
 import type {
--- a/packages/daemon/src/gateway/batches/reward_task.ts
+++ b/packages/daemon/src/gateway/batches/reward_task.ts
@@ -40,6 +40,8 @@
   readonly protocol: EndpointProtocol;
   readonly config: ConfigHolder;
   readonly dataCentre: string;
+  /** Unique for each time that a VM becomes the coordinator. */
+  readonly termId: string;
   readonly crashes: CrashWatch;
   readonly metrics: GatewayMetrics;
   readonly logger: EventLogger;
@@ -48,7 +50,7 @@
 export interface RewardEvents {
   onScore(job: Job, score: string): void;
   /** An endpoint answered that the call failed. */
-  onFailed(job: Job): void;
+  onFailed(call: RewardCall): void;
   /** A call ended without a result for its job, so another call may start. */
   onFree(): void;
 }
@@ -62,14 +64,14 @@
 
 export class RewardTask {
   private readonly scheduler: RewardScheduler;
-  private readonly exchanges = new Map<number, EndpointExchange>();
+  private readonly exchanges = new Map<string, EndpointExchange>();
   private isStopped = false;
 
   constructor(
     private readonly deps: RewardDeps,
     private readonly events: RewardEvents,
   ) {
-    this.scheduler = new RewardScheduler(deps.dataCentre);
+    this.scheduler = new RewardScheduler(deps.dataCentre, deps.termId);
   }
 
   /** Starts and cancels calls for `jobs`, which are ordered by urgency, the most urgent first. */
@@ -85,7 +87,7 @@
       Math.random(),
     )) {
       if (action.kind === 'call') void this.run(action.call);
-      else this.exchanges.get(action.call.number)?.abort();
+      else this.exchanges.get(action.call.id)?.abort();
     }
   }
 
@@ -124,12 +126,11 @@
       protocol,
       entry,
     );
-    this.exchanges.set(call.number, exchange);
+    this.exchanges.set(call.id, exchange);
     view.recordStart(entry);
     const outcome = await this.exchange(call, entry, exchange);
     view.recordEnd(entry);
-    const isCancelled =
-      !this.exchanges.delete(call.number) || exchange.isAborted;
+    const isCancelled = !this.exchanges.delete(call.id) || exchange.isAborted;
     const end = isCancelled
       ? {kind: 'cancelled' as const}
       : classifyOutcome(outcome);
@@ -187,7 +188,7 @@
         this.events.onScore(job, end.score);
         return;
       case 'failed':
-        this.events.onFailed(job);
+        this.events.onFailed(call);
         return;
       default:
         this.events.onFree();
