fix(core): a coordinator counts failures that the log stores after it took over

What callers could see: an item with more runs than its attempts allow. A record of the previous coordinator that is stored late, after its successor has read the batch, was counted by nobody but the next one that takes over; so was a failure of a run that the scheduler was just stopping. The coordinator counts in memory and starts from the index once.

Change: the index says when a record adds a failure, and the coordinator adds it to its own list. Ids make that idempotent, so its own records, read back, change nothing. Nothing is given up at that moment: a run of the item may succeed, and its next failure decides.

--- a/packages/core/src/batches/__tests__/record_copies.spec.ts
+++ b/packages/core/src/batches/__tests__/record_copies.spec.ts
@@ -154,6 +154,14 @@
   t.false(result.failed, JSON.stringify(result.counterexample));
 });
 
+// Guards against a coordinator that counts in memory and one that takes over that decide differently.
+test('a coordinator counts the failures that the log holds, whenever they were stored', t => {
+  fc.assert(
+    fc.property(storyArbitrary, story => t.true(play(story).agreesWithLog())),
+    RUNS,
+  );
+});
+
 // Guards against a model that could not fail.
 test('the model finds a log in which each copy counts', t => {
   const result = fc.check(
--- a/packages/core/src/batches/__tests__/record_copies_model.ts
+++ b/packages/core/src/batches/__tests__/record_copies_model.ts
@@ -104,6 +104,18 @@
     return this.answers.get(itemId)!.failed;
   }
 
+  /** Whether the coordinator has counted the same failures as the log, once all records are stored. */
+  agreesWithLog(): boolean {
+    for (const record of this.onTheirWay.splice(0)) this.store(record);
+    const {items} = this.log.index.get(this.batch.id)!;
+    const [open] = this.scheduler.openBatches;
+    return [...open.jobs].every(
+      ([id, {failedRuns}]) =>
+        failedRuns.length === items.get(id)!.failedRuns.length &&
+        items.get(id)!.failedRuns.every(run => failedRuns.includes(run)),
+    );
+  }
+
   private get batch(): Batch {
     return this.batches.at(-1)!;
   }
@@ -182,7 +194,10 @@
 
   /** The coordinator reads each record as soon as it is stored. */
   private store(record: IndexRecord): void {
-    this.log.apply(record);
+    const change = this.log.apply(record);
+    if (change?.kind === 'failed') {
+      this.scheduler.onFailureRecorded(change.failure);
+    }
   }
 
   private decide(): void {
--- a/packages/core/src/batches/batch_index.ts
+++ b/packages/core/src/batches/batch_index.ts
@@ -53,8 +53,20 @@
       readonly kind: 'listed';
       readonly entry: IndexedBatch;
       readonly listed: ListedResult;
+    }
+  | {
+      readonly kind: 'failed';
+      readonly entry: IndexedBatch;
+      readonly failure: FailureRecord;
     };
 
+/** The list of an item that each kind of failure is added to. */
+const ATTEMPT_LISTS = {
+  attempt_failed: 'failedRuns',
+  attempt_impossible: 'rejectedRuns',
+  reward_failed: 'failedRewardCalls',
+} as const;
+
 export class BatchIndex {
   private readonly batches = new Map<string, IndexedBatch>();
 
@@ -76,8 +88,7 @@
       case 'attempt_failed':
       case 'attempt_impossible':
       case 'reward_failed':
-        this.recordFailure(record);
-        return undefined;
+        return this.recordFailure(record);
       case 'ended':
         return this.end(record.batchId);
     }
@@ -138,19 +149,16 @@
     return {kind: 'listed', entry, listed};
   }
 
-  private recordFailure({kind, batchId, itemId, attempt}: FailureRecord): void {
-    const item = this.batches.get(batchId)?.items.get(itemId);
-    if (!item) return;
-    switch (kind) {
-      case 'attempt_failed':
-        item.failedRuns = addAttempt(item.failedRuns, attempt);
-        return;
-      case 'attempt_impossible':
-        item.rejectedRuns = addAttempt(item.rejectedRuns, attempt);
-        return;
-      case 'reward_failed':
-        item.failedRewardCalls = addAttempt(item.failedRewardCalls, attempt);
-    }
+  private recordFailure(failure: FailureRecord): IndexChange | undefined {
+    const {kind, batchId, itemId, attempt} = failure;
+    const entry = this.batches.get(batchId);
+    const item = entry?.items.get(itemId);
+    if (!entry || !item) return undefined;
+    const list = ATTEMPT_LISTS[kind];
+    const attempts = addAttempt(item[list], attempt);
+    if (attempts === item[list]) return undefined;
+    item[list] = attempts;
+    return {kind: 'failed', entry, failure};
   }
 
   private end(batchId: string): IndexChange | undefined {
--- a/packages/core/src/batches/batch_scheduler.ts
+++ b/packages/core/src/batches/batch_scheduler.ts
@@ -9,6 +9,7 @@
  * longest item of the groups that its trainer needs.
  */
 
+import {addAttempt} from './attempt_ids.js';
 import {
   ASSUMED_GAP_MS,
   createJob,
@@ -18,7 +19,12 @@
   type OpenBatchTerms,
   type Run,
 } from './batch_job.js';
-import type {BatchHeader, ListedResult, OutputEvent} from './batch_record.js';
+import type {
+  BatchHeader,
+  FailureRecord,
+  ListedResult,
+  OutputEvent,
+} from './batch_record.js';
 import type {BatchState} from './batch_state.js';
 import {CriticalItems} from './critical_items.js';
 import {EarlyMoves} from './early_moves.js';
@@ -314,6 +320,25 @@
     }
   }
 
+  /**
+   * Counts a failure in the log, from this scheduler or another one. The item is
+   * given up at its next failure at the earliest, as a run of it may succeed.
+   */
+  onFailureRecorded({kind, batchId, itemId, attempt}: FailureRecord): void {
+    const job = this.open.get(batchId)?.jobs.get(itemId);
+    if (!job) return;
+    switch (kind) {
+      case 'attempt_failed':
+        job.failedRuns = addAttempt(job.failedRuns, attempt);
+        return;
+      case 'reward_failed':
+        job.failedRewardCalls = addAttempt(job.failedRewardCalls, attempt);
+        return;
+      case 'attempt_impossible':
+      // The result of the item follows it.
+    }
+  }
+
   /**
    * Applies a new version of the configuration to a batch; `terms` is undefined
    * if it has no route for it. Runs then stop, as nothing is left to judge their
--- a/packages/daemon/src/gateway/batches/batch_runner.ts
+++ b/packages/daemon/src/gateway/batches/batch_runner.ts
@@ -283,6 +283,9 @@
       case 'opened':
         void this.tryOpen(entry, false);
         return;
+      case 'failed':
+        this.scheduler.onFailureRecorded(change.failure);
+        return;
       case 'ended':
         this.scheduler.closeBatch(id);
         break;
