fix(core): an acceptance that is stored after its batch was dropped is void

What could be seen: a batch whose retention is over is opened once more, without its results, as a copy of its acceptance arrives (the store may do a call without an answer later); a coordinator reads its payload and gives its items up again.

Cause: the first acceptance of an id counts, but the index forgets the id with the batch.

Change: the index remembers up to which time of submission it dropped batches, and ignores acceptances from before.

--- a/packages/core/src/batches/__tests__/batch_index.spec.ts
+++ b/packages/core/src/batches/__tests__/batch_index.spec.ts
@@ -97,6 +97,17 @@
   return {kind, batchId: 'b0', itemId, ...id};
 }
 
+// Guards against a batch that is run once more, as a copy of its acceptance is stored after it was dropped.
+test('a batch that was dropped is not opened again', t => {
+  const index = createIndex();
+  index.apply(list('g0a'));
+  index.forget(1);
+  t.is(index.apply(acceptBatch(BATCH)), undefined);
+  t.is(index.get('b0'), undefined);
+  const later = createBatch('b1', ['g0a'], {submittedAtMs: 1});
+  t.is(index.apply(acceptBatch(later))?.kind, 'opened');
+});
+
 test('failed reward calls are counted for a coordinator that takes over', t => {
   const index = createIndex();
   index.apply(recordFailure('reward_failed', 'call-1'));
--- a/packages/core/src/batches/batch_index.ts
+++ b/packages/core/src/batches/batch_index.ts
@@ -69,6 +69,8 @@
 
 export class BatchIndex {
   private readonly batches = new Map<string, IndexedBatch>();
+  /** Batches that were submitted before this are dropped, Unix ms. */
+  private retainedFromMs = -Infinity;
 
   get entries(): IterableIterator<IndexedBatch> {
     return this.batches.values();
@@ -94,8 +96,12 @@
     }
   }
 
-  /** Drops batches that were submitted before `beforeMs` (Unix ms). */
+  /**
+   * Drops batches that were submitted before `beforeMs` (Unix ms). Their ids stay
+   * void: a copy of an acceptance would open the batch again without its results.
+   */
   forget(beforeMs: number): void {
+    this.retainedFromMs = Math.max(this.retainedFromMs, beforeMs);
     for (const [id, {header}] of this.batches) {
       if (header.submittedAtMs < beforeMs) this.batches.delete(id);
     }
@@ -113,6 +119,7 @@
     payload,
   }: Extract<IndexRecord, {kind: 'accepted'}>): IndexChange | undefined {
     if (this.batches.has(header.id)) return undefined;
+    if (header.submittedAtMs < this.retainedFromMs) return undefined;
     const items = new Map<string, IndexedItem>();
     for (const id of itemIds) {
       items.set(id, {
