fix(core): a copy of a progress record does not replace the output after it

What could be seen: a step that ends late after a change of the coordinator, as output that was stored is generated again. Never a wrong text: what is left is the beginning of one.

Cause: the writer of progress appends in order, but an append whose answer is lost is repeated and may be done once more seconds later, behind newer records. A transcript that joins a record drops what it held after that place, so the late copy cut it back to where it was then: 2 of 4 events in the test; a complete text that waits for its score was no longer complete.

Change: the fold applies each record once. An event of a run identifies all output before it (the rule that `Transcript.join` relies on already), so first event, last event and the end mark identify a record. Records stay as they are.

"a copy of a progress record changes nothing" places a copy of each of four records of two runs at each later place: it failed ("copy of 0 at 2") and passes now, with the 75 tests of batches in the daemon and of rewards.

--- a/packages/core/src/batches/__tests__/batch_state.spec.ts
+++ b/packages/core/src/batches/__tests__/batch_state.spec.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import type {ItemResult} from '../batch_record.js';
+import type {ItemResult, ProgressRecord} from '../batch_record.js';
 import {ProgressFold} from '../batch_state.js';
 import {
   acceptBatch,
@@ -65,6 +65,26 @@
   t.false(transcript.isComplete, 'another run continued from event 1');
 });
 
+// Guards against output that is generated again after a takeover, as the copy of an older record replaced it.
+test('a copy of a progress record changes nothing', t => {
+  const records: readonly ProgressRecord[] = [
+    {...ITEM, events: [createEvent(1, 'a'), createEvent(2, 'a')]},
+    {...ITEM, afterRun: 'a', events: [createEvent(3, 'a')]},
+    {...ITEM, afterRun: 'a', events: [createEvent(4, 'b')]},
+    {...ITEM, afterRun: 'a', events: [createEvent(4, 'b')], isWhole: true},
+  ];
+  for (const [i, copy] of records.entries()) {
+    for (let at = i + 1; at <= records.length; at++) {
+      const fold = new ProgressFold('b0');
+      const stored = [...records.slice(0, at), copy, ...records.slice(at)];
+      for (const record of stored) fold.apply(record);
+      const transcript = fold.transcripts.get('g0a')!;
+      t.is(transcript.joinOutput(), '1\n2\n3\n4', `copy of ${i} at ${at}`);
+      t.is(transcript.isComplete, true, `copy of ${i} at ${at}`);
+    }
+  }
+});
+
 test('progress of other batches is ignored', t => {
   const fold = new ProgressFold('b0');
   const events = [createEvent(1, 'a')];
--- a/packages/core/src/batches/batch_record.ts
+++ b/packages/core/src/batches/batch_record.ts
@@ -181,7 +181,10 @@
   /** A batch ends once. */
   | {readonly kind: 'ended'; readonly batchId: string};
 
-/** Output events of a running item, for a coordinator that takes over. */
+/**
+ * Output events of a running item, for a coordinator that takes over. Each record
+ * is applied once, wherever copies of it are stored.
+ */
 export interface ProgressRecord {
   readonly batchId: string;
   readonly itemId: string;
--- a/packages/core/src/batches/batch_state.ts
+++ b/packages/core/src/batches/batch_state.ts
@@ -65,31 +65,60 @@
   return {batch, items, isEnded: entry.isEnded};
 }
 
+/** The output of one item, and the records that it was joined from. */
+interface FoldedItem {
+  readonly transcript: Transcript;
+  /** Identities of the records applied, see `identify`. */
+  readonly applied: Set<string>;
+}
+
 /**
  * Joins the progress records of one batch, in log order, into transcripts of
  * its items.
  */
 export class ProgressFold {
-  private readonly byItem = new Map<string, Transcript>();
+  private readonly byItem = new Map<string, FoldedItem>();
 
   constructor(private readonly batchId: string) {}
 
   get transcripts(): ReadonlyMap<string, Transcript> {
-    return this.byItem;
+    return new Map(
+      [...this.byItem].map(([id, {transcript}]) => [id, transcript]),
+    );
   }
 
   /**
    * Applies the next record. Progress that does not follow the output so far is
-   * dropped; that part is then generated again.
+   * dropped; that part is then generated again. So would be what follows a record
+   * of which a copy is stored late, if the copy were applied.
    */
-  apply({batchId, itemId, afterRun, events, isWhole}: ProgressRecord): void {
+  apply(record: ProgressRecord): void {
+    const {batchId, itemId, afterRun, events, isWhole} = record;
     if (batchId !== this.batchId) return;
-    let transcript = this.byItem.get(itemId);
-    if (!transcript) {
-      transcript = new Transcript();
-      this.byItem.set(itemId, transcript);
-    }
+    const {transcript, applied} = this.openItem(itemId);
+    const identity = identify(record);
+    if (applied.has(identity)) return;
+    applied.add(identity);
     const isJoined = transcript.join(afterRun, events);
     if (isJoined && isWhole) transcript.finish();
   }
+
+  private openItem(itemId: string): FoldedItem {
+    let item = this.byItem.get(itemId);
+    if (!item) {
+      item = {transcript: new Transcript(), applied: new Set()};
+      this.byItem.set(itemId, item);
+    }
+    return item;
+  }
+}
+
+/**
+ * Identifies a record among those of its item. An event of a run identifies all
+ * output before it, so the first and the last one identify the events.
+ */
+function identify({events, isWhole = false}: ProgressRecord): string {
+  const first = events.at(0);
+  const last = events.at(-1);
+  return `${first?.run} ${first?.id} ${last?.run} ${last?.id} ${isWhole}`;
 }
