feat(daemon): the line of a result names the attempts that counted

While the case of review/3 was traced, the log could not tell from which count the next coordinator started: `item has a result` said attempts_used_up and nothing of the failures; only the store's records told it (three records of a failed attempt for two answers of 500).

`run failed`, `run impossible` and `reward call ended` name the attempt by the id that is stored, and `item has a result` lists the ids that counted, with those of earlier coordinators; an empty id stands for records of a build without ids. Other lines are as before: a result without failures has no field more.

--- a/packages/core/src/batches/__tests__/batch_scheduler.spec.ts
+++ b/packages/core/src/batches/__tests__/batch_scheduler.spec.ts
@@ -188,7 +188,11 @@
   t.is(run.job.item.id, 'g1a');
   scheduler.onRunEnd(run, 'failed', 10);
   const [second] = scheduler.decide(20);
-  t.like(second, {kind: 'list', reason: 'failed_in_earlier_batches'});
+  t.like(second, {
+    kind: 'list',
+    reason: 'failed_in_earlier_batches',
+    failedAttempts: [run.id],
+  });
 });
 
 test('an item is given up after its attempts, and at once if it is impossible', t => {
--- a/packages/core/src/batches/job_outcomes.ts
+++ b/packages/core/src/batches/job_outcomes.ts
@@ -160,7 +160,8 @@
     const batchId = job.batch.batch.id;
     const endsStep = this.marksStepEnds && isStepComplete(job.batch);
     const marked = endsStep ? {...result, endsStep} : result;
-    this.emit({kind: 'list', batchId, result: marked, reason});
+    const failedAttempts = [...job.failedRuns, ...job.failedRewardCalls];
+    this.emit({kind: 'list', batchId, result: marked, reason, failedAttempts});
   }
 }
 
--- a/packages/core/src/batches/schedule_action.ts
+++ b/packages/core/src/batches/schedule_action.ts
@@ -3,6 +3,7 @@
  * it requests from its owner.
  */
 
+import type {AttemptIds} from './attempt_ids.js';
 import type {ItemResult} from './batch_record.js';
 import type {Run} from './batch_job.js';
 
@@ -36,6 +37,8 @@
       readonly batchId: string;
       readonly result: ItemResult;
       readonly reason: ListReason;
+      /** Runs and reward calls of the item in this batch that failed. */
+      readonly failedAttempts: AttemptIds;
     }
   /** Items are to be given up as soon as the newest configuration is known. */
   | {readonly kind: 'confirm_config'};
--- a/packages/daemon/src/gateway/batches/batch_runner.ts
+++ b/packages/daemon/src/gateway/batches/batch_runner.ts
@@ -104,7 +104,7 @@
 /** Log events about a run. */
 type RunLogEvent = Exclude<
   Extract<LogEventName, `run ${string}`>,
-  'run broken'
+  'run broken' | 'run failed' | 'run impossible'
 >;
 
 interface LiveRun {
@@ -480,6 +480,7 @@
           outcome: action.result.state,
           reason: action.reason,
           versions: action.result.versions.join(','),
+          failedAttempts: action.failedAttempts.join(',') || undefined,
         });
         this.itemLog.writeResult(action.batchId, action.result);
         return;
@@ -630,11 +631,23 @@
   }
 
   private logEnd(run: Run, end: RunEnd, reason: string): void {
-    if (end === 'stopped') return;
-    if (end !== 'broken') return this.logRun(run, `run ${end}`, reason);
-    const fingerprint = this.fingerprint(run.job);
-    const fields = {...this.describeRun(run, reason), fingerprint};
-    this.deps.logger.log('info', 'run broken', fields);
+    const {logger} = this.deps;
+    switch (end) {
+      case 'stopped':
+        return;
+      case 'broken': {
+        const fingerprint = this.fingerprint(run.job);
+        const fields = {...this.describeRun(run, reason), fingerprint};
+        return logger.log('info', 'run broken', fields);
+      }
+      case 'failed':
+      case 'impossible': {
+        const fields = {...this.describeRun(run, reason), attempt: run.id};
+        return logger.log('info', `run ${end}`, fields);
+      }
+      default:
+        this.logRun(run, `run ${end}`, reason);
+    }
   }
 
   private logRun(run: Run, message: RunLogEvent, reason: string): void {
--- a/packages/daemon/src/gateway/batches/reward_task.ts
+++ b/packages/daemon/src/gateway/batches/reward_task.ts
@@ -213,11 +213,12 @@
   }
 
   private logEnd(call: RewardCall, end: RewardEnd, detail: string): void {
-    const {job, reward, endpointId, startedMs} = call;
+    const {id, job, reward, endpointId, startedMs} = call;
     this.deps.logger.log('info', 'reward call ended', {
       requestId: job.item.id,
       batch: job.batch.batch.id,
       call: reward.id,
+      attempt: id,
       endpoint: endpointId,
       outcome: end.kind,
       detail,
--- a/packages/shared/src/log_event.ts
+++ b/packages/shared/src/log_event.ts
@@ -45,6 +45,11 @@
   readonly configVersion: number;
 };
 
+/** A run or reward call by the id under which its failure counts. */
+type AttemptFields = {
+  readonly attempt: string;
+};
+
 /** One reward call for the text of an item. */
 type RewardFields = RequestFields & {
   readonly batch: string;
@@ -313,20 +318,21 @@
   readonly 'run stopped': RunFields;
   readonly 'run out of order': RunFields;
   readonly 'run finished': RunFields;
-  readonly 'run failed': RunFields;
-  readonly 'run impossible': RunFields;
+  readonly 'run failed': RunFields & AttemptFields;
+  readonly 'run impossible': RunFields & AttemptFields;
   readonly 'run refused': RunFields;
   readonly 'run misdirected': RunFields;
   readonly 'run unreachable': RunFields;
   readonly 'run broken': RunFields & {readonly fingerprint: string};
   readonly 'reward call started': RewardFields & DecisionFields;
-  readonly 'reward call ended': RewardFields & {
-    readonly outcome: string;
-    readonly detail: string;
-    readonly tookMs: number;
-    /** Set if the call's connection broke. */
-    readonly fingerprint: string | undefined;
-  };
+  readonly 'reward call ended': RewardFields &
+    AttemptFields & {
+      readonly outcome: string;
+      readonly detail: string;
+      readonly tookMs: number;
+      /** Set if the call's connection broke. */
+      readonly fingerprint: string | undefined;
+    };
   readonly 'items are run by another VM': {readonly runs: number};
   /** The coordinator retries until the batch can be read. */
   readonly 'batch can not be read': {
@@ -339,6 +345,8 @@
     readonly outcome: string;
     readonly reason: string;
     readonly versions: string;
+    /** Attempts that counted as failed, separated by commas; undefined for none. */
+    readonly failedAttempts: string | undefined;
   };
   /** A stored item that no HTTP request can carry; it stays without a result until its retention is over. */
   readonly 'item can not be sent': RequestFields & {
