fix(core): a crash report that is read again counts once on a VM with a late clock

What could be seen: a request that crashes nothing is refused as quarantined. Needs a VM whose time of day is behind by more than a second, and one report of a crash that this VM reads more than once, seconds apart: a repeated append whose first copy is stored late, or another VM that publishes the same request.

Cause: a report ahead of the VM's clock was stored with the time of reading it, and reports of one crash are recognised by their time (1 s). Each reading gave another time, so one crash of weight 2 became two, and three reach the quarantine.

Change: the reported time stays as it is and identifies the crash; the time from which the quarantine counts is kept beside it, as of the first reading. So a clock that is ahead elsewhere still does not extend a quarantine.

--- a/packages/core/src/crashes/__tests__/crash_registry.spec.ts
+++ b/packages/core/src/crashes/__tests__/crash_registry.spec.ts
@@ -53,6 +53,15 @@
   t.is(registry.getStatus('f', 300).kind, 'held');
 });
 
+// Guards against an innocent request being quarantined, as one report that is read again counts again on a VM whose clock is behind.
+test('a report that is read again changes nothing, whatever the clock says', t => {
+  const registry = new CrashRegistry(0);
+  const crash = createCrash('e0', 10_000);
+  for (const nowMs of [8000, 9500, 12_000]) registry.merge('f', [crash], nowMs);
+  t.deepEqual(registry.getCrashes('f'), [crash]);
+  t.is(registry.getStatus('f', 12_000).kind, 'suspect');
+});
+
 // Guards against one crash counting several times because several VMs report
 // it.
 test('one crash counts once, however many VMs report it', t => {
--- a/packages/core/src/crashes/crash_registry.ts
+++ b/packages/core/src/crashes/crash_registry.ts
@@ -89,9 +89,18 @@
 const CLEAR: QuarantineStatus = {kind: 'clear'};
 const SUSPECT: QuarantineStatus = {kind: 'suspect'};
 
+/** A crash as this VM knows it. */
+interface KnownCrash extends CrashRecord {
+  /**
+   * Unix ms from which the quarantine counts: `atMs`, or the time of its first
+   * report if that was ahead of this VM's clock.
+   */
+  readonly sinceMs: number;
+}
+
 interface Entry {
   /** Ordered by time. */
-  crashes: readonly CrashRecord[];
+  crashes: readonly KnownCrash[];
   /** Unix ms until which a probe may be running. */
   probeUntilMs: number;
 }
@@ -116,7 +125,12 @@
   }
 
   getCrashes(fingerprint: string): readonly CrashRecord[] {
-    return this.entries.get(fingerprint)?.crashes ?? [];
+    const {crashes = []} = this.entries.get(fingerprint) ?? {};
+    return crashes.map(({endpointId, atMs, weight}) => ({
+      endpointId,
+      atMs,
+      weight,
+    }));
   }
 
   getStatus(fingerprint: string, nowMs: number): QuarantineStatus {
@@ -151,8 +165,8 @@
   }
 
   /**
-   * Merges crashes reported by another VM. Times ahead of this VM's clock count
-   * as now.
+   * Merges crashes reported by another VM, which may report them again. Times
+   * ahead of this VM's clock count as now.
    */
   merge(
     fingerprint: string,
@@ -160,11 +174,11 @@
     nowMs: number,
   ): void {
     const existing = this.entries.get(fingerprint);
-    const clamped = crashes.map(crash => ({
+    const reported = crashes.map(crash => ({
       ...crash,
-      atMs: Math.min(crash.atMs, nowMs),
+      sinceMs: Math.min(crash.atMs, nowMs),
     }));
-    const merged = mergeCrashes([...(existing?.crashes ?? []), ...clamped]);
+    const merged = mergeCrashes([...(existing?.crashes ?? []), ...reported]);
     this.entries.delete(fingerprint);
     const probeUntilMs = existing?.probeUntilMs ?? -Infinity;
     this.entries.set(fingerprint, {crashes: merged, probeUntilMs});
@@ -233,8 +247,8 @@
 }
 
 /** Orders records by time and merges those of the same crash. */
-function mergeCrashes(crashes: readonly CrashRecord[]): readonly CrashRecord[] {
-  const merged: CrashRecord[] = [];
+function mergeCrashes(crashes: readonly KnownCrash[]): readonly KnownCrash[] {
+  const merged: KnownCrash[] = [];
   for (const crash of [...crashes].sort((a, b) => a.atMs - b.atMs)) {
     const index = merged.findIndex(earlier => isSameCrash(earlier, crash));
     if (index < 0) merged.push(crash);
@@ -259,5 +273,5 @@
 }
 
 function findLastMs({crashes}: Entry): number {
-  return crashes.at(-1)?.atMs ?? -Infinity;
+  return Math.max(-Infinity, ...crashes.map(({sinceMs}) => sinceMs));
 }
