fix(daemon): a late copy of an older crash record does not hide newer crashes

What could be seen: after a loss of all VMs, or at a VM that starts later, a request that crashes endpoints is tried more often than it should be. The newest record of a request holds all crashes that its writer knows. A repeated append whose first copy is stored seconds later, behind a newer record, becomes the newest one; VMs that run merge and lose nothing, but one that starts reads only that.

Change: a VM that published a request and reads a record with fewer crashes than it knows writes what it knows once more. Only VMs that published that request do so, and they stop when the newest record is complete: at most one write each, a case of an append that was stored late or of two VMs that wrote at the same time.

Copies of withdrawals were weighed and left: a withdrawal says that the request completed, and one that crashes endpoints never does, so a late copy can only clear a request that is innocent, and a late record of such a one is withdrawn when it completes again.

"a copy of an older record is replaced by what this VM had published" fails without the change (no second write) and passes with it; 20 tests of packages/daemon/src/gateway/crashes pass.

--- a/packages/daemon/src/gateway/crashes/__tests__/crash_replicator.spec.ts
+++ b/packages/daemon/src/gateway/crashes/__tests__/crash_replicator.spec.ts
@@ -81,6 +81,28 @@
   t.deepEqual(updated, ['f', 'g']);
 });
 
+// Guards against crashes that a VM which starts later does not know, as a copy of an older record was stored behind the newest.
+test('a copy of an older record is replaced by what this VM had published', async t => {
+  const store = new MemoryStore();
+  const {registry, replicator} = createReplicator(t, store);
+  const crashes = [CRASH, {...CRASH, endpointId: 'e2'}];
+  registry.merge('f', crashes, Date.now());
+  replicator.publish('f');
+  await waitUntil(() => store.keyedWrites.length === 1);
+  const createCopy = (known: readonly CrashRecord[], offset: number) => ({
+    key: 'f',
+    value: Buffer.from(encodeCrashRecords(known)),
+    offset,
+  });
+  const records = [createCopy(crashes, 0), createCopy([CRASH], 1)];
+  store.keyedReads.push({kind: 'page', records, endOffset: 2});
+  void replicator.run();
+  await waitUntil(() => store.keyedWrites.length === 2);
+  await sleep(100);
+  const newest = store.keyedWrites.map(({value}) => decodeCrashRecords(value!));
+  t.deepEqual(newest, Array(2).fill({ok: true, value: crashes}));
+});
+
 // Guards against a caller that fills the log with ever new requests.
 test('publishing a request beyond the limit withdraws the oldest', async t => {
   const {registry, replicator, store} = createReplicator(t);
--- a/packages/daemon/src/gateway/crashes/crash_replicator.ts
+++ b/packages/daemon/src/gateway/crashes/crash_replicator.ts
@@ -4,7 +4,10 @@
  * forgotten if all VMs restart. A VM that can not reach the log relies on the crashes it saw itself.
  */
 
-import type {CrashRegistry} from '@radishyoke/core/crashes/crash_registry';
+import type {
+  CrashRecord,
+  CrashRegistry,
+} from '@radishyoke/core/crashes/crash_registry';
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {EventLogger} from '../../logger.js';
 import {KeyedFeed} from '../store/keyed_feed.js';
@@ -28,6 +31,8 @@
   private readonly feed: KeyedFeed;
   /** Fingerprints whose record has to be written or withdrawn. */
   private readonly pending = new Set<string>();
+  /** Fingerprints whose newest record may be from this VM. */
+  private readonly published = new Set<string>();
   private isWriting = false;
   private isStopped = false;
 
@@ -65,6 +70,10 @@
     for (const pruned of this.registry.prune(Date.now())) {
       this.pending.add(pruned);
     }
+    this.enqueue(fingerprint);
+  }
+
+  private enqueue(fingerprint: string): void {
     this.pending.add(fingerprint);
     if (!this.isWriting) void this.writePending();
   }
@@ -72,18 +81,30 @@
   private applyRecord({key, value, offset}: KeyedRecord): void {
     if (value === undefined) {
       this.registry.clear(key);
+      this.published.delete(key);
       return;
     }
     const crashes = decodeCrashRecords(value);
     if (crashes.ok) {
       this.registry.merge(key, crashes.value, Date.now());
       this.onUpdate(key);
+      if (this.isOutdated(key, crashes.value)) this.enqueue(key);
       return;
     }
     const {detail} = crashes.error;
     this.logger.log('warn', 'record skipped', {key, offset, detail});
   }
 
+  /**
+   * Whether the newest record of the request lacks crashes that this VM had
+   * published. A copy of an older record that is stored late hides them from VMs
+   * that start afterwards.
+   */
+  private isOutdated(key: string, newest: readonly CrashRecord[]): boolean {
+    if (!this.published.has(key)) return false;
+    return newest.length < this.registry.getCrashes(key).length;
+  }
+
   /** Writes all pending records, and retries until the log stores them. */
   private async writePending(): Promise<void> {
     this.isWriting = true;
@@ -108,8 +129,11 @@
   /** Returns the request's record; one without a value withdraws it. */
   private createRecord(key: string): NewKeyedRecord {
     const crashes = this.registry.getCrashes(key);
-    return crashes.length === 0
-      ? {key}
-      : {key, value: encodeCrashRecords(crashes)};
+    if (crashes.length === 0) {
+      this.published.delete(key);
+      return {key};
+    }
+    this.published.add(key);
+    return {key, value: encodeCrashRecords(crashes)};
   }
 }
