fix(daemon): a stream that ended in order is whole, also if its reader pauses at the end

What callers saw: a stream that is broken off at its end, or resumed at another endpoint, although all of it had arrived. Needs an answer without a length and a client that reads more slowly than the endpoint sends.

Cause: such an answer ends with its connection. If its last events still wait for the reader then, the request reports its closed connection before the response reports its end, and `EndpointStream` took the first report for a failure.

"a stream without a length that ends in order is whole" fails without the change and passes with it; 42 tests of exchanges and requests pass.

--- a/packages/daemon/src/gateway/endpoints/__tests__/endpoint_exchange.spec.ts
+++ b/packages/daemon/src/gateway/endpoints/__tests__/endpoint_exchange.spec.ts
@@ -1,12 +1,13 @@
 import http from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
-import test from 'ava';
+import test, {type ExecutionContext} from 'ava';
 import {
   EndpointExchange,
   type ExchangeOutcome,
   type ExchangeRequest,
 } from '../endpoint_exchange.js';
-import {EndpointStream} from '../endpoint_stream.js';
+import {EndpointLinks} from '../endpoint_links.js';
+import {EndpointStream, type StreamOutcome} from '../endpoint_stream.js';
 import {callOnce} from '../http_call.js';
 import {
   createEntry,
@@ -141,7 +142,7 @@
 
 function runExchange(port: number): Promise<ExchangeOutcome> {
   const entry = createEntry(port);
-  const agent = new http.Agent({keepAlive: false});
+  const agent = new EndpointLinks().getAgent(entry);
   const exchange = new EndpointExchange(agent, new PlainProtocol(), entry);
   return exchange.run({
     method: 'POST',
@@ -166,6 +167,43 @@
   });
 }
 
+/** Reads a stream whose reader takes a pause after each event. */
+async function runStream(
+  t: ExecutionContext,
+  text: string,
+  ending: ConnectionEnding,
+): Promise<{readonly events: number; readonly kind: StreamOutcome['kind']}> {
+  const {entry, close} = await startRawServer(text, ending);
+  t.teardown(close);
+  let events = 0;
+  const reader = {
+    onHead: () => undefined,
+    onEvent: () => ++events > 0,
+    waitForDrain: () => sleep(1),
+  };
+  const agent = new EndpointLinks().getAgent(entry);
+  const stream = new EndpointStream(agent, new PlainProtocol(), entry, reader);
+  const {kind} = await stream.run(REQUEST);
+  return {events, kind};
+}
+
+const STREAM_EVENTS = 2000;
+
+/** A stream without a length, of so many events that its reader pauses before the end. */
+function createStreamText(): string {
+  const events = Array.from(
+    {length: STREAM_EVENTS},
+    (_, i) => `id: ${i}\ndata: ${i}\n\n`,
+  );
+  return `${HEAD}Connection: close\r\n\r\n${events.join('')}`;
+}
+
+// Guards against a stream that is broken off although all of it arrived, as its connection closed while its reader paused.
+test('a stream without a length that ends in order is whole', async t => {
+  const outcome = await runStream(t, createStreamText(), 'end');
+  t.deepEqual(outcome, {events: STREAM_EVENTS, kind: 'whole'});
+});
+
 test('a request without a connection is unsent', async t => {
   const server = await startRawServer('', 'keep');
   await server.close();
--- a/packages/daemon/src/gateway/endpoints/endpoint_stream.ts
+++ b/packages/daemon/src/gateway/endpoints/endpoint_stream.ts
@@ -46,6 +46,7 @@
 
 export class EndpointStream {
   private req: http.ClientRequest | undefined;
+  private res: http.IncomingMessage | undefined;
   private isConnected = false;
   private wasAborted = false;
   private resolve: (outcome: StreamOutcome) => void = () => undefined;
@@ -90,11 +91,16 @@
     };
     watchConnection(req, events, CONNECT_TIMEOUT_MS);
     req.on('error', err => this.fail(err.message));
-    req.on('close', () => this.fail('the connection closed'));
+    req.on('close', () => this.handleClose());
     req.on('response', res => this.receive(res, request.attemptId));
     req.end(body);
   }
 
+  /** A complete answer may still have events that wait for the reader. */
+  private handleClose(): void {
+    if (!this.res?.complete) this.fail('the connection closed');
+  }
+
   /** Ends the attempt; the endpoint sees its connection close. */
   abort(detail: string): void {
     this.wasAborted = true;
@@ -111,6 +117,7 @@
     res: http.IncomingMessage,
     attemptId: string | undefined,
   ): void {
+    this.res = res;
     const metadata = this.protocol.readAnswer(res.headers);
     const problem = findAnswerProblem(res, metadata, attemptId);
     if (problem) return this.abort(problem);
