fix(daemon): a text that ends in the middle of an event is not done

An item is listed as done with half of its events, for good: its engine was cut off in the middle of an event, and its answer, without a length, looked like one that ended. The half event was dropped, so nothing showed that there had been more.

Cause: `Generation` reported the run as finished at each orderly end. The check exists for streams to callers (`EventSplitter.hasPartialEvent`); texts of items had none.

Change: a run whose text does not end with a blank line is broken, whatever the end of its connection looked like; the item resumes after its last whole event. Only the last three characters are kept for it.

--- a/packages/daemon/src/gateway/batches/__tests__/generation.spec.ts
+++ b/packages/daemon/src/gateway/batches/__tests__/generation.spec.ts
@@ -75,6 +75,20 @@
     events: ['1:x@6'],
     end: 'broken',
   },
+  {
+    name: 'a text that ends in order in the middle of an event is not complete',
+    text: `${HEAD}id: 1\ndata: x\n\nid: 2\ndata: half\n`,
+    ending: 'end',
+    events: ['1:x@6'],
+    end: 'broken',
+  },
+  {
+    name: 'a text may end its lines with carriage returns, too',
+    text: `${HEAD}id: 1\r\ndata: x\r\n\r\nid: 2\r\ndata: y\r\n\r\n`,
+    ending: 'end',
+    events: ['1:x@6', '2:y@6'],
+    end: 'finished',
+  },
   {
     name: 'an event without an id breaks the run',
     text: `${HEAD}data: x\n\n`,
--- a/packages/daemon/src/gateway/batches/generation.ts
+++ b/packages/daemon/src/gateway/batches/generation.ts
@@ -27,6 +27,10 @@
 
 /** Time limit for connecting to an engine, ms. Round trips take a few ms. */
 const CONNECT_TIMEOUT_MS = 400;
+/** The end of a line and a blank line. */
+const EVENT_END = /\n\r?\n$/;
+/** Length of the longest `EVENT_END`, characters. */
+const EVENT_END_CHARS = 3;
 /** Status of an engine that is not the intended one. */
 const MISDIRECTED = 421;
 
@@ -36,6 +40,8 @@
   private isConnected = false;
   private hasEnded = false;
   private version: number | undefined;
+  /** The last characters received. */
+  private tail = '';
   private readonly parser: EventSourceParser;
 
   constructor(
@@ -123,14 +129,26 @@
     }
     this.version = metadata.weightVersion;
     res.setEncoding('utf8');
-    res.on('data', (text: string) => this.parser.feed(text));
+    res.on('data', (text: string) => this.feed(text));
     res.on('error', err => this.onDisconnect(err.message));
     res.on('end', () => {
       if (!res.complete) return this.onDisconnect('the stream ended early');
+      if (this.endsInEvent)
+        return this.onDisconnect('the stream ended in the middle of an event');
       this.end('finished', 'whole');
     });
   }
 
+  private feed(text: string): void {
+    this.tail = (this.tail + text).slice(-EVENT_END_CHARS);
+    this.parser.feed(text);
+  }
+
+  /** Whether the text received so far does not end with the blank line that ends an event. */
+  private get endsInEvent(): boolean {
+    return this.tail !== '' && !EVENT_END.test(this.tail);
+  }
+
   private reportSlowdown({stamp, load}: AnswerMetadata, status: number): void {
     // Another engine has the address if the run is misdirected, and an answer
     // without a stamp does not come from the engine.
