fix(daemon): a reset that arrives with the last bytes is not the end of an answer

An endpoint answers without a length and resets the connection halfway; the client gets 200 with the endpoint's stamp, half of the body and a length of ours under it, though another attempt is left. In the same way a text is listed as done.

Cause: an answer without a length ends with its connection, and Node.js (libuv) reports the end without a further read when a connection has hung up while bytes were read. So a reset that is read together with the last bytes looks like an orderly end, and `res.complete` is true.

Change: connections to endpoints are sockets whose reading can be held for one turn of the event loop after each piece, and are, from the head of an answer without a length on. Answers with a length or in chunks state their end and are read as before. A reset is then an attempt of unknown outcome as any other: repeated where that is allowed, else answered as unknown; a text resumes after its last event. What a device on the way turned into an orderly end can't be told; an answer that ended in order is whole and gets its length as before.

On the code before, 4 of the new tests fail: the exchange's answer and failure without a length, the stream, and the text "whose reset arrives with" them.

--- a/packages/daemon/src/gateway/__tests__/gateway_fixtures.ts
+++ b/packages/daemon/src/gateway/__tests__/gateway_fixtures.ts
@@ -113,7 +113,12 @@
 }
 
 /** What a raw server does with a connection after sending its text. */
-export type ConnectionEnding = 'keep' | 'end' | 'reset';
+export type ConnectionEnding =
+  | 'keep'
+  | 'end'
+  | 'reset'
+  /** The reset arrives together with the text. */
+  | 'reset_at_once';
 
 /** Starts a server that answers every request with `text`. */
 export async function startRawServer(
@@ -130,6 +135,7 @@
         // The delay lets the text arrive before the reset.
         if (ending === 'reset') setTimeout(() => socket.resetAndDestroy(), 20);
       });
+      if (ending === 'reset_at_once') socket.resetAndDestroy();
     });
   });
   await new Promise<void>(resolve =>
--- a/packages/daemon/src/gateway/batches/__tests__/generation.spec.ts
+++ b/packages/daemon/src/gateway/batches/__tests__/generation.spec.ts
@@ -3,6 +3,7 @@
 import type {BatchItem} from '@radishyoke/core/batches/batch_record';
 import type {RunEnd} from '@radishyoke/core/batches/schedule_action';
 import type {AnswerMetadata} from '../../endpoints/endpoint_protocol.js';
+import {EndpointLinks} from '../../endpoints/endpoint_links.js';
 import {Generation} from '../generation.js';
 import {
   type ConnectionEnding,
@@ -82,6 +83,13 @@
     events: ['1:x@6'],
     end: 'broken',
   },
+  {
+    name: 'a text whose reset arrives with its last event is not complete',
+    text: `${HEAD}id: 1\ndata: x\n\n`,
+    ending: 'reset_at_once',
+    events: ['1:x@6'],
+    end: 'broken',
+  },
   {
     name: 'a text may end its lines with carriage returns, too',
     text: `${HEAD}id: 1\r\ndata: x\r\n\r\nid: 2\r\ndata: y\r\n\r\n`,
@@ -143,7 +151,7 @@
     const seen: string[] = [];
     const ended = await new Promise<RunEnd>(resolve => {
       new Generation(
-        new http.Agent(),
+        new EndpointLinks().getAgent(server.entry),
         new PlainProtocol(),
         server.entry,
         ITEM,
--- a/packages/daemon/src/gateway/batches/generation.ts
+++ b/packages/daemon/src/gateway/batches/generation.ts
@@ -12,6 +12,7 @@
 import type {EndpointEntry} from '@radishyoke/core/fleet/endpoint_entry';
 import {createParser, type EventSourceParser} from 'eventsource-parser';
 import {describeUnmade, watchConnection} from '../endpoints/connections.js';
+import {detectReset} from '../endpoints/endpoint_agent.js';
 import type {
   AnswerMetadata,
   EndpointProtocol,
@@ -128,6 +129,7 @@
       return this.reject('broken', 'the answer does not come from the engine');
     }
     this.version = metadata.weightVersion;
+    detectReset(res);
     res.setEncoding('utf8');
     res.on('data', (text: string) => this.feed(text));
     res.on('error', err => this.onDisconnect(err.message));
--- a/packages/daemon/src/gateway/endpoints/__tests__/endpoint_exchange.spec.ts
+++ b/packages/daemon/src/gateway/endpoints/__tests__/endpoint_exchange.spec.ts
@@ -84,6 +84,24 @@
     ending: 'reset',
     expected: 'unknown',
   },
+  {
+    name: 'an answer without a length whose reset arrives with it is incomplete',
+    text: `${HEAD}Connection: close\r\n\r\nbo`,
+    ending: 'reset_at_once',
+    expected: 'unknown',
+  },
+  {
+    name: 'an answer with a length is complete, also if a reset arrives with it',
+    text: `${HEAD}Content-Length: 4\r\n\r\nbody`,
+    ending: 'reset_at_once',
+    expected: 'answered',
+  },
+  {
+    name: 'a failure without a length whose reset arrives with it is incomplete',
+    text: 'HTTP/1.1 500 No\r\nId: a1\r\nStamp: s\r\nConnection: close\r\n\r\nbo',
+    ending: 'reset_at_once',
+    expected: 'unknown',
+  },
   {
     name: 'an answer that is shorter than its Content-Length is incomplete',
     text: `${HEAD}Content-Length: 9\r\n\r\nbody`,
@@ -167,6 +185,15 @@
   });
 }
 
+test('a long answer without a length is read whole', async t => {
+  const body = 'x'.repeat(4 * 1024 * 1024);
+  const text = `${HEAD}Connection: close\r\n\r\n${body}`;
+  const server = await startRawServer(text, 'end');
+  t.teardown(() => server.close());
+  const outcome = await runExchange(server.entry.port);
+  t.is(outcome.kind === 'answered' && outcome.answer.body.length, body.length);
+});
+
 /** Reads a stream whose reader takes a pause after each event. */
 async function runStream(
   t: ExecutionContext,
@@ -204,6 +231,12 @@
   t.deepEqual(outcome, {events: STREAM_EVENTS, kind: 'whole'});
 });
 
+// Guards against a caller's stream that ends early and looks complete.
+test('a stream without a length whose reset arrives with it is not whole', async t => {
+  const {kind} = await runStream(t, createStreamText(), 'reset_at_once');
+  t.is(kind, 'unknown');
+});
+
 test('a request without a connection is unsent', async t => {
   const server = await startRawServer('', 'keep');
   await server.close();
--- a/packages/daemon/src/gateway/endpoints/endpoint_exchange.ts
+++ b/packages/daemon/src/gateway/endpoints/endpoint_exchange.ts
@@ -7,6 +7,7 @@
 import http from 'node:http';
 import type {EndpointEntry} from '@radishyoke/core/fleet/endpoint_entry';
 import {describeUnmade, watchConnection} from './connections.js';
+import {detectReset} from './endpoint_agent.js';
 import type {
   AnswerMetadata,
   EndpointLoad,
@@ -165,6 +166,7 @@
       this.req?.destroy();
       return;
     }
+    detectReset(res);
     const chunks: Buffer[] = [];
     let bytes = 0;
     res.on('data', (chunk: Buffer) => {
--- a/packages/daemon/src/gateway/endpoints/endpoint_links.ts
+++ b/packages/daemon/src/gateway/endpoints/endpoint_links.ts
@@ -3,9 +3,10 @@
  * request is never sent on a connection that was opened to an earlier incarnation.
  */
 
-import http from 'node:http';
+import type http from 'node:http';
 import type {EndpointEntry} from '@radishyoke/core/fleet/endpoint_entry';
 import {closeIdleConnections} from './connections.js';
+import {EndpointAgent} from './endpoint_agent.js';
 
 /** Idle connections are closed after this time, ms, which is below the shortest idle time-out that endpoints were seen to announce. */
 const IDLE_TIMEOUT_MS = 4000;
@@ -30,7 +31,7 @@
       return existing.agent;
     }
     existing?.agent.destroy();
-    const agent = new http.Agent({
+    const agent = new EndpointAgent({
       keepAlive: true,
       scheduling: 'lifo',
       timeout: IDLE_TIMEOUT_MS,
--- a/packages/daemon/src/gateway/endpoints/endpoint_stream.ts
+++ b/packages/daemon/src/gateway/endpoints/endpoint_stream.ts
@@ -6,6 +6,7 @@
 import http from 'node:http';
 import type {EndpointEntry} from '@radishyoke/core/fleet/endpoint_entry';
 import {describeUnmade, watchConnection} from './connections.js';
+import {detectReset} from './endpoint_agent.js';
 import {
   type EndpointAnswer,
   type ExchangeRequest,
@@ -121,6 +122,7 @@
     const metadata = this.protocol.readAnswer(res.headers);
     const problem = findAnswerProblem(res, metadata, attemptId);
     if (problem) return this.abort(problem);
+    detectReset(res);
     res.on('error', err => this.fail(err.message));
     if (!isSuccess(res.statusCode ?? 0)) {
       void this.readFailure(res, metadata);
