--- a/packages/daemon/src/gateway/endpoints/endpoint_stream.ts
+++ b/packages/daemon/src/gateway/endpoints/endpoint_stream.ts
@@ -6,6 +6,7 @@
 import http from 'node:http';
 import type {EndpointEntry} from '@radishyoke/core/fleet/endpoint_entry';
 import {describeUnmade, watchConnection} from './connections.js';
+import {detectReset} from './endpoint_agent.js';
 import {
   type EndpointAnswer,
   type ExchangeRequest,
@@ -46,6 +47,7 @@
 
 export class EndpointStream {
   private req: http.ClientRequest | undefined;
+  private res: http.IncomingMessage | undefined;
   private isConnected = false;
   private wasAborted = false;
   private resolve: (outcome: StreamOutcome) => void = () => undefined;
@@ -90,11 +92,16 @@
     };
     watchConnection(req, events, CONNECT_TIMEOUT_MS);
     req.on('error', err => this.fail(err.message));
-    req.on('close', () => this.fail('the connection closed'));
+    req.on('close', () => this.handleClose());
     req.on('response', res => this.receive(res, request.attemptId));
     req.end(body);
   }
 
+  /** A complete answer may still have events that wait for the reader. */
+  private handleClose(): void {
+    if (!this.res?.complete) this.fail('the connection closed');
+  }
+
   /** Ends the attempt; the endpoint sees its connection close. */
   abort(detail: string): void {
     this.wasAborted = true;
@@ -111,9 +118,11 @@
     res: http.IncomingMessage,
     attemptId: string | undefined,
   ): void {
+    this.res = res;
     const metadata = this.protocol.readAnswer(res.headers);
     const problem = findAnswerProblem(res, metadata, attemptId);
     if (problem) return this.abort(problem);
+    detectReset(res);
     res.on('error', err => this.fail(err.message));
     if (!isSuccess(res.statusCode ?? 0)) {
       void this.readFailure(res, metadata);
