refactor(daemon,core): names of the field for close-delimited answers and records in flight

No behaviour changes: a private class, two private names, names in a test model and two lines over tests.

--- a/packages/core/src/batches/__tests__/record_copies.spec.ts
+++ b/packages/core/src/batches/__tests__/record_copies.spec.ts
@@ -174,7 +174,7 @@
   t.true(result.failed);
 });
 
-// Guards against a mend that swallows real failures: an item would run for ever.
+// Guards against a fix that hides real failures: an item would run for ever.
 test('an item that always fails is given up after its attempts, whoever runs it', t => {
   const failure = fc.record({
     kind: fc.constant('end_run' as const),
--- a/packages/core/src/batches/__tests__/record_copies_model.ts
+++ b/packages/core/src/batches/__tests__/record_copies_model.ts
@@ -33,7 +33,7 @@
       readonly item: number;
       readonly delivery: Exclude<Delivery, 'late'>;
     }
-  /** One of the records that are on their way is stored. */
+  /** One of the records in flight is stored. */
   | {readonly kind: 'arrive'; readonly index: number}
   | {readonly kind: 'take_over'}
   /** The trainer ends the batch and requests its items again. */
@@ -62,7 +62,7 @@
   private readonly batches: Batch[] = [];
   private readonly log = new FixtureLog(this.batches);
   /** Records that the log has not stored yet. */
-  private readonly onTheirWay: IndexRecord[] = [];
+  private readonly inFlight: IndexRecord[] = [];
   private readonly answers = new Map<string, Answers>();
   private terms = 0;
   private nowMs = 0;
@@ -106,7 +106,7 @@
 
   /** Whether the coordinator has counted the same failures as the log, once all records are stored. */
   agreesWithLog(): boolean {
-    for (const record of this.onTheirWay.splice(0)) this.store(record);
+    for (const record of this.inFlight.splice(0)) this.store(record);
     const {items} = this.log.index.get(this.batch.id)!;
     const [open] = this.scheduler.openBatches;
     return [...open.jobs].every(
@@ -178,7 +178,7 @@
 
   private append(record: FailureRecord, delivery: Delivery): void {
     if (delivery !== 'late') this.store(record);
-    if (delivery !== 'once') this.onTheirWay.push(this.copy(record));
+    if (delivery !== 'once') this.inFlight.push(this.copy(record));
   }
 
   private copy(record: FailureRecord): FailureRecord {
@@ -187,9 +187,9 @@
   }
 
   private arrive(index: number): void {
-    if (this.onTheirWay.length === 0) return;
-    const at = index % this.onTheirWay.length;
-    for (const record of this.onTheirWay.splice(at, 1)) this.store(record);
+    if (this.inFlight.length === 0) return;
+    const at = index % this.inFlight.length;
+    for (const record of this.inFlight.splice(at, 1)) this.store(record);
   }
 
   /** The coordinator reads each record as soon as it is stored. */
--- a/packages/daemon/src/gateway/endpoints/endpoint_agent.ts
+++ b/packages/daemon/src/gateway/endpoints/endpoint_agent.ts
@@ -11,10 +11,10 @@
 import http from 'node:http';
 import net from 'node:net';
 
-/** A connection that can read each piece in a later turn of the event loop. */
-class SteppingSocket extends net.Socket {
-  /** Whether it does so now. */
-  isStepping = false;
+/** A connection that can read each piece in a turn of the event loop of its own. */
+class StepwiseSocket extends net.Socket {
+  /** Whether it does so from now on. */
+  isStepwise = false;
   private isHeld = false;
   /** Whether a read was asked for while it was held. */
   private isReadHeld = false;
@@ -22,7 +22,7 @@
   /** Adds what was read; reading stops if it returns false. */
   override push(chunk: unknown, encoding?: BufferEncoding): boolean {
     const mayReadOn = super.push(chunk, encoding);
-    if (!this.isStepping || chunk === null) return mayReadOn;
+    if (!this.isStepwise || chunk === null) return mayReadOn;
     this.isHeld = true;
     setImmediate(() => this.release());
     return false;
@@ -44,14 +44,14 @@
 /** An agent whose connections can show a reset, see `detectReset`. */
 export class EndpointAgent extends http.Agent {
   override createConnection(options: http.ClientRequestArgs): net.Socket {
-    const socket = new SteppingSocket(options as net.SocketConstructorOpts);
+    const socket = new StepwiseSocket(options as net.SocketConstructorOpts);
     if (options.timeout !== undefined) socket.setTimeout(options.timeout);
     return socket.connect(options as net.TcpNetConnectOpts);
   }
 }
 
 /** Whether only the end of its connection ends the answer. */
-function isUnframed({headers}: http.IncomingMessage): boolean {
+function isCloseDelimited({headers}: http.IncomingMessage): boolean {
   return (
     headers['content-length'] === undefined &&
     headers['transfer-encoding'] === undefined
@@ -60,10 +60,11 @@
 
 /**
  * Makes the error of a reset reach `res`, an answer that has just begun on a
- * connection of an `EndpointAgent`, if it is unframed. Other answers state their
- * end and are read as usual.
+ * connection of an `EndpointAgent`, if it is close-delimited. Other answers state
+ * their end and are read as usual.
  */
 export function detectReset(res: http.IncomingMessage): void {
   const {socket} = res;
-  if (socket instanceof SteppingSocket) socket.isStepping = isUnframed(res);
+  if (socket instanceof StepwiseSocket)
+    socket.isStepwise = isCloseDelimited(res);
 }
