--- a/review/workers.mjs
+++ b/review/workers.mjs
@@ -24,6 +24,9 @@
   /** Requests that arrived, also those that were refused. */
   arrivals = [];
   crashes = [];
+  /** Ids of the requests that run now, and when each was last at this worker. */
+  active = new Set();
+  lastActiveMs = new Map();
   isDark = false;
   isStopped = false;
   /** Decides what happens to a request: `run`, `reset`, or `crash`. */
@@ -64,16 +67,20 @@
     this.stage.log.putKey('keyed.servers', this.id, undefined);
   }
 
-  /** Crashes as a process does: its channels are reset and new ones are refused. */
   async #crash(id) {
     const run = this.runs.findLast(each => each.id === id);
     this.crashes.push({...run, crashMs: this.record.nowMs});
     this.record.write(`${this.id} crashes while it runs ${id}`);
+    await this.crashFor(this.cfg.downMs);
+  }
+
+  /** Crashes as a process does: its channels are reset and new ones are refused. */
+  async crashFor(downMs) {
     const {port} = this.server.address();
     this.#forgetEntryLater();
     for (const socket of this.#sockets) socket.resetAndDestroy();
     await new Promise(resolve => this.server.close(resolve));
-    await sleep(this.cfg.downMs);
+    await sleep(downMs);
     if (this.isStopped) return;
     await new Promise(resolve =>
       this.server.listen(port, '127.0.0.1', resolve),
@@ -173,7 +180,8 @@
       default:
         this.runs.push(arrival);
         this.#active += 1;
-        res.once('close', () => (this.#active = Math.max(this.#active - 1, 0)));
+        this.active.add(id);
+        res.once('close', () => this.#leave(id));
         if (this.cfg.isEngine || this.cfg.streams) {
           return this.#stream(req, res, id);
         }
@@ -181,6 +189,12 @@
     }
   }
 
+  #leave(id) {
+    this.#active = Math.max(this.#active - 1, 0);
+    this.active.delete(id);
+    this.lastActiveMs.set(id, this.record.nowMs);
+  }
+
   #head(id) {
     return {
       'X-Radishyoke-Attempt-Id': id,
