--- a/review/stage.mjs
+++ b/review/stage.mjs
@@ -213,6 +213,7 @@
   const duties = usage
     ? `[CloudApi]\nAddress = "${api.address}"\nDuties = ["metering"]\n`
     : '';
+  const contracts = usage ? '"tenants","leader",' : '';
   const windows = usage ? 'ReportWindowS = 5\nUsageLateS = 10\n' : '';
   return `NodeName = "${vm.name}"
 Role = "gateway"
@@ -225,7 +226,7 @@
 Discovery = "platform"
 Entry = "vip"
 HeartbeatMs = ${BOUNDS.heartbeatMs}
-Contracts = ["base","drain","config","cost","recover","samples","stream","engine","batch","platform"]
+Contracts = ["base","drain","config","cost","recover","samples","stream","engine","batch",${contracts}"platform"]
 [Zones]
 z0 = "r0"
 [Listen]
