fix(daemon): a stopping VM takes no request that it would cut off

Connections whose request had come before SIGTERM had got no `Connection: close`, so their callers sent the next request, it was passed on, and close() reset it.

Change: one decision ends service. Once the balancer sends nothing more no further request is taken; one that still comes is refused as `draining` (503, not run, Connection: close). What was taken is answered, then the usage is written. `Connection: close` is set at SIGTERM on every answer whose head was not sent yet. Waiting again for what is active would not do: with a silent store the VM would go on taking calls to the end of its grace period.

--- a/packages/daemon/src/gateway/requests/front_server.ts
+++ b/packages/daemon/src/gateway/requests/front_server.ts
@@ -15,6 +15,7 @@
 import type {Caller} from '@radishyoke/core/accounts/client_account';
 import type {EventLogger} from '../../logger.js';
 import type {BatchApi} from '../batches/batch_api.js';
+import {ActiveRequests} from './active_requests.js';
 import {answerError, copyHeaders} from './caller_answer.js';
 import type {CallerProtocol} from './caller_protocol.js';
 import {fingerprintKey} from './key_fingerprint.js';
@@ -61,9 +62,9 @@
 export class FrontServer {
   private readonly server: http.Server;
   private bufferedBytes = 0;
-  private activeRequests = 0;
+  private readonly active = new ActiveRequests();
   private isDraining = false;
-  private onIdle: (() => void) | undefined;
+  private isRefusing = false;
 
   constructor(private readonly deps: FrontDeps) {
     this.server = http.createServer(
@@ -93,14 +94,19 @@
   /** Closes each kept-alive connection with its next answer. */
   startDrain(): void {
     this.isDraining = true;
+    this.active.closeAfterAnswer();
   }
 
-  /** Stops listening and closes idle connections; resolves when no request is active. */
+  /**
+   * Takes no further request: stops listening, closes idle connections and
+   * refuses what still arrives on the others, such as after a stream whose head
+   * was sent before the drain. Resolves when all requests are answered.
+   */
   finish(): Promise<void> {
+    this.isRefusing = true;
     this.server.close();
     this.server.closeIdleConnections();
-    if (this.activeRequests === 0) return Promise.resolve();
-    return new Promise(resolve => (this.onIdle = resolve));
+    return this.active.waitUntilIdle();
   }
 
   close(): void {
@@ -112,12 +118,12 @@
     req: http.IncomingMessage,
     res: http.ServerResponse,
   ): Promise<void> {
-    this.activeRequests += 1;
-    res.once('close', () => {
-      this.activeRequests -= 1;
-      if (this.activeRequests === 0) this.onIdle?.();
-    });
+    this.active.add(res);
     if (this.isDraining) res.setHeader('Connection', 'close');
+    if (this.isRefusing) {
+      req.resume();
+      return this.refuse(req, res, createError('draining'));
+    }
     const receivedMs = performance.now();
     try {
       await this.dispatch(req, res, receivedMs);
