fix(daemon): what is unfinished at the end of a stop gets an answer

What callers saw: a call still in flight at the end of the grace period got a reset, which tells neither whether it was sent nor that this VM is gone.

Cause: close() destroyed all connections once the grace period was over.

Change: before that, each pending call and stream is given up: refused as `draining` if it was not sent, otherwise answered as outcome unknown (a stream whose head is out is still cut, as a partial stream must not look complete). Usage of such a call is written if the log answers within 100 ms.

Test: "a call that outlasts the grace period is answered as unknown" (planned_stop.spec.js); before: no answer in place of 502, "1 test failed"; after: passes.

--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -94,6 +94,8 @@
 const BALANCER_REMOVAL_MS = 3200;
 /** Part of the grace period that is reserved for delivering the last answers, ms. */
 const GRACE_SLACK_MS = 600;
+/** Time for sending the answers of requests that are unfinished at the end of the grace period, ms. */
+const LAST_ANSWERS_MS = 100;
 
 export class Gateway {
   readonly metrics = new GatewayMetrics();
@@ -333,6 +335,7 @@
     await sleep(BALANCER_REMOVAL_MS);
     const remainingMs = Math.max(endMs - this.clock.now(), 0);
     await Promise.race([this.finishRequests(), sleep(remainingMs)]);
+    await Promise.race([this.giveUpRequests(), sleep(LAST_ANSWERS_MS)]);
   }
 
   private async finishRequests(): Promise<void> {
@@ -340,6 +343,12 @@
     await this.meter?.finish();
   }
 
+  /** Answers what could not be finished within the grace period. */
+  private async giveUpRequests(): Promise<void> {
+    await this.front.giveUp();
+    await this.meter?.finish();
+  }
+
   private close(): void {
     clearInterval(this.sweepTimer);
     for (const feed of this.feeds) feed.stop();
--- a/packages/daemon/src/gateway/requests/forwarder.ts
+++ b/packages/daemon/src/gateway/requests/forwarder.ts
@@ -102,6 +102,12 @@
     this.settle({kind: 'failed', error: createError('cancelled')});
   }
 
+  /** Settles now because this VM is about to stop; the refusal of a request that was never sent is final. */
+  giveUp(): void {
+    if (this.ranCount > 0) return this.fail('this VM is shutting down');
+    this.settle({kind: 'failed', error: createError('draining')});
+  }
+
   private scheduleHedge(delayMs = this.hedger.measureDelayMs()): void {
     clearTimeout(this.hedgeTimer);
     if (delayMs === undefined || this.isSettled) return;
--- a/packages/daemon/src/gateway/requests/front_server.ts
+++ b/packages/daemon/src/gateway/requests/front_server.ts
@@ -59,10 +59,20 @@
 /** The answer is sent this long before the caller stops waiting, ms. */
 const ANSWER_MARGIN_MS = 5;
 
+/** A request that is being forwarded. */
+interface PendingCall {
+  /** Ends it because its caller disconnected. */
+  abandon(): void;
+  /** Ends it because this VM is about to stop; the caller still gets an answer. */
+  giveUp(): void;
+}
+
 export class FrontServer {
   private readonly server: http.Server;
   private bufferedBytes = 0;
   private readonly active = new ActiveRequests();
+  /** Calls and streams that have no result yet. */
+  private readonly pendingCalls = new Set<PendingCall>();
   private isDraining = false;
   private isRefusing = false;
 
@@ -109,6 +119,12 @@
     return this.active.waitUntilIdle();
   }
 
+  /** Answers the requests that are still being forwarded; resolves when their answers have been sent. */
+  giveUp(): Promise<void> {
+    for (const call of [...this.pendingCalls]) call.giveUp();
+    return this.active.waitUntilIdle();
+  }
+
   close(): void {
     this.server.closeAllConnections();
     this.server.close();
@@ -298,8 +314,7 @@
     res: http.ServerResponse,
   ): Promise<ForwardOutcome> {
     const call = this.deps.forwarder.start(req);
-    res.once('close', () => call.abandon());
-    return call.outcome;
+    return this.track(call, call.outcome, res);
   }
 
   private stream(
@@ -307,8 +322,17 @@
     res: http.ServerResponse,
   ): Promise<StreamResult> {
     const call = this.deps.forwarder.startStream(req, res);
+    return this.track(call, call.run(), res);
+  }
+
+  private track<T>(
+    call: PendingCall,
+    outcome: Promise<T>,
+    res: http.ServerResponse,
+  ): Promise<T> {
     res.once('close', () => call.abandon());
-    return call.run();
+    this.pendingCalls.add(call);
+    return outcome.finally(() => this.pendingCalls.delete(call));
   }
 
   private sendAnswer(res: http.ServerResponse, answer: EndpointAnswer): void {
--- a/packages/daemon/src/gateway/requests/stream_call.ts
+++ b/packages/daemon/src/gateway/requests/stream_call.ts
@@ -107,6 +107,11 @@
     this.stop('the caller disconnected');
   }
 
+  /** Stops because this VM is about to stop. */
+  giveUp(): void {
+    this.stop('this VM is shutting down');
+  }
+
   onHead(rawHeaders: readonly string[], {load}: AnswerMetadata): void {
     this.firstRawHeaders ??= rawHeaders;
     if (!load || !this.entry) return;
