fix(daemon): requests at an endpoint that left the list are finished there

No new work and the end of connections had been one decision. A mere change of the address did the same.

Change: a pool is retired. Idle connections close at once, each other one with the request on it, which has its own time limit; the pool is forgotten once none is left. A restart still destroys it. Pools are pruned against the roster, so that one opened by a late attempt does not stay.

--- a/packages/daemon/src/gateway/endpoints/endpoint_agent.ts
+++ b/packages/daemon/src/gateway/endpoints/endpoint_agent.ts
@@ -1,5 +1,5 @@
 /**
- * Connections on which a reset is told from an orderly end.
+ * Connections to endpoints, on which a reset is told from an orderly end.
  *
  * An answer without a length ends with its connection. Node.js reports the end
  * without a further read if the connection has hung up while bytes were read, so
@@ -10,6 +10,8 @@
 
 import http from 'node:http';
 import net from 'node:net';
+import type {Duplex} from 'node:stream';
+import {closeIdleConnections} from './connections.js';
 
 /** A connection that can read each piece in a turn of the event loop of its own. */
 class StepwiseSocket extends net.Socket {
@@ -41,8 +43,30 @@
   }
 }
 
-/** An agent whose connections can show a reset, see `detectReset`. */
+/** An agent whose connections can show a reset, see `detectReset`, and which can be retired. */
 export class EndpointAgent extends http.Agent {
+  private isRetired = false;
+
+  /**
+   * Keeps no connection from now on: idle ones close at once, each other one
+   * after the request in flight on it, which its own time limit bounds.
+   */
+  retire(): void {
+    this.isRetired = true;
+    closeIdleConnections(this);
+  }
+
+  /** Whether requests are in flight. */
+  get isBusy(): boolean {
+    return Object.keys(this.sockets).length > 0;
+  }
+
+  override keepSocketAlive(socket: Duplex): boolean {
+    if (this.isRetired) return false;
+    // Returns whether the connection was kept, unlike its declared type says.
+    return super.keepSocketAlive(socket) as unknown as boolean;
+  }
+
   override createConnection(options: http.ClientRequestArgs): net.Socket {
     const socket = new StepwiseSocket(options as net.SocketConstructorOpts);
     if (options.timeout !== undefined) socket.setTimeout(options.timeout);
--- a/packages/daemon/src/gateway/endpoints/endpoint_links.ts
+++ b/packages/daemon/src/gateway/endpoints/endpoint_links.ts
@@ -1,6 +1,9 @@
 /**
  * Manages the connection pools to endpoints, one per incarnation of an endpoint, so that a
  * request is never sent on a connection that was opened to an earlier incarnation.
+ *
+ * An endpoint that left the list gets no new work, but completes what it has. So its pool
+ * is retired, not destroyed: the connections end with the requests in flight on them.
  */
 
 import type http from 'node:http';
@@ -12,25 +15,28 @@
 const IDLE_TIMEOUT_MS = 4000;
 
 interface Link {
-  readonly agent: http.Agent;
+  readonly agent: EndpointAgent;
   readonly startedAtMs: number;
   readonly address: string;
 }
 
 export class EndpointLinks {
   private readonly links = new Map<string, Link>();
+  /** Retired pools that had requests in flight when they were last looked at. */
+  private readonly retired = new Set<EndpointAgent>();
 
-  /** Returns the pool for the incarnation and address in `entry`; closes that of an earlier one. */
+  /** Returns the pool for the incarnation and address in `entry`; ends that of an earlier one. */
   getAgent(entry: EndpointEntry): http.Agent {
     const address = `${entry.host}:${entry.port}`;
     const existing = this.links.get(entry.id);
-    if (
-      existing?.startedAtMs === entry.startedAtMs &&
-      existing.address === address
-    ) {
+    const isSameStart = existing?.startedAtMs === entry.startedAtMs;
+    if (existing && isSameStart && existing.address === address) {
       return existing.agent;
     }
-    existing?.agent.destroy();
+    // A process that was started again has lost its requests; one that is listed
+    // at another address still serves them.
+    if (isSameStart) this.retire(existing.agent);
+    else existing?.agent.destroy();
     const agent = new EndpointAgent({
       keepAlive: true,
       scheduling: 'lifo',
@@ -46,14 +52,32 @@
     if (agent) closeIdleConnections(agent);
   }
 
-  /** Closes all connections to an endpoint that was removed. */
-  drop(endpointId: string): void {
-    this.links.get(endpointId)?.agent.destroy();
-    this.links.delete(endpointId);
+  /** Retires the pools of endpoints for which `isListed` returns false, and forgets those whose requests have ended. */
+  prune(isListed: (endpointId: string) => boolean): void {
+    for (const [id, {agent}] of this.links) {
+      if (isListed(id)) continue;
+      this.links.delete(id);
+      this.retire(agent);
+    }
+    for (const agent of this.retired) {
+      if (!agent.isBusy) this.retired.delete(agent);
+    }
+  }
+
+  /** Number of pools, with the retired ones that are still tracked. */
+  get size(): number {
+    return this.links.size + this.retired.size;
   }
 
   close(): void {
     for (const {agent} of this.links.values()) agent.destroy();
+    for (const agent of this.retired) agent.destroy();
     this.links.clear();
+    this.retired.clear();
+  }
+
+  private retire(agent: EndpointAgent): void {
+    agent.retire();
+    this.retired.add(agent);
   }
 }
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -450,8 +450,8 @@
   private sweep(): void {
     for (const entry of this.roster.prune(this.clock.now())) {
       this.forget(entry);
-      this.links.drop(entry.id);
     }
+    this.links.prune(id => this.roster.get(id) !== undefined);
   }
 
   private forget(entry: EndpointEntry): void {
