fix(core,daemon): an item under which endpoints crashed is sent again within seconds

What callers saw: several engines crashed while they ran the same sound item; afterwards all was calm and there was room, but the item was not placed again (five early crashes: no run within 40 s; three: 15 s), and its step was lost.

Cause: the quarantine of requests that crash endpoints (1 s, 10 s, 5 min, 6 h, 24 h, shared through the log, so that no restart ends it) applied to items and reward calls too, as did a pause of 15 s after three broken runs or calls. An item is owed and never crashes endpoints by itself. Also a call of the same content took over its marks, and it could explain the crashes of a call.

Change: items and reward calls are batch work, with fingerprints of their own. They pause 2 s from the third crash on, 3 s after each further one, one endpoint at a time, never explain a crash, and their record is dropped after half an hour. Calls and streams are held as before.

--- a/packages/core/src/batches/batch_scheduler.ts
+++ b/packages/core/src/batches/batch_scheduler.ts
@@ -9,6 +9,7 @@
  * longest item of the groups that its trainer needs.
  */
 
+import {findBatchPauseMs} from '../crashes/batch_work.js';
 import {addAttempt} from './attempt_ids.js';
 import {
   ASSUMED_GAP_MS,
@@ -61,17 +62,11 @@
  */
 const LOADING_STALL_MS = 4000;
 /**
- * Number of early breaks after which an item is suspected of crashing engines.
- * An item with output did not crash the engine that generated it, so it is
- * allowed more breaks by chance.
+ * Number of early breaks after which an item pauses. An item with output did not
+ * break off the run that generated it, so it is allowed more breaks by chance.
  */
 const MAX_EARLY_BREAKS = 3;
 const MAX_EARLY_BREAKS_WITH_OUTPUT = 6;
-/**
- * Pause of a suspected item, ms. With the usual retention of 40 s the item then
- * reaches at most two more engines.
- */
-const SUSPECT_PAUSE_MS = 15_000;
 
 /**
  * Interval of the search for runs that would end sooner on another engine, ms;
@@ -799,9 +794,9 @@
   }
 
   /**
-   * Some items crash every engine that starts them, which shows as connections
-   * that repeatedly break before the first event. Such an item pauses after a
-   * few breaks, as it would take down one engine after another.
+   * Pauses an item whose runs repeatedly break before their first event, as they
+   * do while engines crash. Sent on at once, it would meet one crash after
+   * another.
    */
   private countBreak(run: Run, nowMs: number): void {
     const {job} = run;
@@ -811,7 +806,7 @@
     const hasOutput = job.transcript.events.length > 0;
     const limit = hasOutput ? MAX_EARLY_BREAKS_WITH_OUTPUT : MAX_EARLY_BREAKS;
     if (job.earlyBreaks < limit) return;
-    job.notBeforeMs = nowMs + SUSPECT_PAUSE_MS;
+    job.notBeforeMs = nowMs + findBatchPauseMs(job.earlyBreaks - limit);
   }
 }
 
--- a/packages/core/src/crashes/__tests__/crash_registry.spec.ts
+++ b/packages/core/src/crashes/__tests__/crash_registry.spec.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import {toBatchFingerprint} from '../batch_work.js';
 import {
   CrashRegistry,
   EARLY_WEIGHT,
@@ -144,3 +145,54 @@
   t.deepEqual(registry.prune(49 * HOUR_MS), ['f']);
   t.is(registry.size, 0);
 });
+
+const BATCH_WORK = toBatchFingerprint('f');
+/** Longest pause of batch work, ms. */
+const MAX_BATCH_PAUSE_MS = 3000;
+
+// Guards against an item that is never sent again because endpoints crashed while they ran it.
+test('batch work is held for seconds, however many endpoints crashed', t => {
+  const registry = new CrashRegistry(0.9);
+  for (let i = 0; i < 30; i++) {
+    const atMs = i * 10_000;
+    registry.recordCrash(BATCH_WORK, createCrash(`e${i}`, atMs));
+    const {kind} = registry.getStatus(BATCH_WORK, atMs + 500);
+    t.is(kind, i < 2 ? 'suspect' : 'held');
+    const afterPauseMs = atMs + MAX_BATCH_PAUSE_MS;
+    t.is(registry.getStatus(BATCH_WORK, afterPauseMs).kind, 'suspect');
+  }
+});
+
+// Guards against a call that goes on crashing endpoints because an item was beside it each time.
+test('batch work does not take the blame for a call', t => {
+  const registry = createRegistry(3);
+  for (let i = 0; i < 5; i++) {
+    registry.recordCrash(BATCH_WORK, createCrash(`e${i}`, i * 100));
+  }
+  t.is(registry.getStatus('f', 300).kind, 'held');
+});
+
+// Guards against a sound call that is held because an item of the same content was unlucky.
+test('a call shares no crashes with batch work of the same content', t => {
+  const registry = new CrashRegistry(0);
+  for (let i = 0; i < 5; i++) {
+    registry.recordCrash(BATCH_WORK, createCrash(`e${i}`, i * 100));
+  }
+  t.is(registry.getStatus('f', 500).kind, 'clear');
+});
+
+test('batch work is not paused for crashes that a call explains', t => {
+  const registry = createRegistry(4);
+  for (let i = 0; i < 3; i++) {
+    registry.recordCrash(BATCH_WORK, createCrash(`e${i}`, i * 100));
+  }
+  t.is(registry.getStatus(BATCH_WORK, 300).kind, 'suspect');
+});
+
+test('crashes of batch work are dropped after half an hour', t => {
+  const registry = new CrashRegistry(0);
+  for (let i = 0; i < 5; i++) {
+    registry.recordCrash(BATCH_WORK, createCrash(`e${i}`, i * 100));
+  }
+  t.deepEqual(registry.prune(HOUR_MS), [BATCH_WORK]);
+});
--- a/packages/core/src/crashes/crash_registry.ts
+++ b/packages/core/src/crashes/crash_registry.ts
@@ -5,9 +5,12 @@
  * Some requests crash every endpoint that runs them, and callers repeat them
  * through any VM. Other requests only happened to be in flight on the crashed
  * endpoint: they complete on their next endpoint, which clears them, while a
- * crashing request never completes.
+ * crashing request never completes. Batch work is of that second kind: it pauses
+ * for seconds at most.
  */
 
+import {findBatchPauseMs, isBatchFingerprint} from './batch_work.js';
+
 /** One crash of an endpoint on which the request was in flight. */
 export interface CrashRecord {
   readonly endpointId: string;
@@ -99,6 +102,8 @@
 }
 
 interface Entry {
+  /** Whether it is batch work, which is never the cause of a crash. */
+  readonly isBatchWork: boolean;
   /** Ordered by time. */
   crashes: readonly KnownCrash[];
   /** Unix ms until which a probe may be running. */
@@ -181,7 +186,8 @@
     const merged = mergeCrashes([...(existing?.crashes ?? []), ...reported]);
     this.entries.delete(fingerprint);
     const probeUntilMs = existing?.probeUntilMs ?? -Infinity;
-    this.entries.set(fingerprint, {crashes: merged, probeUntilMs});
+    const isBatchWork = isBatchFingerprint(fingerprint);
+    this.entries.set(fingerprint, {isBatchWork, crashes: merged, probeUntilMs});
   }
 
   /**
@@ -199,9 +205,10 @@
   prune(nowMs: number): readonly string[] {
     const removed: string[] = [];
     for (const [fingerprint, entry] of this.entries) {
-      const retentionMs = reachesQuarantine(entry)
-        ? QUARANTINE_RETENTION_MS
-        : SUSPECT_RETENTION_MS;
+      const retentionMs =
+        reachesQuarantine(entry) && !entry.isBatchWork
+          ? QUARANTINE_RETENTION_MS
+          : SUSPECT_RETENTION_MS;
       const isOld = nowMs - findLastMs(entry) > retentionMs;
       if (!isOld && this.entries.size <= MAX_REQUESTS) continue;
       this.entries.delete(fingerprint);
@@ -218,23 +225,26 @@
     const extraCrashes = Math.floor(
       (weight - QUARANTINE_WEIGHT) / EARLY_WEIGHT,
     );
-    const quarantineMs =
-      QUARANTINE_PERIODS_MS[
-        Math.min(extraCrashes, QUARANTINE_PERIODS_MS.length - 1)
-      ];
-    const jitterMs = quarantineMs * QUARANTINE_JITTER * this.jitter;
-    const endMs = findLastMs(entry) + quarantineMs + jitterMs;
+    const endMs = findLastMs(entry) + this.findPeriodMs(entry, extraCrashes);
     return Math.max(endMs, entry.probeUntilMs);
   }
 
+  private findPeriodMs({isBatchWork}: Entry, extraCrashes: number): number {
+    // Only the coordinator sends batch work, so there is nothing to spread.
+    if (isBatchWork) return findBatchPauseMs(extraCrashes);
+    const last = QUARANTINE_PERIODS_MS.length - 1;
+    const periodMs = QUARANTINE_PERIODS_MS[Math.min(extraCrashes, last)];
+    return periodMs * (1 + QUARANTINE_JITTER * this.jitter);
+  }
+
   /**
    * Weight of the crashes that no heavier request explains. A crash has one
-   * cause: it is attributed to the heaviest request that was in flight.
+   * cause: it is attributed to the heaviest call or stream that was in flight.
    */
   private computeUnexplainedWeight(entry: Entry): number {
     const weight = sumWeights(entry);
     const heavier = [...this.entries.values()].filter(
-      other => sumWeights(other) > weight,
+      other => !other.isBatchWork && sumWeights(other) > weight,
     );
     const isExplained = (crash: CrashRecord) =>
       heavier.some(({crashes}) =>
--- a/packages/core/src/rewards/reward_scheduler.ts
+++ b/packages/core/src/rewards/reward_scheduler.ts
@@ -8,6 +8,7 @@
 
 import type {Job} from '../batches/batch_job.js';
 import type {RewardRequest} from '../batches/batch_record.js';
+import {findBatchPauseMs} from '../crashes/batch_work.js';
 import {
   chooseEndpoint,
   type EndpointCandidate,
@@ -75,13 +76,8 @@
  * few of its requests.
  */
 const REFUSED_PAUSE_MS = 60;
-/**
- * Consecutive broken calls after which the request is suspected of crashing
- * endpoints, and the pause that follows, ms. With the usual retention of 40 s
- * it then reaches at most three more endpoints.
- */
+/** Consecutive broken calls after which the item's reward call pauses. */
 const MAX_BREAKS = 3;
-const SUSPECT_PAUSE_MS = 15_000;
 
 interface RewardState {
   readonly calls: Set<RewardCall>;
@@ -149,7 +145,8 @@
     }
     state.breaks = end.kind === 'broken' ? state.breaks + 1 : 0;
     if (state.breaks >= MAX_BREAKS) {
-      state.notBeforeMs = nowMs + SUSPECT_PAUSE_MS;
+      const further = state.breaks - MAX_BREAKS;
+      state.notBeforeMs = nowMs + findBatchPauseMs(further);
     }
   }
 
--- a/packages/daemon/src/gateway/requests/request_fingerprints.ts
+++ b/packages/daemon/src/gateway/requests/request_fingerprints.ts
@@ -6,6 +6,7 @@
   BatchHeader,
   RewardRequest,
 } from '@radishyoke/core/batches/batch_record';
+import {toBatchFingerprint} from '@radishyoke/core/crashes/batch_work';
 import {
   fingerprintRequest,
   type RequestContent,
@@ -40,7 +41,8 @@
   {host, path, body}: Pick<RequestContent, 'host' | 'path' | 'body'>,
 ): string {
   const owner = account === undefined ? {} : {account};
-  return fingerprintRequest({method: BATCH_METHOD, host, path, body, ...owner});
+  const content = {method: BATCH_METHOD, host, path, body, ...owner};
+  return toBatchFingerprint(fingerprintRequest(content));
 }
 
 function toOwner(caller: Caller): {readonly account?: string} {
