fix(daemon,core,wire): answers without end are bounded, each and together

What callers saw: some workers answered with bytes without end; VMs ended out of memory within seconds, or served few of the sound requests beside.

Cause: answers were read as long as they came. No limit for an event of an item, the answer of a failed run, reports and orders; 16 MB for each plain answer whatever all together took; pieces of a byte that cost a hundred times what they hold; interim answers, comments and events read until the time limit.

Change: a bound for each path and for the sum of unfinished bodies; over it the connection is closed at once. The outcome is unknown, not refused, and no crash. An engine that floods pauses for 5 s and its output of that item is dropped. A 500 counts as a failed attempt only once its answer is whole.

--- a/packages/core/src/batches/__tests__/batch_scheduler.spec.ts
+++ b/packages/core/src/batches/__tests__/batch_scheduler.spec.ts
@@ -133,6 +133,18 @@
   t.is(listStarts(scheduler.decide(2100)).length, 2, 'and gets items again');
 });
 
+// Guards against runs that are sent to a flooding engine again and again, and output that is part of a flood.
+test('an engine that floods gets nothing for a while, and its output is dropped', t => {
+  const {scheduler, open} = createSchedule([createEngine('e0')]);
+  open(createBatch('b0', ['g0a']));
+  const [run] = listStarts(scheduler.decide(0));
+  scheduler.onEvent(run, createEvent(0, run.id), 10);
+  scheduler.onRunEnd(run, 'flooded', 20);
+  t.deepEqual(scheduler.decide(5000), []);
+  const [again] = listStarts(scheduler.decide(5020));
+  t.is(again.job.transcript.lastEventId, undefined);
+});
+
 // Guards against an item that meets one crash after another, and against one that is not placed again afterwards.
 test('an item pauses after repeated early breaks, for at most 3 s each time', t => {
   const engines = Array.from({length: 20}, (_, i) => createEngine(`e${i}`));
--- a/packages/core/src/batches/batch_scheduler.ts
+++ b/packages/core/src/batches/batch_scheduler.ts
@@ -468,6 +468,11 @@
       case 'broken':
         this.countBreak(run, nowMs);
         return;
+      case 'flooded':
+        this.engineHealth.recordFlood(engineId, nowMs);
+        // What came before may be part of the flood.
+        if (run.events > 0) clearTranscript(job);
+        return;
       case 'stopped':
         return;
     }
--- a/packages/core/src/batches/engine_health.ts
+++ b/packages/core/src/batches/engine_health.ts
@@ -40,6 +40,9 @@
 /** Pause after all runs of an engine became silent, ms. */
 const SILENT_PAUSE_MS = 1200;
 
+/** Pause after an engine sent bytes without end, ms. */
+const FLOOD_PAUSE_MS = 5000;
+
 /**
  * Consecutive failures from which an engine counts as failing; one may be a
  * single lost connection.
@@ -58,6 +61,8 @@
   private readonly endTimeScore = new EndTimeScore();
   private readonly outages = new Map<string, Outage>();
   private readonly refusals = new Map<string, number>();
+  /** By engine id, steady ms until which it gets nothing after a flood. */
+  private readonly floodPauses = new Map<string, number>();
 
   constructor(isCapacityContended = false) {
     this.speeds = new ServiceSpeeds(isCapacityContended);
@@ -83,6 +88,7 @@
     const untilMs = this.outages.get(engineId)?.untilMs ?? -Infinity;
     const refusedUntilMs = this.refusals.get(`${engineId} ${model}`);
     if (!this.readiness.mayTake(engineId, model, nowMs)) return false;
+    if (nowMs < (this.floodPauses.get(engineId) ?? -Infinity)) return false;
     return nowMs >= untilMs && nowMs >= (refusedUntilMs ?? -Infinity);
   }
 
@@ -120,11 +126,17 @@
     });
   }
 
+  /** Unlike an outage, this is not over with the engine's next event. */
+  recordFlood(engineId: string, nowMs: number): void {
+    this.floodPauses.set(engineId, nowMs + FLOOD_PAUSE_MS);
+  }
+
   /** Drops the state of an engine that was replaced or removed. */
   forget(engineId: string): void {
     this.speeds.forget(engineId);
     this.readiness.forget(engineId);
     this.outages.delete(engineId);
+    this.floodPauses.delete(engineId);
     for (const key of this.refusals.keys()) {
       if (key.startsWith(`${engineId} `)) this.refusals.delete(key);
     }
--- a/packages/core/src/batches/schedule_action.ts
+++ b/packages/core/src/batches/schedule_action.ts
@@ -25,6 +25,8 @@
   | 'unreachable'
   /** The connection broke, or the response was not valid output. */
   | 'broken'
+  /** The engine sent bytes without end that are no output. */
+  | 'flooded'
   /** Stopped by the scheduler. */
   | 'stopped';
 
--- a/packages/daemon/src/gateway/batches/__tests__/generation.spec.ts
+++ b/packages/daemon/src/gateway/batches/__tests__/generation.spec.ts
@@ -53,6 +53,9 @@
   t.deepEqual(order, ['created', 'unreachable']);
 });
 
+/** More than is read of an answer without end, bytes. */
+const ENDLESS_BYTES = 512 * 1024;
+
 interface GenerationCase {
   readonly name: string;
   readonly text: string;
@@ -139,6 +142,48 @@
     events: [],
     end: 'broken',
   },
+  {
+    name: 'a failure whose answer is cut off is not counted as one',
+    text: 'HTTP/1.1 500 No\r\nId: a1\r\nContent-Length: 9\r\n\r\nhalf',
+    ending: 'end',
+    events: [],
+    end: 'broken',
+  },
+  {
+    name: 'a line without end is a flood',
+    text: `${HEAD}data: ${'x'.repeat(ENDLESS_BYTES)}`,
+    ending: 'keep',
+    events: [],
+    end: 'flooded',
+  },
+  {
+    name: 'an event of lines without end is a flood',
+    text: `${HEAD}${'data: x\n'.repeat(ENDLESS_BYTES / 8)}`,
+    ending: 'keep',
+    events: [],
+    end: 'flooded',
+  },
+  {
+    name: 'comments without end are a flood',
+    text: `${HEAD}${': nothing\n\n'.repeat(ENDLESS_BYTES / 8)}`,
+    ending: 'keep',
+    events: [],
+    end: 'flooded',
+  },
+  {
+    name: 'a failure with a body without end is a flood',
+    text: `HTTP/1.1 500 No\r\nId: a1\r\n\r\n${'x'.repeat(ENDLESS_BYTES)}`,
+    ending: 'keep',
+    events: [],
+    end: 'flooded',
+  },
+  {
+    name: 'interim answers without end are a flood',
+    text: 'HTTP/1.1 102 Processing\r\n\r\n'.repeat(100),
+    ending: 'keep',
+    events: [],
+    end: 'flooded',
+  },
 ];
 
 // Guards against samples that are truncated or contain parts of another text. An
--- a/packages/daemon/src/gateway/batches/batch_runner.ts
+++ b/packages/daemon/src/gateway/batches/batch_runner.ts
@@ -589,7 +589,8 @@
     if (end === 'broken' || end === 'unreachable') {
       this.deps.links.closeIdle(run.engineId);
     }
-    if (live && end !== 'finished') this.itemLog.writeProgress(run.job);
+    const isOutputValid = end !== 'finished' && end !== 'flooded';
+    if (live && isOutputValid) this.itemLog.writeProgress(run.job);
     if (end === 'failed') {
       this.itemLog.writeFailure('attempt_failed', run.job, run.id);
     }
@@ -675,6 +676,7 @@
     case 'broken':
       return 'broken';
     case 'refused':
+    case 'flooded':
     case 'misdirected':
     case 'unreachable':
     case 'stopped':
--- a/packages/daemon/src/gateway/batches/generation.ts
+++ b/packages/daemon/src/gateway/batches/generation.ts
@@ -8,16 +8,22 @@
   BatchItem,
   OutputEvent,
 } from '@radishyoke/core/batches/batch_record';
+import {OutputSize} from '@radishyoke/core/batches/output_limit';
 import type {RunEnd} from '@radishyoke/core/batches/schedule_action';
 import type {EndpointEntry} from '@radishyoke/core/fleet/endpoint_entry';
 import {createParser, type EventSourceParser} from 'eventsource-parser';
-import {describeUnmade, watchConnection} from '../endpoints/connections.js';
+import {
+  describeUnmade,
+  watchConnection,
+  watchInterimAnswers,
+} from '../endpoints/connections.js';
 import {detectReset} from '../endpoints/endpoint_agent.js';
 import type {
   AnswerMetadata,
   EndpointProtocol,
   GenerationTerms,
 } from '../endpoints/endpoint_protocol.js';
+import {FloodGuard, MAX_BYTES_WITHOUT_EVENT} from '../endpoints/flood_guard.js';
 
 export interface GenerationEvents {
   onEvent(event: Omit<OutputEvent, 'run'>): void;
@@ -34,6 +40,11 @@
 const EVENT_END_CHARS = 3;
 /** Status of an engine that is not the intended one. */
 const MISDIRECTED = 421;
+/** Limits for the rest of an error answer, bytes and ms; beyond them a new connection costs less. */
+const MAX_DRAINED_BYTES = 64 * 1024;
+const DRAIN_TIMEOUT_MS = 1000;
+/** Each piece of it counts as at least this long, bytes. */
+const MIN_DRAINED_PIECE_BYTES = 64;
 
 export class Generation {
   /** Undefined if no request could be made. */
@@ -44,6 +55,8 @@
   /** The last characters received. */
   private tail = '';
   private readonly parser: EventSourceParser;
+  private readonly floodGuard = new FloodGuard();
+  private readonly outputSize: OutputSize;
 
   constructor(
     agent: http.Agent,
@@ -53,13 +66,17 @@
     terms: GenerationTerms,
     private readonly events: GenerationEvents,
   ) {
+    this.outputSize = new OutputSize(item);
     this.parser = createParser({
       onEvent: event => this.handleEvent(event.id, event.data),
       // The protocol reports a new weight version in an event field of its own.
       onError: err => {
         if (err.type === 'unknown-field')
           this.handleField(err.field, err.value);
+        if (err.type === 'max-buffer-size-exceeded')
+          this.reject('flooded', 'an event is too long');
       },
+      maxBufferSize: MAX_BYTES_WITHOUT_EVENT,
     });
     try {
       this.req = this.send(agent, entry, terms);
@@ -94,6 +111,9 @@
     req.on('error', err => this.onDisconnect(err.message));
     req.on('close', () => this.onDisconnect('the connection closed'));
     req.on('response', res => this.receive(res));
+    watchInterimAnswers(req, () =>
+      this.reject('flooded', 'too many interim answers'),
+    );
     req.end(item.body);
     return req;
   }
@@ -142,6 +162,10 @@
   }
 
   private feed(text: string): void {
+    if (this.hasEnded) return;
+    if (!this.floodGuard.recordPiece(text.length, performance.now())) {
+      return this.reject('flooded', 'more bytes than a stream of events has');
+    }
     this.tail = (this.tail + text).slice(-EVENT_END_CHARS);
     this.parser.feed(text);
   }
@@ -159,11 +183,21 @@
     this.events.onSlowdown(load.slowdown);
   }
 
-  /** Reads the rest of an error answer, so that the connection can be reused. */
+  /** Reads the rest of an error answer, so that the connection can be reused, unless it does not end. */
   private drain(res: http.IncomingMessage, end: RunEnd, status: number): void {
-    res.on('error', () => undefined);
-    res.resume();
-    this.end(end, `status ${status}`);
+    let bytes = 0;
+    const reject = () => this.reject('flooded', 'the answer is too long');
+    const timer = setTimeout(reject, DRAIN_TIMEOUT_MS);
+    res.once('close', () => clearTimeout(timer));
+    res.on('error', err => this.onDisconnect(err.message));
+    res.on('data', (chunk: Buffer) => {
+      bytes += Math.max(chunk.length, MIN_DRAINED_PIECE_BYTES);
+      if (bytes > MAX_DRAINED_BYTES) reject();
+    });
+    const endDrained = () => this.end(end, `status ${status}`);
+    // Only a whole answer counts as a failure of the item.
+    if (end === 'failed' || end === 'impossible') res.on('end', endDrained);
+    else endDrained();
   }
 
   private handleField(
@@ -184,6 +218,9 @@
     if (this.version === undefined) {
       return this.reject('broken', 'the answer states no weight version');
     }
+    if (!this.floodGuard.recordEvent() || !this.outputSize.add({data})) {
+      return this.reject('flooded', 'more events than any work produces');
+    }
     this.events.onEvent({id: eventId, data, version: this.version});
   }
 
--- a/packages/daemon/src/gateway/batches/reward_task.ts
+++ b/packages/daemon/src/gateway/batches/reward_task.ts
@@ -125,6 +125,7 @@
       links.getAgent(entry),
       protocol,
       entry,
+      links.bodies,
     );
     this.exchanges.set(call.id, exchange);
     view.recordStart(entry);
--- a/packages/daemon/src/gateway/endpoints/__tests__/event_splitter.spec.ts
+++ b/packages/daemon/src/gateway/endpoints/__tests__/event_splitter.spec.ts
@@ -44,3 +44,21 @@
   const splitter = new EventSplitter();
   t.is(splitter.push(Buffer.alloc(1024 * 1024 + 1, 'x')), undefined);
 });
+
+// Guards against comments without end, each of which would be written by itself.
+test('comments that follow each other are passed on together', t => {
+  const splitter = new EventSplitter();
+  const text =
+    ': a\n\n: b\n\nid: 1\ndata: x\n\n: c\n\nid: 2\ndata: y\n\n: d\n\n: e\n\n';
+  const events = splitter.push(Buffer.from(text)) ?? [];
+  t.deepEqual(
+    events.map(({bytes, id}) => [bytes.toString(), id]),
+    [
+      [': a\n\n: b\n\n', undefined],
+      ['id: 1\ndata: x\n\n', 1],
+      [': c\n\n', undefined],
+      ['id: 2\ndata: y\n\n', 2],
+      [': d\n\n: e\n\n', undefined],
+    ],
+  );
+});
--- a/packages/daemon/src/gateway/endpoints/connections.ts
+++ b/packages/daemon/src/gateway/endpoints/connections.ts
@@ -38,6 +38,21 @@
   });
 }
 
+/** Interim answers (1xx) that are accepted before the answer. */
+const MAX_INTERIM_ANSWERS = 8;
+
+/** Calls `onFlood` if interim answers to `req` come without end. */
+export function watchInterimAnswers(
+  req: ClientRequest,
+  onFlood: () => void,
+): void {
+  let count = 0;
+  req.on('information', () => {
+    count += 1;
+    if (count > MAX_INTERIM_ANSWERS) onFlood();
+  });
+}
+
 /**
  * Closes the idle connections of `agent`.
  *
--- a/packages/daemon/src/gateway/endpoints/endpoint_exchange.ts
+++ b/packages/daemon/src/gateway/endpoints/endpoint_exchange.ts
@@ -6,7 +6,13 @@
 
 import http from 'node:http';
 import type {EndpointEntry} from '@radishyoke/core/fleet/endpoint_entry';
-import {describeUnmade, watchConnection} from './connections.js';
+import type {BodyBudget} from './body_budget.js';
+import {BodyBuffer} from './body_buffer.js';
+import {
+  describeUnmade,
+  watchConnection,
+  watchInterimAnswers,
+} from './connections.js';
 import {detectReset} from './endpoint_agent.js';
 import type {
   AnswerMetadata,
@@ -67,11 +73,14 @@
   private isDone = false;
   private wasAborted = false;
   private wasGivenUp = false;
+  private body: BodyBuffer | undefined;
 
+  /** @param budget Memory for the bodies of all answers; without one it is not limited. */
   constructor(
     private readonly agent: http.Agent,
     private readonly protocol: EndpointProtocol,
     private readonly entry: EndpointEntry,
+    private readonly budget?: BodyBudget,
   ) {}
 
   /** Sends `request` and resolves with its outcome; never rejects. */
@@ -80,6 +89,7 @@
       const settle = (outcome: ExchangeOutcome) => {
         if (this.isDone) return;
         this.isDone = true;
+        this.body?.drop();
         resolve(outcome);
       };
       const fail = (detail: string) =>
@@ -97,6 +107,9 @@
       req.on('error', err => fail(err.message));
       req.on('close', () => fail('the connection closed'));
       req.on('response', res => this.receive(res, request, settle, fail));
+      watchInterimAnswers(req, () =>
+        this.cut('too many interim answers', fail),
+      );
     });
   }
 
@@ -167,16 +180,11 @@
       return;
     }
     detectReset(res);
-    const chunks: Buffer[] = [];
-    let bytes = 0;
+    const body = new BodyBuffer(MAX_ANSWER_BYTES, this.budget);
+    this.body = body;
     res.on('data', (chunk: Buffer) => {
-      bytes += chunk.length;
-      if (bytes > MAX_ANSWER_BYTES) {
-        fail('the answer is too long');
-        this.req?.destroy();
-        return;
-      }
-      chunks.push(chunk);
+      if (this.isDone || body.push(chunk)) return;
+      this.cut('the answer is too long', fail);
     });
     res.on('error', err => fail(err.message));
     res.on('end', () => {
@@ -185,13 +193,18 @@
       const notExecuted = readNotExecuted(status, metadata);
       if (notExecuted) return settle(notExecuted);
       const {rawHeaders} = res;
-      const body = Buffer.concat(chunks);
       settle({
         kind: 'answered',
-        answer: {status, rawHeaders, body, metadata},
+        answer: {status, rawHeaders, body: body.take(), metadata},
       });
     });
   }
+
+  /** Closes the connection, as what comes on it is no answer. That is no crash of the endpoint. */
+  private cut(detail: string, fail: (detail: string) => void): void {
+    fail(detail);
+    this.giveUp();
+  }
 }
 
 /** Returns undefined if the endpoint may have run the request. */
--- a/packages/daemon/src/gateway/endpoints/endpoint_links.ts
+++ b/packages/daemon/src/gateway/endpoints/endpoint_links.ts
@@ -8,6 +8,7 @@
 
 import type http from 'node:http';
 import type {EndpointEntry} from '@radishyoke/core/fleet/endpoint_entry';
+import {BodyBudget} from './body_budget.js';
 import {closeIdleConnections} from './connections.js';
 import {EndpointAgent} from './endpoint_agent.js';
 
@@ -21,6 +22,8 @@
 }
 
 export class EndpointLinks {
+  /** Memory for the bodies of all answers of endpoints. */
+  readonly bodies = new BodyBudget();
   private readonly links = new Map<string, Link>();
   /** Retired pools that had requests in flight when they were last looked at. */
   private readonly retired = new Set<EndpointAgent>();
--- a/packages/daemon/src/gateway/endpoints/endpoint_stream.ts
+++ b/packages/daemon/src/gateway/endpoints/endpoint_stream.ts
@@ -5,7 +5,13 @@
 
 import http from 'node:http';
 import type {EndpointEntry} from '@radishyoke/core/fleet/endpoint_entry';
-import {describeUnmade, watchConnection} from './connections.js';
+import type {BodyBudget} from './body_budget.js';
+import {BodyBuffer} from './body_buffer.js';
+import {
+  describeUnmade,
+  watchConnection,
+  watchInterimAnswers,
+} from './connections.js';
 import {detectReset} from './endpoint_agent.js';
 import {
   type EndpointAnswer,
@@ -17,6 +23,7 @@
 } from './endpoint_exchange.js';
 import type {AnswerMetadata, EndpointProtocol} from './endpoint_protocol.js';
 import {EventSplitter, type RawEvent} from './event_splitter.js';
+import {FloodGuard} from './flood_guard.js';
 
 /** How a streaming attempt ended. */
 export type StreamOutcome =
@@ -50,6 +57,8 @@
   private res: http.IncomingMessage | undefined;
   private isConnected = false;
   private wasAborted = false;
+  private wasFlooded = false;
+  private readonly floodGuard = new FloodGuard();
   private resolve: (outcome: StreamOutcome) => void = () => undefined;
   private readonly splitter = new EventSplitter();
 
@@ -58,6 +67,7 @@
     private readonly protocol: EndpointProtocol,
     private readonly entry: EndpointEntry,
     private readonly reader: StreamReader,
+    private readonly budget?: BodyBudget,
   ) {}
 
   /** Sends `request` and resolves with the outcome of the attempt; never rejects. */
@@ -94,6 +104,7 @@
     req.on('error', err => this.fail(err.message));
     req.on('close', () => this.handleClose());
     req.on('response', res => this.receive(res, request.attemptId));
+    watchInterimAnswers(req, () => this.cut('too many interim answers'));
     req.end(body);
   }
 
@@ -114,6 +125,16 @@
     return this.wasAborted;
   }
 
+  /** Whether it was ended because the endpoint sent bytes that are no answer. */
+  get isFlooded(): boolean {
+    return this.wasFlooded;
+  }
+
+  private cut(detail: string): void {
+    this.wasFlooded = true;
+    this.abort(detail);
+  }
+
   private receive(
     res: http.IncomingMessage,
     attemptId: string | undefined,
@@ -139,9 +160,16 @@
   }
 
   private handleChunk(res: http.IncomingMessage, chunk: Buffer): void {
+    if (this.wasAborted) return;
+    if (!this.floodGuard.recordPiece(chunk.length, performance.now())) {
+      return this.cut('more bytes than a stream of events has');
+    }
     const events = this.splitter.push(chunk);
-    if (!events) return this.abort('an event is too long');
+    if (!events) return this.cut('an event is too long');
     for (const event of events) {
+      if (event.hasData && !this.floodGuard.recordEvent()) {
+        return this.cut('more events than any work produces');
+      }
       if (this.reader.onEvent(event)) continue;
       return this.abort(`event ${event.id ?? 'without id'} out of order`);
     }
@@ -155,12 +183,11 @@
     res: http.IncomingMessage,
     metadata: AnswerMetadata,
   ): Promise<void> {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
+    const body = new BodyBuffer(MAX_FAILURE_BYTES, this.budget);
+    res.once('close', () => body.drop());
     res.on('data', (chunk: Buffer) => {
-      bytes += chunk.length;
-      chunks.push(chunk);
-      if (bytes > MAX_FAILURE_BYTES) this.abort('the answer is too long');
+      if (this.wasAborted || body.push(chunk)) return;
+      this.cut('the answer is too long');
     });
     res.on('end', () => {
       if (!res.complete) return this.fail('the answer ended early');
@@ -168,10 +195,9 @@
       const notExecuted = readNotExecuted(status, metadata);
       if (notExecuted) return this.resolve(notExecuted);
       const {rawHeaders} = res;
-      const body = Buffer.concat(chunks);
       this.resolve({
         kind: 'answered',
-        answer: {status, rawHeaders, body, metadata},
+        answer: {status, rawHeaders, body: body.take(), metadata},
       });
     });
   }
--- a/packages/daemon/src/gateway/endpoints/event_splitter.ts
+++ b/packages/daemon/src/gateway/endpoints/event_splitter.ts
@@ -3,18 +3,21 @@
  * that nothing of an event is passed on if the endpoint stops in the middle of it.
  */
 
-/** One event as received, with the blank line that ends it. */
+import {MAX_BYTES_WITHOUT_EVENT} from './flood_guard.js';
+
+/** One event as received, with the blank line that ends it; comments that follow each other are one event. */
 export interface RawEvent {
   readonly bytes: Buffer;
   /** Undefined if the event has no id or its id is not an integer. */
   readonly id: number | undefined;
+  /** Whether it is more than a comment, which keeps a connection alive. */
+  readonly hasData: boolean;
 }
 
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 const ID_PATTERN = /^id: ?(\d+)\r?$/m;
-/** Longest event accepted, bytes; usual ones have a few hundred bytes. */
-const MAX_EVENT_BYTES = 1024 * 1024;
+const DATA_PATTERN = /^(?:data|id)(?::|\r?$)/m;
 
 export class EventSplitter {
   private partialEvent: Buffer = Buffer.alloc(0);
@@ -31,12 +34,19 @@
       : chunk;
     const events: RawEvent[] = [];
     let from = 0;
+    let commentsFrom = 0;
     for (let end = findEnd(bytes, from); end > 0; end = findEnd(bytes, from)) {
-      events.push(readEvent(bytes.subarray(from, end)));
+      const event = readEvent(bytes.subarray(from, end));
+      if (event.hasData) commentsFrom = end;
+      const isFurtherComment = !event.hasData && from > commentsFrom;
+      if (isFurtherComment) events.pop();
+      const first = event.hasData ? from : commentsFrom;
+      events.push({...event, bytes: bytes.subarray(first, end)});
       from = end;
     }
     this.partialEvent = bytes.subarray(from);
-    return this.partialEvent.length > MAX_EVENT_BYTES ? undefined : events;
+    const isTooLong = this.partialEvent.length > MAX_BYTES_WITHOUT_EVENT;
+    return isTooLong ? undefined : events;
   }
 }
 
@@ -52,6 +62,11 @@
 }
 
 function readEvent(bytes: Buffer): RawEvent {
-  const id = ID_PATTERN.exec(bytes.toString('latin1'))?.[1];
-  return {bytes, id: id === undefined ? undefined : Number(id)};
+  const text = bytes.toString('latin1');
+  const id = ID_PATTERN.exec(text)?.[1];
+  return {
+    bytes,
+    id: id === undefined ? undefined : Number(id),
+    hasData: DATA_PATTERN.test(text),
+  };
 }
--- a/packages/daemon/src/gateway/endpoints/http_call.ts
+++ b/packages/daemon/src/gateway/endpoints/http_call.ts
@@ -1,7 +1,12 @@
 /** A single HTTP call with a time limit, whose outcome says whether it may have been executed. */
 
 import http from 'node:http';
-import {describeUnmade, watchConnection} from './connections.js';
+import {BodyBuffer} from './body_buffer.js';
+import {
+  describeUnmade,
+  watchConnection,
+  watchInterimAnswers,
+} from './connections.js';
 
 export interface CallRequest {
   readonly host: string;
@@ -15,9 +20,16 @@
   readonly timeoutMs: number;
   /** The call also ends if nothing was received for this long, ms. */
   readonly silenceMs?: number;
+  /** Longest body of the answer that is accepted, bytes. */
+  readonly maxBytes?: number;
   readonly signal?: AbortSignal;
 }
 
+/** Longest answer accepted if the call sets no limit, bytes: several of the longest reads of the log. */
+const DEFAULT_MAX_BYTES = 16 * 1024 * 1024;
+/** Longest answer of an endpoint to a control call, bytes; usual ones have some hundred. */
+export const MAX_CONTROL_ANSWER_BYTES = 256 * 1024;
+
 export type CallOutcome =
   | {
       readonly kind: 'answered';
@@ -38,17 +50,15 @@
   return new Promise(resolve => {
     let isConnected = false;
     let req: http.ClientRequest;
-    const timeOut = (ms: number) => {
-      fail(`no answer in ${ms} ms`);
+    const cut = (detail: string) => {
+      fail(detail);
       req.destroy();
     };
+    const timeOut = (ms: number) => cut(`no answer in ${ms} ms`);
     const timer = setTimeout(timeOut, call.timeoutMs, call.timeoutMs);
     const {silenceMs = call.timeoutMs} = call;
     const silenceTimer = setTimeout(timeOut, silenceMs, silenceMs);
-    const onAbort = () => {
-      fail('aborted by the caller');
-      req.destroy();
-    };
+    const onAbort = () => cut('aborted by the caller');
     const finish = (outcome: CallOutcome) => {
       clearTimeout(timer);
       clearTimeout(silenceTimer);
@@ -71,11 +81,12 @@
     }
     watchConnection(req, {onConnected: () => (isConnected = true)});
     req.on('error', err => fail(err.message));
+    watchInterimAnswers(req, () => cut('too many interim answers'));
     req.on('response', res => {
-      const chunks: Buffer[] = [];
+      const body = new BodyBuffer(call.maxBytes ?? DEFAULT_MAX_BYTES);
       res.on('data', (chunk: Buffer) => {
         silenceTimer.refresh();
-        chunks.push(chunk);
+        if (!body.push(chunk)) cut('the answer is too long');
       });
       res.on('error', err => fail(err.message));
       res.on('end', () => {
@@ -84,7 +95,7 @@
           kind: 'answered',
           status: res.statusCode ?? 0,
           headers: res.headers,
-          body: Buffer.concat(chunks),
+          body: body.take(),
         });
       });
     });
--- a/packages/daemon/src/gateway/engines/engine_reports.ts
+++ b/packages/daemon/src/gateway/engines/engine_reports.ts
@@ -7,7 +7,7 @@
   EndpointProtocol,
   EngineReport,
 } from '../endpoints/endpoint_protocol.js';
-import {callOnce} from '../endpoints/http_call.js';
+import {callOnce, MAX_CONTROL_ANSWER_BYTES} from '../endpoints/http_call.js';
 import type {EngineFleet} from './engine_fleet.js';
 
 /** Time limit for fetching a report, ms. */
@@ -29,6 +29,7 @@
       host: entry.host,
       port: entry.port,
       timeoutMs: REPORT_TIMEOUT_MS,
+      maxBytes: MAX_CONTROL_ANSWER_BYTES,
     });
     if (outcome.kind !== 'answered' || outcome.status !== 200) {
       if (outcome.kind === 'unknown') this.links.closeIdle(entry.id);
--- a/packages/daemon/src/gateway/engines/weight_task.ts
+++ b/packages/daemon/src/gateway/engines/weight_task.ts
@@ -38,7 +38,7 @@
   SETTLED_POLLS,
 } from './load_target.js';
 import {LoadWatch} from './load_watch.js';
-import {callOnce} from '../endpoints/http_call.js';
+import {callOnce, MAX_CONTROL_ANSWER_BYTES} from '../endpoints/http_call.js';
 import type {GatewayMetrics} from '../gateway_metrics.js';
 import type {LeaseTask} from './lease_task.js';
 
@@ -421,6 +421,7 @@
       host: entry.host,
       port: entry.port,
       timeoutMs: ORDER_TIMEOUT_MS,
+      maxBytes: MAX_CONTROL_ANSWER_BYTES,
     });
     const answer =
       outcome.kind === 'answered'
--- a/packages/daemon/src/gateway/requests/forwarder.ts
+++ b/packages/daemon/src/gateway/requests/forwarder.ts
@@ -175,6 +175,7 @@
       links.getAgent(entry),
       protocol,
       entry,
+      links.bodies,
     );
     this.pending.add(attempt);
     this.ranCount += 1;
--- a/packages/daemon/src/gateway/requests/stream_call.ts
+++ b/packages/daemon/src/gateway/requests/stream_call.ts
@@ -188,7 +188,8 @@
     const outcome = await this.runStream(entry);
     view.recordEnd(entry);
     // A caller that left before anything was sent tells nothing about the endpoint.
-    if (!this.isFinished && !this.stream?.isEndedLocally) {
+    const endsItself = !this.stream?.isEndedLocally || this.stream.isFlooded;
+    if (!this.isFinished && endsItself) {
       view.recordStreamEnd(entry, outcome, performance.now());
     }
     this.recordAttempt(outcome, startedMs);
@@ -223,6 +224,7 @@
       protocol,
       entry,
       this,
+      links.bodies,
     );
     this.stream = stream;
     this.entry = entry;
--- a/packages/shared/src/log_event.ts
+++ b/packages/shared/src/log_event.ts
@@ -321,6 +321,7 @@
   readonly 'run failed': RunFields & AttemptFields;
   readonly 'run impossible': RunFields & AttemptFields;
   readonly 'run refused': RunFields;
+  readonly 'run flooded': RunFields;
   readonly 'run misdirected': RunFields;
   readonly 'run unreachable': RunFields;
   readonly 'run broken': RunFields & {readonly fingerprint: string};
--- a/packages/wire/src/engine_stream.ts
+++ b/packages/wire/src/engine_stream.ts
@@ -71,6 +71,8 @@
   | {readonly kind: 'status'; readonly status: number};
 
 const endMarker = '[DONE]';
+/** Longest chunk accepted, characters. A longer one ends the connection, since the engine sends no chunks. */
+const maxChunkChars = 256 * 1024;
 
 export class EngineStream {
   private readonly abort = new AbortController();
@@ -216,6 +218,7 @@
     let finishReason: string | undefined;
     let hasEndMarker = false;
     const parser = createParser({
+      maxBufferSize: maxChunkChars,
       onEvent: event => {
         if (event.data === endMarker) {
           hasEndMarker = true;
