fix(daemon): tighter bounds for floods, a slow failure is no flood

Cause: with 2 MB a stream in a burst and 28 MB for all bodies a VM came to 174 MB of the 184 that the smallest may use (endless_bytes.spec, beside four jobs of plays). A failure whose answer takes over a second was taken for a flood, and its engine paused for 5 s.

Change: 1 MB in a burst, 20 MB for all bodies; a failure that does not end in a second breaks the run as a lost connection does. The first piece of a body is stored without spare room.

--- a/packages/daemon/src/gateway/batches/batch_runner.ts
+++ b/packages/daemon/src/gateway/batches/batch_runner.ts
@@ -589,8 +589,8 @@
     if (end === 'broken' || end === 'unreachable') {
       this.deps.links.closeIdle(run.engineId);
     }
-    const isOutputValid = end !== 'finished' && end !== 'flooded';
-    if (live && isOutputValid) this.itemLog.writeProgress(run.job);
+    const hasProgress = end !== 'finished' && end !== 'flooded';
+    if (live && hasProgress) this.itemLog.writeProgress(run.job);
     if (end === 'failed') {
       this.itemLog.writeFailure('attempt_failed', run.job, run.id);
     }
--- a/packages/daemon/src/gateway/batches/generation.ts
+++ b/packages/daemon/src/gateway/batches/generation.ts
@@ -186,13 +186,14 @@
   /** Reads the rest of an error answer, so that the connection can be reused, unless it does not end. */
   private drain(res: http.IncomingMessage, end: RunEnd, status: number): void {
     let bytes = 0;
-    const reject = () => this.reject('flooded', 'the answer is too long');
-    const timer = setTimeout(reject, DRAIN_TIMEOUT_MS);
+    const giveUp = () => this.reject('broken', 'the answer did not end');
+    const timer = setTimeout(giveUp, DRAIN_TIMEOUT_MS);
     res.once('close', () => clearTimeout(timer));
     res.on('error', err => this.onDisconnect(err.message));
     res.on('data', (chunk: Buffer) => {
       bytes += Math.max(chunk.length, MIN_DRAINED_PIECE_BYTES);
-      if (bytes > MAX_DRAINED_BYTES) reject();
+      if (bytes <= MAX_DRAINED_BYTES) return;
+      this.reject('flooded', 'the answer is too long');
     });
     const endDrained = () => this.end(end, `status ${status}`);
     // Only a whole answer counts as a failure of the item.
--- a/packages/daemon/src/gateway/endpoints/body_budget.ts
+++ b/packages/daemon/src/gateway/endpoints/body_budget.ts
@@ -6,8 +6,8 @@
   evict(): void;
 }
 
-/** Memory for all bodies, bytes: an eighth of the smallest VM's. */
-const MAX_TOTAL_BYTES = 28 * 1024 * 1024;
+/** Memory for all bodies, bytes: a twelfth of the smallest VM's. */
+const MAX_TOTAL_BYTES = 20 * 1024 * 1024;
 
 export class BodyBudget {
   private readonly sizes = new Map<BodyHolder, number>();
--- a/packages/daemon/src/gateway/endpoints/body_buffer.ts
+++ b/packages/daemon/src/gateway/endpoints/body_buffer.ts
@@ -7,10 +7,10 @@
 
 /** Each piece counts as at least this long, bytes. */
 const MIN_PIECE_BYTES = 1024;
-const INITIAL_BYTES = 4096;
+const EMPTY = Buffer.alloc(0);
 
 export class BodyBuffer implements BodyHolder {
-  private memory: Buffer = Buffer.alloc(0);
+  private memory: Buffer = EMPTY;
   private length = 0;
   private countedBytes = 0;
   private isEvicted = false;
@@ -46,7 +46,7 @@
 
   /** Gives the memory back; the body is lost. */
   drop(): void {
-    this.memory = Buffer.alloc(0);
+    this.memory = EMPTY;
     this.length = 0;
     this.budget?.release(this);
   }
@@ -60,7 +60,7 @@
   private reserve(bytes: number): boolean {
     const needed = this.length + bytes;
     if (needed <= this.memory.length) return true;
-    const size = Math.max(needed, this.memory.length * 2, INITIAL_BYTES);
+    const size = Math.max(needed, this.memory.length * 2);
     this.budget?.hold(this, size);
     if (this.isEvicted) return false;
     const memory = Buffer.allocUnsafe(size);
--- a/packages/daemon/src/gateway/endpoints/flood_guard.ts
+++ b/packages/daemon/src/gateway/endpoints/flood_guard.ts
@@ -9,7 +9,7 @@
 /** Each piece counts as at least this long, bytes, and each event as this much longer than it is. */
 const MIN_PIECE_BYTES = 256;
 /** Bytes that a stream may be ahead of the rate, and the rate, bytes a second. */
-const BURST_BYTES = 2 * 1024 * 1024;
+const BURST_BYTES = 1024 * 1024;
 const BYTES_PER_S = 4 * 1024 * 1024;
 
 export class FloodGuard {
--- a/packages/daemon/src/gateway/requests/active_requests.ts
+++ b/packages/daemon/src/gateway/requests/active_requests.ts
@@ -4,14 +4,14 @@
 
 export class ActiveRequests {
   private readonly answers = new Set<ServerResponse>();
-  private onIdle: (() => void) | undefined;
+  private onIdle: Array<() => void> = [];
 
   /** Adds a request by its answer. */
   add(res: ServerResponse): void {
     this.answers.add(res);
     res.once('close', () => {
       this.answers.delete(res);
-      if (this.answers.size === 0) this.onIdle?.();
+      if (this.answers.size === 0) this.reportIdle();
     });
   }
 
@@ -25,6 +25,12 @@
   /** Resolves when no request is active; at once if none is. */
   waitUntilIdle(): Promise<void> {
     if (this.answers.size === 0) return Promise.resolve();
-    return new Promise(resolve => (this.onIdle = resolve));
+    return new Promise(resolve => this.onIdle.push(resolve));
+  }
+
+  private reportIdle(): void {
+    const waiting = this.onIdle;
+    this.onIdle = [];
+    for (const resolve of waiting) resolve();
   }
 }
--- a/packages/daemon/src/gateway/requests/stream_call.ts
+++ b/packages/daemon/src/gateway/requests/stream_call.ts
@@ -188,8 +188,9 @@
     const outcome = await this.runStream(entry);
     view.recordEnd(entry);
     // A caller that left before anything was sent tells nothing about the endpoint.
-    const endsItself = !this.stream?.isEndedLocally || this.stream.isFlooded;
-    if (!this.isFinished && endsItself) {
+    const isEndedByEndpoint =
+      !this.stream?.isEndedLocally || this.stream.isFlooded;
+    if (!this.isFinished && isEndedByEndpoint) {
       view.recordStreamEnd(entry, outcome, performance.now());
     }
     this.recordAttempt(outcome, startedMs);
