fix(wire,daemon): requests sent ahead and connections are bounded

Callers saw: VMs ended, out of memory, while a few clients sent requests ahead without reading the answers (30 clients at the front address, 200 at the ready address), and with some hundred idle connections no descriptor was left for the store and workers.

Cause: Node.js hands over all requests of a read at once, some 1,500 of them, and stops reading only when bytes of answers wait; requests whose answers have not begun count nothing. No listener bounded its connections, and MaxFds was not read.

Change: RequestPacer stands between a connection and its parser and feeds it only as many heads as may wait for answers (16); the rest follows as answers are sent. ConnectionGuard bounds the connections of each listener (from MaxFds and MemoryMb); a new one closes the one that has been idle for longest, then one whose answers are not read. BodyBudget and BodyBuffer become MemoryBudget and BodyBuffer of wire: one account for what is held in both directions, in which what stands still gives way first; bodies are kept in blocks that are used again, since dropped memory stays until it is collected. The own interface and the administration API use the same classes.

--- a/packages/daemon/src/admin/admin_server.ts
+++ b/packages/daemon/src/admin/admin_server.ts
@@ -14,7 +14,9 @@
 import type {TeamId, TenantId} from '@radishyoke/shared/ids';
 import {fail, Result, succeed} from '@radishyoke/shared/result';
 import {sendError, sendJson} from '@radishyoke/wire/error_answer';
+import {ConnectionGuard} from '@radishyoke/wire/connection_guard';
 import {listenAt} from '@radishyoke/wire/listen';
+import {MemoryBudget} from '@radishyoke/wire/memory_budget';
 import {readJson} from '@radishyoke/wire/request_body';
 import {Authenticator, Principal} from './admin_auth.js';
 import type {AdminBackend} from './admin_backend.js';
@@ -49,6 +51,10 @@
 const MAX_CONNECTIONS = 128;
 const HEADERS_TIMEOUT_MS = 5000;
 const REQUEST_TIMEOUT_MS = 15_000;
+/** Requests of one connection that may wait for their answers. */
+const MAX_REQUESTS_AHEAD = 16;
+/** Memory for bodies and requests sent ahead, bytes. */
+const MAX_HELD_BYTES = 8 * 1024 * 1024;
 const MAX_LOGGED_PATH_CHARS = 200;
 
 const METRICS_PATH = '/metrics';
@@ -58,6 +64,7 @@
 export class AdminServer {
   private readonly server: Server;
   private readonly authenticator: Authenticator;
+  private readonly memory = new MemoryBudget(MAX_HELD_BYTES);
 
   constructor(
     private readonly backend: AdminBackend,
@@ -73,7 +80,11 @@
       },
       (req, res) => void this.handle(req, res).catch(() => res.destroy()),
     );
-    this.server.maxConnections = MAX_CONNECTIONS;
+    const limits = {
+      maxConnections: MAX_CONNECTIONS,
+      maxRequestsAhead: MAX_REQUESTS_AHEAD,
+    };
+    new ConnectionGuard(this.server, limits, this.memory);
   }
 
   /** Listens at `address` (`ip:port`); resolves to the address in use. */
--- a/packages/daemon/src/callers/caller_server.ts
+++ b/packages/daemon/src/callers/caller_server.ts
@@ -3,7 +3,9 @@
 import http from 'node:http';
 import {createError, RadishyokeError} from '@radishyoke/shared/error_kind';
 import {sendError, sendJson} from '@radishyoke/wire/error_answer';
+import {ConnectionGuard} from '@radishyoke/wire/connection_guard';
 import {listenAt} from '@radishyoke/wire/listen';
+import type {MemoryBudget} from '@radishyoke/wire/memory_budget';
 import type {AppApi} from '../apps/app_api.js';
 import type {Logger} from '../logger.js';
 import type {LimitSettings} from '../settings/settings.js';
@@ -16,6 +18,8 @@
   readonly steps: StepApi;
   readonly apps: AppApi;
   readonly logger: Logger;
+  /** What is held for all callers. */
+  readonly memory: MemoryBudget;
   /** Returns the error with which this VM refuses all requests, if it does. */
   readonly findRefusal: () => RadishyokeError | undefined;
   /**
@@ -44,7 +48,7 @@
       },
       (req, res) => void this.handle(req, res),
     );
-    this.server.maxConnections = limits.maxConnections;
+    new ConnectionGuard(this.server, limits, options.memory);
   }
 
   /** Resolves with the address in use. */
--- a/packages/daemon/src/gateway/__tests__/gateway.spec.ts
+++ b/packages/daemon/src/gateway/__tests__/gateway.spec.ts
@@ -1,4 +1,5 @@
 import {setTimeout as sleep} from 'node:timers/promises';
+import {deriveCallerLimits} from '@radishyoke/wire/caller_limits';
 import test, {type ExecutionContext} from 'ava';
 import {createError} from '@radishyoke/shared/error_kind';
 import {fail, succeed} from '@radishyoke/shared/result';
@@ -68,6 +69,7 @@
       orderLeaseMs: 300,
       isFencingEnforced: true,
       graceMs: 8000,
+      callerLimits: deriveCallerLimits({memoryMb: 230, maxFds: 4096}),
       claimDelayMs: 0,
       isCapacityContended,
     },
--- a/packages/daemon/src/gateway/endpoints/endpoint_exchange.ts
+++ b/packages/daemon/src/gateway/endpoints/endpoint_exchange.ts
@@ -6,8 +6,8 @@
 
 import http from 'node:http';
 import type {EndpointEntry} from '@radishyoke/core/fleet/endpoint_entry';
-import type {BodyBudget} from './body_budget.js';
-import {BodyBuffer} from './body_buffer.js';
+import type {MemoryBudget} from '@radishyoke/wire/memory_budget';
+import {BodyBuffer} from '@radishyoke/wire/body_buffer';
 import {
   describeUnmade,
   watchConnection,
@@ -80,7 +80,7 @@
     private readonly agent: http.Agent,
     private readonly protocol: EndpointProtocol,
     private readonly entry: EndpointEntry,
-    private readonly budget?: BodyBudget,
+    private readonly budget?: MemoryBudget,
   ) {}
 
   /** Sends `request` and resolves with its outcome; never rejects. */
--- a/packages/daemon/src/gateway/endpoints/endpoint_links.ts
+++ b/packages/daemon/src/gateway/endpoints/endpoint_links.ts
@@ -8,7 +8,7 @@
 
 import type http from 'node:http';
 import type {EndpointEntry} from '@radishyoke/core/fleet/endpoint_entry';
-import {BodyBudget} from './body_budget.js';
+import {MemoryBudget} from '@radishyoke/wire/memory_budget';
 import {closeIdleConnections} from './connections.js';
 import {EndpointAgent} from './endpoint_agent.js';
 
@@ -22,12 +22,13 @@
 }
 
 export class EndpointLinks {
-  /** Memory for the bodies of all answers of endpoints. */
-  readonly bodies = new BodyBudget();
   private readonly links = new Map<string, Link>();
   /** Retired pools that had requests in flight when they were last looked at. */
   private readonly retired = new Set<EndpointAgent>();
 
+  /** @param bodies Memory that the bodies of answers share with all that is held for callers. */
+  constructor(readonly bodies = new MemoryBudget()) {}
+
   /** Returns the pool for the incarnation and address in `entry`; ends that of an earlier one. */
   getAgent(entry: EndpointEntry): http.Agent {
     const address = `${entry.host}:${entry.port}`;
--- a/packages/daemon/src/gateway/endpoints/endpoint_stream.ts
+++ b/packages/daemon/src/gateway/endpoints/endpoint_stream.ts
@@ -5,8 +5,8 @@
 
 import http from 'node:http';
 import type {EndpointEntry} from '@radishyoke/core/fleet/endpoint_entry';
-import type {BodyBudget} from './body_budget.js';
-import {BodyBuffer} from './body_buffer.js';
+import type {MemoryBudget} from '@radishyoke/wire/memory_budget';
+import {BodyBuffer} from '@radishyoke/wire/body_buffer';
 import {
   describeUnmade,
   watchConnection,
@@ -67,7 +67,7 @@
     private readonly protocol: EndpointProtocol,
     private readonly entry: EndpointEntry,
     private readonly reader: StreamReader,
-    private readonly budget?: BodyBudget,
+    private readonly budget?: MemoryBudget,
   ) {}
 
   /** Sends `request` and resolves with the outcome of the attempt; never rejects. */
--- a/packages/daemon/src/gateway/endpoints/http_call.ts
+++ b/packages/daemon/src/gateway/endpoints/http_call.ts
@@ -1,7 +1,7 @@
 /** A single HTTP call with a time limit, whose outcome says whether it may have been executed. */
 
 import http from 'node:http';
-import {BodyBuffer} from './body_buffer.js';
+import {BodyBuffer} from '@radishyoke/wire/body_buffer';
 import {
   describeUnmade,
   watchConnection,
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -8,7 +8,13 @@
 import {EndpointRoster} from '@radishyoke/core/fleet/endpoint_roster';
 import http from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
+import type {CallerLimits} from '@radishyoke/wire/caller_limits';
+import {
+  ConnectionGuard,
+  type ConnectionLimits,
+} from '@radishyoke/wire/connection_guard';
 import {listenAt} from '@radishyoke/wire/listen';
+import {MemoryBudget} from '@radishyoke/wire/memory_budget';
 import type {EventLogger} from '../logger.js';
 import {BatchApi} from './batches/batch_api.js';
 import {IndexReplicas} from './batches/index_replica.js';
@@ -56,6 +62,8 @@
   readonly isFencingEnforced: boolean;
   /** Time limit from a request to stop until the process ends, ms. */
   readonly graceMs: number;
+  /** What callers may hold of this VM. */
+  readonly callerLimits: CallerLimits;
   /** Added to the silence after which this VM claims the lease, ms. */
   readonly claimDelayMs: number;
   /**
@@ -90,6 +98,11 @@
 /** The VM reports that it is not ready once the log has been silent for this long, ms. With a lower limit a single slow answer would be enough. */
 const MAX_LOG_SILENCE_MS = 1800;
 const SWEEP_MS = 500;
+/** Limits of the listeners for the load balancer and for scrapers, each of which has a few connections. */
+const PROBE_LIMITS: ConnectionLimits = {
+  maxConnections: 16,
+  maxRequestsAhead: 4,
+};
 /** Time until the load balancer sends no new connections, ms. It checks once per second and removes a VM after two failed checks. */
 const BALANCER_REMOVAL_MS = 3200;
 /** Part of the grace period that is reserved for delivering the last answers, ms. */
@@ -103,7 +116,9 @@
   private readonly store: LogStore;
   private readonly roster = new EndpointRoster(GONE_GRACE_MS);
   private readonly rosterChangeLogger: RosterChangeLogger;
-  private readonly links = new EndpointLinks();
+  /** What is held for callers, answers of endpoints included. */
+  private readonly memory: MemoryBudget;
+  private readonly links: EndpointLinks;
   private readonly skippedConfig: SkippedRecords;
   private readonly skippedEndpoints: SkippedRecords;
   private readonly view: EndpointView;
@@ -138,6 +153,8 @@
     const {directory, callers, endpoints, logger} = deps;
     const store = new MeteredStore(deps.store, this.metrics);
     this.store = store;
+    this.memory = new MemoryBudget(cfg.callerLimits.maxHeldBytes);
+    this.links = new EndpointLinks(this.memory);
     this.rosterChangeLogger = new RosterChangeLogger(logger);
     this.skippedConfig = new SkippedRecords(this.metrics, logger);
     this.skippedEndpoints = new SkippedRecords(this.metrics, logger);
@@ -199,6 +216,8 @@
       batches,
       metrics: this.metrics,
       logger,
+      limits: cfg.callerLimits,
+      memory: this.memory,
     });
     this.readiness = http.createServer((req, res) =>
       this.answerReady(req, res),
@@ -208,6 +227,12 @@
       res.writeHead(200, {'Content-Type': 'text/plain'});
       res.end(this.metrics.render());
     });
+    for (const server of [this.readiness, this.metricsServer]) {
+      new ConnectionGuard(server, PROBE_LIMITS, this.memory);
+    }
+    this.metrics.registerGauge('held_bytes', () => this.memory.heldBytes);
+    this.metrics.registerGauge('held_bytes_limit', () => this.memory.maxBytes);
+    this.metrics.registerGauge('held_evicted', () => this.memory.evictedCount);
     const configFeed = this.createFeed(
       directory.configTopic,
       CONFIG_GATHER_MS,
--- a/packages/daemon/src/gateway/requests/front_server.ts
+++ b/packages/daemon/src/gateway/requests/front_server.ts
@@ -10,6 +10,9 @@
 } from '@radishyoke/core/routing/route_table';
 import {createError, type RadishyokeError} from '@radishyoke/shared/error_kind';
 import {listenAt} from '@radishyoke/wire/listen';
+import type {CallerLimits} from '@radishyoke/wire/caller_limits';
+import {ConnectionGuard} from '@radishyoke/wire/connection_guard';
+import type {MemoryBudget} from '@radishyoke/wire/memory_budget';
 import {readBody} from '@radishyoke/wire/request_body';
 import {fail, type Result, succeed} from '@radishyoke/shared/result';
 import type {Caller} from '@radishyoke/core/accounts/client_account';
@@ -33,6 +36,9 @@
   readonly batches: BatchApi;
   readonly metrics: GatewayMetrics;
   readonly logger: EventLogger;
+  readonly limits: CallerLimits;
+  /** What is held for all callers. */
+  readonly memory: MemoryBudget;
 }
 
 /** The route that matches a request, and the configuration that it is from. */
@@ -69,6 +75,7 @@
 
 export class FrontServer {
   private readonly server: http.Server;
+  private readonly guard: ConnectionGuard;
   private bufferedBytes = 0;
   private readonly active = new ActiveRequests();
   /** Calls and streams that have no result yet. */
@@ -85,9 +92,19 @@
       },
       (req, res) => void this.serve(req, res),
     );
+    this.guard = this.createGuard();
     this.applyLimits();
   }
 
+  private createGuard(): ConnectionGuard {
+    const {limits, memory, metrics} = this.deps;
+    metrics.registerGauge('caller_connections', () => this.guard.size);
+    return new ConnectionGuard(this.server, limits, memory, {
+      onEvicted: () => metrics.count('caller_connections_evicted'),
+      onRefused: () => metrics.count('caller_connections_refused'),
+    });
+  }
+
   listen(address: string): Promise<string> {
     return listenAt(this.server, address);
   }
--- a/packages/daemon/src/settings/settings.ts
+++ b/packages/daemon/src/settings/settings.ts
@@ -47,6 +47,9 @@
   readonly maxPeerMessageBytes: number;
   readonly slowReaderTimeoutMs: number;
   readonly slowWriterTimeoutMs: number;
+  readonly maxBodyMs: number;
+  readonly maxHeldBytes: number;
+  readonly maxRequestsAhead: number;
 }
 
 /** A credential for the administration API. */
@@ -299,5 +302,8 @@
     maxPeerMessageBytes: limits.max_peer_message,
     slowReaderTimeoutMs: limits.slow_reader_timeout,
     slowWriterTimeoutMs: limits.slow_writer_timeout,
+    maxBodyMs: limits.max_body_time,
+    maxHeldBytes: limits.max_held,
+    maxRequestsAhead: limits.max_requests_ahead,
   };
 }
--- a/packages/daemon/src/settings/settings_schema.ts
+++ b/packages/daemon/src/settings/settings_schema.ts
@@ -132,6 +132,21 @@
       '15s',
       'A caller that sends no byte of its request for so long is cut off.',
     ),
+    max_body_time: withDefault(
+      durationType('1s', '1h'),
+      '60s',
+      'A request body that is read whole must have come within so long.',
+    ),
+    max_held: withDefault(
+      sizeType('1MiB', '65536MiB'),
+      '128MiB',
+      'Most memory for the bodies and unread answers of all callers.',
+    ),
+    max_requests_ahead: withDefault(
+      integerType(1, 10_000),
+      '16',
+      'Most requests of one connection that wait for their answers.',
+    ),
   },
   leases: {
     session_ttl: withDefault(
--- a/packages/daemon/src/vm.ts
+++ b/packages/daemon/src/vm.ts
@@ -13,6 +13,7 @@
 import {createError, RadishyokeError} from '@radishyoke/shared/error_kind';
 import {toIncarnationId} from '@radishyoke/shared/ids';
 import {succeed} from '@radishyoke/shared/result';
+import {MemoryBudget} from '@radishyoke/wire/memory_budget';
 import {RenewingAgent} from '@radishyoke/wire/renewing_agent';
 import {AdminServer} from './admin/admin_server.js';
 import {AppApi} from './apps/app_api.js';
@@ -163,6 +164,7 @@
       endpoints: this.endpoints,
       directory: this.directory,
     });
+    const memory = new MemoryBudget(limits.maxHeldBytes);
     this.apps = new AppApi({
       dataCentre: vm.dataCentre,
       rules: this.rules,
@@ -189,6 +191,7 @@
       }),
       apps: this.apps,
       logger,
+      memory,
       findRefusal: () => this.findRefusal(),
       findReadinessFailure: () => this.findReadinessFailure(),
     });
--- a/packages/daemon/src/gateway/endpoints/__tests__/body_buffer.spec.ts
+++ b/packages/wire/src/__tests__/body_buffer.spec.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import {BodyBudget} from '../body_budget.js';
+import {MemoryBudget} from '../memory_budget.js';
 import {BodyBuffer} from '../body_buffer.js';
 
 const KIB = 1024;
@@ -14,7 +14,7 @@
 
 // Guards against a body without end that fills the memory.
 test('a body that is too long is dropped', t => {
-  const budget = new BodyBudget();
+  const budget = new MemoryBudget();
   const body = new BodyBuffer(64 * KIB, budget);
   t.true(body.push(Buffer.alloc(64 * KIB)));
   t.false(body.push(Buffer.alloc(1)));
@@ -30,7 +30,7 @@
 
 // Guards against many bodies that together fill the memory, and against small answers lost beside them.
 test('the largest body is dropped if all together are too large', t => {
-  const budget = new BodyBudget(100 * KIB);
+  const budget = new MemoryBudget(100 * KIB);
   const small = new BodyBuffer(1024 * KIB, budget);
   const large = new BodyBuffer(1024 * KIB, budget);
   t.true(small.push(Buffer.alloc(KIB)));
