fix(wire,daemon): bodies of callers are bounded while they come

Cause: each piece was kept as it came, and a piece of one byte takes some hundred bytes; bodies counted only once they were whole; nothing limited their time; over the limit, or for calls that are refused before the body is read, the rest was read and discarded.

Change: BodyReceipt copies a body into blocks that the account counts as they fill, and begins before the request waits for anything. A body over the limit is refused with 413, before a byte is read if it is announced; one that is late or stands still with 408; one that has to give way with 429. All three are true: it was never passed on. Answers that are not read count as well.

--- a/packages/daemon/src/admin/admin_server.ts
+++ b/packages/daemon/src/admin/admin_server.ts
@@ -143,7 +143,7 @@
     if (!route) return fail(createError('not_found'));
     const allowed = checkAllowed(route, call);
     if (!allowed.ok) return allowed;
-    const body = await readCallBody(req);
+    const body = await readCallBody(req, this.memory);
     if (!body.ok) return body;
     return this.run(res, route, {...call, body: body.value});
   }
@@ -216,12 +216,17 @@
     : fail(createError('forbidden', `the token lacks the role ${role}`));
 }
 
-async function readCallBody(req: IncomingMessage): Promise<Result<unknown>> {
+async function readCallBody(
+  req: IncomingMessage,
+  budget: MemoryBudget,
+): Promise<Result<unknown>> {
   if (req.method !== 'POST') return succeed(undefined);
-  if (Number(req.headers['content-length'] ?? 0) > MAX_BODY_BYTES) {
-    return fail(createError('too_large', `body over ${MAX_BODY_BYTES} bytes`));
-  }
-  return readJson(req, MAX_BODY_BYTES);
+  return readJson(req, {
+    maxBytes: MAX_BODY_BYTES,
+    maxSilenceMs: REQUEST_TIMEOUT_MS,
+    maxMs: REQUEST_TIMEOUT_MS,
+    budget,
+  });
 }
 
 function answerSchema(res: ServerResponse, name: string): Result<void> {
--- a/packages/daemon/src/apps/app_api.ts
+++ b/packages/daemon/src/apps/app_api.ts
@@ -14,7 +14,7 @@
 import {DataCentreId, RequestId, toRequestId} from '@radishyoke/shared/ids';
 import {fail, Result, succeed} from '@radishyoke/shared/result';
 import {sendError} from '@radishyoke/wire/error_answer';
-import {readBody} from '@radishyoke/wire/request_body';
+import {type BodyLimits, readBody} from '@radishyoke/wire/request_body';
 import {AppEnd, AppRunner} from './app_runner.js';
 import {
   Caller,
@@ -64,6 +64,8 @@
   readonly dispatcher: Dispatcher;
   readonly http: HttpDispatcher;
   readonly log: LogTask;
+  /** Limits of request bodies that are read whole. */
+  readonly bodyLimits: BodyLimits;
   readonly logger: Logger;
   readonly onEnd: (record: AppRecord) => void;
 }
@@ -87,7 +89,7 @@
     if (!route.ok) return this.refuse(res, route.error);
     const idempotent = resolveIdempotent(req, route.value);
     if (!idempotent.ok) return this.refuse(res, idempotent.error);
-    const body = await readReplayBody(req);
+    const body = await readReplayBody(req, this.options.bodyLimits);
     if (!body.ok) return this.refuse(res, body.error);
     const id = await this.claimRequest(req, caller.value, idempotent.value);
     if (!id.ok) return this.refuse(res, id.error);
@@ -274,6 +276,7 @@
 /** Reads a short body into memory; undefined for one that must be streamed. */
 async function readReplayBody(
   req: IncomingMessage,
+  limits: BodyLimits,
 ): Promise<Result<Buffer | undefined>> {
   const length = req.headers['content-length'];
   if (length === undefined) {
@@ -281,5 +284,5 @@
     return succeed(chunked ? undefined : Buffer.alloc(0));
   }
   if (Number(length) > maxReplayBytes) return succeed(undefined);
-  return readBody(req, maxReplayBytes);
+  return readBody(req, {...limits, maxBytes: maxReplayBytes});
 }
--- a/packages/daemon/src/gateway/batches/__tests__/batch_api.spec.ts
+++ b/packages/daemon/src/gateway/batches/__tests__/batch_api.spec.ts
@@ -1,5 +1,6 @@
 import http from 'node:http';
 import type {AddressInfo} from 'node:net';
+import {MemoryBudget} from '@radishyoke/wire/memory_budget';
 import test, {type ExecutionContext} from 'ava';
 import type {Caller} from '@radishyoke/core/accounts/client_account';
 import type {Batch} from '@radishyoke/core/batches/batch_record';
@@ -82,6 +83,7 @@
     isCapacityContended: false,
     metrics: new GatewayMetrics(),
     logger: silentLogger,
+    memory: new MemoryBudget(),
   };
   const api = new BatchApi(deps);
   const server = http.createServer((req, res) => {
@@ -89,9 +91,9 @@
     const caller: Caller =
       name === undefined ? {kind: 'unchecked'} : {kind: 'account', name};
     if (req.method === 'POST') {
-      const body = Buffer.from('');
+      const takeBody = () => Buffer.from('');
       const route = {route: ROUTE, configVersion: 7};
-      const post = {...route, caller, host: 'h', path: '/r/', body};
+      const post = {...route, caller, host: 'h', path: '/r/', takeBody};
       void api.submit(post, req, res);
       return;
     }
--- a/packages/daemon/src/gateway/batches/batch_api.ts
+++ b/packages/daemon/src/gateway/batches/batch_api.ts
@@ -11,12 +11,18 @@
 } from '@radishyoke/core/batches/batch_index';
 import {numberGroups} from '@radishyoke/core/batches/group_progress';
 import {ResultPoll} from '@radishyoke/core/batches/result_poll';
-import type {Batch, IndexRecord} from '@radishyoke/core/batches/batch_record';
+import type {
+  Batch,
+  BatchHeader,
+  IndexRecord,
+} from '@radishyoke/core/batches/batch_record';
 import {isOwner} from '@radishyoke/core/accounts/account_directory';
 import type {Caller} from '@radishyoke/core/accounts/client_account';
 import type {Route} from '@radishyoke/core/routing/route_table';
 import {createError, type RadishyokeError} from '@radishyoke/shared/error_kind';
 import {fail, type Result, succeed} from '@radishyoke/shared/result';
+import type {MemoryBudget, MemoryHolder} from '@radishyoke/wire/memory_budget';
+import {countAnswer, sendWhole} from '@radishyoke/wire/whole_answer';
 import type http from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {EventLogger} from '../../logger.js';
@@ -39,6 +45,8 @@
   readonly isCapacityContended: boolean;
   readonly metrics: GatewayMetrics;
   readonly logger: EventLogger;
+  /** What is held for all callers. */
+  readonly memory: MemoryBudget;
 }
 
 /** Time for all attempts of one append, ms; a caller tries another VM after about as long. */
@@ -51,6 +59,10 @@
 const RETRY_AFTER_MS = 300;
 /** Submissions that one VM decodes and stores at the same time. Each holds several copies of its body in memory. */
 const MAX_SUBMISSIONS = 16;
+/** Memory for decoding a submission, as a multiple of its body: the body and its text. */
+const DECODED_FACTOR = 2;
+/** Most that one submission counts of the memory for callers, so that a large one is accepted beside others. */
+const MAX_SUBMISSION_SHARE = 0.75;
 
 /** A batch submission as received over HTTP. */
 export interface BatchPost {
@@ -60,7 +72,23 @@
   readonly caller: Caller;
   readonly host: string;
   readonly path: string;
-  readonly body: Buffer;
+  /** Returns the body, of which the caller of this keeps nothing. */
+  takeBody(): Buffer;
+}
+
+/** Memory for one submission, which is in use until the submission has ended. */
+class SubmissionMemory implements MemoryHolder {
+  readonly progressMs = undefined;
+
+  evict(): void {}
+}
+
+/** A submission that has been decoded: its payload as it is stored, and what is kept of it meanwhile. */
+interface PreparedBatch {
+  readonly header: BatchHeader;
+  readonly itemIds: readonly string[];
+  readonly groups: readonly string[];
+  readonly payload: Uint8Array;
 }
 
 export class BatchApi {
@@ -85,17 +113,17 @@
       return this.finish(res, 'submit', undefined, route, error);
     }
     if (this.submissions >= MAX_SUBMISSIONS) {
-      const error = createError('overloaded', 'too many submissions at once', {
-        retryAfterMs: RETRY_AFTER_MS,
-      });
+      const error = createOverloaded('too many submissions at once');
       return this.finish(res, 'submit', attemptId, route, error);
     }
     this.submissions += 1;
+    const work = new SubmissionMemory();
     try {
-      const error = await this.store(post, attemptId);
+      const error = await this.store(post, attemptId, work);
       this.finish(res, 'submit', attemptId, route, error);
     } finally {
       this.submissions -= 1;
+      this.deps.memory.release(work);
     }
   }
 
@@ -128,45 +156,73 @@
   }
 
   private async store(
-    {route, configVersion, caller, host, path, body}: BatchPost,
+    post: BatchPost,
     attemptId: string,
+    work: SubmissionMemory,
   ): Promise<RadishyokeError | undefined> {
-    const {protocol, replicas, logger} = this.deps;
-    const account = caller.kind === 'account' ? caller.name : undefined;
-    const batch = protocol.decodeBatch(body, {
-      attemptId,
-      host,
-      path,
-      account,
-      atMs: Date.now(),
-    });
-    if (!batch.ok) return batch.error;
+    const {replicas, logger} = this.deps;
+    const {route, configVersion, caller} = post;
+    const account = getAccountName(caller);
     const replica = replicas.locate(attemptId);
     const existing = replica.index.get(attemptId);
     if (existing && !isOwner(caller, existing.header.account)) {
       return createError('duplicate_request', 'the id is already in use');
     }
     if (existing) return undefined;
-    const accepted = await this.accept(replica, {
-      ...batch.value,
-      ...describeAcceptance(route, configVersion),
-    });
+    const prepared = this.prepare(post, attemptId, work);
+    if (!prepared.ok) return prepared.error;
+    const accepted = await this.accept(replica, prepared.value);
     if (!accepted.ok) return accepted.error;
+    const {header, itemIds} = prepared.value;
     logger.log('info', 'batch accepted', {
       requestId: attemptId,
       rule: route.name,
       configVersion,
       account,
-      step: batch.value.step,
-      model: batch.value.model,
-      minVersion: batch.value.minVersion,
-      items: batch.value.items.length,
+      step: header.step,
+      model: header.model,
+      minVersion: header.minVersion,
+      items: itemIds.length,
       partition: replica.partition,
       offset: accepted.value,
     });
     return undefined;
   }
 
+  /** Decodes a submission. The body and the items are free again once the payload is encoded: all three would not fit a small VM. */
+  private prepare(
+    {route, configVersion, caller, host, path, takeBody}: BatchPost,
+    attemptId: string,
+    work: SubmissionMemory,
+  ): Result<PreparedBatch> {
+    const {protocol, memory} = this.deps;
+    const body = takeBody();
+    const neededBytes = Math.min(
+      body.length * DECODED_FACTOR,
+      memory.maxBytes * MAX_SUBMISSION_SHARE,
+    );
+    if (!memory.hold(work, neededBytes)) {
+      return fail(createOverloaded('too much is held for callers'));
+    }
+    const account = getAccountName(caller);
+    const submission = {attemptId, host, path, account, atMs: Date.now()};
+    const decoded = protocol.decodeBatch(body, submission);
+    if (!decoded.ok) return decoded;
+    const batch = {
+      ...decoded.value,
+      ...describeAcceptance(route, configVersion),
+    };
+    const {items, ...header} = batch;
+    const payload = encodeBatch(batch);
+    memory.hold(work, payload.length);
+    return succeed({
+      header,
+      itemIds: items.map(({id}) => id),
+      groups: items.map(({group}) => group),
+      payload,
+    });
+  }
+
   /**
    * Stores the payload of the batch, then its index record, which accepts it.
    * A payload without an index record is never run, so the batch can safely be
@@ -175,28 +231,26 @@
    */
   private async accept(
     replica: IndexReplica,
-    batch: Batch,
+    {header, itemIds, groups, payload: bytes}: PreparedBatch,
   ): Promise<Result<number>> {
     const untilMs = performance.now() + APPEND_BUDGET_MS;
-    const {items, ...header} = batch;
-    const itemIds = items.map(({id}) => id);
-    const stored = await this.storePayload(replica, batch, untilMs);
+    const stored = await this.storePayload(replica, bytes, untilMs);
     if (stored.kind === 'failed') {
       return fail(createRefusal(stored.error.detail));
     }
     const [payload] = stored.refs;
-    const groups = this.deps.isCapacityContended
-      ? {groupNumbers: numberGroups(items.map(({group}) => group))}
+    const groupNumbers = this.deps.isCapacityContended
+      ? {groupNumbers: numberGroups(groups)}
       : {};
     const record = encodeRecord({
       kind: 'accepted',
       header,
       itemIds,
-      ...groups,
+      ...groupNumbers,
       payload,
     });
     if (record.length > this.deps.store.maxRecordBytes) {
-      const detail = `a batch of ${items.length} items`;
+      const detail = `a batch of ${itemIds.length} items`;
       return fail(createError('too_large', detail));
     }
     const outcome = await this.appendIndex(replica, record, untilMs);
@@ -214,10 +268,9 @@
 
   private async storePayload(
     replica: IndexReplica,
-    batch: Batch,
+    bytes: Uint8Array,
     untilMs: number,
   ): Promise<StoreOutcome> {
-    const bytes = encodeBatch(batch);
     for (;;) {
       const stored = await this.payloads.append(replica.partition, [bytes]);
       if (stored.kind === 'stored') return stored;
@@ -386,12 +439,16 @@
     body: Uint8Array,
   ): void {
     if (res.destroyed) return;
+    if (!countAnswer(res, body.length, this.deps.memory)) return;
     const type = contentType ? {'Content-Type': contentType} : {};
-    res.writeHead(status, {...type, 'Content-Length': body.length});
-    res.end(body);
+    sendWhole(res, status, type, body);
   }
 }
 
+function getAccountName(caller: Caller): string | undefined {
+  return caller.kind === 'account' ? caller.name : undefined;
+}
+
 /** Describes what `route` promises to a batch that it accepts. */
 function describeAcceptance(
   {batch}: Route,
@@ -402,6 +459,10 @@
   return {acceptedUnder: {configVersion, retentionMs}};
 }
 
+function createOverloaded(detail: string): RadishyokeError {
+  return createError('overloaded', detail, {retryAfterMs: RETRY_AFTER_MS});
+}
+
 /** Creates the error for a batch that was not stored and never will be. */
 function createRefusal(detail: string): RadishyokeError {
   return createError('log_unavailable', detail, {
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -15,6 +15,7 @@
 } from '@radishyoke/wire/connection_guard';
 import {listenAt} from '@radishyoke/wire/listen';
 import {MemoryBudget} from '@radishyoke/wire/memory_budget';
+import {sendWhole} from '@radishyoke/wire/whole_answer';
 import type {EventLogger} from '../logger.js';
 import {BatchApi} from './batches/batch_api.js';
 import {IndexReplicas} from './batches/index_replica.js';
@@ -208,6 +209,7 @@
       isCapacityContended: cfg.isCapacityContended,
       metrics: this.metrics,
       logger,
+      memory: this.memory,
     });
     this.front = new FrontServer({
       protocol: callers,
@@ -222,10 +224,13 @@
     this.readiness = http.createServer((req, res) =>
       this.answerReady(req, res),
     );
-    this.metricsServer = http.createServer((req, res) => {
-      req.resume();
-      res.writeHead(200, {'Content-Type': 'text/plain'});
-      res.end(this.metrics.render());
+    this.metricsServer = http.createServer((_, res) => {
+      sendWhole(
+        res,
+        200,
+        {'Content-Type': 'text/plain'},
+        this.metrics.render(),
+      );
     });
     for (const server of [this.readiness, this.metricsServer]) {
       new ConnectionGuard(server, PROBE_LIMITS, this.memory);
@@ -545,11 +550,8 @@
     req: http.IncomingMessage,
     res: http.ServerResponse,
   ): void {
-    req.resume();
     const isReadyPath = req.url === this.cfg.readyPath;
-    res.writeHead(isReadyPath ? (this.isReady ? 200 : 503) : 404, {
-      'Content-Length': 0,
-    });
-    res.end();
+    const status = isReadyPath ? (this.isReady ? 200 : 503) : 404;
+    sendWhole(res, status, {}, '');
   }
 }
--- a/packages/daemon/src/gateway/requests/front_server.ts
+++ b/packages/daemon/src/gateway/requests/front_server.ts
@@ -13,14 +13,15 @@
 import type {CallerLimits} from '@radishyoke/wire/caller_limits';
 import {ConnectionGuard} from '@radishyoke/wire/connection_guard';
 import type {MemoryBudget} from '@radishyoke/wire/memory_budget';
-import {readBody} from '@radishyoke/wire/request_body';
+import {BodyReceipt, readAnnouncedBytes} from '@radishyoke/wire/request_body';
+import {countAnswer, sendWhole} from '@radishyoke/wire/whole_answer';
 import {fail, type Result, succeed} from '@radishyoke/shared/result';
 import type {Caller} from '@radishyoke/core/accounts/client_account';
 import type {EventLogger} from '../../logger.js';
 import type {BatchApi} from '../batches/batch_api.js';
 import {ActiveRequests} from './active_requests.js';
 import {answerError, copyHeaders} from './caller_answer.js';
-import type {CallerProtocol} from './caller_protocol.js';
+import type {CallerCall, CallerProtocol} from './caller_protocol.js';
 import {fingerprintKey} from './key_fingerprint.js';
 import type {ConfigHolder} from '../store/config_holder.js';
 import type {EndpointAnswer} from '../endpoints/endpoint_exchange.js';
@@ -52,12 +53,28 @@
   readonly caller: Caller;
 }
 
+/** A matched request whose body has come. */
+interface ReceivedRequest extends MatchedRequest {
+  readonly body: Buffer;
+  /** Steady ms by which the caller must have its answer. */
+  readonly deadlineAtMs: number;
+}
+
+/** When the head of a request arrived, and the receipt of its body, if it has one. */
+interface Arrival {
+  readonly receivedMs: number;
+  readonly receipt: BodyReceipt | undefined;
+}
+
 /** Retry delay sent while this VM can not tell whether its configuration is current, ms; another VM may accept the retry. */
 const NOT_CURRENT_RETRY_MS = 150;
 /** Header limit, set when the server is created, before a configuration was read. */
 const DEFAULT_MAX_HEADER_BYTES = 64 * 1024;
-/** Further requests are refused while the bodies in memory exceed this, bytes: an eighth of the smallest VM's memory. */
-const MAX_BUFFERED_BYTES = 24 * 1024 * 1024;
+/** Longest body that is ignored on a call that needs none, bytes. */
+const MAX_IGNORED_BYTES = 64 * 1024;
+const EMPTY_BODY = Buffer.alloc(0);
+/** Interval at which connections without a whole head are looked at, ms. */
+const CHECK_INTERVAL_MS = 1000;
 /** Connections stay open this much longer than callers may reuse them, ms. */
 const IDLE_SLACK_MS = 1000;
 /** Time-out if neither the caller nor the route sets one, ms. */
@@ -76,7 +93,6 @@
 export class FrontServer {
   private readonly server: http.Server;
   private readonly guard: ConnectionGuard;
-  private bufferedBytes = 0;
   private readonly active = new ActiveRequests();
   /** Calls and streams that have no result yet. */
   private readonly pendingCalls = new Set<PendingCall>();
@@ -89,6 +105,7 @@
         maxHeaderSize: DEFAULT_MAX_HEADER_BYTES,
         // Disabled, since each request is bounded by its own deadline.
         requestTimeout: 0,
+        connectionsCheckingInterval: CHECK_INTERVAL_MS,
       },
       (req, res) => void this.serve(req, res),
     );
@@ -154,71 +171,94 @@
     this.active.add(res);
     if (this.isDraining) res.setHeader('Connection', 'close');
     if (this.isRefusing) {
-      req.resume();
       return this.refuse(req, res, createError('draining'));
     }
     const receivedMs = performance.now();
+    const {protocol} = this.deps;
+    const {method = 'GET', url = '/', headers} = req;
+    const call = protocol.decodeCall(method, url, headers);
+    if (!call.ok) return this.sendError(res, call.error);
+    // Begun before anything is waited for, since unread pieces would pile up.
+    const receipt = this.receiveBody(req, call.value);
     try {
-      await this.dispatch(req, res, receivedMs);
+      await this.dispatch(req, res, call.value, {receipt, receivedMs});
     } catch (err) {
       // An internal fault: whether the request was executed is unknown.
       const detail =
         err instanceof Error ? (err.stack ?? err.message) : 'unknown';
       this.deps.logger.log('error', 'request failed inside', {
-        requestId: this.deps.protocol.readAttempt(req.headers).id,
+        requestId: protocol.readAttempt(headers).id,
         detail,
       });
       this.sendError(res, createError('internal'));
+    } finally {
+      receipt?.release();
     }
   }
 
+  /** Begins to receive the body of a request, if it has one. */
+  private receiveBody(
+    req: http.IncomingMessage,
+    call: CallerCall,
+  ): BodyReceipt | undefined {
+    if (readAnnouncedBytes(req) === 0) return undefined;
+    const {protocol, config, limits, memory} = this.deps;
+    const {table} = config;
+    const {deadlineMs = Infinity} = protocol.readAttempt(req.headers);
+    const isNeeded = call.kind === 'request' && table !== undefined;
+    return new BodyReceipt(req, {
+      maxBytes: isNeeded ? table.cfg.limits.maxBodyBytes : MAX_IGNORED_BYTES,
+      maxSilenceMs: limits.maxBodySilenceMs,
+      maxMs: Math.min(deadlineMs, limits.maxBodyMs),
+      budget: memory,
+    });
+  }
+
   private async dispatch(
     req: http.IncomingMessage,
     res: http.ServerResponse,
-    receivedMs: number,
+    call: CallerCall,
+    arrival: Arrival,
   ): Promise<void> {
-    const {protocol, config, batches} = this.deps;
-    const method = req.method ?? 'GET';
-    const path = req.url ?? '/';
-    const call = protocol.decodeCall(method, path, req.headers);
-    if (!call.ok) {
-      req.resume();
-      return this.sendError(res, call.error);
-    }
-    if (call.value.kind !== 'request') {
-      req.resume();
+    const {protocol, batches} = this.deps;
+    if (call.kind !== 'request') {
       // A batch submitted through a public route needs no key for later calls
       // either; the batch API checks which account owns it.
       const isKeyless = protocol.readKey(req.headers) === undefined;
       const admitted = await this.admit(req, isKeyless);
       if (!admitted.ok) return this.refuse(req, res, admitted.error);
-      return batches.answer(call.value, admitted.value, res);
+      return batches.answer(call, admitted.value, res);
     }
     const host = canonicalizeHost(req.headers.host ?? '');
+    const path = req.url ?? '/';
     const match = await this.findRoute(host, path);
-    if (!match.ok) {
-      req.resume();
-      return this.refuse(req, res, match.error);
-    }
-    const isPublic = match.value.route.isPublic ?? false;
-    const caller = await this.admit(req, isPublic);
-    if (!caller.ok) {
-      req.resume();
-      return this.refuse(req, res, caller.error);
-    }
-    const {maxBodyBytes} = config.table!.cfg.limits;
-    const body = await this.receiveBody(req, res, maxBodyBytes);
-    if (!body) return;
+    if (!match.ok) return this.refuse(req, res, match.error);
+    const {route} = match.value;
+    const caller = await this.admit(req, route.isPublic ?? false);
+    if (!caller.ok) return this.refuse(req, res, caller.error);
     const matched = {...match.value, caller: caller.value};
-    try {
-      if (matched.route.kind === 'batch') {
-        await batches.submit({...matched, host, path, body}, req, res);
-        return;
-      }
-      await this.forward(req, res, matched, body, receivedMs);
-    } finally {
-      this.bufferedBytes -= body.length;
+    const {receipt} = arrival;
+    const timeoutMs = this.computeTimeoutMs(req, route);
+    // The time limit of a batch route is not for its submissions.
+    if (route.kind !== 'batch') receipt?.limitTo(timeoutMs);
+    const received = (await receipt?.whole) ?? succeed(undefined);
+    if (!received.ok) return this.refuse(req, res, received.error);
+    if (route.kind === 'batch') {
+      const takeBody = () => receipt?.take() ?? EMPTY_BODY;
+      return batches.submit({...matched, host, path, takeBody}, req, res);
     }
+    const body = receipt?.body ?? EMPTY_BODY;
+    const deadlineAtMs = arrival.receivedMs + timeoutMs - ANSWER_MARGIN_MS;
+    await this.forward(req, res, {...matched, body, deadlineAtMs}, arrival);
+  }
+
+  /** Returns how long the caller waits, and the route allows it to be kept waiting, ms. */
+  private computeTimeoutMs(
+    {headers}: http.IncomingMessage,
+    {timeoutMs}: Route,
+  ): number {
+    const {deadlineMs = Infinity} = this.deps.protocol.readAttempt(headers);
+    return Math.min(deadlineMs, timeoutMs > 0 ? timeoutMs : DEFAULT_TIMEOUT_MS);
   }
 
   /** Finds the matching route; answers that there is none only if this VM's configuration is confirmed to be current. */
@@ -263,54 +303,22 @@
     }
   }
 
-  private async receiveBody(
-    req: http.IncomingMessage,
-    res: http.ServerResponse,
-    maxBytes: number,
-  ): Promise<Buffer | undefined> {
-    if (this.bufferedBytes > MAX_BUFFERED_BYTES) {
-      req.resume();
-      const detail = 'too many request bodies are buffered';
-      this.refuse(
-        req,
-        res,
-        createError('overloaded', detail, {retryAfterMs: 300}),
-      );
-      return undefined;
-    }
-    const body = await readBody(req, maxBytes);
-    if (!body.ok) {
-      this.refuse(req, res, body.error);
-      return undefined;
-    }
-    this.bufferedBytes += body.value.length;
-    return body.value;
-  }
-
   private async forward(
     req: http.IncomingMessage,
     res: http.ServerResponse,
-    {route, caller}: MatchedRequest,
-    body: Buffer,
-    receivedMs: number,
+    matched: ReceivedRequest,
+    {receivedMs}: Arrival,
   ): Promise<void> {
-    const {protocol, config} = this.deps;
-    const attempt = protocol.readAttempt(req.headers);
-    const timeoutMs = Math.min(
-      attempt.deadlineMs ?? Infinity,
-      route.timeoutMs > 0 ? route.timeoutMs : DEFAULT_TIMEOUT_MS,
-    );
     if (res.destroyed) return;
+    const {protocol, config} = this.deps;
+    const {route} = matched;
     const forwarded: ForwardRequest = {
+      ...matched,
       method: req.method ?? 'GET',
       path: req.url ?? '/',
       headers: req.headers,
-      body,
-      attemptId: attempt.id,
-      caller,
-      route,
+      attemptId: protocol.readAttempt(req.headers).id,
       configVersion: config.version,
-      deadlineAtMs: receivedMs + timeoutMs - ANSWER_MARGIN_MS,
     };
     const outcome =
       route.kind === 'streaming'
@@ -353,10 +361,10 @@
   }
 
   private sendAnswer(res: http.ServerResponse, answer: EndpointAnswer): void {
-    copyHeaders(answer.rawHeaders, res);
-    res.statusCode = answer.status;
-    res.setHeader('Content-Length', answer.body.length);
-    res.end(answer.body);
+    const {status, rawHeaders, body} = answer;
+    if (!countAnswer(res, body.length, this.deps.memory)) return;
+    copyHeaders(rawHeaders, res);
+    sendWhole(res, status, {}, body);
   }
 
   private refuse(
--- a/packages/daemon/src/steps/step_api.ts
+++ b/packages/daemon/src/steps/step_api.ts
@@ -12,7 +12,7 @@
 import {StepRequest, stepRequestSchema} from '@radishyoke/shared/rollout';
 import {sendError, sendJson} from '@radishyoke/wire/error_answer';
 import {Forward} from '@radishyoke/wire/forward';
-import {readBody} from '@radishyoke/wire/request_body';
+import {type BodyLimits, readBody} from '@radishyoke/wire/request_body';
 import {z} from 'zod';
 import {
   Caller,
@@ -46,6 +46,8 @@
   readonly vm: VmId;
   readonly dataCentre: DataCentreId;
   readonly limits: LimitSettings;
+  /** Limits of request bodies. */
+  readonly bodyLimits: BodyLimits;
   readonly rules: RuleRegistry;
   readonly directory: StepDirectory;
   readonly http: HttpDispatcher;
@@ -82,7 +84,7 @@
     if (!stepIdPattern.test(id)) {
       return sendError(res, createError('bad_request', 'malformed step id'));
     }
-    const body = await readBody(req, this.options.limits.maxBodyBytes);
+    const body = await readBody(req, this.options.bodyLimits);
     if (!body.ok) return sendError(res, body.error);
     const call: StepCall = {
       req,
--- a/packages/daemon/src/vm.ts
+++ b/packages/daemon/src/vm.ts
@@ -165,12 +165,19 @@
       directory: this.directory,
     });
     const memory = new MemoryBudget(limits.maxHeldBytes);
+    const bodyLimits = {
+      maxBytes: limits.maxBodyBytes,
+      maxSilenceMs: limits.slowWriterTimeoutMs,
+      maxMs: limits.maxBodyMs,
+      budget: memory,
+    };
     this.apps = new AppApi({
       dataCentre: vm.dataCentre,
       rules: this.rules,
       dispatcher: this.dispatcher,
       http: this.http,
       log: this.log,
+      bodyLimits,
       logger,
       onEnd: record => {
         this.metrics.recordApp(record);
@@ -184,6 +191,7 @@
         vm: vm.id,
         dataCentre: vm.dataCentre,
         limits,
+        bodyLimits,
         rules: this.rules,
         directory: this.directory,
         http: this.http,
--- a/packages/shared/src/error_kind.ts
+++ b/packages/shared/src/error_kind.ts
@@ -9,6 +9,7 @@
 export type ErrorKind =
   | 'bad_request'
   | 'too_large'
+  | 'body_late'
   | 'unauthorized'
   | 'forbidden'
   | 'not_found'
@@ -64,6 +65,12 @@
 export const ERROR_ANSWERS: Readonly<Record<ErrorKind, ErrorAnswer>> = {
   bad_request: createAnswer(400, 'no', false, 'the request is malformed'),
   too_large: createAnswer(413, 'no', false, 'the request is over a size limit'),
+  body_late: createAnswer(
+    408,
+    'no',
+    true,
+    'the body of the request did not arrive in time',
+  ),
   unauthorized: createAnswer(
     401,
     'no',
--- a/packages/wire/src/error_answer.ts
+++ b/packages/wire/src/error_answer.ts
@@ -7,6 +7,7 @@
   resolveRan,
 } from '@radishyoke/shared/error_kind';
 import {HEADERS} from '@radishyoke/shared/header';
+import {sendWhole} from './whole_answer.js';
 
 const msPerSecond = 1000;
 
@@ -64,11 +65,6 @@
   value: unknown,
   headers: Readonly<Record<string, string>> = {},
 ): void {
-  const body = JSON.stringify(value);
-  res.writeHead(status, {
-    'content-type': 'application/json',
-    'content-length': Buffer.byteLength(body),
-    ...headers,
-  });
-  res.end(body);
+  const type = {'content-type': 'application/json'};
+  sendWhole(res, status, {...type, ...headers}, JSON.stringify(value));
 }
