--- a/packages/daemon/src/gateway/batches/batch_api.ts
+++ b/packages/daemon/src/gateway/batches/batch_api.ts
@@ -61,8 +61,6 @@
 const MAX_SUBMISSIONS = 16;
 /** Memory for decoding a submission, as a multiple of its body: the body and its text. */
 const DECODED_FACTOR = 2;
-/** Most that one submission counts of the memory for callers, so that a large one is accepted beside others. */
-const MAX_SUBMISSION_SHARE = 0.75;
 
 /** A batch submission as received over HTTP. */
 export interface BatchPost {
@@ -197,11 +195,7 @@
   ): Result<PreparedBatch> {
     const {protocol, memory} = this.deps;
     const body = takeBody();
-    const neededBytes = Math.min(
-      body.length * DECODED_FACTOR,
-      memory.maxBytes * MAX_SUBMISSION_SHARE,
-    );
-    if (!memory.hold(work, neededBytes)) {
+    if (!memory.hold(work, body.length * DECODED_FACTOR)) {
       return fail(createOverloaded('too much is held for callers'));
     }
     const account = getAccountName(caller);
--- a/packages/daemon/src/gateway/endpoints/endpoint_exchange.ts
+++ b/packages/daemon/src/gateway/endpoints/endpoint_exchange.ts
@@ -180,7 +180,10 @@
       return;
     }
     detectReset(res);
-    const body = new BodyBuffer(MAX_ANSWER_BYTES, this.budget);
+    const announced = res.headers['content-length'];
+    const body = new BodyBuffer(MAX_ANSWER_BYTES, this.budget, {
+      ...(announced === undefined ? {} : {announcedBytes: Number(announced)}),
+    });
     this.body = body;
     res.on('data', (chunk: Buffer) => {
       if (this.isDone || body.push(chunk)) return;
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -8,7 +8,10 @@
 import {EndpointRoster} from '@radishyoke/core/fleet/endpoint_roster';
 import http from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
-import type {CallerLimits} from '@radishyoke/wire/caller_limits';
+import {
+  BESIDE_LARGE_SHARE,
+  type CallerLimits,
+} from '@radishyoke/wire/caller_limits';
 import {
   ConnectionGuard,
   type ConnectionLimits,
@@ -154,7 +157,10 @@
     const {directory, callers, endpoints, logger} = deps;
     const store = new MeteredStore(deps.store, this.metrics);
     this.store = store;
-    this.memory = new MemoryBudget(cfg.callerLimits.maxHeldBytes);
+    this.memory = new MemoryBudget(
+      cfg.callerLimits.maxHeldBytes,
+      BESIDE_LARGE_SHARE,
+    );
     this.links = new EndpointLinks(this.memory);
     this.rosterChangeLogger = new RosterChangeLogger(logger);
     this.skippedConfig = new SkippedRecords(this.metrics, logger);
--- a/packages/wire/src/body_buffer.ts
+++ b/packages/wire/src/body_buffer.ts
@@ -9,6 +9,8 @@
 export interface BodyBufferOptions {
   /** Each piece counts as at least this long, bytes. */
   readonly minPieceBytes?: number;
+  /** Length that the sender has announced, bytes; memory for it is allocated, and counts, at its first piece. */
+  readonly announcedBytes?: number;
   /** Called when the body is dropped because there is too little memory. */
   readonly onEvicted?: () => void;
 }
@@ -17,7 +19,7 @@
 const MIN_PIECE_BYTES = 1024;
 
 export class BodyBuffer implements MemoryHolder {
-  /** All but the last are full. No reference to a block of full size leaves this class. */
+  /** All but the last are full. One block if the length was announced; otherwise no reference to a block of full size leaves this class. */
   private blocks: Buffer[] = [];
   /** Bytes in the last block. */
   private used = 0;
@@ -107,21 +109,35 @@
     return true;
   }
 
-  /** Adds a block for `bytes` more, which doubles a small body; returns false if there is too little memory. */
+  /** Adds a block for `bytes` more; returns false if there is too little memory. */
   private addBlock(bytes: number): boolean {
-    const size = Math.min(Math.max(bytes, this.capacity), BLOCK_BYTES);
+    const size = this.chooseSize(bytes);
     this.capacity += size;
     if (!this.budget.hold(this, this.capacity)) return false;
-    const {blocks} = this.budget;
-    const isFull = size === BLOCK_BYTES;
-    this.blocks.push(isFull ? blocks.take() : Buffer.allocUnsafe(size));
+    const isPooled = this.isUnannounced && size === BLOCK_BYTES;
+    const block = isPooled
+      ? this.budget.blocks.take()
+      : Buffer.allocUnsafe(size);
+    this.blocks.push(block);
     this.used = 0;
     return true;
   }
 
+  private get isUnannounced(): boolean {
+    return this.options.announcedBytes === undefined;
+  }
+
+  /** Returns the announced length, or a size that doubles a small body. */
+  private chooseSize(bytes: number): number {
+    const {announcedBytes} = this.options;
+    if (announcedBytes !== undefined) return Math.max(announcedBytes, bytes);
+    return Math.min(Math.max(bytes, this.capacity), BLOCK_BYTES);
+  }
+
   private join(): Buffer {
     const [first] = this.blocks;
-    if (this.blocks.length === 1 && first.length < BLOCK_BYTES) {
+    const isOwn = !this.isUnannounced || first?.length < BLOCK_BYTES;
+    if (this.blocks.length === 1 && isOwn) {
       return first.subarray(0, this.length);
     }
     const body = Buffer.concat(this.blocks, this.length);
@@ -130,9 +146,11 @@
   }
 
   private freeBlocks(): void {
-    this.budget.blocks.put(
-      this.blocks.filter(({length}) => length === BLOCK_BYTES),
-    );
+    if (this.isUnannounced) {
+      this.budget.blocks.put(
+        this.blocks.filter(({length}) => length === BLOCK_BYTES),
+      );
+    }
     this.blocks = [];
     this.used = 0;
   }
--- a/packages/wire/src/caller_limits.ts
+++ b/packages/wire/src/caller_limits.ts
@@ -26,7 +26,9 @@
 /** Memory of the process without callers, MiB, with room for batches and lists of endpoints. */
 const OWN_MEMORY_MB = 80;
 /** Share of the rest that callers may hold; what is dropped stays for a while until it is collected. */
-const HELD_SHARE = 0.25;
+const HELD_SHARE = 0.15;
+/** Share of what callers may hold that others may take beside one long body. */
+export const BESIDE_LARGE_SHARE = 0.25;
 /** Share of the rest for the connections themselves. */
 const CONNECTIONS_SHARE = 0.25;
 /** Memory of a connection with a request, bytes. */
@@ -39,7 +41,7 @@
 const CALLER_FDS_SHARE = 0.5;
 const MIN_CONNECTIONS = 16;
 
-const DEFAULT_REQUESTS_AHEAD = 16;
+const DEFAULT_REQUESTS_AHEAD = 4;
 const DEFAULT_BODY_SILENCE_MS = 10_000;
 const DEFAULT_BODY_MS = 60_000;
 
--- a/packages/wire/src/memory_budget.ts
+++ b/packages/wire/src/memory_budget.ts
@@ -29,7 +29,14 @@
   /** Memory of bodies, used again by the next. */
   readonly blocks: BlockPool;
 
-  constructor(readonly maxBytes = DEFAULT_MAX_BYTES) {
+  /**
+   * @param besideLargeShare One holder may exceed `maxBytes` while all others together take
+   * less than this share of it: a single long body has to pass on a small VM.
+   */
+  constructor(
+    readonly maxBytes = DEFAULT_MAX_BYTES,
+    private readonly besideLargeShare = 0,
+  ) {
     this.blocks = new BlockPool(
       Math.floor((maxBytes * FREE_BLOCKS_SHARE) / BLOCK_BYTES),
     );
@@ -47,13 +54,12 @@
 
   /**
    * Records that `holder` takes `bytes` by now. While there is too little memory, others
-   * are evicted, and `holder` itself if nothing else can be. What is held alone is kept
-   * whatever its size, which is limited elsewhere. Returns whether it is kept.
+   * are evicted, and `holder` itself if nothing else can be. Returns whether it is kept.
    */
   hold(holder: MemoryHolder, bytes: number): boolean {
     this.total += bytes - (this.sizes.get(holder) ?? 0);
     this.sizes.set(holder, bytes);
-    while (this.total > this.maxBytes && this.sizes.size > 1) {
+    while (this.total > this.maxBytes && !this.isOneLarge()) {
       const victim = this.chooseVictim() ?? holder;
       this.evictions += 1;
       this.release(victim);
@@ -68,6 +74,13 @@
     this.sizes.delete(holder);
   }
 
+  /** Whether a single holder takes so much, and all others so little that it may. */
+  private isOneLarge(): boolean {
+    const largestBytes = Math.max(...this.sizes.values());
+    const othersBytes = this.total - largestBytes;
+    return othersBytes < this.maxBytes * this.besideLargeShare;
+  }
+
   /** Drops what has stood still for longest; returns whether there was such. */
   evictStalled(): boolean {
     const victim = this.findStalled();
--- a/packages/wire/src/request_body.ts
+++ b/packages/wire/src/request_body.ts
@@ -50,6 +50,7 @@
     this.maxMs = limits.maxMs;
     this.buffer = new BodyBuffer(limits.maxBytes, limits.budget, {
       minPieceBytes: 1,
+      ...(announcedBytes === undefined ? {} : {announcedBytes}),
       onEvicted: () => this.fail('overloaded', TOO_MUCH_HELD),
     });
     this.whole = new Promise(resolve => (this.resolve = resolve));
