fix(wire,daemon): requests sent ahead on one connection let others go first

Callers saw: beside clients with many requests sent ahead an ordinary request waited for 10 to 38 s.

Cause: the requests of such a client that are answered at once followed each other without a turn of the event loop, 1,500 of one read.

Change: the parser gets the next requests in the next turn. One log line at most each half second says what callers met (callers limited), gauges show each limit.

--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -36,7 +36,7 @@
 import {type ClassDurations, EndpointView} from './endpoints/endpoint_view.js';
 import {AdmissionGate} from './requests/admission_gate.js';
 import {Forwarder} from './requests/forwarder.js';
-import {FrontServer} from './requests/front_server.js';
+import {FrontServer, type LimitCounts} from './requests/front_server.js';
 import {GatewayMetrics} from './gateway_metrics.js';
 import {KeyedFeed} from './store/keyed_feed.js';
 import {LeaseTask} from './engines/lease_task.js';
@@ -131,6 +131,7 @@
   private readonly replicas: IndexReplicas;
   private readonly lease: LeaseTask;
   private readonly front: FrontServer;
+  private reportedLimits: LimitCounts;
   /** Present if callers may ask for more than the endpoints can serve. */
   private readonly admission: AdmissionGate | undefined;
   private readonly readiness: http.Server;
@@ -241,9 +242,11 @@
     for (const server of [this.readiness, this.metricsServer]) {
       new ConnectionGuard(server, PROBE_LIMITS, this.memory);
     }
-    this.metrics.registerGauge('held_bytes', () => this.memory.heldBytes);
-    this.metrics.registerGauge('held_bytes_limit', () => this.memory.maxBytes);
-    this.metrics.registerGauge('held_evicted', () => this.memory.evictedCount);
+    const {metrics} = this;
+    this.reportedLimits = this.front.limitCounts;
+    metrics.registerGauge('held_bytes', () => this.memory.heldBytes);
+    metrics.registerGauge('held_bytes_limit', () => this.memory.maxBytes);
+    metrics.registerGauge('held_evicted_total', () => this.memory.evictedCount);
     const configFeed = this.createFeed(
       directory.configTopic,
       CONFIG_GATHER_MS,
@@ -488,6 +491,25 @@
       this.forget(entry);
     }
     this.links.prune(id => this.roster.get(id) !== undefined);
+    this.reportLimits();
+  }
+
+  /** Writes one line if callers have met limits since the last. */
+  private reportLimits(): void {
+    const {reportedLimits} = this;
+    const counts = this.front.limitCounts;
+    const since = {
+      evicted: counts.evicted - reportedLimits.evicted,
+      connectionsClosed:
+        counts.connectionsClosed - reportedLimits.connectionsClosed,
+      connectionsRefused:
+        counts.connectionsRefused - reportedLimits.connectionsRefused,
+    };
+    if (Object.values(since).every(count => count === 0)) return;
+    this.reportedLimits = counts;
+    const {heldBytes, connections} = counts;
+    const fields = {...since, heldBytes, connections};
+    this.deps.logger.log('warn', 'callers limited', fields);
   }
 
   private forget(entry: EndpointEntry): void {
--- a/packages/daemon/src/gateway/requests/front_server.ts
+++ b/packages/daemon/src/gateway/requests/front_server.ts
@@ -82,6 +82,15 @@
 /** The answer is sent this long before the caller stops waiting, ms. */
 const ANSWER_MARGIN_MS = 5;
 
+/** What callers hold, and how often they have met a limit since the start. */
+export interface LimitCounts {
+  readonly evicted: number;
+  readonly connectionsClosed: number;
+  readonly connectionsRefused: number;
+  readonly heldBytes: number;
+  readonly connections: number;
+}
+
 /** A request that is being forwarded. */
 interface PendingCall {
   /** Ends it because its caller disconnected. */
@@ -116,10 +125,32 @@
   private createGuard(): ConnectionGuard {
     const {limits, memory, metrics} = this.deps;
     metrics.registerGauge('caller_connections', () => this.guard.size);
-    return new ConnectionGuard(this.server, limits, memory, {
-      onEvicted: () => metrics.count('caller_connections_evicted'),
-      onRefused: () => metrics.count('caller_connections_refused'),
-    });
+    metrics.registerGauge(
+      'caller_connections_limit',
+      () => limits.maxConnections,
+    );
+    metrics.registerGauge(
+      'caller_connections_closed_total',
+      () => this.guard.closedCount,
+    );
+    metrics.registerGauge(
+      'caller_connections_refused_total',
+      () => this.guard.refusedCount,
+    );
+    return new ConnectionGuard(this.server, limits, memory);
+  }
+
+  /** The limits that callers have met so far. */
+  get limitCounts(): LimitCounts {
+    const {evictedCount, heldBytes} = this.deps.memory;
+    const {closedCount, refusedCount, size} = this.guard;
+    return {
+      evicted: evictedCount,
+      connectionsClosed: closedCount,
+      connectionsRefused: refusedCount,
+      heldBytes,
+      connections: size,
+    };
   }
 
   listen(address: string): Promise<string> {
--- a/packages/shared/src/log_event.ts
+++ b/packages/shared/src/log_event.ts
@@ -252,6 +252,17 @@
     readonly key: string | undefined;
     readonly outcome: string;
   };
+  /** Callers met limits since the last such line: more was held, or more connections were open, than this VM allows. */
+  readonly 'callers limited': {
+    /** Bodies, answers and requests sent ahead that had to give way. */
+    readonly evicted: number;
+    /** Connections that were closed for new ones. */
+    readonly connectionsClosed: number;
+    /** New connections that were closed since no other could be. */
+    readonly connectionsRefused: number;
+    readonly heldBytes: number;
+    readonly connections: number;
+  };
   /** There was too little room for the request; no endpoint has run it. */
   readonly 'request refused for lack of room': RequestFields &
     DecisionFields & {
--- a/packages/wire/src/connection_guard.ts
+++ b/packages/wire/src/connection_guard.ts
@@ -15,13 +15,6 @@
   readonly maxRequestsAhead: number;
 }
 
-export interface ConnectionEvents {
-  /** Called when a connection is closed for a new one. */
-  readonly onEvicted?: () => void;
-  /** Called when a new connection is closed since no other can be. */
-  readonly onRefused?: () => void;
-}
-
 /** Connections beyond the limit while others end, as a share of it. */
 const MAX_LINGERING_SHARE = 0.125;
 
@@ -29,13 +22,14 @@
   private readonly pacers = new Map<net.Socket, RequestPacer>();
   /** Connections without a request in progress, the one idle for longest first. */
   private readonly idle = new Set<net.Socket>();
+  private closed = 0;
+  private refused = 0;
 
   /** Guards all connections that `server` accepts from now on. */
   constructor(
     server: Server,
     private readonly limits: ConnectionLimits,
     private readonly budget: MemoryBudget,
-    private readonly events: ConnectionEvents = {},
   ) {
     server.on('connection', socket => this.accept(socket));
     server.on('request', (req, res) => this.recordRequest(req, res));
@@ -46,9 +40,19 @@
     return this.pacers.size;
   }
 
+  /** How many connections, or bodies on them, were given up for new connections. */
+  get closedCount(): number {
+    return this.closed;
+  }
+
+  /** How many new connections were closed since no other could be. */
+  get refusedCount(): number {
+    return this.refused;
+  }
+
   private accept(socket: net.Socket): void {
     if (this.size >= this.limits.maxConnections && !this.closeOne()) {
-      this.events.onRefused?.();
+      this.refused += 1;
       socket.destroy();
       return;
     }
@@ -104,14 +108,14 @@
     const {maxConnections} = this.limits;
     if (this.size >= maxConnections * (1 + MAX_LINGERING_SHARE)) return false;
     const isEvicted = this.budget.evictStalled();
-    if (isEvicted) this.events.onEvicted?.();
+    if (isEvicted) this.closed += 1;
     return isEvicted;
   }
 
   private close(socket: net.Socket): void {
     this.pacers.delete(socket);
     this.idle.delete(socket);
-    this.events.onEvicted?.();
+    this.closed += 1;
     socket.destroy();
   }
 }
--- a/packages/wire/src/request_pacer.ts
+++ b/packages/wire/src/request_pacer.ts
@@ -40,6 +40,7 @@
   private waiting = 0;
   private rest: Buffer = EMPTY;
   private isFeeding = false;
+  private isScheduled = false;
   /** Whether nothing more is to be read for now, however few requests wait. */
   private isBlocked = false;
   /** Whether this pacer has paused the connection. */
@@ -87,8 +88,18 @@
   recordAnswer(): void {
     this.waiting -= 1;
     this.answeredMs = performance.now();
-    this.countMemory();
-    this.feedRest();
+    if (this.rest.length === 0) this.feedRest();
+    else this.scheduleFeeding();
+  }
+
+  /** Lets other connections go first: requests that are answered at once would follow each other without end. */
+  private scheduleFeeding(): void {
+    if (this.isScheduled) return;
+    this.isScheduled = true;
+    setImmediate(() => {
+      this.isScheduled = false;
+      this.feedRest();
+    });
   }
 
   get isStopped(): boolean {
