fix(wire,daemon): heads have the operator's time, streams that are not read count

Callers saw: a header line a second kept a connection for up to a minute, though HeaderTimeoutMs is 3,000.

Cause: one number of Node.js bounds the first head of a connection and its idle time before, so it was header + idle + 1 s, looked at each 30 s.

Change: the time of a head counts from its first byte and is looked at each half second; 408 is true, nothing was passed on. What is written to a stream and not taken counts in the account of what callers hold.

--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -491,6 +491,7 @@
       this.forget(entry);
     }
     this.links.prune(id => this.roster.get(id) !== undefined);
+    this.front.closeLateHeads();
     this.reportLimits();
   }
 
--- a/packages/daemon/src/gateway/requests/front_server.ts
+++ b/packages/daemon/src/gateway/requests/front_server.ts
@@ -140,6 +140,12 @@
     return new ConnectionGuard(this.server, limits, memory);
   }
 
+  /** Refuses requests whose heads take longer than the operator allows. */
+  closeLateHeads(): void {
+    const limits = this.deps.config.table?.cfg.limits;
+    if (limits) this.guard.closeLateHeads(limits.headerTimeoutMs);
+  }
+
   /** The limits that callers have met so far. */
   get limitCounts(): LimitCounts {
     const {evictedCount, heldBytes} = this.deps.memory;
--- a/packages/daemon/src/gateway/requests/stream_call.ts
+++ b/packages/daemon/src/gateway/requests/stream_call.ts
@@ -18,6 +18,7 @@
   pickService,
 } from '@radishyoke/core/routing/route_table';
 import {createError, type RadishyokeError} from '@radishyoke/shared/error_kind';
+import {waitUntilTaken} from '@radishyoke/wire/whole_answer';
 import {toWatchedEnd, type WatchedRequest} from '../crashes/watched_request.js';
 import {
   ENDPOINT_UNREACHABLE,
@@ -146,7 +147,7 @@
   waitForDrain(): Promise<void> | undefined {
     if (!this.res.writableNeedDrain) return undefined;
     clearTimeout(this.stallTimer);
-    return new Promise(resolve => this.res.once('drain', resolve));
+    return waitUntilTaken(this.res, this.deps.links.bodies);
   }
 
   private async runAttempts(): Promise<StreamResult> {
--- a/packages/wire/src/connection_guard.ts
+++ b/packages/wire/src/connection_guard.ts
@@ -15,6 +15,9 @@
   readonly maxRequestsAhead: number;
 }
 
+/** Answer to a head that does not end in time, as Node.js gives it. */
+const HEAD_LATE_ANSWER =
+  'HTTP/1.1 408 Request Timeout\r\nConnection: close\r\n\r\n';
 /** Connections beyond the limit while others end, as a share of it. */
 const MAX_LINGERING_SHARE = 0.125;
 
@@ -40,7 +43,7 @@
     return this.pacers.size;
   }
 
-  /** How many connections, or bodies on them, were given up for new connections. */
+  /** How many connections, or bodies on them, were given up, for new connections or since a head was late. */
   get closedCount(): number {
     return this.closed;
   }
@@ -50,6 +53,16 @@
     return this.refused;
   }
 
+  /** Refuses the requests whose heads have not ended `maxMs` after they began. */
+  closeLateHeads(maxMs: number): void {
+    const sinceMs = performance.now() - maxMs;
+    for (const socket of this.idle) {
+      if (!this.pacers.get(socket)?.isHeadLate(sinceMs)) continue;
+      socket.write(HEAD_LATE_ANSWER);
+      this.close(socket);
+    }
+  }
+
   private accept(socket: net.Socket): void {
     if (this.size >= this.limits.maxConnections && !this.closeOne()) {
       this.refused += 1;
--- a/packages/wire/src/request_pacer.ts
+++ b/packages/wire/src/request_pacer.ts
@@ -48,6 +48,8 @@
   /** Whether the parser has paused it; it must not be fed then. */
   private isParserPaused = false;
   private answeredMs = performance.now();
+  /** Steady ms at which the head of the next request began to arrive; Infinity if it has not. */
+  private headStartedMs = Infinity;
 
   /**
    * @param feed Passes bytes to the parser, which may report requests meanwhile.
@@ -80,8 +82,14 @@
     this.socket.destroy();
   }
 
+  /** Whether a head has begun before `sinceMs` (steady), and has not ended. */
+  isHeadLate(sinceMs: number): boolean {
+    return this.waiting === 0 && this.headStartedMs < sinceMs;
+  }
+
   recordRequest(): void {
     this.waiting += 1;
+    this.headStartedMs = Infinity;
     this.countMemory();
   }
 
@@ -117,6 +125,9 @@
   }
 
   private push(bytes: Buffer): void {
+    if (this.waiting === 0 && this.headStartedMs === Infinity) {
+      this.headStartedMs = performance.now();
+    }
     this.rest =
       this.rest.length > 0 ? Buffer.concat([this.rest, bytes]) : bytes;
     this.feedRest();
--- a/packages/wire/src/whole_answer.ts
+++ b/packages/wire/src/whole_answer.ts
@@ -45,6 +45,24 @@
   return budget.hold(answer, bytes);
 }
 
+/** Resolves when `res` has taken what was written to it, which counts in `budget` meanwhile; not if its connection closes. */
+export function waitUntilTaken(
+  res: ServerResponse,
+  budget: MemoryBudget,
+): Promise<void> {
+  const answer = new UnreadAnswer(res);
+  const release = () => budget.release(answer);
+  return new Promise(resolve => {
+    res.once('close', release);
+    res.once('drain', () => {
+      res.off('close', release);
+      release();
+      resolve();
+    });
+    budget.hold(answer, res.writableLength);
+  });
+}
+
 /** Answers with `body` on `res`, and closes the connection if the rest of the request is not worth reading. */
 export function sendWhole(
   res: ServerResponse,
