--- a/packages/wire/src/block_pool.ts
+++ b/packages/wire/src/block_pool.ts
@@ -6,12 +6,14 @@
 /** Size of a block, bytes. */
 export const BLOCK_BYTES = 16 * 1024;
 
+/** Blocks that nobody uses at the moment. */
 export class BlockPool {
   private readonly free: Buffer[] = [];
 
   /** @param maxFree Most unused blocks that are kept. */
   constructor(private readonly maxFree: number) {}
 
+  /** Returns a block, which belongs to the caller until it is put back. */
   take(): Buffer {
     return this.free.pop() ?? Buffer.allocUnsafeSlow(BLOCK_BYTES);
   }
--- a/packages/wire/src/body_buffer.ts
+++ b/packages/wire/src/body_buffer.ts
@@ -18,6 +18,7 @@
 /** Each piece counts as at least this long unless the options say otherwise, bytes. */
 const MIN_PIECE_BYTES = 1024;
 
+/** The body of one message. */
 export class BodyBuffer implements MemoryHolder {
   /** All but the last are full. One block if the length was announced; otherwise no reference to a block of full size leaves this class. */
   private blocks: Buffer[] = [];
--- a/packages/wire/src/connection_guard.ts
+++ b/packages/wire/src/connection_guard.ts
@@ -21,6 +21,7 @@
 /** Connections beyond the limit while others end, as a share of it. */
 const MAX_LINGERING_SHARE = 0.125;
 
+/** Guards the connections of one listener. */
 export class ConnectionGuard {
   private readonly pacers = new Map<net.Socket, RequestPacer>();
   /** Connections without a request in progress, the one idle for longest first. */
--- a/packages/wire/src/memory_budget.ts
+++ b/packages/wire/src/memory_budget.ts
@@ -21,6 +21,7 @@
 /** What got on within this time does not stand still, ms. */
 const STALL_MS = 2000;
 
+/** Memory for all holders together. */
 export class MemoryBudget {
   private readonly sizes = new Map<MemoryHolder, number>();
   private total = 0;
@@ -69,6 +70,7 @@
     return true;
   }
 
+  /** Records that `holder` takes nothing any more. */
   release(holder: MemoryHolder): void {
     this.total -= this.sizes.get(holder) ?? 0;
     this.sizes.delete(holder);
--- a/packages/wire/src/request_body.ts
+++ b/packages/wire/src/request_body.ts
@@ -31,6 +31,7 @@
   return Number(req.headers['content-length'] ?? 0);
 }
 
+/** The receipt of one request's body. */
 export class BodyReceipt {
   /** Resolves when the body is whole, or to why it was not received. */
   readonly whole: Promise<Result<undefined>>;
--- a/packages/wire/src/request_pacer.ts
+++ b/packages/wire/src/request_pacer.ts
@@ -31,13 +31,16 @@
   return pacers.get(req.socket)?.isStopped ?? false;
 }
 
+/** Reads on what `stopReading` has stopped. */
 export function resumeReading(req: IncomingMessage): void {
   pacers.get(req.socket)?.unblock();
 }
 
+/** Feeds the parser of one connection. */
 export class RequestPacer implements MemoryHolder {
   /** Requests whose answers have not been sent. */
   private waiting = 0;
+  /** Received bytes that the parser has not got yet. */
   private rest: Buffer = EMPTY;
   private isFeeding = false;
   private isScheduled = false;
@@ -87,12 +90,14 @@
     return this.waiting === 0 && this.headStartedMs < sinceMs;
   }
 
+  /** Records that the parser has reported a request. */
   recordRequest(): void {
     this.waiting += 1;
     this.headStartedMs = Infinity;
     this.countMemory();
   }
 
+  /** Records that a request was answered, or its connection has closed. */
   recordAnswer(): void {
     this.waiting -= 1;
     this.answeredMs = performance.now();
@@ -110,6 +115,7 @@
     });
   }
 
+  /** Whether the parser is fed nothing, see `block`. */
   get isStopped(): boolean {
     return this.isBlocked;
   }
--- a/packages/wire/src/whole_answer.ts
+++ b/packages/wire/src/whole_answer.ts
@@ -22,7 +22,7 @@
 /** Shorter answers are not counted, bytes: a request itself takes more. */
 const MIN_COUNTED_BYTES = 4096;
 
-/** A whole answer that its caller has not read. */
+/** What was written of an answer and its caller has not read. */
 class UnreadAnswer implements MemoryHolder {
   readonly progressMs = performance.now();
 
@@ -83,7 +83,7 @@
 }
 
 /** Discards a bounded part of what comes, and then ends `res` and with it the connection. */
-export function linger(res: ServerResponse): void {
+function linger(res: ServerResponse): void {
   const {req} = res;
   let bytes = 0;
   const end = () => {
